--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, printed as ratios in one run."""
--- /dev/null
+++ b/packages/catalogue/src/yuccapitch/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations: ids, classes, limits, owners, validation, plan and diff."""
--- /dev/null
+++ b/packages/cli/src/yuccapitch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The yuccapitch operator command line."""
--- /dev/null
+++ b/packages/consensus/src/yuccapitch/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: election, replication, snapshots, storage."""
--- /dev/null
+++ b/packages/control/src/yuccapitch/control/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated catalogue: acceptance, leases, distribution, audit trail."""
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and endpoints: look-up, request path, probes."""
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/__init__.py
@@ -0,0 +1,1 @@
+"""The yuccapitchd daemon: settings, wiring, roles, signals."""
--- /dev/null
+++ b/packages/protocol/src/yuccapitch/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Inner thrift messages, framing, correlation and link liveness."""
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Pure steering decisions: choice, limits, retries, claims, drains."""
