--- /dev/null
+++ b/packages/node/src/yuccapitch/node/settings.py
@@ -0,0 +1,156 @@
+"""Reading yuccapitchd's settings from flags and environment variables."""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import difflib
+import sys
+import typing
+from collections.abc import Mapping, Sequence
+
+import pydantic
+import result
+
+# Importing settings_checks fills the registry of checks.
+from yuccapitch.node import settings_checks, settings_table  # noqa: F401
+
+Settings = settings_table.Settings
+Peer = settings_table.Peer
+Role = settings_table.Role
+
+EXIT_BAD_SETTINGS = 2
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """One fault in the settings and how to mend it."""
+
+    where: str
+    what: str
+    mend: str
+
+    def __str__(self) -> str:
+        return f"{self.where}: {self.what}; {self.mend}"
+
+
+def load(argv: Sequence[str], environ: Mapping[str, str]) -> Settings:
+    """Return the settings, or print every fault and exit with code 2."""
+    outcome = parse(argv, environ)
+    if isinstance(outcome, result.Ok):
+        return outcome.ok_value
+    for fault in outcome.err_value:
+        print(f"yuccapitchd: {fault}", file=sys.stderr)
+    print("yuccapitchd: 'yuccapitchd --help' lists every setting", file=sys.stderr)
+    sys.exit(EXIT_BAD_SETTINGS)
+
+
+def parse(
+    argv: Sequence[str], environ: Mapping[str, str]
+) -> result.Result[Settings, list[Fault]]:
+    """Return the settings or all of their faults; a flag goes before a variable."""
+    given, unknown = _parser().parse_known_args(list(argv))
+    faults = [_unknown_fault(argument) for argument in unknown]
+    texts_by_name = _texts_by_name(vars(given), environ)
+    values: dict[str, typing.Any] = {}
+    for row in settings_table.rows():
+        if row.name not in texts_by_name:
+            values[row.name] = row.default
+            continue
+        match _validate(row, texts_by_name[row.name]):
+            case result.Ok(value):
+                values[row.name] = value
+            case result.Err(fault):
+                faults.append(fault)
+    faults.extend(_check_together(values))
+    if faults:
+        return result.Err(faults)
+    if values["allow_unsigned"] is None:
+        values["allow_unsigned"] = not values["control_peers"]
+    return result.Ok(Settings(**values))
+
+
+def unknown_variables(environ: Mapping[str, str]) -> list[str]:
+    """Return variables with the settings' prefix that name no setting."""
+    known = {row.variable for row in settings_table.rows()}
+    prefix = settings_table.VARIABLE_PREFIX
+    return sorted(name for name in set(environ) - known if name.startswith(prefix))
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="yuccapitchd",
+        description="Runs one yuccapitch instance. Each flag has an environment"
+        " variable, named with it; a flag goes before its variable.",
+        allow_abbrev=False,
+        argument_default=argparse.SUPPRESS,
+    )
+    for row in settings_table.rows():
+        parser.add_argument(
+            row.flag,
+            dest=row.name,
+            nargs="?",
+            # A flag without its value becomes a fault beside the others.
+            const="true" if row.is_switch else "",
+            metavar="VALUE",
+            help=_help(row),
+        )
+    return parser
+
+
+def _help(row: settings_table.Row) -> str:
+    default = f", default {row.default_text}" if row.default_text else ""
+    unit = f" {row.unit}" if row.unit else ""
+    text = f"{row.help_text} {row.variable}: {row.expects}{unit}{default}."
+    return text.replace("%", "%%")
+
+
+def _texts_by_name(
+    given: Mapping[str, str], environ: Mapping[str, str]
+) -> dict[str, str]:
+    # An empty variable counts as not given, so an environment file may list it.
+    from_environ = {
+        row.name: environ[row.variable]
+        for row in settings_table.rows()
+        if environ.get(row.variable)
+    }
+    return {**from_environ, **given}
+
+
+def _validate(row: settings_table.Row, text: str) -> result.Result[typing.Any, Fault]:
+    where = f"{row.flag} / {row.variable}"
+    if text == "":
+        return result.Err(Fault(where, "the value is missing", f"give {row.expects}"))
+    try:
+        return result.Ok(row.adapter.validate_python(text))
+    except pydantic.ValidationError as error:
+        reason = error.errors()[0]
+        cause = reason.get("ctx", {}).get("error")
+        what = f"{text!r} is not valid" + (f" ({cause})" if cause else "")
+        return result.Err(Fault(where, what, f"give {row.expects}"))
+
+
+def _check_together(values: Mapping[str, typing.Any]) -> list[Fault]:
+    rows_by_name = {row.name: row for row in settings_table.rows()}
+    faults = []
+    for names, function in settings_table.CHECKS:
+        if any(name not in values for name in names):
+            continue
+        mend = function({name: values[name] for name in names})
+        if mend is not None:
+            rows = [rows_by_name[name] for name in names]
+            where = ", ".join(f"{row.flag} / {row.variable}" for row in rows)
+            faults.append(Fault(where, _summary(function), mend))
+    return faults
+
+
+def _summary(function: settings_table.Check) -> str:
+    """Return the rule that a check states in its docstring."""
+    return "breaks the rule '" + (function.__doc__ or "").strip().rstrip(".") + "'"
+
+
+def _unknown_fault(argument: str) -> Fault:
+    flags = [row.flag for row in settings_table.rows()]
+    near = difflib.get_close_matches(argument.split("=")[0], flags, n=1)
+    mend = f"did you mean {near[0]}?" if near else "remove it"
+    return Fault(argument, "there is no such flag", mend)
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/settings_checks.py
@@ -0,0 +1,90 @@
+"""Checks that concern several settings at once."""
+
+from __future__ import annotations
+
+import collections
+import typing
+from collections.abc import Mapping
+
+from yuccapitch.node import settings_table
+
+_Values = Mapping[str, typing.Any]
+
+
+@settings_table.check("tls_cert", "tls_key", "tls_trust_dir")
+def check_tls(values: _Values) -> str | None:
+    """Inner links use TLS with all three files, or not at all."""
+    given = [value is not None for value in values.values()]
+    if any(given) and not all(given):
+        return "give all three, or none to run inner links without TLS"
+    return None
+
+
+@settings_table.check("role", "control_peers")
+def check_entry_peers(values: _Values) -> str | None:
+    """An entry instance needs control instances to learn its configuration from."""
+    if values["role"] is settings_table.Role.ENTRY and not values["control_peers"]:
+        return "an entry instance needs at least one control instance in the list"
+    return None
+
+
+@settings_table.check("role", "instance_id", "control_peers")
+def check_own_peer(values: _Values) -> str | None:
+    """A control instance stands in its own list of control instances."""
+    peer_ids = {peer.instance_id for peer in values["control_peers"]}
+    if values["role"] is settings_table.Role.ENTRY or not peer_ids:
+        return None
+    if values["instance_id"] not in peer_ids:
+        return f"add {values['instance_id']}=host:port, the instance itself"
+    return None
+
+
+@settings_table.check("control_peers")
+def check_peers_differ(values: _Values) -> str | None:
+    """No id and no address stands twice in the list."""
+    peers = values["control_peers"]
+    seen = collections.Counter(peer.instance_id for peer in peers)
+    seen.update(f"{peer.host}:{peer.inner_port}" for peer in peers)
+    doubled = sorted(key for key, count in seen.items() if count > 1)
+    return f"name {', '.join(doubled)} only once" if doubled else None
+
+
+@settings_table.check("renew_interval_s", "lease_duration_s")
+def check_renewal(values: _Values) -> str | None:
+    """A lease outlives one lost renewal."""
+    if values["renew_interval_s"] * 2 > values["lease_duration_s"]:
+        return "renew at least twice in a lease's life"
+    return None
+
+
+@settings_table.check("heartbeat_interval_s", "election_timeout_s")
+def check_election(values: _Values) -> str | None:
+    """One lost heartbeat starts no election."""
+    if values["heartbeat_interval_s"] * 2 > values["election_timeout_s"]:
+        return "let the timeout span at least two heartbeats"
+    return None
+
+
+@settings_table.check("heartbeat_interval_s", "link_timeout_s")
+def check_link_timeout(values: _Values) -> str | None:
+    """One lost heartbeat closes no link."""
+    if values["heartbeat_interval_s"] * 2 > values["link_timeout_s"]:
+        return "let the timeout span at least two heartbeats"
+    return None
+
+
+@settings_table.check("http_host", "http_port", "inner_host", "inner_port")
+def check_ports_differ(values: _Values) -> str | None:
+    """Callers and instances arrive at different ports."""
+    same_host = values["http_host"] == values["inner_host"]
+    if same_host and values["http_port"] == values["inner_port"] != 0:
+        return "use two different ports"
+    return None
+
+
+@settings_table.check("data_dir")
+def check_data_dir(values: _Values) -> str | None:
+    """The data folder is not a file."""
+    if values["data_dir"].exists() and not values["data_dir"].is_dir():
+        return f"{values['data_dir']} is a file; name a folder"
+    return None
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/settings_table.py
@@ -0,0 +1,301 @@
+"""The table of yuccapitchd's settings: parsing, checks, help and docs come from it."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import functools
+import ipaddress
+import pathlib
+import typing
+from collections.abc import Callable, Mapping
+
+import pydantic
+
+from yuccapitch.catalogue import ids
+
+VARIABLE_PREFIX = "YUCCAPITCH_"
+
+
+class Role(enum.Enum):
+    """What the process runs."""
+
+    CONTROL = "control"
+    ENTRY = "entry"
+    BOTH = "both"
+
+
+class LogLevel(enum.Enum):
+    """The lowest level of events that are logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclasses.dataclass(frozen=True)
+class Peer:
+    """A control instance and the address of its inner port."""
+
+    instance_id: ids.InstanceId
+    host: str
+    inner_port: int
+
+
+def parse_host(text: str) -> str:
+    """Return the text if it is an IP address."""
+    return str(ipaddress.ip_address(text))
+
+
+def parse_peers(text: object) -> object:
+    """Return the peers of a comma separated list of `id=host:port`."""
+    if not isinstance(text, str):
+        return text
+    return tuple(_parse_peer(part.strip()) for part in text.split(",") if part.strip())
+
+
+def _parse_peer(text: str) -> Peer:
+    instance_id, _, address = text.partition("=")
+    host, _, port = address.rpartition(":")
+    if not (instance_id and host and port.isascii() and port.isdigit()):
+        raise ValueError(f"{text!r} is not id=host:port")
+    if not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} has a port outside 1 to 65535")
+    return Peer(ids.InstanceId(instance_id), parse_host(host.strip("[]")), int(port))
+
+
+@dataclasses.dataclass(frozen=True)
+class Hint:
+    """What a value must look like, where bounds and choices do not say it."""
+
+    text: str
+
+
+_INSTANCE_ID_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
+_Name = typing.Annotated[
+    str,
+    pydantic.Field(pattern=_INSTANCE_ID_PATTERN),
+    Hint("1 to 64 letters, digits, dots, dashes and underscores"),
+]
+_Host = typing.Annotated[
+    str, pydantic.AfterValidator(parse_host), Hint("an IP address, such as 127.0.0.1")
+]
+_Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
+_Peers = typing.Annotated[
+    tuple[Peer, ...],
+    pydantic.BeforeValidator(parse_peers),
+    Hint("a comma separated list of id=host:port, hosts as IP addresses"),
+]
+_Duration = typing.Annotated[float, pydantic.Field(gt=0, le=3600)]
+_File = typing.Annotated[pydantic.FilePath, Hint("the path of an existing file")]
+_Folder = typing.Annotated[
+    pydantic.DirectoryPath, Hint("the path of an existing folder")
+]
+
+
+def _setting(default: object, help_text: str, unit: str = "") -> typing.Any:
+    return dataclasses.field(
+        default=default, metadata={"help": help_text, "unit": unit}
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """Every setting of one yuccapitchd process."""
+
+    role: Role = _setting(Role.BOTH, "What the process runs.")
+    instance_id: _Name = _setting(
+        "local", "Id of this instance, the same as in the catalogue."
+    )
+    failure_domain: _Name = _setting(
+        "local", "Failure domain of this instance, the same as in the catalogue."
+    )
+    http_host: _Host = _setting(
+        "127.0.0.1", "Address to listen on for callers and operators."
+    )
+    http_port: _Port = _setting(
+        8080, "Port for callers and operators; 0 lets the system choose."
+    )
+    inner_host: _Host = _setting(
+        "127.0.0.1", "Address to listen on for other instances."
+    )
+    inner_port: _Port = _setting(
+        7080, "Port for other instances; 0 lets the system choose."
+    )
+    control_peers: _Peers = _setting(
+        (),
+        "Every control instance with its inner address, including this one if it"
+        " has the role; empty means that this process is the only one.",
+    )
+    data_dir: pathlib.Path = _setting(
+        pathlib.Path("yuccapitch-data"),
+        "Folder of the replicated log and the instance's identity.",
+    )
+    allow_unsigned: bool | None = _setting(
+        None,
+        "Accept changes without an operator's signature; by default only while"
+        " control_peers is empty.",
+    )
+    tls_cert: _File | None = _setting(
+        None, "Certificate of this instance for inner links, PEM."
+    )
+    tls_key: _File | None = _setting(None, "Private key of the certificate, PEM.")
+    tls_trust_dir: _Folder | None = _setting(
+        None, "Folder of the trusted peers' certificates, one *.pem each."
+    )
+    lease_duration_s: _Duration = _setting(
+        4.0, "Life of a configuration lease and of limit shares.", "s"
+    )
+    renew_interval_s: _Duration = _setting(1.0, "Time between lease renewals.", "s")
+    heartbeat_interval_s: _Duration = _setting(
+        0.2, "Time between heartbeats on inner links and of the leader.", "s"
+    )
+    election_timeout_s: _Duration = _setting(
+        1.0, "Silence of the leader after which an election may start.", "s"
+    )
+    link_timeout_s: _Duration = _setting(
+        2.0, "Silence after which an inner link is closed and opened anew.", "s"
+    )
+    drain_linger_s: typing.Annotated[float, pydantic.Field(ge=0, le=3600)] = _setting(
+        0.0, "Time a stopping instance serves beyond the life of cached answers.", "s"
+    )
+    max_header_bytes: typing.Annotated[int, pydantic.Field(ge=1024, le=1_048_576)] = (
+        _setting(16_384, "Largest request head taken from a caller.", "bytes")
+    )
+    max_in_flight: typing.Annotated[int, pydantic.Field(ge=1, le=1_000_000)] = _setting(
+        4096, "Requests that the instance holds at once.", "requests"
+    )
+    log_level: LogLevel = _setting(LogLevel.INFO, "Lowest level of logged events.")
+    seed: int | None = _setting(
+        None, "Seed of the random source; by default the system gives one."
+    )
+
+    @property
+    def runs_control(self) -> bool:
+        """Whether the process has the control role."""
+        return self.role is not Role.ENTRY
+
+    @property
+    def runs_entry(self) -> bool:
+        """Whether the process has the entry role."""
+        return self.role is not Role.CONTROL
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """One setting as parsed and documented."""
+
+    name: str
+    annotation: typing.Any
+    default: object
+    unit: str
+    help_text: str
+
+    @property
+    def flag(self) -> str:
+        """The command line flag."""
+        return "--" + self.name.replace("_", "-")
+
+    @property
+    def variable(self) -> str:
+        """The environment variable."""
+        return VARIABLE_PREFIX + self.name.upper()
+
+    @property
+    def is_switch(self) -> bool:
+        """Whether the flag may stand without a value."""
+        return self.base_type is bool
+
+    @property
+    def base_type(self) -> typing.Any:
+        """The type without annotations and None."""
+        return _base_type(self.annotation)
+
+    @property
+    def default_text(self) -> str:
+        """The default as written in docs."""
+        if self.default is None or self.default == ():
+            return ""
+        if isinstance(self.default, enum.Enum):
+            return str(self.default.value)
+        return str(self.default)
+
+    @property
+    def expects(self) -> str:
+        """What a value must be, in words."""
+        base = self.base_type
+        for hint in _metadata(self.annotation):
+            if isinstance(hint, Hint):
+                return hint.text
+        if isinstance(base, type) and issubclass(base, enum.Enum):
+            return "one of " + ", ".join(member.value for member in base)
+        if base is bool:
+            return "true or false"
+        if base is pathlib.Path:
+            return "a path"
+        return _NOUNS_BY_TYPE[base] + _bounds_text(self.annotation)
+
+    @functools.cached_property
+    def adapter(self) -> pydantic.TypeAdapter[typing.Any]:
+        """The validator of the value."""
+        return pydantic.TypeAdapter(self.annotation)
+
+
+_NOUNS_BY_TYPE = {int: "a whole number", float: "a number", str: "text"}
+
+
+def _base_type(annotation: typing.Any) -> typing.Any:
+    if typing.get_origin(annotation) is typing.Annotated:
+        return _base_type(typing.get_args(annotation)[0])
+    options = [arg for arg in typing.get_args(annotation) if arg is not type(None)]
+    if len(options) == 1 and type(None) in typing.get_args(annotation):
+        return _base_type(options[0])
+    return annotation
+
+
+def _metadata(annotation: typing.Any) -> list[typing.Any]:
+    if typing.get_origin(annotation) is typing.Annotated:
+        return list(typing.get_args(annotation)[1:])
+    return [item for arg in typing.get_args(annotation) for item in _metadata(arg)]
+
+
+def _bounds_text(annotation: typing.Any) -> str:
+    words = {"gt": "above", "ge": "from", "lt": "below", "le": "to"}
+    parts = [
+        f"{words[name]} {getattr(bound, name)}"
+        for field in _metadata(annotation)
+        for bound in getattr(field, "metadata", ())
+        for name in words
+        if hasattr(bound, name)
+    ]
+    return " ".join(["", *parts]) if parts else ""
+
+
+def rows() -> tuple[Row, ...]:
+    """Return the table in its declared order."""
+    annotations = typing.get_type_hints(Settings, include_extras=True)
+    return tuple(
+        Row(
+            name=field.name,
+            annotation=annotations[field.name],
+            default=field.default,
+            unit=field.metadata["unit"],
+            help_text=field.metadata["help"],
+        )
+        for field in dataclasses.fields(Settings)
+    )
+
+
+Check = Callable[[Mapping[str, typing.Any]], str | None]
+CHECKS: list[tuple[tuple[str, ...], Check]] = []
+
+
+def check(*names: str) -> Callable[[Check], Check]:
+    """Register a check over several settings; it returns how to mend a fault."""
+
+    def register(function: Check) -> Check:
+        CHECKS.append((names, function))
+        return function
+
+    return register
