--- /dev/null
+++ b/packages/node/tests/test_logs.py
@@ -0,0 +1,69 @@
+"""Tests of the log lines and of the registry of events."""
+
+from __future__ import annotations
+
+import ast
+import io
+import pathlib
+from collections.abc import Iterator
+
+import hypothesis
+import hypothesis.strategies as st
+
+from yuccapitch.node import events_page, logs, settings_table
+from yuccapitch.protocol import events
+
+ROOT = pathlib.Path(__file__).parents[3]
+
+
+def written(lowest: settings_table.LogLevel) -> list[str]:
+    stream = io.StringIO()
+    with logs.write_to(stream, "entry-1", lowest):
+        events.event("entry.lease-renewed", version=3)
+        events.event("change.refused", reason="not a\nturn", level="x", who=None)
+    events.event("process.stopped")
+    return stream.getvalue().splitlines()
+
+
+def test_write_to_one_line_an_event() -> None:
+    renewed, refused = written(settings_table.LogLevel.DEBUG)
+    head, _, fields = renewed.partition(" instance=entry-1 ")
+    assert head.startswith("time=2") and head.endswith("event=entry.lease-renewed")
+    assert fields == "version=3"
+    assert "level=warning event=change.refused" in refused
+    assert refused.endswith(r'reason="not a\nturn" field_level=x who=null')
+
+
+def test_write_to_filters_by_level() -> None:
+    (line,) = written(settings_table.LogLevel.INFO)
+    assert "change.refused" in line
+
+
+@hypothesis.given(st.dictionaries(st.text(), st.text() | st.integers() | st.none()))
+def test_format_line_never_breaks(fields: dict[str, object]) -> None:
+    message = {**fields, "timestamp": 0.0, "message_type": "process.started"}
+    line = logs.format_line(message, "entry-1")
+    assert len(line.splitlines()) == 1
+    assert line.isprintable() and line.isascii()
+
+
+def test_events_logged_are_declared() -> None:
+    names = [
+        name for path in ROOT.glob("packages/*/src/**/*.py") for name in used(path)
+    ]
+    assert set(names) <= set(events.EVENTS_BY_NAME)
+
+
+def used(path: pathlib.Path) -> Iterator[str]:
+    """Yield the names given to `events.event` or `logs.event` in a file."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not (isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute)):
+            continue
+        if ast.unparse(node.func) in ("events.event", "logs.event"):
+            assert isinstance(node.args[0], ast.Constant), f"{path}:{node.lineno}"
+            yield node.args[0].value
+
+
+def test_page_equals_registry() -> None:
+    page = ROOT / "docs" / "reference" / "events.md"
+    assert page.read_text() == events_page.text()
--- /dev/null
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -0,0 +1,138 @@
+"""The registry of logged events and the function that logs one."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+import eliot
+
+
+class Level(enum.IntEnum):
+    """How much an event matters to an operator."""
+
+    DEBUG = 10
+    INFO = 20
+    WARNING = 30
+    ERROR = 40
+
+
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """A declared event."""
+
+    name: str
+    level: Level
+    meaning: str
+
+
+EVENTS_BY_NAME: dict[str, Event] = {}
+
+
+def declare(name: str, meaning: str, level: Level = Level.INFO) -> None:
+    """Add an event to the registry."""
+    if name in EVENTS_BY_NAME:
+        raise ValueError(f"the event {name!r} is declared twice")
+    EVENTS_BY_NAME[name] = Event(name, level, meaning)
+
+
+def event(event_name: str, /, **fields: object) -> None:
+    """Log an event with its fields."""
+    eliot.log_message(message_type=event_name, **fields)
+
+
+declare("process.started", "The process is ready to serve.")
+declare("process.stopping", "A signal asked the process to stop; the drain begins.")
+declare("process.stopped", "The process has finished all work and closed its files.")
+declare(
+    "process.failed",
+    "A broken invariant or an unexpected error stopped the process.",
+    Level.ERROR,
+)
+declare(
+    "process.task-failed",
+    "A background task ended with an unexpected error.",
+    Level.ERROR,
+)
+declare(
+    "settings.unknown-variable",
+    "An environment variable has the settings' prefix but names no setting.",
+    Level.WARNING,
+)
+declare("link.opened", "An inner link to or from another instance is open.")
+declare("link.closed", "An inner link has closed.")
+declare(
+    "link.refused",
+    "A peer on the inner port was refused: unknown or not speaking the protocol.",
+    Level.WARNING,
+)
+declare(
+    "link.silent",
+    "An inner link was closed because nothing arrived within its timeout.",
+    Level.WARNING,
+)
+declare("tls.reloaded", "The certificates for inner links were read again.")
+declare(
+    "tls.reload-failed",
+    "Changed certificates could not be read; the former ones stay in use.",
+    Level.ERROR,
+)
+declare("log.recovered", "The replicated log was read from disk.")
+declare(
+    "log.tail-truncated",
+    "A torn record at the end of the log was cut off during recovery.",
+    Level.WARNING,
+)
+declare("log.corrupt", "A record inside the log fails its checksum.", Level.ERROR)
+declare("log.snapshot-written", "A snapshot was written and the log shortened.")
+declare("log.snapshot-installed", "A snapshot from the leader replaced the own state.")
+declare("consensus.election-started", "The instance stands for election.")
+declare("consensus.leader-elected", "The instance became the leader of a term.")
+declare("consensus.leader-changed", "The instance follows another leader.")
+declare(
+    "consensus.stepped-down",
+    "The leader gave up its term because it lost its quorum or saw a later term.",
+    Level.WARNING,
+)
+declare("consensus.members-changed", "The set of voting instances changed.")
+declare("change.accepted", "A change of the catalogue was committed.")
+declare("change.refused", "A change was refused.", Level.WARNING)
+declare("change.repeated", "A resent change was given its first outcome again.")
+declare("change.in-force", "A version is in force on every entry instance.")
+declare("entry.lease-granted", "The instance holds a configuration lease.")
+declare("entry.lease-renewed", "A configuration lease was renewed.", Level.DEBUG)
+declare(
+    "entry.lease-lapsed",
+    "The configuration lease lapsed; the instance takes no new work.",
+    Level.WARNING,
+)
+declare("entry.version-applied", "The instance acts on a new configuration version.")
+declare("entry.drain-started", "The instance leaves the answers and starts to drain.")
+declare("entry.drain-finished", "Nothing is in flight any more.")
+declare("share.granted", "A share of a limit was leased.", Level.DEBUG)
+declare("share.lapsed", "A share of a limit lapsed unrenewed.", Level.WARNING)
+declare(
+    "request.failed",
+    "A request ended without a whole answer.",
+    Level.DEBUG,
+)
+declare(
+    "request.refused",
+    "A request was refused before any of it left for an endpoint.",
+    Level.DEBUG,
+)
+declare("endpoint.up", "An endpoint takes work.")
+declare("endpoint.down", "An endpoint takes no work because it failed.", Level.WARNING)
+declare("endpoint.leaving", "An endpoint leaves and takes no new work.")
+declare(
+    "endpoint.report-invalid",
+    "An endpoint's load report could not be read and was ignored.",
+    Level.WARNING,
+)
+declare(
+    "platform.list-failed",
+    "The platform's list of instances could not be read.",
+    Level.WARNING,
+)
+declare("shift.started", "Traffic of a service is being moved to another region.")
+declare("shift.stopped", "Traffic of a service is no longer moved.")
