Map client addresses to regions with a compact table

A first decoder took a body whose last bytes were cut off: the zlib trailer is not needed to get the whole content.

--- /dev/null
+++ b/bench/lookup.py
@@ -0,0 +1,99 @@
+"""Measures the look-up table: `python -m bench.lookup [--blocks 2400000]`.
+
+Prints build time, compact size, memory of the table and of a process that decodes it, and
+the time of a decision (parse the client's address, find its region).
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import pathlib
+import random
+import resource
+import time
+from collections.abc import Iterator
+
+from yuccapitch.catalogue import ids
+from yuccapitch.steering import lookup_codec, lookup_table
+
+SEED = 20261204
+REGIONS = tuple(ids.RegionId(f"region-{i}") for i in range(18))
+LOOKUPS = 200_000
+IPV6_SHARE = 0.2
+
+
+def blocks(count: int, rng: random.Random) -> Iterator[tuple[str, ids.RegionId]]:
+    """Yield distinct /24 and /48 blocks spread over the address space."""
+    ipv6_count = int(count * IPV6_SHARE)
+    for number in rng.sample(range(1 << 24), count - ipv6_count):
+        octets = number >> 16, number >> 8 & 255, number & 255
+        yield "%d.%d.%d.0/24" % octets, rng.choice(REGIONS)
+    for number in rng.sample(range(1 << 32), ipv6_count):
+        yield f"2001:{number >> 16:x}:{number & 0xFFFF:x}::/48", rng.choice(REGIONS)
+
+
+def address(rng: random.Random) -> str:
+    """Return a random client address."""
+    if rng.random() < IPV6_SHARE:
+        low = rng.getrandbits(32)
+        return f"2001:{low >> 16:x}:{low & 0xFFFF:x}::1"
+    return ".".join(str(rng.getrandbits(8)) for _ in range(4))
+
+
+def resident_bytes() -> int:
+    """Return the process's resident memory now."""
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize()
+
+
+def measure(count: int, path: pathlib.Path | None) -> None:
+    """Build or read the table and print its figures."""
+    rng = random.Random(SEED)
+    before = resident_bytes()
+    began = time.perf_counter()
+    if path is not None and path.exists():
+        table = lookup_codec.decode_table(path.read_bytes()).unwrap()
+        print(f"decode_s={time.perf_counter() - began:.2f}")
+    else:
+        table = lookup_table.build(blocks(count, rng), REGIONS).unwrap()
+        print(f"build_s={time.perf_counter() - began:.2f} (drawing blocks included)")
+        data = lookup_codec.encode_table(table)
+        print(f"compact_mb={len(data) / 1e6:.1f}")
+        if path is not None:
+            path.write_bytes(data)
+    gc.collect()
+    print(f"blocks={count} runs={len(table.ipv4.starts) + len(table.ipv6.starts)}")
+    print(f"table_mb={table.size_bytes / 1e6:.1f}")
+    print(f"resident_mb={resident_bytes() / 1e6:.1f} (before: {before / 1e6:.1f})")
+    print_decisions(table, rng)
+
+
+def print_decisions(table: lookup_table.LookupTable, rng: random.Random) -> None:
+    """Print quantiles of the time of one decision."""
+    clients = [address(rng) for _ in range(LOOKUPS)]
+    times_us = []
+    for client in clients:
+        began = time.perf_counter_ns()
+        table.region_of(lookup_table.parse_address(client).unwrap())
+        times_us.append((time.perf_counter_ns() - began) / 1000)
+    times_us.sort()
+    p50, p99 = (times_us[int(len(times_us) * share)] for share in (0.5, 0.99))
+    print(f"lookups={LOOKUPS} p50_us={p50:.2f} p99_us={p99:.2f}")
+
+
+def main() -> None:
+    """Run the measurement that the flags describe."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--blocks", type=int, default=2_400_000)
+    parser.add_argument(
+        "--file",
+        type=pathlib.Path,
+        help="compact table: written if it is missing, else read in place of building",
+    )
+    flags = parser.parse_args()
+    measure(flags.blocks, flags.file)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/lookup_codec.py
@@ -0,0 +1,332 @@
+"""The look-up table and the difference between two tables as bytes."""
+
+from __future__ import annotations
+
+import array
+import bisect
+import dataclasses
+import struct
+import sys
+import zlib
+
+import result
+
+from yuccapitch.catalogue import ids
+from yuccapitch.steering import lookup_table
+
+MAGIC = b"YPLT"
+FORMAT_VERSION = 1
+MAX_DECODED_BYTES = 256 * 1024 * 1024
+_HEAD = struct.Struct("<4sHBII")
+"""Magic, format version, kind, length and CRC of the body before compression."""
+_COUNT = struct.Struct("<I")
+_HIGH = struct.Struct("<Q")
+_KIND_TABLE = 1
+_KIND_DIFFERENCE = 2
+_CHUNK = 4096
+_COMPRESSION_LEVEL = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class DecodeFault:
+    """Bytes that are no table or difference that this version can use."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RunsDifference:
+    """Starts that are gone, and runs that are new or have another value."""
+
+    removed: array.array[int]
+    changed: lookup_table.Runs
+
+
+@dataclasses.dataclass(frozen=True)
+class Difference:
+    """What turns one table into another."""
+
+    base_crc: int
+    target_crc: int
+    region_ids: tuple[ids.RegionId, ...]
+    ipv4: RunsDifference
+    ipv6: RunsDifference
+    ipv6_low_by_high: dict[int, lookup_table.Runs]
+    """The lower halves that changed; empty runs mean that they are gone."""
+
+
+def checksum(table: lookup_table.LookupTable) -> int:
+    """Return the CRC of the table's content."""
+    return zlib.crc32(_table_body(table))
+
+
+def encode_table(table: lookup_table.LookupTable) -> bytes:
+    """Return the table in its compact form."""
+    return _frame(_KIND_TABLE, _table_body(table))
+
+
+def decode_table(
+    data: bytes,
+) -> result.Result[lookup_table.LookupTable, DecodeFault]:
+    """Return the table of the compact form."""
+    return _unframe(_KIND_TABLE, data).and_then(_read_table)
+
+
+def difference(
+    base: lookup_table.LookupTable, target: lookup_table.LookupTable
+) -> result.Result[Difference, DecodeFault]:
+    """Return what turns the base into the target."""
+    if target.region_ids[: len(base.region_ids)] != base.region_ids:
+        return result.Err(DecodeFault("the regions' order differs; send it whole"))
+    empty = lookup_table.Runs(array.array("Q"), array.array("H"))
+    highs = base.ipv6_low_by_high.keys() | target.ipv6_low_by_high.keys()
+    return result.Ok(
+        Difference(
+            base_crc=checksum(base),
+            target_crc=checksum(target),
+            region_ids=target.region_ids,
+            ipv4=_runs_difference(base.ipv4, target.ipv4),
+            ipv6=_runs_difference(base.ipv6, target.ipv6),
+            ipv6_low_by_high={
+                high: target.ipv6_low_by_high.get(high, empty)
+                for high in sorted(highs)
+                if base.ipv6_low_by_high.get(high) != target.ipv6_low_by_high.get(high)
+            },
+        )
+    )
+
+
+def apply_difference(
+    base: lookup_table.LookupTable, change: Difference
+) -> result.Result[lookup_table.LookupTable, DecodeFault]:
+    """Return the target table; the base stays as it is."""
+    if checksum(base) != change.base_crc:
+        return result.Err(DecodeFault("the difference is from another table"))
+    low_by_high = {**base.ipv6_low_by_high, **change.ipv6_low_by_high}
+    table = lookup_table.LookupTable(
+        change.region_ids,
+        _apply_runs(base.ipv4, change.ipv4),
+        _apply_runs(base.ipv6, change.ipv6),
+        {high: runs for high, runs in sorted(low_by_high.items()) if runs.starts},
+    )
+    if checksum(table) != change.target_crc:
+        return result.Err(DecodeFault("the difference does not give its target"))
+    return result.Ok(table)
+
+
+def encode_difference(change: Difference) -> bytes:
+    """Return the difference in its compact form."""
+    parts = [
+        _COUNT.pack(change.base_crc),
+        _COUNT.pack(change.target_crc),
+        _regions_bytes(change.region_ids),
+    ]
+    for runs in (change.ipv4, change.ipv6):
+        parts += [_array_bytes(runs.removed), _runs_bytes(runs.changed)]
+    parts.append(_low_bytes(change.ipv6_low_by_high))
+    return _frame(_KIND_DIFFERENCE, b"".join(parts))
+
+
+def decode_difference(data: bytes) -> result.Result[Difference, DecodeFault]:
+    """Return the difference of the compact form."""
+    return _unframe(_KIND_DIFFERENCE, data).and_then(_read_difference)
+
+
+def _runs_difference(
+    base: lookup_table.Runs, target: lookup_table.Runs
+) -> RunsDifference:
+    typecode = base.starts.typecode
+    removed = array.array(typecode)
+    changed = lookup_table.Runs(array.array(typecode), array.array("H"))
+    i = j = 0
+    while i < len(base.starts) or j < len(target.starts):
+        if _chunk(base, i) == _chunk(target, j):
+            i, j = i + _CHUNK, j + _CHUNK
+            continue
+        # Walk one chunk run by run, then try whole chunks again.
+        for _ in range(_CHUNK):
+            if j >= len(target.starts):
+                removed.extend(base.starts[i:])
+                return RunsDifference(removed, changed)
+            start = target.starts[j]
+            if i < len(base.starts) and base.starts[i] < start:
+                removed.append(base.starts[i])
+                i += 1
+                continue
+            same_start = i < len(base.starts) and base.starts[i] == start
+            if not same_start or base.values[i] != target.values[j]:
+                changed.starts.append(start)
+                changed.values.append(target.values[j])
+            i, j = i + same_start, j + 1
+    return RunsDifference(removed, changed)
+
+
+def _chunk(
+    runs: lookup_table.Runs, position: int
+) -> tuple[array.array[int], array.array[int]]:
+    end = position + _CHUNK
+    return runs.starts[position:end], runs.values[position:end]
+
+
+def _apply_runs(base: lookup_table.Runs, change: RunsDifference) -> lookup_table.Runs:
+    removed = set(change.removed)
+    values_by_start = dict(zip(change.changed.starts, change.changed.values))
+    starts = array.array(base.starts.typecode)
+    values = array.array("H")
+    copied = 0
+    for start in sorted(removed | values_by_start.keys()):
+        position = bisect.bisect_left(base.starts, start)
+        starts.extend(base.starts[copied:position])
+        values.extend(base.values[copied:position])
+        held = position < len(base.starts) and base.starts[position] == start
+        copied = position + held
+        if start in values_by_start:
+            starts.append(start)
+            values.append(values_by_start[start])
+    starts.extend(base.starts[copied:])
+    values.extend(base.values[copied:])
+    return lookup_table.Runs(starts, values)
+
+
+def _frame(kind: int, body: bytes) -> bytes:
+    head = _HEAD.pack(MAGIC, FORMAT_VERSION, kind, len(body), zlib.crc32(body))
+    return head + zlib.compress(body, _COMPRESSION_LEVEL)
+
+
+def _unframe(kind: int, data: bytes) -> result.Result[bytes, DecodeFault]:
+    if len(data) < _HEAD.size or data[:4] != MAGIC:
+        return result.Err(DecodeFault("not a look-up table"))
+    _, version, found_kind, length, crc = _HEAD.unpack_from(data)
+    if version != FORMAT_VERSION:
+        return result.Err(DecodeFault(f"format version {version} is not known"))
+    if found_kind != kind:
+        return result.Err(DecodeFault(f"kind {found_kind} in place of {kind}"))
+    if length > MAX_DECODED_BYTES:
+        return result.Err(DecodeFault(f"{length} bytes are too many"))
+    decompressor = zlib.decompressobj()
+    try:
+        body = decompressor.decompress(data[_HEAD.size :], length + 1)
+    except zlib.error as error:
+        return result.Err(DecodeFault(f"the body cannot be read: {error}"))
+    if not decompressor.eof or decompressor.unused_data:
+        return result.Err(DecodeFault("the body is cut off or has bytes after it"))
+    if len(body) != length or zlib.crc32(body) != crc:
+        return result.Err(DecodeFault("the body is damaged: its checksum differs"))
+    return result.Ok(body)
+
+
+def _table_body(table: lookup_table.LookupTable) -> bytes:
+    return b"".join(
+        (
+            _regions_bytes(table.region_ids),
+            _runs_bytes(table.ipv4),
+            _runs_bytes(table.ipv6),
+            _low_bytes(table.ipv6_low_by_high),
+        )
+    )
+
+
+def _regions_bytes(region_ids: tuple[ids.RegionId, ...]) -> bytes:
+    names = [region.encode() for region in region_ids]
+    return b"".join(
+        [_COUNT.pack(len(names)), *(_COUNT.pack(len(name)) + name for name in names)]
+    )
+
+
+def _runs_bytes(runs: lookup_table.Runs) -> bytes:
+    return _array_bytes(runs.starts) + _array_bytes(runs.values)
+
+
+def _low_bytes(low_by_high: dict[int, lookup_table.Runs]) -> bytes:
+    parts = [_COUNT.pack(len(low_by_high))]
+    for high, runs in sorted(low_by_high.items()):
+        parts += [_HIGH.pack(high), _runs_bytes(runs)]
+    return b"".join(parts)
+
+
+def _array_bytes(items: array.array[int]) -> bytes:
+    if sys.byteorder == "big":
+        items = items[:]
+        items.byteswap()
+    return _COUNT.pack(len(items)) + items.tobytes()
+
+
+class _Reader:
+    """Reads the parts of a body whose checksum was right."""
+
+    def __init__(self, body: bytes) -> None:
+        self._body = memoryview(body)
+        self._position = 0
+
+    def take(self, length: int) -> memoryview:
+        end = self._position + length
+        if end > len(self._body):
+            raise ValueError("a part reaches past the end")
+        part = self._body[self._position : end]
+        self._position = end
+        return part
+
+    def number(self) -> int:
+        return int(_COUNT.unpack(self.take(_COUNT.size))[0])
+
+    def region_ids(self) -> tuple[ids.RegionId, ...]:
+        names = (bytes(self.take(self.number())) for _ in range(self.number()))
+        return tuple(ids.RegionId(name.decode()) for name in names)
+
+    def items(self, typecode: str) -> array.array[int]:
+        read: array.array[int] = array.array(typecode)
+        read.frombytes(self.take(self.number() * read.itemsize))
+        if sys.byteorder == "big":
+            read.byteswap()
+        return read
+
+    def runs(self, typecode: str) -> lookup_table.Runs:
+        starts, values = self.items(typecode), self.items("H")
+        if len(starts) != len(values):
+            raise ValueError("starts and values differ in number")
+        return lookup_table.Runs(starts, values)
+
+    def low_by_high(self) -> dict[int, lookup_table.Runs]:
+        count = self.number()
+        return {
+            int(_HIGH.unpack(self.take(_HIGH.size))[0]): self.runs("Q")
+            for _ in range(count)
+        }
+
+    def finish(self) -> None:
+        if self._position != len(self._body):
+            raise ValueError("there are bytes after the last part")
+
+
+def _read_table(
+    body: bytes,
+) -> result.Result[lookup_table.LookupTable, DecodeFault]:
+    reader = _Reader(body)
+    try:
+        table = lookup_table.LookupTable(
+            reader.region_ids(),
+            reader.runs("I"),
+            reader.runs("Q"),
+            reader.low_by_high(),
+        )
+        reader.finish()
+    except ValueError as error:
+        return result.Err(DecodeFault(f"the table cannot be read: {error}"))
+    return result.Ok(table)
+
+
+def _read_difference(body: bytes) -> result.Result[Difference, DecodeFault]:
+    reader = _Reader(body)
+    try:
+        change = Difference(
+            reader.number(),
+            reader.number(),
+            reader.region_ids(),
+            RunsDifference(reader.items("I"), reader.runs("I")),
+            RunsDifference(reader.items("Q"), reader.runs("Q")),
+            reader.low_by_high(),
+        )
+        reader.finish()
+    except ValueError as error:
+        return result.Err(DecodeFault(f"the difference cannot be read: {error}"))
+    return result.Ok(change)
