--- /dev/null
+++ b/tests/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of what stands around the system: endpoints and the platform."""
--- /dev/null
+++ b/tests/fakes/behaviour.py
@@ -0,0 +1,103 @@
+"""What a fake endpoint does, as set at its start or through `POST /control`."""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Callable
+
+import pydantic
+
+
+class State(enum.Enum):
+    """What the endpoint reports of itself."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    COLD = "cold"
+
+
+class Delay(enum.Enum):
+    """How service times are drawn."""
+
+    CONSTANT = "constant"
+    EXPONENTIAL = "exponential"
+    UNIFORM = "uniform"
+
+
+class Truncation(enum.Enum):
+    """How an answer's body is cut off."""
+
+    NONE = "none"
+    LENGTH = "length"
+    """Fewer bytes than Content-Length says."""
+    CHUNKED = "chunked"
+    """A chunked body without its last chunk."""
+
+
+class Stall(enum.Enum):
+    """Where an exchange stands still until the behaviour changes."""
+
+    NONE = "none"
+    HEAD = "head"
+    """Before the first byte of the answer."""
+    BODY = "body"
+    """After half of the answer's body."""
+
+
+class Behaviour(pydantic.BaseModel):
+    """Everything that can be switched at run time."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    slots: int = pydantic.Field(default=4, gt=0)
+    delay: Delay = Delay.CONSTANT
+    mean_s: float = pydantic.Field(default=0.0, ge=0)
+    body_bytes: int = pydantic.Field(default=256, ge=0)
+    shed_ratio: float = pydantic.Field(default=0.0, ge=0, le=1)
+    shed_when_full: bool = False
+    draining: bool = False
+    truncation: Truncation = Truncation.NONE
+    stall: Stall = Stall.NONE
+    cold_requests: int = pydantic.Field(default=0, ge=0)
+    """Requests that are slow before the endpoint is warm."""
+    cold_factor: float = pydantic.Field(default=5.0, ge=1)
+    probe_fails: bool = False
+    report_in_flight: int | None = None
+    """Reported in place of the true number."""
+    report_state: State | None = None
+    """Reported in place of the true state."""
+    report_absent: bool = False
+    """Send no report with answers."""
+
+
+DelayFunction = Callable[[random.Random, float], float]
+DELAY_FUNCTIONS_BY_KIND: dict[Delay, DelayFunction] = {}
+
+
+def delay_function(kind: Delay) -> Callable[[DelayFunction], DelayFunction]:
+    """Register a distribution of service times."""
+
+    def register(function: DelayFunction) -> DelayFunction:
+        DELAY_FUNCTIONS_BY_KIND[kind] = function
+        return function
+
+    return register
+
+
+@delay_function(Delay.CONSTANT)
+def constant_delay(rng: random.Random, mean_s: float) -> float:
+    """Return the mean."""
+    return mean_s
+
+
+@delay_function(Delay.EXPONENTIAL)
+def exponential_delay(rng: random.Random, mean_s: float) -> float:
+    """Return an exponentially distributed time."""
+    return rng.expovariate(1 / mean_s) if mean_s else 0.0
+
+
+@delay_function(Delay.UNIFORM)
+def uniform_delay(rng: random.Random, mean_s: float) -> float:
+    """Return a time between none and twice the mean."""
+    return rng.uniform(0, 2 * mean_s)
