Authenticate inner links with pinned certificates

A peer counts as known only if its very certificate lies in the trust folder, so no trusted peer can issue another's identity. A listening server's context hands each handshake over to the latest contexts; a failed reading keeps the former ones.

--- /dev/null
+++ b/packages/protocol/src/yuccapitch/protocol/inner_tls.py
@@ -0,0 +1,237 @@
+"""Mutual TLS for inner links: self-signed certificates pinned by a trust folder.
+
+Each `*.pem` file in the trust folder is the certificate of one trusted peer; the
+peer's id is the certificate's common name. Changed files are read again before the
+next handshake, so certificates rotate without a stop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import datetime
+import pathlib
+import ssl
+import typing
+
+import result
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509 import oid
+
+from yuccapitch.protocol import events
+
+HANDSHAKE_TIMEOUT_S = 5.0
+CERTIFICATE_DAYS = 3650
+CLOCK_SKEW_DAYS = 1
+"""How far a peer's clock may be behind when it sees a new certificate."""
+_KEY_MODE = 0o600
+
+
+@dataclasses.dataclass(frozen=True)
+class TlsFault:
+    """Why certificates cannot be used or a peer was refused."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Identity:
+    """A new private key and its self-signed certificate, both PEM."""
+
+    key_pem: bytes
+    certificate_pem: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class _Loaded:
+    """One consistent reading of all files."""
+
+    server: ssl.SSLContext
+    client: ssl.SSLContext
+    ids_by_fingerprint: dict[bytes, str]
+
+
+# What tells that a file changed: path, inode, size and time of change.
+_Stamp = tuple[tuple[str, int, int, int], ...]
+
+
+class InnerTls:
+    """The contexts of one instance and the peers that it trusts."""
+
+    def __init__(
+        self, certificate: pathlib.Path, key: pathlib.Path, trust_dir: pathlib.Path
+    ) -> None:
+        self._certificate = certificate
+        self._key = key
+        self._trust_dir = trust_dir
+        self._stamp = self._read_stamp()
+        self._loaded = self._load()
+        # A listening server keeps this context; each handshake moves on to the latest.
+        self._listening = _context(ssl.PROTOCOL_TLS_SERVER)
+        self._listening.load_cert_chain(certificate, key)
+        self._listening.sni_callback = self._use_latest
+
+    @classmethod
+    def open(
+        cls, certificate: pathlib.Path, key: pathlib.Path, trust_dir: pathlib.Path
+    ) -> result.Result[InnerTls, TlsFault]:
+        """Read the files of the settings."""
+        try:
+            return result.Ok(cls(certificate, key, trust_dir))
+        except (OSError, ValueError) as error:
+            return result.Err(TlsFault(str(error)))
+
+    def server_context(self) -> ssl.SSLContext:
+        """Return the context to listen with; it stays current by itself."""
+        return self._listening
+
+    def client_context(self) -> ssl.SSLContext:
+        """Return the context for the next connection."""
+        self.refresh()
+        return self._loaded.client
+
+    def peer_id(self, ssl_object: ssl.SSLObject | ssl.SSLSocket | None) -> str | None:
+        """Return the trusted peer at the other end, or None."""
+        certificate = ssl_object.getpeercert(True) if ssl_object is not None else None
+        if certificate is None:
+            return None
+        # The pin is on the certificate itself: no peer can issue another's identity.
+        return self._loaded.ids_by_fingerprint.get(_fingerprint(certificate))
+
+    def trusted_ids(self) -> frozenset[str]:
+        """Return the ids of all trusted peers."""
+        return frozenset(self._loaded.ids_by_fingerprint.values())
+
+    def refresh(self) -> bool:
+        """Read the files again if they changed; return whether they were taken."""
+        try:
+            stamp = self._read_stamp()
+            if stamp == self._stamp:
+                return False
+            self._stamp = stamp
+            self._loaded = self._load()
+        except (OSError, ValueError) as error:
+            events.event("tls.reload-failed", reason=str(error))
+            return False
+        events.event("tls.reloaded", peers=len(self._loaded.ids_by_fingerprint))
+        return True
+
+    def _use_latest(
+        self, ssl_object: ssl.SSLObject, server_name: str, context: ssl.SSLContext
+    ) -> None:
+        self.refresh()
+        ssl_object.context = self._loaded.server
+
+    def _load(self) -> _Loaded:
+        pems = [path.read_text() for path in sorted(self._trust_dir.glob("*.pem"))]
+        certificates = [x509.load_pem_x509_certificate(pem.encode()) for pem in pems]
+        contexts = [
+            _context(protocol)
+            for protocol in (ssl.PROTOCOL_TLS_SERVER, ssl.PROTOCOL_TLS_CLIENT)
+        ]
+        for context in contexts:
+            context.load_cert_chain(self._certificate, self._key)
+            if pems:
+                context.load_verify_locations(cadata="\n".join(pems))
+        ids_by_fingerprint = {
+            certificate.fingerprint(hashes.SHA256()): _common_name(certificate)
+            for certificate in certificates
+        }
+        return _Loaded(contexts[0], contexts[1], ids_by_fingerprint)
+
+    def _read_stamp(self) -> _Stamp:
+        paths = [self._certificate, self._key, *sorted(self._trust_dir.glob("*.pem"))]
+        stats = [(str(path), path.stat()) for path in paths]
+        return tuple(
+            (path, stat.st_ino, stat.st_size, stat.st_mtime_ns) for path, stat in stats
+        )
+
+
+async def accept(
+    tls: InnerTls, writer: asyncio.StreamWriter
+) -> result.Result[str, TlsFault]:
+    """Run the server's handshake on an accepted connection; return the peer's id.
+
+    A refusal is logged once and the connection is closed. (A server that is started
+    with the context would drop the connection without telling anyone.)
+    """
+    address = writer.get_extra_info("peername")
+    try:
+        await writer.start_tls(
+            tls.server_context(), ssl_handshake_timeout=HANDSHAKE_TIMEOUT_S
+        )
+    except (OSError, EOFError) as error:
+        return _refuse(writer, address, f"handshake failed: {error}")
+    peer = tls.peer_id(writer.get_extra_info("ssl_object"))
+    if peer is None:
+        return _refuse(writer, address, "the certificate is not trusted")
+    return result.Ok(peer)
+
+
+def create_identity(instance_id: str, now: float) -> Identity:
+    """Return a new key and certificate for an instance."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, instance_id)])
+    today = datetime.datetime.fromtimestamp(now, datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(today - datetime.timedelta(days=CLOCK_SKEW_DAYS))
+        .not_valid_after(today + datetime.timedelta(days=CERTIFICATE_DAYS))
+        .add_extension(x509.BasicConstraints(False, None), critical=True)
+        .sign(key, hashes.SHA256())
+    )
+    key_pem = key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    return Identity(key_pem, certificate.public_bytes(serialization.Encoding.PEM))
+
+
+def write_identity(
+    identity: Identity, certificate: pathlib.Path, key: pathlib.Path
+) -> None:
+    """Write both files; only their owner may read the key."""
+    key.touch(mode=_KEY_MODE)
+    key.chmod(_KEY_MODE)
+    key.write_bytes(identity.key_pem)
+    certificate.write_bytes(identity.certificate_pem)
+
+
+def _context(protocol: int) -> ssl.SSLContext:
+    context = ssl.SSLContext(protocol)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    # A peer is known by its pinned certificate, not by a host name.
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    if protocol == ssl.PROTOCOL_TLS_SERVER:
+        # Without tickets every handshake checks the certificate anew.
+        context.num_tickets = 0
+    return context
+
+
+def _common_name(certificate: x509.Certificate) -> str:
+    names = certificate.subject.get_attributes_for_oid(oid.NameOID.COMMON_NAME)
+    if len(names) != 1:
+        raise ValueError("a trusted certificate has no common name, or several")
+    return str(names[0].value)
+
+
+def _fingerprint(certificate: bytes) -> bytes:
+    digest = hashes.Hash(hashes.SHA256())
+    digest.update(certificate)
+    return digest.finalize()
+
+
+def _refuse(
+    writer: asyncio.StreamWriter, address: typing.Any, reason: str
+) -> result.Result[str, TlsFault]:
+    events.event("link.refused", peer=address, reason=reason)
+    writer.close()
+    return result.Err(TlsFault(reason))
--- /dev/null
+++ b/packages/protocol/tests/test_inner_tls.py
@@ -0,0 +1,188 @@
+"""Tests of mutual TLS on inner links."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import ssl
+import time
+from collections.abc import AsyncIterator, Callable, Iterator
+
+import eliot
+import pytest
+
+from yuccapitch.protocol import inner_tls
+
+Maker = Callable[[str], inner_tls.InnerTls]
+
+
+@pytest.fixture
+def make(tmp_path: pathlib.Path) -> Maker:
+    """Return a function that makes an instance with its own trust folder."""
+
+    def build(name: str) -> inner_tls.InnerTls:
+        folder = tmp_path / name
+        (folder / "trust").mkdir(parents=True)
+        renew(folder)
+        files = folder / "cert.pem", folder / "key.pem", folder / "trust"
+        return inner_tls.InnerTls.open(*files).unwrap()
+
+    return build
+
+
+@pytest.fixture
+def logged() -> Iterator[list[str]]:
+    names: list[str] = []
+
+    def note(message: dict[str, str]) -> None:
+        names.append(message["message_type"])
+
+    eliot.add_destinations(note)
+    yield names
+    eliot.remove_destination(note)
+
+
+def renew(folder: pathlib.Path, name: str = "") -> None:
+    identity = inner_tls.create_identity(name or folder.name, time.time())
+    inner_tls.write_identity(identity, folder / "cert.pem", folder / "key.pem")
+
+
+def trust(tmp_path: pathlib.Path, truster: str, trusted: str) -> None:
+    pem = (tmp_path / trusted / "cert.pem").read_bytes()
+    (tmp_path / truster / "trust" / f"{trusted}-{len(pem)}.pem").write_bytes(pem)
+
+
+@contextlib.asynccontextmanager
+async def server(tls: inner_tls.InnerTls) -> AsyncIterator[int]:
+    """Serve while open: tell each accepted peer the id that it is known by."""
+
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.closing(writer):
+            outcome = await inner_tls.accept(tls, writer)
+            if outcome.is_ok():
+                writer.write(outcome.unwrap().encode() + b"\n")
+                assert await reader.readline() == b"thanks\n"
+                writer.write(b"bye\n")
+                await writer.drain()
+
+    listening = await asyncio.start_server(handle, "127.0.0.1", 0)
+    async with listening:
+        yield listening.sockets[0].getsockname()[1]
+
+
+async def known_as(tls: inner_tls.InnerTls, port: int) -> tuple[str | None, bytes]:
+    """Return the server's id as seen by the client and the server's greeting.
+
+    In TLS 1.3 a refused client learns it only when it reads, as an alert or an end.
+    """
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", port, ssl=tls.client_context()
+    )
+    with contextlib.closing(writer):
+        peer = tls.peer_id(writer.get_extra_info("ssl_object"))
+        try:
+            greeting = await reader.readline()
+        except OSError:
+            return peer, b""
+        if greeting:
+            writer.write(b"thanks\n")
+            assert await reader.readline() == b"bye\n"
+        return peer, greeting
+
+
+async def test_accept_trusted_peer(make: Maker, tmp_path: pathlib.Path) -> None:
+    one, two = make("one"), make("two")
+    trust(tmp_path, "one", "two")
+    trust(tmp_path, "two", "one")
+    async with server(one) as port:
+        assert await known_as(two, port) == ("one", b"two\n")
+    assert one.trusted_ids() == {"two"}
+
+
+async def test_accept_refuses_unknown_peer(
+    make: Maker, tmp_path: pathlib.Path, logged: list[str]
+) -> None:
+    one, two = make("one"), make("two")
+    trust(tmp_path, "two", "one")
+    async with server(one) as port:
+        assert await known_as(two, port) == ("one", b"")
+    assert logged.count("link.refused") == 1
+
+
+async def test_client_refuses_unknown_server(
+    make: Maker, tmp_path: pathlib.Path, logged: list[str]
+) -> None:
+    one, two = make("one"), make("two")
+    trust(tmp_path, "one", "two")
+    async with server(one) as port:
+        with pytest.raises(ssl.SSLCertVerificationError):
+            await known_as(two, port)
+
+
+async def test_accept_refuses_plain_text(make: Maker, logged: list[str]) -> None:
+    async with server(make("one")) as port:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        with contextlib.closing(writer):
+            writer.write(b"GET / HTTP/1.1\r\n\r\n")
+            await reader.read()
+    assert logged.count("link.refused") == 1
+
+
+async def test_accept_refuses_same_name_with_other_key(
+    make: Maker, tmp_path: pathlib.Path, logged: list[str]
+) -> None:
+    one, two = make("one"), make("two")
+    trust(tmp_path, "one", "two")
+    trust(tmp_path, "two", "one")
+    renew(tmp_path / "two")
+    async with server(one) as port:
+        assert await known_as(two, port) == ("one", b"")
+    assert logged.count("link.refused") == 1
+
+
+async def test_rotation_without_stop(
+    make: Maker, tmp_path: pathlib.Path, logged: list[str]
+) -> None:
+    one, two = make("one"), make("two")
+    trust(tmp_path, "one", "two")
+    trust(tmp_path, "two", "one")
+    async with server(one) as port:
+        assert await known_as(two, port) == ("one", b"two\n")
+        renew(tmp_path / "one")
+        renew(tmp_path / "two")
+        for path in tmp_path.glob("*/trust/*.pem"):
+            path.unlink()
+        trust(tmp_path, "one", "two")
+        trust(tmp_path, "two", "one")
+        assert await known_as(two, port) == ("one", b"two\n")
+        for path in tmp_path.glob("one/trust/*.pem"):
+            path.unlink()
+        assert await known_as(two, port) == ("one", b"")
+    assert "tls.reloaded" in logged
+
+
+async def test_refresh_keeps_former_certificates(
+    make: Maker, tmp_path: pathlib.Path, logged: list[str]
+) -> None:
+    one, two = make("one"), make("two")
+    trust(tmp_path, "one", "two")
+    trust(tmp_path, "two", "one")
+    assert one.refresh()
+    async with server(one) as port:
+        (tmp_path / "one" / "key.pem").write_text("half written")
+        assert await known_as(two, port) == ("one", b"two\n")
+    assert "tls.reload-failed" in logged
+
+
+def test_open_names_fault(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "none.pem"
+    outcome = inner_tls.InnerTls.open(path, path, tmp_path)
+    assert "none.pem" in outcome.unwrap_err().reason
+
+
+def test_write_identity_protects_key(make: Maker, tmp_path: pathlib.Path) -> None:
+    make("one")
+    assert (tmp_path / "one" / "key.pem").stat().st_mode & 0o777 == 0o600
