--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,111 @@
+"""Tests that the examples fit the settings, the catalogue and the users' sizes."""
+
+from __future__ import annotations
+
+import collections
+import pathlib
+import subprocess
+
+import pytest
+import yaml
+
+from yuccapitch.catalogue import model
+from yuccapitch.node import settings
+
+EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
+DEPLOYMENTS = ("sap-mau-xanh", "cartografia")
+INSTANCES = [f"control-{i}" for i in (1, 2, 3)] + [f"entry-{i}" for i in (1, 2, 3, 4)]
+
+
+def declaration(name: str) -> model.Declaration:
+    text = (EXAMPLES / f"{name}.yaml").read_text()
+    return model.Declaration.model_validate(yaml.safe_load(text))
+
+
+def settings_of(instance: str) -> settings.Settings:
+    """Read the environment file by the shell, as an operator does."""
+    script = f"set -a; . {EXAMPLES}/local/{instance}.env; env -0"
+    run = subprocess.run(["sh", "-c", script], env={}, capture_output=True, check=True)
+    pairs = (line.partition("=") for line in run.stdout.decode().split("\0") if line)
+    environ = {name: value for name, _, value in pairs}
+    assert settings.unknown_variables(environ) == []
+    return settings.parse([], environ).unwrap()
+
+
+@pytest.mark.parametrize("deployment", DEPLOYMENTS)
+@pytest.mark.parametrize("instance", INSTANCES)
+def test_instance_agrees_with_catalogue(instance: str, deployment: str) -> None:
+    found = settings_of(instance)
+    declared = declaration(f"local/{deployment}").instances_by_id[found.instance_id]
+    assert (found.http_host, found.http_port) == (declared.host, declared.http_port)
+    assert found.inner_port == declared.inner_port
+    assert [found.role.value] == [role.value for role in declared.roles]
+    text = (EXAMPLES / "local" / f"{instance}.env").read_text()
+    assert declared.failure_domain in text
+
+
+def test_instances_know_the_same_peers() -> None:
+    all_settings = [settings_of(instance) for instance in INSTANCES]
+    assert len({found.control_peers for found in all_settings}) == 1
+    ports_by_id = {
+        found.instance_id: found.inner_port
+        for found in all_settings
+        if found.runs_control
+    }
+    for peer in all_settings[0].control_peers:
+        assert ports_by_id[peer.instance_id] == peer.inner_port
+    assert len({found.data_dir for found in all_settings}) == len(INSTANCES)
+
+
+@pytest.mark.parametrize(
+    ("deployment", "mbit_per_s", "sizes"),
+    [
+        ("sap-mau-xanh", 4000, {"batch": (20, 4, 400), "pigment": (14, 5, 400)}),
+        ("cartografia", 280, {"storefront": (18, 7, 360), "artwork": (12, 7, 360)}),
+    ],
+)
+def test_deployment_has_users_sizes(
+    deployment: str, mbit_per_s: float, sizes: dict[str, tuple[int, int, int]]
+) -> None:
+    declared = declaration(f"local/{deployment}")
+    assert (len(declared.regions_by_id), len(declared.failure_domains_by_id)) == (3, 6)
+    assert len(declared.links_by_id) == 6
+    assert {link.mbit_per_s for link in declared.links_by_id.values()} == {mbit_per_s}
+    endpoints = declared.endpoints_by_id.values()
+    counts = collections.Counter(
+        (endpoint.service, endpoint.slots, endpoint.connections)
+        for endpoint in endpoints
+    )
+    assert counts == {
+        (service, slots, connections): count
+        for service, (count, slots, connections) in sizes.items()
+    }
+    assert len({endpoint.port for endpoint in endpoints}) == len(endpoints)
+
+
+@pytest.mark.parametrize("name", ["quickstart", *(f"local/{d}" for d in DEPLOYMENTS)])
+def test_declaration_is_consistent(name: str) -> None:
+    declared = declaration(name)
+    slots_by_region: collections.Counter[str] = collections.Counter()
+    for endpoint in declared.endpoints_by_id.values():
+        assert endpoint.service in declared.services_by_id
+        assert endpoint.owner in declared.owners_by_id
+        domain = declared.failure_domains_by_id[endpoint.failure_domain]
+        slots_by_region[domain.region] += endpoint.slots
+    for region_id, region in declared.regions_by_id.items():
+        assert region.capacity == slots_by_region[region_id]
+    for instance in declared.instances_by_id.values():
+        assert instance.failure_domain in declared.failure_domains_by_id
+    for entry in (*declared.routes_by_id.values(), *declared.shifts_by_id.values()):
+        assert entry.service in declared.services_by_id
+    owners = {route.owner for route in declared.routes_by_id.values()}
+    assert owners <= declared.owners_by_id.keys()
+    assert set(declared.turns.order) == declared.owners_by_id.keys()
+
+
+def test_quickstart_instance_is_the_default() -> None:
+    found = settings.parse([], {}).unwrap()
+    declared = declaration("quickstart").instances_by_id[found.instance_id]
+    assert declared.failure_domain == found.failure_domain
+    addresses = (declared.http_port, declared.inner_port)
+    assert addresses == (found.http_port, found.inner_port)
