--- /dev/null
+++ b/packages/catalogue/src/yuccapitch/catalogue/authority.py
@@ -0,0 +1,82 @@
+"""Who may change what: an owner its own entries, the owner in turn what is shared."""
+
+from __future__ import annotations
+
+import datetime
+from collections.abc import Iterator
+
+from yuccapitch.catalogue import checking, difference, ids, model
+
+MS_PER_S = 1000
+
+
+def owner_in_turn(turns: model.Turns, time_ms: int) -> ids.OwnerId:
+    """Return the owner whose UTC month the time falls in."""
+    moment = datetime.datetime.fromtimestamp(time_ms / MS_PER_S, datetime.UTC)
+    first_year, first_month = (int(part) for part in turns.first_month.split("-"))
+    months = (moment.year - first_year) * 12 + moment.month - first_month
+    # Before the first month the first owner holds the say.
+    return turns.order[max(months, 0) % len(turns.order)]
+
+
+def check_authority(
+    before: model.Declaration,
+    after: model.Declaration,
+    owner: ids.OwnerId,
+    time_ms: int,
+) -> tuple[checking.Fault, ...]:
+    """Return a fault for each difference that the owner may not make at that time.
+
+    The turn is read from the declaration in force, not from the one proposed.
+    """
+    return tuple(_check(before, after, owner, time_ms))
+
+
+def _check(
+    before: model.Declaration,
+    after: model.Declaration,
+    owner: ids.OwnerId,
+    time_ms: int,
+) -> Iterator[checking.Fault]:
+    in_turn = owner_in_turn(before.turns, time_ms)
+    for item in difference.compare(before, after):
+        path = f"{item.section}.{item.entry_id}" if item.entry_id else item.section
+        if item.owner is None:
+            if owner != in_turn:
+                yield checking.Fault(
+                    path,
+                    f"{item.kind.value} by {owner!r}, but it is shared and this UTC"
+                    f" month is {in_turn!r}'s; ask an operator of {in_turn!r} to apply",
+                )
+        elif item.owner != owner:
+            yield checking.Fault(
+                path,
+                f"{item.kind.value} by {owner!r}, but it belongs to {item.owner!r};"
+                f" ask an operator of {item.owner!r} to apply",
+            )
+        elif item.section == "routes" and owner != in_turn:
+            yield from _check_route(before, after, ids.RouteId(item.entry_id), path)
+
+
+def _check_route(
+    before: model.Declaration,
+    after: model.Declaration,
+    route_id: ids.RouteId,
+    path: str,
+) -> Iterator[checking.Fault]:
+    """Refuse a new or changed route that takes requests from another owner's route."""
+    route = after.routes_by_id.get(route_id)
+    if route is None:
+        return
+    for other_id, other in before.routes_by_id.items():
+        if (
+            other.owner != route.owner
+            and other.service == route.service
+            and route.path_prefix.startswith(other.path_prefix)
+            and set(other.methods) & set(route.methods)
+        ):
+            yield checking.Fault(
+                path,
+                f"it would take requests from {other_id!r} of {other.owner!r}; the"
+                " owner whose month it is can add it",
+            )
--- /dev/null
+++ b/packages/catalogue/src/yuccapitch/catalogue/changes.py
@@ -0,0 +1,129 @@
+"""A change of the catalogue, the log command that carries it, and its outcomes."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import pydantic
+
+from yuccapitch.catalogue import checking, difference, ids, loading, model, signing
+
+MAX_REASON_CHARS = 500
+MAX_TIME_MS = 4_102_444_800_000
+"""The year 2100: a stamped time past it is a fault of the leader's clock."""
+
+
+class _Record(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Change(_Record):
+    """A whole declaration that an operator proposes in place of a version."""
+
+    change_id: ids.ChangeId = pydantic.Field(min_length=1, max_length=100)
+    base_version: ids.Version = pydantic.Field(ge=0, lt=2**53)
+    declaration: model.Declaration
+    owner: ids.OwnerId = pydantic.Field(min_length=1, max_length=64)
+    public_key: str = pydantic.Field(default="", max_length=64)
+    signature: str = pydantic.Field(default="", max_length=128)
+    reason: str = pydantic.Field(default="", max_length=MAX_REASON_CHARS)
+
+    def signed_content(self) -> signing.SignedContent:
+        """Return what the signature covers."""
+        return signing.SignedContent(
+            change_id=self.change_id,
+            base_version=self.base_version,
+            declaration_digest=loading.digest(self.declaration),
+            reason=self.reason,
+            owner=self.owner,
+            public_key=self.public_key,
+        )
+
+    def signed(self, private_key: str) -> Change:
+        """Return the change with the signature of the private key."""
+        public_key = signing.public_key_of(private_key)
+        change = self.model_copy(update={"public_key": public_key})
+        signature = signing.sign(private_key, change.signed_content())
+        return change.model_copy(update={"signature": signature})
+
+
+class Command(_Record):
+    """A log entry: a change with what the leader stamps on it."""
+
+    change: Change
+    time_ms: int = pydantic.Field(ge=0, lt=MAX_TIME_MS)
+    unsigned_allowed: bool = False
+
+    def to_bytes(self) -> bytes:
+        """Return the bytes that the log carries."""
+        change = self.change.model_dump(mode="json", exclude={"declaration"})
+        change["declaration"] = loading.to_plain(self.change.declaration)
+        return loading.canonical_json(
+            {
+                "change": change,
+                "time_ms": self.time_ms,
+                "unsigned_allowed": self.unsigned_allowed,
+            }
+        )
+
+
+class FaultBody(_Record):
+    """One fault, as carried in outcomes."""
+
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.message}"
+
+
+class Accepted(_Record):
+    """The change became a version."""
+
+    outcome: Literal["accepted"] = "accepted"
+    version: ids.Version
+
+
+class Conflict(_Record):
+    """Another change on the same base won."""
+
+    outcome: Literal["conflict"] = "conflict"
+    current_version: ids.Version
+    winning_change_id: ids.ChangeId | None
+    """The first change accepted on the same base; None where it is forgotten."""
+    winning_owner: ids.OwnerId | None = None
+    differences: tuple[str, ...] = ()
+    """What differs between the base and the current version."""
+
+
+class Refused(_Record):
+    """The change was not acceptable."""
+
+    outcome: Literal["refused"] = "refused"
+    faults: tuple[FaultBody, ...]
+
+    @classmethod
+    def of(cls, faults: tuple[checking.Fault, ...]) -> Refused:
+        """Return a refusal for the faults."""
+        return cls(
+            faults=tuple(
+                FaultBody(path=fault.path, message=fault.message) for fault in faults
+            )
+        )
+
+
+ChangeOutcome = Annotated[
+    Accepted | Conflict | Refused, pydantic.Field(discriminator="outcome")
+]
+outcome_adapter: pydantic.TypeAdapter[Accepted | Conflict | Refused] = (
+    pydantic.TypeAdapter(ChangeOutcome)
+)
+
+MAX_SUMMARY_LINES = 40
+
+
+def summarize(items: tuple[difference.Difference, ...]) -> tuple[str, ...]:
+    """Return one line for each difference, bounded in number."""
+    lines = tuple(str(item)[:300] for item in items[:MAX_SUMMARY_LINES])
+    left_out = len(items) - len(lines)
+    return (*lines, f"and {left_out} more") if left_out else lines
--- a/packages/catalogue/src/yuccapitch/catalogue/model.py
+++ b/packages/catalogue/src/yuccapitch/catalogue/model.py
@@ -42,7 +42,7 @@
 
 class _Model(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(
-        extra="forbid", frozen=True, populate_by_name=True
+        extra="forbid", frozen=True, populate_by_name=True, allow_inf_nan=False
     )
 
 
--- /dev/null
+++ b/packages/catalogue/src/yuccapitch/catalogue/state.py
@@ -0,0 +1,317 @@
+"""The replicated state machine of the catalogue."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import zlib
+from typing import TypeVar
+
+import pydantic
+import result
+
+from yuccapitch.catalogue import (
+    audit,
+    authority,
+    changes,
+    checking,
+    difference,
+    holders,
+    ids,
+    loading,
+    model,
+    signing,
+    stored,
+)
+
+MAX_KEPT_VERSIONS = 64
+"""Declarations of so many versions are kept for `history` and `diff`."""
+MAX_VERSION_RECORDS = 10_000
+OUTCOME_KEPT_MS = 25 * 3600 * 1000
+"""How long a change id is remembered: a day of state time and a margin."""
+MAX_REMEMBERED_CHANGES = 20_000
+INITIAL_VERSION = ids.Version(0)
+
+Kept = TypeVar("Kept")
+
+
+class CatalogueState:
+    """Applies commands in log order; equal logs give equal states on every replica.
+
+    `unsigned_allowed` reaches the state only through the commands that
+    `command` stamps, so that replicas with different settings cannot diverge.
+    """
+
+    def __init__(
+        self,
+        *,
+        allow_unsigned: bool = False,
+        max_kept_versions: int = MAX_KEPT_VERSIONS,
+        max_remembered_changes: int = MAX_REMEMBERED_CHANGES,
+    ) -> None:
+        self._allow_unsigned = allow_unsigned
+        self._max_kept_versions = max_kept_versions
+        self._max_remembered_changes = max_remembered_changes
+        self._reset()
+
+    def _reset(self) -> None:
+        self.version = INITIAL_VERSION
+        self.applied_index = 0
+        self.time_ms = 0
+        self.declaration: model.Declaration | None = None
+        self.digest = ""
+        self.holder_lists: tuple[holders.HolderList, ...] = ()
+        self.audit_head = audit.AuditHead(0, audit.FIRST_HASH)
+        self._audit_lines: list[bytes] = []
+        self._versions: dict[ids.Version, stored.VersionRecord] = {}
+        self._packed_by_version: dict[ids.Version, bytes] = {}
+        self._first_outcomes_by_id: dict[ids.ChangeId, stored.FirstOutcome] = {}
+
+    # Reading.
+
+    def versions(self) -> tuple[stored.VersionRecord, ...]:
+        """Return the records of the kept versions, oldest first."""
+        return tuple(self._versions.values())
+
+    def version_record(self, version: ids.Version) -> stored.VersionRecord | None:
+        """Return the record of one version, unless it is forgotten."""
+        return self._versions.get(version)
+
+    def declaration_at(self, version: ids.Version) -> model.Declaration | None:
+        """Return the declaration of one version, unless it is forgotten."""
+        if version == self.version:
+            return self.declaration
+        packed = self._packed_by_version.get(version)
+        if packed is None:
+            return None
+        return model.Declaration.model_validate_json(zlib.decompress(packed))
+
+    def audit_lines(self, after: int = 0, limit: int | None = None) -> list[bytes]:
+        """Return the encoded audit records after a sequence."""
+        start = max(after, 0)
+        return self._audit_lines[start : None if limit is None else start + limit]
+
+    def admit(self, change: changes.Change) -> result.Result[None, changes.Refused]:
+        """Return whether the change may enter the log at all.
+
+        Changes of unknown operators stay out of the log, so that they
+        take no room in the audit trail and no change ids.
+        """
+        if change.change_id in self._first_outcomes_by_id:
+            return result.Ok(None)
+        faults = self._authenticate(change, self._allow_unsigned)
+        return result.Err(changes.Refused.of(faults)) if faults else result.Ok(None)
+
+    def command(self, change: changes.Change, now_ms: int) -> bytes:
+        """Return the log entry for a change, stamped with the leader's time."""
+        stamped = changes.Command(
+            change=change,
+            time_ms=max(now_ms, self.time_ms),
+            unsigned_allowed=self._allow_unsigned,
+        )
+        return stamped.to_bytes()
+
+    # Applying.
+
+    def apply(
+        self, index: int, command: bytes
+    ) -> changes.Accepted | changes.Conflict | changes.Refused:
+        """Apply one committed log entry and return its outcome."""
+        self.applied_index = index
+        try:
+            parsed = changes.Command.model_validate_json(command)
+        except pydantic.ValidationError as error:
+            fault = checking.Fault("command", f"not understood: {error.errors()[0]}")
+            return changes.Refused.of((fault,))
+        self.time_ms = max(self.time_ms, parsed.time_ms)
+        self._forget_old_outcomes()
+        change = parsed.change
+        fingerprint = _fingerprint(change)
+        first = self._first_outcomes_by_id.get(change.change_id)
+        if first is not None:
+            if first.fingerprint == fingerprint:
+                return first.outcome
+            message = "this id was used for another change; take a new change id"
+            return changes.Refused.of((checking.Fault("change_id", message),))
+        if len(self._first_outcomes_by_id) >= self._max_remembered_changes:
+            message = "too many changes in a day; wait until the oldest is forgotten"
+            return changes.Refused.of((checking.Fault("change_id", message),))
+        previous = self.declaration
+        outcome = self._decide(change, parsed.unsigned_allowed)
+        if isinstance(outcome, changes.Accepted):
+            self._accept(change, outcome.version)
+        self._first_outcomes_by_id[change.change_id] = stored.FirstOutcome(
+            fingerprint=fingerprint, time_ms=self.time_ms, outcome=outcome
+        )
+        self._record(change, previous, outcome)
+        return outcome
+
+    def _decide(
+        self, change: changes.Change, unsigned_allowed: bool
+    ) -> changes.Accepted | changes.Conflict | changes.Refused:
+        faults = self._authenticate(change, unsigned_allowed)
+        if not faults and change.base_version > self.version:
+            message = f"version {change.base_version} does not exist yet; get the"
+            message += f" current version {self.version} and base the change on it"
+            faults = (checking.Fault("base_version", message),)
+        if faults:
+            return changes.Refused.of(faults)
+        if change.base_version < self.version:
+            return self._conflict(change)
+        faults = checking.check(change.declaration)
+        if not faults and self.declaration is not None:
+            faults = authority.check_authority(
+                self.declaration, change.declaration, change.owner, self.time_ms
+            )
+        if faults:
+            return changes.Refused.of(faults)
+        return changes.Accepted(version=ids.Version(self.version + 1))
+
+    def _authenticate(
+        self, change: changes.Change, unsigned_allowed: bool
+    ) -> tuple[checking.Fault, ...]:
+        # The first declaration brings the keys that later ones are checked with.
+        known = change.declaration if self.declaration is None else self.declaration
+        owner = known.owners_by_id.get(change.owner)
+        if owner is None:
+            return (checking.Fault("owner", f"no owner {change.owner!r} is declared"),)
+        if not change.signature:
+            if unsigned_allowed and not owner.public_keys:
+                return ()
+            message = f"not signed; sign with a key of {change.owner!r} (--key FILE)"
+            return (checking.Fault("signature", message),)
+        if change.public_key not in owner.public_keys:
+            message = f"the key is not declared for {change.owner!r}"
+            return (checking.Fault("public_key", message),)
+        if not signing.verify(change.signed_content(), change.signature):
+            return (checking.Fault("signature", "does not match the change"),)
+        return ()
+
+    def _conflict(self, change: changes.Change) -> changes.Conflict:
+        winner = self._versions.get(ids.Version(change.base_version + 1))
+        assert self.declaration is not None
+        base = self.declaration_at(change.base_version)
+        # Where the base is forgotten, the operator's own text is compared instead.
+        items = (
+            difference.compare(base, self.declaration)
+            if base is not None or change.base_version == INITIAL_VERSION
+            else difference.compare(change.declaration, self.declaration)
+        )
+        return changes.Conflict(
+            current_version=self.version,
+            winning_change_id=None if winner is None else winner.change_id,
+            winning_owner=None if winner is None else winner.owner,
+            differences=changes.summarize(items),
+        )
+
+    def _accept(self, change: changes.Change, version: ids.Version) -> None:
+        self.version = version
+        self.declaration = change.declaration
+        self.digest = loading.digest(change.declaration)
+        self.holder_lists = holders.update_lists(
+            self.holder_lists, change.declaration, version, self.time_ms
+        )
+        self._versions[version] = stored.VersionRecord(
+            version=version,
+            change_id=change.change_id,
+            owner=change.owner,
+            reason=change.reason,
+            time_ms=self.time_ms,
+            digest=self.digest,
+            index=self.applied_index,
+        )
+        packed = zlib.compress(loading.canonical_bytes(change.declaration))
+        self._packed_by_version[version] = packed
+        _drop_oldest(self._versions, MAX_VERSION_RECORDS)
+        _drop_oldest(self._packed_by_version, self._max_kept_versions)
+
+    def _record(
+        self,
+        change: changes.Change,
+        previous: model.Declaration | None,
+        outcome: changes.Accepted | changes.Conflict | changes.Refused,
+    ) -> None:
+        accepted = isinstance(outcome, changes.Accepted)
+        items = difference.compare(previous, change.declaration) if accepted else ()
+        summary = changes.summarize(items)
+        if isinstance(outcome, changes.Refused):
+            summary = tuple(str(fault) for fault in outcome.faults[:5])
+        record = audit.AuditRecord(
+            sequence=self.audit_head.sequence + 1,
+            previous_hash=self.audit_head.hash,
+            time_ms=self.time_ms,
+            owner=change.owner,
+            public_key=change.public_key,
+            change_id=change.change_id,
+            base_version=change.base_version,
+            version=outcome.version if isinstance(outcome, changes.Accepted) else None,
+            outcome=outcome.outcome,
+            declaration_digest=loading.digest(change.declaration),
+            summary=summary,
+            reason=change.reason,
+            signature=change.signature,
+        )
+        self._audit_lines.append(record.to_bytes())
+        self.audit_head = audit.AuditHead(record.sequence, record.hash())
+
+    def _forget_old_outcomes(self) -> None:
+        # First outcomes stand in log order and state time never runs back.
+        for change_id, first in list(self._first_outcomes_by_id.items()):
+            if self.time_ms - first.time_ms <= OUTCOME_KEPT_MS:
+                break
+            del self._first_outcomes_by_id[change_id]
+
+    # Snapshots.
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as bytes."""
+        body = stored.Snapshot(
+            version=self.version,
+            applied_index=self.applied_index,
+            time_ms=self.time_ms,
+            versions=self.versions(),
+            packed_by_version={
+                version: packed.hex()
+                for version, packed in self._packed_by_version.items()
+            },
+            first_outcomes_by_id=self._first_outcomes_by_id,
+            holder_lists=self.holder_lists,
+            audit_lines=tuple(line.decode("ascii") for line in self._audit_lines),
+        )
+        return zlib.compress(body.model_dump_json().encode())
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot's."""
+        body = stored.Snapshot.model_validate_json(zlib.decompress(data))
+        self._reset()
+        self.version = body.version
+        self.applied_index = body.applied_index
+        self.time_ms = body.time_ms
+        self.holder_lists = body.holder_lists
+        self._versions = {record.version: record for record in body.versions}
+        self._packed_by_version = {
+            version: bytes.fromhex(packed)
+            for version, packed in body.packed_by_version.items()
+        }
+        self._first_outcomes_by_id = dict(body.first_outcomes_by_id)
+        self._audit_lines = [line.encode("ascii") for line in body.audit_lines]
+        if self._audit_lines:
+            last = self._audit_lines[-1]
+            self.audit_head = audit.AuditHead(
+                json.loads(last)["sequence"], hashlib.sha256(last).hexdigest()
+            )
+        packed = self._packed_by_version.get(self.version)
+        if packed is not None:
+            text = zlib.decompress(packed)
+            self.declaration = model.Declaration.model_validate_json(text)
+            self.digest = hashlib.sha256(text).hexdigest()
+
+
+def _fingerprint(change: changes.Change) -> str:
+    content = change.signed_content().to_bytes() + change.signature.encode()
+    return hashlib.sha256(content).hexdigest()
+
+
+def _drop_oldest(records: dict[ids.Version, Kept], limit: int) -> None:
+    while len(records) > limit:
+        del records[next(iter(records))]
