Add the operators' HTTP interface over a replicated catalogue

The backend is a protocol of five calls; tests drive it with one that applies to the state directly. A follower answers 421 with the leader's address.

--- /dev/null
+++ b/packages/control/src/yuccapitch/control/operator_api.py
@@ -0,0 +1,304 @@
+"""The operators' HTTP interface over a replicated catalogue."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from collections.abc import Awaitable, Callable
+from typing import Protocol, TypeVar
+
+import pydantic
+import result
+from aiohttp import web
+
+from yuccapitch.catalogue import (
+    api,
+    authority,
+    changes,
+    checking,
+    difference,
+    ids,
+    state as catalogue_state,
+)
+
+MAX_BODY_BYTES = 256 * 1024 * 1024
+MAX_AUDIT_LINES = 1000
+MISDIRECTED_REQUEST = 421
+MS_PER_S = 1000
+
+Body = TypeVar("Body", bound=pydantic.BaseModel)
+
+
+@dataclasses.dataclass(frozen=True)
+class NotLeader:
+    """This instance does not lead; `leader` is the address to ask, if known."""
+
+    leader: str | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Unavailable:
+    """No answer can be given now; `maybe_applied` where the change may yet win."""
+
+    message: str
+    maybe_applied: bool = False
+
+
+class CatalogueBackend(Protocol):
+    """What the interface needs of the replicated catalogue."""
+
+    @property
+    def state(self) -> catalogue_state.CatalogueState:
+        """Return the state that this instance has applied."""
+
+    async def submit(
+        self, change: changes.Change
+    ) -> result.Result[
+        changes.Accepted | changes.Conflict | changes.Refused, NotLeader | Unavailable
+    ]:
+        """Commit the change and return its outcome."""
+
+    async def read_barrier(self) -> result.Result[None, NotLeader | Unavailable]:
+        """Return once the state holds all that was accepted before the call."""
+
+    def in_force(self, version: ids.Version) -> api.InForceBody:
+        """Return whether the version is in force on every instance that acts."""
+
+    def status(self) -> api.StatusBody:
+        """Return what this instance knows of the control plane."""
+
+
+class OperatorApi:
+    """Request handlers; `now` returns the wall clock in seconds."""
+
+    def __init__(
+        self, backend: CatalogueBackend, now: Callable[[], float] = time.time
+    ) -> None:
+        self._backend = backend
+        self._now = now
+
+    def routes(self) -> web.RouteTableDef:
+        """Return the route table to add to an application."""
+        table = web.RouteTableDef()
+        table.get("/v1/catalogue")(self._guarded(self.get_catalogue))
+        table.post("/v1/catalogue/plan")(self._guarded(self.post_plan))
+        table.post("/v1/catalogue/changes")(self.post_change)
+        table.get("/v1/catalogue/versions")(self._guarded(self.get_versions))
+        table.get("/v1/catalogue/versions/{version}")(self._guarded(self.get_version))
+        table.get("/v1/audit")(self._guarded(self.get_audit))
+        table.get("/v1/status")(self.get_status)
+        return table
+
+    async def get_catalogue(self, request: web.Request) -> web.Response:
+        """Answer the current version."""
+        state = self._backend.state
+        body = api.CatalogueBody(
+            version=state.version,
+            digest=state.digest,
+            time_ms=state.time_ms,
+            declaration=state.declaration,
+        )
+        return _answer(body)
+
+    async def post_plan(self, request: web.Request) -> web.Response:
+        """Answer what a declaration would change, without changing anything."""
+        parsed = await _read_body(request, api.PlanRequest)
+        if isinstance(parsed, result.Err):
+            return parsed.err_value
+        plan = parsed.ok_value
+        state = self._backend.state
+        time_ms = max(int(self._now() * MS_PER_S), state.time_ms)
+        faults = checking.check(plan.declaration)
+        in_turn = None
+        if state.declaration is not None:
+            in_turn = authority.owner_in_turn(state.declaration.turns, time_ms)
+            if plan.owner is not None:
+                faults += authority.check_authority(
+                    state.declaration, plan.declaration, plan.owner, time_ms
+                )
+        body = api.PlanBody(
+            version=state.version,
+            owner_in_turn=in_turn,
+            differences=difference.compare(state.declaration, plan.declaration),
+            faults=changes.Refused.of(faults).faults,
+        )
+        return _answer(body)
+
+    async def post_change(self, request: web.Request) -> web.Response:
+        """Commit a change and answer its outcome."""
+        parsed = await _read_body(request, changes.Change)
+        if isinstance(parsed, result.Err):
+            return parsed.err_value
+        change = parsed.ok_value
+        outcome = await self._backend.submit(change)
+        if isinstance(outcome, result.Err):
+            return _failure(outcome.err_value)
+        body = api.ChangeBody(change_id=change.change_id, outcome=outcome.ok_value)
+        return _answer(body, _STATUS_BY_OUTCOME[body.outcome.outcome])
+
+    async def get_versions(self, request: web.Request) -> web.Response:
+        """Answer the kept versions, newest first."""
+        state = self._backend.state
+        limit = _number(request.query.get("limit", "100"))
+        if limit is None or limit < 1:
+            return _bad_request("limit is not a positive number", "give limit=N")
+        versions = state.versions()[::-1][:limit]
+        body = api.VersionsBody(current_version=state.version, versions=versions)
+        return _answer(body)
+
+    async def get_version(self, request: web.Request) -> web.Response:
+        """Answer one kept version."""
+        state = self._backend.state
+        version = _number(request.match_info["version"])
+        if version is None:
+            return _bad_request("the version is not a number", "give a version")
+        record = state.version_record(ids.Version(version))
+        declaration = state.declaration_at(ids.Version(version))
+        if record is None or declaration is None:
+            return _error(
+                404,
+                api.ErrorCode.NOT_FOUND,
+                f"version {version} is not kept; the current one is {state.version}",
+                "see the kept versions with 'yuccapitch history'",
+            )
+        body = api.CatalogueBody(
+            version=record.version,
+            digest=record.digest,
+            time_ms=record.time_ms,
+            declaration=declaration,
+        )
+        return _answer(body)
+
+    async def get_audit(self, request: web.Request) -> web.Response:
+        """Answer audit records after a sequence, a bounded number at once."""
+        state = self._backend.state
+        after = _number(request.query.get("after", "0"))
+        limit = _number(request.query.get("limit", str(MAX_AUDIT_LINES)))
+        if after is None or limit is None or limit < 1:
+            return _bad_request(
+                "after or limit is not a number", "give after=SEQUENCE and limit=N"
+            )
+        lines = state.audit_lines(after, min(limit, MAX_AUDIT_LINES))
+        body = api.AuditBody(
+            head_sequence=state.audit_head.sequence,
+            head_hash=state.audit_head.hash,
+            lines=tuple(line.decode("ascii") for line in lines),
+        )
+        return _answer(body)
+
+    async def get_status(self, request: web.Request) -> web.Response:
+        """Answer what this instance knows, also where it does not lead."""
+        version = _number(
+            request.query.get("version", str(self._backend.state.version))
+        )
+        if version is None:
+            return _bad_request("the version is not a number", "give version=N")
+        in_force = None
+        if (await self._backend.read_barrier()).is_ok():
+            in_force = self._backend.in_force(ids.Version(version))
+        status = self._backend.status().model_copy(update={"in_force": in_force})
+        return _answer(status)
+
+    def _guarded(self, handler: Handler) -> Handler:
+        """Let the handler read only a state that holds all accepted changes.
+
+        `?stale=1` answers from whatever this instance has applied, for operators
+        that look into a cut-off region.
+        """
+
+        async def handle(request: web.Request) -> web.Response:
+            if request.query.get("stale") != "1":
+                barrier = await self._backend.read_barrier()
+                if isinstance(barrier, result.Err):
+                    return _failure(barrier.err_value)
+            return await handler(request)
+
+        return handle
+
+
+Handler = Callable[[web.Request], Awaitable[web.Response]]
+
+_STATUS_BY_OUTCOME = {"accepted": 200, "conflict": 409, "refused": 422}
+
+
+async def _read_body(
+    request: web.Request, kind: type[Body]
+) -> result.Result[Body, web.Response]:
+    data = await request.read()
+    try:
+        return result.Ok(kind.model_validate_json(data))
+    except pydantic.ValidationError as error:
+        faults = tuple(
+            changes.FaultBody(
+                path=".".join(str(part) for part in item["loc"]), message=item["msg"]
+            )
+            for item in error.errors(include_url=False, include_input=False)
+        )
+        return result.Err(
+            _bad_request("the body has faults", "mend the faults listed", faults)
+        )
+
+
+def _failure(error: NotLeader | Unavailable) -> web.Response:
+    if isinstance(error, NotLeader):
+        if error.leader is None:
+            return _error(
+                503,
+                api.ErrorCode.UNAVAILABLE,
+                "no leader is known",
+                "send the request again in a second, or to another instance",
+            )
+        return _error(
+            MISDIRECTED_REQUEST,
+            api.ErrorCode.NOT_LEADER,
+            "this instance does not lead",
+            f"send the request to {error.leader}",
+            leader=error.leader,
+        )
+    if error.maybe_applied:
+        return _error(
+            503,
+            api.ErrorCode.UNKNOWN_OUTCOME,
+            error.message,
+            "send the same change again with the same change id",
+        )
+    return _error(
+        503,
+        api.ErrorCode.UNAVAILABLE,
+        error.message,
+        "send the request again in a second, or to another instance",
+    )
+
+
+def _bad_request(
+    message: str, next_step: str, faults: tuple[changes.FaultBody, ...] = ()
+) -> web.Response:
+    return _error(400, api.ErrorCode.BAD_REQUEST, message, next_step, faults=faults)
+
+
+def _error(
+    status: int,
+    code: api.ErrorCode,
+    message: str,
+    next_step: str,
+    *,
+    leader: str | None = None,
+    faults: tuple[changes.FaultBody, ...] = (),
+) -> web.Response:
+    body = api.ErrorBody(
+        error=code, message=message, next_step=next_step, leader=leader, faults=faults
+    )
+    return _answer(body, status)
+
+
+def _answer(body: pydantic.BaseModel, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status,
+        body=body.model_dump_json(by_alias=True).encode(),
+        content_type="application/json",
+    )
+
+
+def _number(text: str) -> int | None:
+    # Longer digit strings are no version or sequence and slow to convert.
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 16 else None
--- /dev/null
+++ b/packages/control/tests/test_operator_api.py
@@ -0,0 +1,85 @@
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+from aiohttp import test_utils, web
+
+from tests import catalogue_sample, memory_backend
+from yuccapitch.catalogue import changes, state
+from yuccapitch.control import operator_api
+
+NOW_S = catalogue_sample.DECEMBER_MS / 1000
+
+
+@pytest.fixture
+def backend() -> memory_backend.MemoryBackend:
+    return memory_backend.MemoryBackend(state.CatalogueState(), lambda: NOW_S)
+
+
+@pytest.fixture
+async def client(
+    backend: memory_backend.MemoryBackend,
+) -> AsyncIterator[test_utils.TestClient[web.Request, web.Application]]:
+    app = web.Application(client_max_size=operator_api.MAX_BODY_BYTES)
+    app.add_routes(operator_api.OperatorApi(backend, lambda: NOW_S).routes())
+    async with test_utils.TestClient(test_utils.TestServer(app)) as client:
+        yield client
+
+
+def body_of(change: changes.Change) -> dict[str, Any]:
+    return change.model_dump(mode="json", by_alias=True)
+
+
+async def test_change_outcomes_have_statuses(client: Any) -> None:
+    first = catalogue_sample.change("first", 0, catalogue_sample.declaration())
+    answer = await client.post("/v1/catalogue/changes", json=body_of(first))
+    assert answer.status == 200
+    assert (await answer.json())["outcome"] == {"outcome": "accepted", "version": 1}
+    late = catalogue_sample.change("late", 0, catalogue_sample.declaration())
+    answer = await client.post("/v1/catalogue/changes", json=body_of(late))
+    assert answer.status == 409
+    assert (await answer.json())["outcome"]["winning_change_id"] == "first"
+    unsigned = {**body_of(late), "change_id": "other", "signature": ""}
+    answer = await client.post("/v1/catalogue/changes", json=unsigned)
+    assert answer.status == 422
+    head = (await (await client.get("/v1/audit")).json())["head_sequence"]
+    assert head == 2
+
+
+async def test_read_on_follower_names_leader(client: Any, backend: Any) -> None:
+    backend.leader = "http://127.0.0.1:1"
+    for path in ("/v1/catalogue", "/v1/audit", "/v1/catalogue/versions/1"):
+        answer = await client.get(path)
+        assert answer.status == 421
+        assert (await answer.json())["leader"] == backend.leader
+    assert (await client.get("/v1/catalogue?stale=1")).status == 200
+    status = await (await client.get("/v1/status")).json()
+    assert status["in_force"] is None
+
+
+async def test_plan_names_who_may_apply(client: Any, backend: Any) -> None:
+    first = catalogue_sample.change("first", 0, catalogue_sample.declaration())
+    await backend.submit(first)
+    data = catalogue_sample.plain()
+    data["regions"]["north"]["capacity"] = 60
+    answer = await client.post(
+        "/v1/catalogue/plan", json={"declaration": data, "owner": "amber"}
+    )
+    plan = await answer.json()
+    assert plan["owner_in_turn"] == "birch"
+    assert [item["entry_id"] for item in plan["differences"]] == ["north"]
+    assert [fault["path"] for fault in plan["faults"]] == ["regions.north"]
+
+
+async def test_bad_body_lists_faults(client: Any) -> None:
+    answer = await client.post("/v1/catalogue/plan", data=b'{"declaration": {}}')
+    assert answer.status == 400
+    paths = {fault["path"] for fault in (await answer.json())["faults"]}
+    assert "declaration.owners" in paths
+
+
+async def test_unknown_version_is_not_found(client: Any) -> None:
+    assert (await client.get("/v1/catalogue/versions/7")).status == 404
+    assert (await client.get("/v1/catalogue/versions/x")).status == 400
