Add the operator command line

Commands return values, exit codes are one table, and a lost answer is resent with the same change id.

--- /dev/null
+++ b/packages/cli/src/yuccapitch/cli/client.py
@@ -0,0 +1,311 @@
+"""A client of the operators' HTTP interface that finds the instance that can answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import ssl
+from collections.abc import AsyncIterator, Mapping, Sequence
+from typing import TypeVar
+
+import aiohttp
+import pydantic
+import result
+
+from yuccapitch.catalogue import api, changes, ids
+from yuccapitch.cli import exit_codes, reports
+
+ATTEMPT_TIMEOUT_S = 5.0
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 2.0
+IN_FORCE_POLL_S = 0.2
+
+Body = TypeVar("Body", bound=pydantic.BaseModel)
+
+
+@dataclasses.dataclass(frozen=True)
+class Connection:
+    """Where and for how long to ask."""
+
+    servers: tuple[str, ...]
+    timeout_s: float
+    ca_file: str | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class _Answer:
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class _NoAnswer:
+    message: str
+    maybe_received: bool
+
+
+class OperatorClient:
+    """Sends requests to any server and follows to the one that can answer."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, servers: Sequence[str], timeout_s: float
+    ) -> None:
+        self._session = session
+        self._servers = [server.rstrip("/") for server in servers]
+        self._timeout_s = timeout_s
+
+    async def get(
+        self,
+        path: str,
+        kind: type[Body],
+        query: Mapping[str, str] | None = None,
+    ) -> result.Result[Body, reports.CommandError]:
+        """Return the body that an instance answers."""
+        answer = await self._request("GET", path, query=query)
+        return _parse(answer, kind)
+
+    async def get_bytes(
+        self, path: str, query: Mapping[str, str]
+    ) -> result.Result[bytes, reports.CommandError]:
+        """Return the raw body that an instance answers."""
+        answer = await self._request("GET", path, query=query)
+        if isinstance(answer, result.Err):
+            return answer
+        return result.Ok(answer.ok_value.body)
+
+    async def plan(
+        self, request: api.PlanRequest
+    ) -> result.Result[api.PlanBody, reports.CommandError]:
+        """Return what the declaration would change."""
+        answer = await self._request("POST", "/v1/catalogue/plan", _encode(request))
+        return _parse(answer, api.PlanBody)
+
+    async def submit(
+        self, change: changes.Change
+    ) -> result.Result[changes.Accepted, reports.CommandError]:
+        """Send the change until an outcome is known; resends are safe by its id."""
+        answer = await self._request(
+            "POST", "/v1/catalogue/changes", _encode(change), (409, 422), change
+        )
+        parsed = _parse(answer, api.ChangeBody)
+        if isinstance(parsed, result.Err):
+            return parsed
+        outcome = parsed.ok_value.outcome
+        if isinstance(outcome, changes.Accepted):
+            return result.Ok(outcome)
+        return result.Err(_outcome_error(outcome))
+
+    async def wait_in_force(
+        self, version: ids.Version, timeout_s: float
+    ) -> result.Result[api.InForceBody, reports.CommandError]:
+        """Return once the version is in force everywhere or the time is over."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        while True:
+            status = await self.status(version)
+            if isinstance(status, result.Err):
+                return status
+            in_force = status.ok_value.in_force
+            if in_force is not None and in_force.everywhere:
+                return result.Ok(in_force)
+            if loop.time() >= end:
+                unknown = api.InForceBody(version=version, everywhere=False)
+                return result.Ok(in_force or unknown)
+            await asyncio.sleep(IN_FORCE_POLL_S)
+
+    async def status(
+        self, version: ids.Version | None = None
+    ) -> result.Result[api.StatusBody, reports.CommandError]:
+        """Return the leader's status, or another's where the leader is silent."""
+        query = {} if version is None else {"version": str(version)}
+        status = await self.get("/v1/status", api.StatusBody, query)
+        if isinstance(status, result.Ok):
+            body = status.ok_value
+            if body.in_force is None and body.leader is not None:
+                self._prefer(body.leader)
+                again = await self.get("/v1/status", api.StatusBody, query)
+                return again if again.is_ok() else status
+        return status
+
+    async def _request(
+        self,
+        method: str,
+        path: str,
+        data: bytes | None = None,
+        outcome_statuses: tuple[int, ...] = (),
+        change: changes.Change | None = None,
+        query: Mapping[str, str] | None = None,
+    ) -> result.Result[_Answer, reports.CommandError]:
+        """Try the servers in turn until one answers or the time is over."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self._timeout_s
+        pause_s = FIRST_PAUSE_S
+        maybe_received = False
+        message = "no server was asked"
+        while True:
+            for server in list(self._servers):
+                left_s = end - loop.time()
+                if left_s <= 0:
+                    break
+                answer = await self._attempt(
+                    method,
+                    server + path,
+                    data,
+                    dict(query or {}),
+                    min(left_s, ATTEMPT_TIMEOUT_S),
+                )
+                if isinstance(answer, _NoAnswer):
+                    maybe_received |= answer.maybe_received
+                    message = f"{server}: {answer.message}"
+                    continue
+                if answer.status == 200 or answer.status in outcome_statuses:
+                    self._prefer(server)
+                    return result.Ok(answer)
+                error = _error_body(answer)
+                message = f"{server}: {error.message}"
+                if error.error is api.ErrorCode.NOT_LEADER and error.leader:
+                    self._prefer(error.leader)
+                    break
+                if error.error is api.ErrorCode.UNKNOWN_OUTCOME:
+                    maybe_received = True
+                elif error.error is not api.ErrorCode.UNAVAILABLE:
+                    return result.Err(_request_error(error))
+            if loop.time() + pause_s >= end:
+                return result.Err(_silence(message, change, maybe_received))
+            await asyncio.sleep(pause_s)
+            pause_s = min(pause_s * 2, LONGEST_PAUSE_S)
+
+    async def _attempt(
+        self,
+        method: str,
+        url: str,
+        data: bytes | None,
+        query: Mapping[str, str],
+        timeout_s: float,
+    ) -> _Answer | _NoAnswer:
+        headers = {"Content-Type": "application/json"} if data is not None else {}
+        try:
+            async with self._session.request(
+                method,
+                url,
+                data=data,
+                params=query,
+                headers=headers,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                return _Answer(response.status, await response.read())
+        except aiohttp.ClientConnectorError as error:
+            return _NoAnswer(str(error), maybe_received=False)
+        except aiohttp.InvalidURL:
+            return _NoAnswer("not an address such as http://127.0.0.1:8080", False)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return _NoAnswer(str(error) or "no answer in time", maybe_received=True)
+
+    def _prefer(self, server: str) -> None:
+        server = server.rstrip("/")
+        if server in self._servers:
+            self._servers.remove(server)
+        self._servers.insert(0, server)
+
+
+@contextlib.asynccontextmanager
+async def connect(connection: Connection) -> AsyncIterator[OperatorClient]:
+    """Yield a client; leaving closes its connections."""
+    context: ssl.SSLContext | bool = True
+    if connection.ca_file is not None:
+        context = ssl.create_default_context(cafile=connection.ca_file)
+    # A new connection for each request: one gone silent would cost a whole timeout.
+    connector = aiohttp.TCPConnector(ssl=context, force_close=True)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        yield OperatorClient(session, connection.servers, connection.timeout_s)
+
+
+def _encode(body: pydantic.BaseModel) -> bytes:
+    return body.model_dump_json(by_alias=True).encode()
+
+
+def _parse(
+    answer: result.Result[_Answer, reports.CommandError], kind: type[Body]
+) -> result.Result[Body, reports.CommandError]:
+    if isinstance(answer, result.Err):
+        return answer
+    try:
+        return result.Ok(kind.model_validate_json(answer.ok_value.body))
+    except pydantic.ValidationError as error:
+        return result.Err(
+            reports.CommandError(
+                exit_codes.ExitCode.FAILED,
+                f"the server's answer is not understood: {error.errors()[0]['msg']}",
+                "check that the command line and the servers have the same version",
+            )
+        )
+
+
+def _error_body(answer: _Answer) -> api.ErrorBody:
+    try:
+        return api.ErrorBody.model_validate_json(answer.body)
+    except pydantic.ValidationError:
+        # Anything but our own answers, such as a page of a proxy in between.
+        code = (
+            api.ErrorCode.UNKNOWN_OUTCOME
+            if answer.status >= 500
+            else api.ErrorCode.BAD_REQUEST
+        )
+        return api.ErrorBody(
+            error=code,
+            message=f"answered with status {answer.status}",
+            next_step="check that the address is a yuccapitchd HTTP address",
+        )
+
+
+def _request_error(error: api.ErrorBody) -> reports.CommandError:
+    exit_code = (
+        exit_codes.ExitCode.USAGE
+        if error.error is api.ErrorCode.BAD_REQUEST
+        else exit_codes.ExitCode.FAILED
+    )
+    details = tuple(str(fault) for fault in error.faults)
+    return reports.CommandError(exit_code, error.message, error.next_step, details)
+
+
+def _outcome_error(outcome: changes.Conflict | changes.Refused) -> reports.CommandError:
+    data = outcome.model_dump(mode="json")
+    if isinstance(outcome, changes.Refused):
+        return reports.CommandError(
+            exit_codes.ExitCode.REFUSED,
+            "the catalogue refused the change",
+            "mend the faults listed and apply again with a new change id",
+            tuple(str(fault) for fault in outcome.faults),
+            data,
+        )
+    winner = outcome.winning_change_id or "a change no longer kept"
+    by = f" of {outcome.winning_owner}" if outcome.winning_owner else ""
+    return reports.CommandError(
+        exit_codes.ExitCode.CONFLICT,
+        f"change {winner}{by} won; the catalogue is at version"
+        f" {outcome.current_version}",
+        "run 'yuccapitch get', put your edit into it and apply again with a new"
+        " change id",
+        outcome.differences,
+        data,
+    )
+
+
+def _silence(
+    message: str, change: changes.Change | None, maybe_received: bool
+) -> reports.CommandError:
+    if change is None or not maybe_received:
+        return reports.CommandError(
+            exit_codes.ExitCode.UNAVAILABLE,
+            f"no server could answer; last: {message}",
+            "check --server and the instances, then run the command again",
+        )
+    return reports.CommandError(
+        exit_codes.ExitCode.UNKNOWN_OUTCOME,
+        f"the outcome of change {change.change_id} is unknown; last: {message}",
+        "apply the same declaration again with"
+        f" --change-id {change.change_id} --base {change.base_version}",
+        data={"change_id": change.change_id, "base_version": change.base_version},
+    )
--- /dev/null
+++ b/packages/cli/src/yuccapitch/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, one module a matter; each registers its classes in `base`."""
--- /dev/null
+++ b/packages/cli/src/yuccapitch/cli/commands/audit.py
@@ -0,0 +1,153 @@
+"""audit export and audit verify."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import ClassVar
+
+import result
+from cleo import helpers
+from cleo.io.inputs import argument as cleo_argument, option as cleo_option
+
+from yuccapitch.catalogue import api, audit, checking, ids
+from yuccapitch.cli import client, exit_codes, reports
+from yuccapitch.cli.commands import base
+
+
+@base.register
+class AuditExportCommand(base.ServerCommand):
+    """Writes the audit trail, one JSON record a line."""
+
+    name = "audit export"
+    description = "Write the audit trail, one record a line."
+    arguments: ClassVar[list[cleo_argument.Argument]] = [
+        helpers.argument("file", "File to write; else standard output.", optional=True)
+    ]
+
+    async def run_with_client(self, operator: client.OperatorClient) -> base.Outcome:
+        """Fetch all records part by part."""
+        lines: list[str] = []
+        while True:
+            fetched = await operator.get(
+                "/v1/audit", api.AuditBody, {"after": str(len(lines))}
+            )
+            if isinstance(fetched, result.Err):
+                return fetched
+            part = fetched.ok_value
+            lines.extend(part.lines)
+            if not part.lines or len(lines) >= part.head_sequence:
+                break
+        head = f"{part.head_sequence}:{part.head_hash}"
+        path = self.argument("file")
+        data = {"records": len(lines), "head": head}
+        if path is None:
+            return result.Ok(reports.Report("\n".join(lines), {**data, "lines": lines}))
+        try:
+            text = "".join(f"{line}\n" for line in lines)
+            pathlib.Path(path).write_text(text, encoding="ascii")
+        except OSError as error:
+            return result.Err(reports.usage_error(f"cannot write {path}: {error}"))
+        text = (
+            f"wrote {len(lines)} records to {path}\nhead: {head}\n"
+            "next: keep the head apart from the file; 'audit verify --head' compares it"
+        )
+        return result.Ok(reports.Report(text, data))
+
+
+@base.register
+class AuditVerifyCommand(base.BaseCommand):
+    """Verifies an exported trail offline."""
+
+    name = "audit verify"
+    description = "Verify an exported audit trail, offline."
+    arguments: ClassVar[list[cleo_argument.Argument]] = [
+        helpers.argument("file", "The exported trail.")
+    ]
+    options: ClassVar[list[cleo_option.Option]] = [
+        *base.BaseCommand.options,
+        helpers.option(
+            "keys",
+            description="OWNER=FILE with its public keys, one a line; repeat it.",
+            flag=False,
+            multiple=True,
+        ),
+        helpers.option(
+            "head",
+            description="SEQUENCE:HASH kept from an earlier export.",
+            flag=False,
+        ),
+        helpers.option(
+            "allow-unsigned", description="Accept changes without signature."
+        ),
+    ]
+
+    def run_command(self) -> base.Outcome:
+        """Read the files and verify the trail."""
+        keys = _read_keys(self.option("keys"), bool(self.option("allow-unsigned")))
+        if isinstance(keys, result.Err):
+            return keys
+        head = _read_head(self.option("head"))
+        if isinstance(head, result.Err):
+            return head
+        try:
+            text = pathlib.Path(self.argument("file")).read_text(encoding="ascii")
+        except (OSError, UnicodeDecodeError) as error:
+            return result.Err(reports.usage_error(f"cannot read the trail: {error}"))
+        lines = [line for line in text.split("\n") if line.strip()]
+        findings = audit.verify_export(lines, keys.ok_value, head.ok_value)
+        if findings:
+            return result.Err(
+                reports.CommandError(
+                    exit_codes.ExitCode.AUDIT_FAULT,
+                    f"the trail has {len(findings)} faults",
+                    "compare the records named with another owner's export",
+                    tuple(str(finding) for finding in findings),
+                    [
+                        {"sequence": finding.sequence, "message": finding.message}
+                        for finding in findings
+                    ],
+                )
+            )
+        last = audit.head_of(lines)
+        owners = ", ".join(sorted(keys.ok_value.keys_by_owner)) or "none"
+        return result.Ok(
+            reports.Report(
+                f"{len(lines)} records are whole; keys checked of: {owners}\n"
+                f"head: {last.sequence}:{last.hash}",
+                {"records": len(lines), "head": f"{last.sequence}:{last.hash}"},
+            )
+        )
+
+
+def _read_keys(
+    given: list[str], unsigned_allowed: bool
+) -> result.Result[audit.TrustedKeys, reports.CommandError]:
+    keys_by_owner: dict[ids.OwnerId, frozenset[str]] = {}
+    for item in given:
+        owner, separator, path = item.partition("=")
+        if not separator:
+            return result.Err(reports.usage_error(f"--keys {item!r} is not OWNER=FILE"))
+        try:
+            text = pathlib.Path(path).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            return result.Err(reports.usage_error(f"cannot read {path}: {error}"))
+        lines = [line.strip().lower() for line in text.splitlines()]
+        keys = [line for line in lines if line and not line.startswith("#")]
+        if not keys or not all(checking.KEY_PATTERN.match(key) for key in keys):
+            message = f"{path}: a public key has 64 hexadecimal digits, one key a line"
+            return result.Err(reports.usage_error(message))
+        known = keys_by_owner.get(ids.OwnerId(owner), frozenset())
+        keys_by_owner[ids.OwnerId(owner)] = known | frozenset(keys)
+    return result.Ok(audit.TrustedKeys(keys_by_owner, unsigned_allowed))
+
+
+def _read_head(
+    given: str | None,
+) -> result.Result[audit.AuditHead | None, reports.CommandError]:
+    if given is None:
+        return result.Ok(None)
+    sequence, separator, digest = given.partition(":")
+    if not separator or not sequence.isdigit():
+        message = f"--head {given!r} is not SEQUENCE:HASH"
+        return result.Err(reports.usage_error(message))
+    return result.Ok(audit.AuditHead(int(sequence), digest))
--- /dev/null
+++ b/packages/cli/src/yuccapitch/cli/commands/base.py
@@ -0,0 +1,147 @@
+"""What all commands share: options, settings of the environment, output."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+import os
+import sys
+from collections.abc import Mapping
+from typing import ClassVar, TypeVar
+
+import result
+from cleo import helpers
+from cleo.commands import command
+from cleo.io.inputs import option as cleo_option
+from cleo.io.outputs import output
+
+from yuccapitch.cli import client, reports
+
+DEFAULT_SERVER = "http://127.0.0.1:8080"
+DEFAULT_TIMEOUT_S = 30.0
+
+Outcome = result.Result[reports.Report, reports.CommandError]
+CommandClass = TypeVar("CommandClass", bound="type[BaseCommand]")
+
+command_classes: list[type[BaseCommand]] = []
+
+
+def register(command_class: CommandClass) -> CommandClass:
+    """Add a command to the command line."""
+    command_classes.append(command_class)
+    return command_class
+
+
+JSON_OPTION = helpers.option("json", description="Print JSON for programs.")
+SERVER_OPTIONS = [
+    helpers.option(
+        "server",
+        "s",
+        "Address of any instance; repeat it for more"
+        f" [YUCCAPITCH_SERVERS, comma-separated; else {DEFAULT_SERVER}].",
+        flag=False,
+        multiple=True,
+    ),
+    helpers.option(
+        "timeout",
+        description=f"Seconds to look for an answer; else {DEFAULT_TIMEOUT_S:g}.",
+        flag=False,
+    ),
+    helpers.option(
+        "ca-file",
+        description="Certificates that https servers are checked with"
+        " [YUCCAPITCH_CA_FILE].",
+        flag=False,
+    ),
+]
+
+
+class BaseCommand(command.Command):
+    """A command whose outcome is a report or an error, both values."""
+
+    options: ClassVar[list[cleo_option.Option]] = [JSON_OPTION]
+    environment: Mapping[str, str] = os.environ
+
+    def handle(self) -> int:
+        """Run the command and print its outcome."""
+        outcome = self.run_command()
+        as_json = bool(self.option("json"))
+        if isinstance(outcome, result.Err):
+            error = outcome.err_value
+            if as_json:
+                self._print(reports.to_json(error.to_data()))
+            else:
+                self.io.write_error_line(error.to_text(), type=output.Type.RAW)
+            return error.exit_code
+        report = outcome.ok_value
+        text = reports.to_json(report.data) if as_json else report.text
+        if text:
+            self._print(text)
+        return report.exit_code
+
+    @abc.abstractmethod
+    def run_command(self) -> Outcome:
+        """Do the command's work."""
+
+    def setting(self, option_name: str, variable: str) -> str | None:
+        """Return an option's value, else the environment variable's."""
+        value = self.option(option_name)
+        return str(value) if value else self.environment.get(variable) or None
+
+    def number(self, option_name: str) -> result.Result[float | None, str]:
+        """Return an option's number, None where it is not given."""
+        value = self.option(option_name)
+        if value is None:
+            return result.Ok(None)
+        try:
+            return result.Ok(float(value))
+        except ValueError:
+            return result.Err(f"--{option_name} {value!r} is not a number")
+
+    def ask_yes(self, question: str) -> bool:
+        """Return whether the operator at the terminal agrees."""
+        if not (sys.stdin.isatty() and self.io.is_interactive()):
+            return False
+        return self.confirm(question)
+
+    def _print(self, text: str) -> None:
+        self.io.write_line(text, type=output.Type.RAW)
+
+
+class ServerCommand(BaseCommand):
+    """A command that asks the instances."""
+
+    options: ClassVar[list[cleo_option.Option]] = [JSON_OPTION, *SERVER_OPTIONS]
+
+    def run_command(self) -> Outcome:
+        """Ask within one event loop."""
+        timeout = self.number("timeout")
+        if isinstance(timeout, result.Err):
+            return result.Err(reports.usage_error(timeout.err_value))
+        connection = client.Connection(
+            servers=self._servers(),
+            timeout_s=timeout.ok_value or DEFAULT_TIMEOUT_S,
+            ca_file=self.setting("ca-file", "YUCCAPITCH_CA_FILE"),
+        )
+        try:
+            return asyncio.run(self._ask(connection))
+        except FileNotFoundError as error:
+            return result.Err(reports.usage_error(f"no file {error.filename}"))
+
+    @abc.abstractmethod
+    async def run_with_client(self, operator: client.OperatorClient) -> Outcome:
+        """Do the command's work with a client."""
+
+    async def _ask(self, connection: client.Connection) -> Outcome:
+        async with client.connect(connection) as operator:
+            return await self.run_with_client(operator)
+
+    def _servers(self) -> tuple[str, ...]:
+        given = self.option("server")
+        if not given:
+            given = self.environment.get("YUCCAPITCH_SERVERS", "").split(",")
+        servers = tuple(server.strip() for server in given if server.strip())
+        return tuple(
+            server if "://" in server else f"http://{server}"
+            for server in servers or (DEFAULT_SERVER,)
+        )
--- /dev/null
+++ b/packages/cli/src/yuccapitch/cli/commands/catalogue.py
@@ -0,0 +1,261 @@
+"""plan, apply, get, history and diff."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import ClassVar
+
+import result
+from cleo import helpers
+from cleo.io.inputs import argument as cleo_argument, option as cleo_option
+
+from yuccapitch.catalogue import api, difference, ids, loading, model
+from yuccapitch.cli import client, exit_codes, reports, times
+from yuccapitch.cli.commands import base, changing
+
+FILE_ARGUMENT = helpers.argument("file", "The declaration, YAML.")
+
+
+@base.register
+class PlanCommand(changing.ChangeCommand):
+    """Shows what a declaration would change and who may apply it."""
+
+    name = "plan"
+    description = "Show what a declaration would change and who may apply it."
+    arguments: ClassVar[list[cleo_argument.Argument]] = [FILE_ARGUMENT]
+
+    async def run_with_client(self, operator: client.OperatorClient) -> base.Outcome:
+        """Ask for the plan; a plan that may not be applied exits as refused."""
+        declaration = changing.read_declaration(self.argument("file"))
+        if isinstance(declaration, result.Err):
+            return declaration
+        identity = self.identity(declaration.ok_value)
+        owner = identity.ok_value.owner if isinstance(identity, result.Ok) else None
+        plan = await operator.plan(
+            api.PlanRequest(declaration=declaration.ok_value, owner=owner)
+        )
+        return plan.map(_plan_report)
+
+
+@base.register
+class ApplyCommand(changing.ChangeCommand):
+    """Submits a declaration as the next version."""
+
+    name = "apply"
+    description = "Submit a declaration as the next version."
+    arguments: ClassVar[list[cleo_argument.Argument]] = [FILE_ARGUMENT]
+    options: ClassVar[list[cleo_option.Option]] = [
+        *changing.ChangeCommand.options,
+        helpers.option(
+            "base",
+            "b",
+            "Version that the declaration was written for, as 'plan' names it.",
+            flag=False,
+        ),
+        helpers.option(
+            "change-id",
+            description="Id of the change, to send it again after a lost answer.",
+            flag=False,
+        ),
+        helpers.option(
+            "yes", "y", "Take the current version as the base without asking."
+        ),
+    ]
+
+    async def run_with_client(self, operator: client.OperatorClient) -> base.Outcome:
+        """Settle the base version, then submit."""
+        read = changing.read_declaration(self.argument("file"))
+        if isinstance(read, result.Err):
+            return read
+        declaration = read.ok_value
+        identity = self.identity(declaration)
+        if isinstance(identity, result.Err):
+            return identity
+        base_version = await self._base_version(
+            operator, declaration, identity.ok_value.owner
+        )
+        if isinstance(base_version, result.Err):
+            return base_version
+        change_id = str(self.option("change-id") or changing.new_change_id())
+        return await self.submit(
+            operator, identity.ok_value, base_version.ok_value, declaration, change_id
+        )
+
+    async def _base_version(
+        self,
+        operator: client.OperatorClient,
+        declaration: model.Declaration,
+        owner: ids.OwnerId,
+    ) -> result.Result[ids.Version, reports.CommandError]:
+        given = self.option("base")
+        if given is not None:
+            if not given.isdigit():
+                return result.Err(
+                    reports.usage_error(f"--base {given!r} is no version")
+                )
+            return result.Ok(ids.Version(int(given)))
+        planned = await operator.plan(
+            api.PlanRequest(declaration=declaration, owner=owner)
+        )
+        if isinstance(planned, result.Err):
+            return planned
+        plan = planned.ok_value
+        if plan.version == 0 or self.option("yes"):
+            return result.Ok(plan.version)
+        report = _plan_report(plan)
+        if not self.option("json"):
+            self.io.write_error_line(report.text)
+        if self.ask_yes(f"Apply this to version {plan.version}?"):
+            return result.Ok(plan.version)
+        # Without a base, a stale file would silently undo what others changed.
+        return result.Err(
+            reports.usage_error(
+                "no base version is named",
+                f"check the plan, then give --base {plan.version} (or --yes)",
+            )
+        )
+
+
+@base.register
+class GetCommand(base.ServerCommand):
+    """Prints a version of the declaration as YAML."""
+
+    name = "get"
+    description = "Print the declaration, YAML."
+    options: ClassVar[list[cleo_option.Option]] = [
+        *base.ServerCommand.options,
+        helpers.option("at", description="A kept version; else current.", flag=False),
+        helpers.option("output", "o", "File to write it to.", flag=False),
+    ]
+
+    async def run_with_client(self, operator: client.OperatorClient) -> base.Outcome:
+        """Fetch the version and print or write it."""
+        fetched = await _fetch(operator, self.option("at"))
+        if isinstance(fetched, result.Err):
+            return fetched
+        body = fetched.ok_value
+        if body.declaration is None:
+            return result.Err(
+                reports.CommandError(
+                    exit_codes.ExitCode.FAILED,
+                    "the catalogue is empty",
+                    "apply a first declaration with 'yuccapitch apply FILE'",
+                )
+            )
+        text = f"# Version {body.version}.\n{loading.to_yaml(body.declaration)}"
+        data = {
+            "version": body.version,
+            "digest": body.digest,
+            "declaration": loading.to_plain(body.declaration),
+        }
+        path = self.option("output")
+        if path is None:
+            return result.Ok(reports.Report(text.rstrip("\n"), data))
+        try:
+            pathlib.Path(path).write_text(text, encoding="utf-8")
+        except OSError as error:
+            return result.Err(reports.usage_error(f"cannot write {path}: {error}"))
+        return result.Ok(
+            reports.Report(f"wrote version {body.version} to {path}", data)
+        )
+
+
+@base.register
+class HistoryCommand(base.ServerCommand):
+    """Lists the kept versions, newest first."""
+
+    name = "history"
+    description = "List the versions, newest first."
+    options: ClassVar[list[cleo_option.Option]] = [
+        *base.ServerCommand.options,
+        helpers.option("limit", "l", "How many.", flag=False, default="20"),
+    ]
+
+    async def run_with_client(self, operator: client.OperatorClient) -> base.Outcome:
+        """Fetch the versions."""
+        limit = str(self.option("limit"))
+        fetched = await operator.get(
+            "/v1/catalogue/versions", api.VersionsBody, {"limit": limit}
+        )
+        return fetched.map(_history_report)
+
+
+@base.register
+class DiffCommand(base.ServerCommand):
+    """Shows what differs between two versions."""
+
+    name = "diff"
+    description = "Show what differs between two versions."
+    arguments: ClassVar[list[cleo_argument.Argument]] = [
+        helpers.argument("before", "A version."),
+        helpers.argument("after", "Another; else the current one.", optional=True),
+    ]
+
+    async def run_with_client(self, operator: client.OperatorClient) -> base.Outcome:
+        """Fetch both versions and compare them."""
+        before = await _fetch(operator, self.argument("before"))
+        if isinstance(before, result.Err):
+            return before
+        after = await _fetch(operator, self.argument("after"))
+        if isinstance(after, result.Err):
+            return after
+        if after.ok_value.declaration is None:
+            return result.Ok(reports.Report("no differences", []))
+        items = difference.compare(
+            before.ok_value.declaration, after.ok_value.declaration
+        )
+        data = [item.model_dump(mode="json") for item in items]
+        return result.Ok(reports.Report(_difference_table(items), data))
+
+
+async def _fetch(
+    operator: client.OperatorClient, version: str | None
+) -> result.Result[api.CatalogueBody, reports.CommandError]:
+    if version is None:
+        return await operator.get("/v1/catalogue", api.CatalogueBody)
+    if not version.isdigit():
+        return result.Err(reports.usage_error(f"{version!r} is not a version"))
+    return await operator.get(f"/v1/catalogue/versions/{version}", api.CatalogueBody)
+
+
+def _plan_report(plan: api.PlanBody) -> reports.Report:
+    lines = [_difference_table(plan.differences)]
+    lines.append(f"current version: {plan.version}")
+    if plan.owner_in_turn is not None:
+        lines.append(f"owner in turn, for what is shared: {plan.owner_in_turn}")
+    lines.extend(f"not permitted: {fault}" for fault in plan.faults)
+    exit_code = exit_codes.ExitCode.REFUSED if plan.faults else exit_codes.ExitCode.OK
+    return reports.Report("\n".join(lines), plan.model_dump(mode="json"), exit_code)
+
+
+def _difference_table(items: tuple[difference.Difference, ...]) -> str:
+    if not items:
+        return "no differences"
+    rows = [
+        (
+            item.kind.value,
+            f"{item.section}.{item.entry_id}" if item.entry_id else item.section,
+            item.authority,
+            ", ".join(
+                f"{change.field} {change.before} -> {change.after}"
+                for change in item.fields
+            ),
+        )
+        for item in items
+    ]
+    return reports.table(("WHAT", "ENTRY", "OWNER", "FIELDS"), rows)
+
+
+def _history_report(body: api.VersionsBody) -> reports.Report:
+    rows = [
+        (
+            record.version,
+            times.to_text(record.time_ms),
+            record.owner,
+            record.change_id,
+            record.reason,
+        )
+        for record in body.versions
+    ]
+    text = reports.table(("VERSION", "TIME (UTC)", "OWNER", "CHANGE", "REASON"), rows)
+    return reports.Report(text, body.model_dump(mode="json"))
--- /dev/null
+++ b/packages/cli/src/yuccapitch/cli/commands/operations.py
@@ -0,0 +1,109 @@
+"""status and lookup."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, ClassVar
+
+import result
+from cleo import helpers
+from cleo.io.inputs import argument as cleo_argument
+
+from yuccapitch.catalogue import api
+from yuccapitch.cli import client, reports
+from yuccapitch.cli.commands import base
+
+
+@base.register
+class StatusCommand(base.ServerCommand):
+    """Shows the control instances, the version and who lags."""
+
+    name = "status"
+    description = "Show the control instances, the version and who lags."
+
+    async def run_with_client(self, operator: client.OperatorClient) -> base.Outcome:
+        """Ask the leader, or any instance where no leader is known."""
+        status = await operator.status()
+        return status.map(_status_report)
+
+
+@base.register
+class LookupCommand(base.ServerCommand):
+    """Asks which entry instances a client of a service is to use."""
+
+    name = "lookup"
+    description = "Ask which entry instances a client is to use."
+    arguments: ClassVar[list[cleo_argument.Argument]] = [
+        helpers.argument("service", "The service."),
+        helpers.argument(
+            "client", "The client's IP number; else yours.", optional=True
+        ),
+    ]
+
+    async def run_with_client(self, operator: client.OperatorClient) -> base.Outcome:
+        """Ask an entry instance as a caller would."""
+        query = {"service": self.argument("service")}
+        if self.argument("client"):
+            query["client"] = self.argument("client")
+        answer = await operator.get_bytes("/v1/entries", query)
+        return answer.and_then(_lookup_report)
+
+
+def _status_report(status: api.StatusBody) -> reports.Report:
+    lines = [
+        f"asked instance: {status.instance_id} ({status.consensus_role})",
+        f"leader: {status.leader or 'unknown'}, term {status.term}",
+        f"version: {status.version} {status.digest[:12]}",
+    ]
+    in_force = status.in_force
+    if in_force is None:
+        lines.append("in force everywhere: unknown (no leader answered)")
+    elif in_force.everywhere:
+        lines.append("in force everywhere: yes")
+    else:
+        lines.append(f"in force everywhere: no; lagging: {', '.join(in_force.lagging)}")
+    if status.members:
+        member_rows = [
+            (
+                member.instance_id,
+                "yes" if member.voter else "no",
+                "-" if member.match_index is None else member.match_index,
+                member.address,
+            )
+            for member in status.members
+        ]
+        headings = ("CONTROL INSTANCE", "VOTES", "LOG INDEX", "ADDRESS")
+        lines += ["", reports.table(headings, member_rows)]
+    if status.holders:
+        holder_rows = [
+            (holder.instance_id, holder.version, holder.lease_left_ms)
+            for holder in status.holders
+        ]
+        headings_of_holders = ("ENTRY INSTANCE", "VERSION", "LEASE LEFT (MS)")
+        lines += ["", reports.table(headings_of_holders, holder_rows)]
+    return reports.Report("\n".join(lines), status.model_dump(mode="json"))
+
+
+def _lookup_report(
+    body: bytes,
+) -> result.Result[reports.Report, reports.CommandError]:
+    try:
+        data = json.loads(body)
+        entries = data["entries"]
+        columns = sorted({key for entry in entries for key in entry})
+        rows = [[entry.get(column, "") for column in columns] for entry in entries]
+    except (ValueError, TypeError, KeyError, AttributeError):
+        return result.Err(
+            reports.usage_error(
+                "the answer is not a look-up answer",
+                "check that --server names an entry instance's HTTP address",
+            )
+        )
+    lines = [f"{key}: {value}" for key, value in _scalars(data)]
+    if rows:
+        lines += ["", reports.table([column.upper() for column in columns], rows)]
+    return result.Ok(reports.Report("\n".join(lines), data))
+
+
+def _scalars(data: dict[str, Any]) -> list[tuple[str, Any]]:
+    return [(key, value) for key, value in data.items() if key != "entries"]
--- /dev/null
+++ b/packages/cli/src/yuccapitch/cli/commands/shift.py
@@ -0,0 +1,144 @@
+"""shift set, shift remove and shift list."""
+
+from __future__ import annotations
+
+from typing import Any, ClassVar
+
+import pydantic
+import result
+from cleo import helpers
+from cleo.io.inputs import argument as cleo_argument, option as cleo_option
+
+from yuccapitch.catalogue import ids, model
+from yuccapitch.cli import client, reports
+from yuccapitch.cli.commands import base, changing
+
+SHIFT_ARGUMENT = helpers.argument("shift", "The shift's id.")
+
+_FIELDS_BY_OPTION = {
+    "service": "service",
+    "from": "source",
+    "to": "target",
+    "endpoint-owner": "endpoint_owner",
+    "cap": "cap_per_s",
+    "fraction": "fraction",
+}
+
+
+@base.register
+class ShiftSetCommand(changing.ChangeCommand):
+    """Adds a shift or changes the fields given."""
+
+    name = "shift set"
+    description = "Add a shift, or change the fields given."
+    arguments: ClassVar[list[cleo_argument.Argument]] = [SHIFT_ARGUMENT]
+    options: ClassVar[list[cleo_option.Option]] = [
+        *changing.ChangeCommand.options,
+        helpers.option("service", description="Service that is moved.", flag=False),
+        helpers.option("from", description="Region it leaves.", flag=False),
+        helpers.option("to", description="Region it goes to.", flag=False),
+        helpers.option(
+            "endpoint-owner", description="Owner of the endpoints there.", flag=False
+        ),
+        helpers.option(
+            "cap", description="Requests a second that may arrive.", flag=False
+        ),
+        helpers.option(
+            "fraction",
+            description="Share moved even while the region has capacity, 0 to 1.",
+            flag=False,
+        ),
+    ]
+
+    async def run_with_client(self, operator: client.OperatorClient) -> base.Outcome:
+        """Put the shift into the current version."""
+        shift_id = ids.ShiftId(self.argument("shift"))
+        fields = {
+            field: self.option(name)
+            for name, field in _FIELDS_BY_OPTION.items()
+            if self.option(name) is not None
+        }
+
+        def put(
+            declaration: model.Declaration,
+        ) -> result.Result[model.Declaration, reports.CommandError]:
+            shift = _merge(declaration.shifts_by_id.get(shift_id), fields)
+            if isinstance(shift, result.Err):
+                return shift
+            shifts = {**declaration.shifts_by_id, shift_id: shift.ok_value}
+            update = {"shifts_by_id": shifts}
+            return changing.checked(declaration.model_copy(update=update))
+
+        return await self.edit(operator, put)
+
+
+@base.register
+class ShiftRemoveCommand(changing.ChangeCommand):
+    """Removes a shift."""
+
+    name = "shift remove"
+    description = "Remove a shift."
+    arguments: ClassVar[list[cleo_argument.Argument]] = [SHIFT_ARGUMENT]
+
+    async def run_with_client(self, operator: client.OperatorClient) -> base.Outcome:
+        """Remove the shift from the current version."""
+        shift_id = self.argument("shift")
+
+        def remove(
+            declaration: model.Declaration,
+        ) -> result.Result[model.Declaration, reports.CommandError]:
+            shifts = {**declaration.shifts_by_id}
+            shifts.pop(shift_id, None)
+            return result.Ok(declaration.model_copy(update={"shifts_by_id": shifts}))
+
+        return await self.edit(operator, remove)
+
+
+@base.register
+class ShiftListCommand(base.ServerCommand):
+    """Lists the shifts declared."""
+
+    name = "shift list"
+    description = "List the shifts."
+
+    async def run_with_client(self, operator: client.OperatorClient) -> base.Outcome:
+        """Fetch the current version's shifts."""
+        current = await changing.current_catalogue(operator)
+        return current.map(lambda found: _shifts_report(found[1]))
+
+
+def _merge(
+    shift: model.Shift | None, fields: dict[str, Any]
+) -> result.Result[model.Shift, reports.CommandError]:
+    data = {} if shift is None else shift.model_dump()
+    try:
+        return result.Ok(model.Shift.model_validate({**data, **fields}))
+    except pydantic.ValidationError as error:
+        option_by_field = {field: name for name, field in _FIELDS_BY_OPTION.items()}
+        details = tuple(
+            f"--{option_by_field.get(str(item['loc'][0]))}: {item['msg']}"
+            for item in error.errors()
+        )
+        message = "the shift is not complete or has faults"
+        return result.Err(reports.usage_error(message, "mend these options", *details))
+
+
+def _shifts_report(declaration: model.Declaration) -> reports.Report:
+    shifts = declaration.shifts_by_id
+    rows = [
+        (
+            shift_id,
+            shift.service,
+            shift.source,
+            shift.target,
+            shift.endpoint_owner,
+            shift.cap_per_s,
+            shift.fraction,
+        )
+        for shift_id, shift in shifts.items()
+    ]
+    headings = ("SHIFT", "SERVICE", "FROM", "TO", "ENDPOINT OWNER", "CAP/S", "FRACTION")
+    data = {
+        shift_id: shift.model_dump(mode="json") for shift_id, shift in shifts.items()
+    }
+    return reports.Report(reports.table(headings, rows) if rows else "none", data)
