--- a/packages/catalogue/src/yuccapitch/catalogue/state.py
+++ b/packages/catalogue/src/yuccapitch/catalogue/state.py
@@ -121,7 +121,8 @@
         try:
             parsed = changes.Command.model_validate_json(command)
         except pydantic.ValidationError as error:
-            fault = checking.Fault("command", f"not understood: {error.errors()[0]}")
+            message = f"not understood: {error.errors(include_url=False)[0]['msg']}"
+            fault = checking.Fault("command", message)
             return changes.Refused.of((fault,))
         self.time_ms = max(self.time_ms, parsed.time_ms)
         self._forget_old_outcomes()
--- a/packages/cli/src/yuccapitch/cli/client.py
+++ b/packages/cli/src/yuccapitch/cli/client.py
@@ -30,7 +30,7 @@
 
     servers: tuple[str, ...]
     timeout_s: float
-    ca_file: str | None = None
+    tls: ssl.SSLContext | bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -210,14 +210,25 @@
         self._servers.insert(0, server)
 
 
+def read_certificates(
+    path: str | None,
+) -> result.Result[ssl.SSLContext | bool, reports.CommandError]:
+    """Return what https servers are checked with; the system's where no file is."""
+    if path is None:
+        return result.Ok(True)
+    try:
+        return result.Ok(ssl.create_default_context(cafile=path))
+    except OSError as error:
+        return result.Err(
+            reports.usage_error(f"cannot read the certificates in {path}: {error}")
+        )
+
+
 @contextlib.asynccontextmanager
 async def connect(connection: Connection) -> AsyncIterator[OperatorClient]:
     """Yield a client; leaving closes its connections."""
-    context: ssl.SSLContext | bool = True
-    if connection.ca_file is not None:
-        context = ssl.create_default_context(cafile=connection.ca_file)
     # A new connection for each request: one gone silent would cost a whole timeout.
-    connector = aiohttp.TCPConnector(ssl=context, force_close=True)
+    connector = aiohttp.TCPConnector(ssl=connection.tls, force_close=True)
     async with aiohttp.ClientSession(connector=connector) as session:
         yield OperatorClient(session, connection.servers, connection.timeout_s)
 
--- a/packages/cli/src/yuccapitch/cli/commands/audit.py
+++ b/packages/cli/src/yuccapitch/cli/commands/audit.py
@@ -147,7 +147,7 @@
     if given is None:
         return result.Ok(None)
     sequence, separator, digest = given.partition(":")
-    if not separator or not sequence.isdigit():
+    if not separator or not sequence.isdecimal():
         message = f"--head {given!r} is not SEQUENCE:HASH"
         return result.Err(reports.usage_error(message))
     return result.Ok(audit.AuditHead(int(sequence), digest))
--- a/packages/cli/src/yuccapitch/cli/commands/base.py
+++ b/packages/cli/src/yuccapitch/cli/commands/base.py
@@ -4,6 +4,7 @@
 
 import abc
 import asyncio
+import math
 import os
 import sys
 from collections.abc import Mapping
@@ -94,9 +95,12 @@
         if value is None:
             return result.Ok(None)
         try:
-            return result.Ok(float(value))
+            number = float(value)
         except ValueError:
             return result.Err(f"--{option_name} {value!r} is not a number")
+        if not (number > 0 and math.isfinite(number)):
+            return result.Err(f"--{option_name} {value!r} is not above zero")
+        return result.Ok(number)
 
     def ask_yes(self, question: str) -> bool:
         """Return whether the operator at the terminal agrees."""
@@ -118,21 +122,21 @@
         timeout = self.number("timeout")
         if isinstance(timeout, result.Err):
             return result.Err(reports.usage_error(timeout.err_value))
+        tls = client.read_certificates(self.setting("ca-file", "YUCCAPITCH_CA_FILE"))
+        if isinstance(tls, result.Err):
+            return tls
         connection = client.Connection(
             servers=self._servers(),
             timeout_s=timeout.ok_value or DEFAULT_TIMEOUT_S,
-            ca_file=self.setting("ca-file", "YUCCAPITCH_CA_FILE"),
+            tls=tls.ok_value,
         )
-        try:
-            return asyncio.run(self._ask(connection))
-        except FileNotFoundError as error:
-            return result.Err(reports.usage_error(f"no file {error.filename}"))
+        return asyncio.run(self._connect(connection))
 
     @abc.abstractmethod
     async def run_with_client(self, operator: client.OperatorClient) -> Outcome:
         """Do the command's work with a client."""
 
-    async def _ask(self, connection: client.Connection) -> Outcome:
+    async def _connect(self, connection: client.Connection) -> Outcome:
         async with client.connect(connection) as operator:
             return await self.run_with_client(operator)
 
--- a/packages/cli/src/yuccapitch/cli/commands/catalogue.py
+++ b/packages/cli/src/yuccapitch/cli/commands/catalogue.py
@@ -30,6 +30,8 @@
         if isinstance(declaration, result.Err):
             return declaration
         identity = self.identity(declaration.ok_value)
+        if isinstance(identity, result.Err) and self.names_identity():
+            return identity
         owner = identity.ok_value.owner if isinstance(identity, result.Ok) else None
         plan = await operator.plan(
             api.PlanRequest(declaration=declaration.ok_value, owner=owner)
@@ -89,7 +91,7 @@
     ) -> result.Result[ids.Version, reports.CommandError]:
         given = self.option("base")
         if given is not None:
-            if not given.isdigit():
+            if not given.isdecimal():
                 return result.Err(
                     reports.usage_error(f"--base {given!r} is no version")
                 )
@@ -213,7 +215,7 @@
 ) -> result.Result[api.CatalogueBody, reports.CommandError]:
     if version is None:
         return await operator.get("/v1/catalogue", api.CatalogueBody)
-    if not version.isdigit():
+    if not version.isdecimal():
         return result.Err(reports.usage_error(f"{version!r} is not a version"))
     return await operator.get(f"/v1/catalogue/versions/{version}", api.CatalogueBody)
 
--- a/packages/cli/src/yuccapitch/cli/commands/changing.py
+++ b/packages/cli/src/yuccapitch/cli/commands/changing.py
@@ -60,6 +60,16 @@
         ),
     ]
 
+    def names_identity(self) -> bool:
+        """Return whether a key or an owner was given."""
+        return any(
+            self.setting(name, variable)
+            for name, variable in (
+                ("key", "YUCCAPITCH_KEY"),
+                ("owner", "YUCCAPITCH_OWNER"),
+            )
+        )
+
     def identity(
         self, declaration: model.Declaration
     ) -> result.Result[Identity, reports.CommandError]:
