--- a/packages/consensus/src/yuccapitch/consensus/core.py
+++ b/packages/consensus/src/yuccapitch/consensus/core.py
@@ -14,7 +14,7 @@
     election,
     following,
     leadership,
-    log,
+    log as core_log,
     membership,
     state as core_state,
 )
@@ -32,7 +32,7 @@
 
     identity: str
     hard_state: effects.HardState
-    snapshot: log.Snapshot | None
+    snapshot: core_log.Snapshot | None
     entries: tuple[messages.LogEntry, ...]
 
 
@@ -58,7 +58,7 @@
     ) -> None:
         """Resume from what the disk holds."""
         snapshot = recovered.snapshot
-        own_log = log.Log(snapshot)
+        own_log = core_log.Log(snapshot)
         for entry in recovered.entries:
             own_log.append(entry)
         is_fresh = recovered.hard_state == effects.HardState(0, None)
@@ -68,7 +68,7 @@
             peer_ids=settings.peer_ids,
             is_founder=settings.is_founder,
             timing=settings.timing,
-            random=random_source,
+            random_source=random_source,
             log=own_log,
             snapshot=snapshot,
             term=recovered.hard_state.term,
@@ -114,7 +114,7 @@
         return self._state.log.members
 
     @property
-    def log(self) -> log.Log:
+    def log(self) -> core_log.Log:
         """The log, for reading."""
         return self._state.log
 
@@ -166,7 +166,7 @@
         if term is None or index > state.commit_index:
             raise AssertionError(f"cannot take a snapshot at {index}")
         members = state.log.members_at(index)
-        state.snapshot = log.Snapshot(index, term, members, data)
+        state.snapshot = core_log.Snapshot(index, term, members, data)
         persist = effects.PersistSnapshot(state.snapshot, keeps_suffix=True)
         state.effects.append(persist)
         state.log.compact(max(state.log.base_index, index - RETAINED_ENTRIES))
--- a/packages/consensus/src/yuccapitch/consensus/leadership.py
+++ b/packages/consensus/src/yuccapitch/consensus/leadership.py
@@ -21,6 +21,7 @@
     CHANGE_PENDING = "an earlier change is not committed yet"
     TOO_MANY_VOTERS = "more than one voter would change at once"
     NOT_CAUGHT_UP = "the learner has not caught up"
+    SUPERSEDED = "a later change removed the learner"
 
 
 def start(state: core_state.State, now: float) -> None:
--- a/packages/consensus/src/yuccapitch/consensus/membership.py
+++ b/packages/consensus/src/yuccapitch/consensus/membership.py
@@ -6,7 +6,7 @@
 import json
 from collections.abc import Iterable
 
-# Two memberships share a replica in every pair of majorities only up to this difference.
+# Up to this difference every two majorities have a replica in common.
 MAX_VOTER_CHANGES = 1
 
 
--- a/packages/consensus/src/yuccapitch/consensus/replication.py
+++ b/packages/consensus/src/yuccapitch/consensus/replication.py
@@ -86,7 +86,7 @@
     state: core_state.State, progress: core_state.Progress
 ) -> tuple[messages.LogEntry, ...]:
     unanswered = progress.next_index - 1 - progress.match_index
-    if progress.match_index and unanswered >= MAX_UNANSWERED_ENTRIES:
+    if unanswered >= MAX_UNANSWERED_ENTRIES:
         return ()
     last = min(state.log.last_index, progress.next_index + MAX_APPEND_ENTRIES - 1)
     chosen: list[messages.LogEntry] = []
--- a/packages/consensus/src/yuccapitch/consensus/state.py
+++ b/packages/consensus/src/yuccapitch/consensus/state.py
@@ -5,7 +5,7 @@
 import dataclasses
 import random
 
-from yuccapitch.consensus import effects, log, membership
+from yuccapitch.consensus import effects, log as core_log, membership
 from yuccapitch.protocol import consensus_messages as messages
 
 # Share of the election timeout that a leader does not count on. It covers clocks whose
@@ -30,7 +30,7 @@
     match_index: int = 0
     round_number: int = 0
     probe_round: int = 0
-    snapshot: log.Snapshot | None = None
+    snapshot: core_log.Snapshot | None = None
     snapshot_offset: int = 0
 
 
@@ -77,9 +77,9 @@
     peer_ids: tuple[str, ...]
     is_founder: bool
     timing: Timing
-    random: random.Random
-    log: log.Log
-    snapshot: log.Snapshot | None
+    random_source: random.Random
+    log: core_log.Log
+    snapshot: core_log.Snapshot | None
     term: int
     voted_for: str | None
     commit_index: int
@@ -165,7 +165,7 @@
 def reset_election_deadline(state: State, now: float) -> None:
     """Draw the time after which this replica stands for election."""
     timing = state.timing
-    timeout_s = state.random.uniform(
+    timeout_s = state.random_source.uniform(
         timing.min_election_timeout_s, timing.max_election_timeout_s
     )
     state.election_deadline_s = now + timeout_s
