--- /dev/null
+++ b/packages/consensus/src/yuccapitch/consensus/disk.py
@@ -0,0 +1,170 @@
+"""Keeps a replica's log, term, vote, identity and snapshot in a data folder."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import pathlib
+from collections.abc import Callable
+
+import result
+
+from yuccapitch.consensus import (
+    core,
+    effects,
+    files,
+    log,
+    membership,
+    records,
+    segments,
+    storage,
+)
+from yuccapitch.protocol import consensus_messages as messages
+
+_IDENTITY = "identity"
+_HARD_STATE = "hard-state"
+_SNAPSHOT = "snapshot"
+
+
+class DiskStorage:
+    """A ``Storage`` of checksummed files; one process at a time may own the folder."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        make_identity: Callable[[], str],
+        max_segment_bytes: int = segments.MAX_SEGMENT_BYTES,
+    ) -> None:
+        """Use this folder; ``make_identity`` names a new disk."""
+        self._folder = folder
+        self._make_identity = make_identity
+        self._segments = segments.Segments(folder, max_segment_bytes)
+        self._exit_stack = contextlib.ExitStack()
+        self._exit_stack.callback(self._segments.close)
+
+    def load(self) -> result.Result[core.Recovered, storage.StorageError]:
+        """Read the folder, or set it up with a new identity."""
+        self._folder.mkdir(parents=True, exist_ok=True)
+        try:
+            self._exit_stack.enter_context(files.lock(self._folder))
+        except BlockingIOError:
+            return result.Err(_in_use(self._folder))
+        files.remove_temporary(self._folder)
+        if not (self._folder / _IDENTITY).exists():
+            outcome = self._set_up()
+            if outcome is not None:
+                return result.Err(outcome)
+        return self._read()
+
+    def write_hard_state(self, hard_state: effects.HardState) -> None:
+        """Replace the file of term and vote; this syncs by itself."""
+        fields = {"term": hard_state.term, "voted_for": hard_state.voted_for}
+        self._replace(_HARD_STATE, json.dumps(fields).encode())
+
+    def write_entries(self, entries: tuple[messages.LogEntry, ...]) -> None:
+        """Append entries to the log."""
+        for entry in entries:
+            self._segments.append(entry)
+
+    def write_snapshot(self, snapshot: log.Snapshot, keeps_suffix: bool) -> None:
+        """Replace the snapshot, then delete the segments that it makes needless."""
+        if not keeps_suffix:
+            # Otherwise a crash between the two writes could leave entries of another
+            # history behind the snapshot.
+            self._segments.append(records.Truncation(snapshot.last_index))
+        self._segments.sync()
+        self._replace(_SNAPSHOT, _encode_snapshot(snapshot))
+        self._segments.delete_up_to(snapshot.last_index)
+
+    def sync(self) -> None:
+        """Return once everything written is on disk."""
+        self._segments.sync()
+
+    def close(self) -> None:
+        """Close the files and let go of the folder."""
+        self._exit_stack.close()
+
+    def _set_up(self) -> storage.StorageError | None:
+        # A folder with a log but no identity has lost part of its files; a new identity
+        # over an old log would vote for a history that it does not know.
+        left_over = sorted(p.name for p in self._folder.iterdir())
+        if unexpected := [n for n in left_over if n != files.LOCK_NAME]:
+            path = self._folder / _IDENTITY
+            reason = f"missing, though the folder holds {unexpected[0]}"
+            return storage.StorageError(str(path), 0, reason)
+        self._replace(_IDENTITY, self._make_identity().encode())
+        return None
+
+    def _read(self) -> result.Result[core.Recovered, storage.StorageError]:
+        payload_by_name: dict[str, bytes | None] = {}
+        for name in (_IDENTITY, _HARD_STATE, _SNAPSHOT):
+            found = self._read_whole(name)
+            if isinstance(found, result.Err):
+                return found
+            payload_by_name[name] = found.ok_value
+        raw_snapshot = payload_by_name[_SNAPSHOT]
+        snapshot = _decode_snapshot(raw_snapshot) if raw_snapshot else None
+        entries = self._segments.load(snapshot.last_index if snapshot else 0)
+        if isinstance(entries, result.Err):
+            return entries
+        raw_state = payload_by_name[_HARD_STATE]
+        hard_state = effects.HardState(0, None)
+        if raw_state:
+            hard_state = effects.HardState(**json.loads(raw_state))
+        elif snapshot or entries.ok_value:
+            path = str(self._folder / _HARD_STATE)
+            return result.Err(storage.StorageError(path, 0, "missing beside a log"))
+        if self._segments.is_empty and raw_state:
+            path = str(self._folder)
+            return result.Err(storage.StorageError(path, 0, "its log segments are missing"))
+        self._segments.open()
+        identity = (payload_by_name[_IDENTITY] or b"").decode()
+        return result.Ok(
+            core.Recovered(identity, hard_state, snapshot, entries.ok_value)
+        )
+
+    def _read_whole(
+        self, name: str
+    ) -> result.Result[bytes | None, storage.StorageError]:
+        path = self._folder / name
+        if not path.exists():
+            return result.Ok(None)
+        data = path.read_bytes()
+        found = next(records.read_frames(data), None)
+        if isinstance(found, result.Ok):
+            _, payload = found.ok_value
+            if len(data) == records.HEADER_BYTES + len(payload):
+                return result.Ok(payload)
+        # These files are replaced whole, so that no crash leaves them cut short.
+        reason = (
+            found.err_value.reason if isinstance(found, result.Err) else "not whole"
+        )
+        return result.Err(storage.StorageError(str(path), 0, reason))
+
+    def _replace(self, name: str, payload: bytes) -> None:
+        files.replace(self._folder / name, records.frame(payload))
+
+
+def _in_use(folder: pathlib.Path) -> storage.StorageError:
+    return storage.StorageError(
+        str(folder / files.LOCK_NAME),
+        0,
+        "another process uses this folder",
+        "stop it, or choose another data folder",
+    )
+
+
+def _encode_snapshot(snapshot: log.Snapshot) -> bytes:
+    header = {
+        "last_index": snapshot.last_index,
+        "last_term": snapshot.last_term,
+        "members": membership.encode(snapshot.members).decode(),
+    }
+    return json.dumps(header).encode() + b"\n" + snapshot.data
+
+
+def _decode_snapshot(payload: bytes) -> log.Snapshot:
+    line, _, data = payload.partition(b"\n")
+    header = json.loads(line)
+    members = membership.decode(header["members"].encode())
+    return log.Snapshot(header["last_index"], header["last_term"], members, data)
--- /dev/null
+++ b/packages/consensus/src/yuccapitch/consensus/files.py
@@ -0,0 +1,46 @@
+"""File operations that last over a crash."""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import os
+import pathlib
+from collections.abc import Iterator
+
+LOCK_NAME = "lock"
+_TEMPORARY_SUFFIX = ".tmp"
+
+
+@contextlib.contextmanager
+def lock(folder: pathlib.Path) -> Iterator[None]:
+    """Own the folder; raises BlockingIOError if another process does."""
+    with open(folder / LOCK_NAME, "ab") as file:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        yield
+
+
+def replace(path: pathlib.Path, data: bytes) -> None:
+    """Replace a file whole: after a crash it holds the old bytes or the new."""
+    temporary = path.with_name(path.name + _TEMPORARY_SUFFIX)
+    with open(temporary, "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(temporary, path)
+    sync_folder(path.parent)
+
+
+def remove_temporary(folder: pathlib.Path) -> None:
+    """Remove what an interrupted ``replace`` left behind."""
+    for path in folder.glob("*" + _TEMPORARY_SUFFIX):
+        path.unlink()
+
+
+def sync_folder(folder: pathlib.Path) -> None:
+    """Make created, renamed and deleted names last."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/packages/consensus/src/yuccapitch/consensus/segments.py
@@ -0,0 +1,167 @@
+"""The log on disk as a sequence of append-only segment files."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+from typing import BinaryIO
+
+import result
+
+from yuccapitch.consensus import files, records, storage
+from yuccapitch.protocol import consensus_messages as messages
+
+MAX_SEGMENT_BYTES = 4 * 1024 * 1024
+_PATTERN = "log-*.segment"
+
+
+@dataclasses.dataclass
+class _Segment:
+    path: pathlib.Path
+    # Highest index that any of its records names.
+    max_index: int = 0
+
+
+class Segments:
+    """Appends records, and reads them back up to a tail cut short by a crash."""
+
+    def __init__(self, folder: pathlib.Path, max_segment_bytes: int) -> None:
+        """Keep segments of about this size in the folder."""
+        self._folder = folder
+        self._max_segment_bytes = max_segment_bytes
+        self._segments: list[_Segment] = []
+        self._file: BinaryIO | None = None
+        self._size = 0
+        self._is_dirty = False
+
+    def load(
+        self, snapshot_index: int
+    ) -> result.Result[tuple[messages.LogEntry, ...], storage.StorageError]:
+        """Return the entries after the snapshot."""
+        entries: list[messages.LogEntry] = []
+        paths = sorted(self._folder.glob(_PATTERN))
+        for number, path in enumerate(paths):
+            segment = _Segment(path)
+            self._segments.append(segment)
+            if _number_of(path) != _number_of(paths[0]) + number:
+                reason = "the segment before this one is missing"
+                return result.Err(storage.StorageError(str(path), 0, reason))
+            damage = self._replay(segment, path == paths[-1], snapshot_index, entries)
+            if damage is not None:
+                return result.Err(storage.StorageError(str(path), *damage))
+        return result.Ok(tuple(entries))
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether there is no segment at all."""
+        return not self._segments
+
+    def open(self) -> None:
+        """Open the last segment, or the first one of a new log, for appending."""
+        if self._segments:
+            self._open(self._segments[-1].path)
+        else:
+            self._start_segment()
+
+    def append(self, record: records.Record) -> None:
+        """Write one record without waiting for the disk."""
+        if self._file is None or self._size >= self._max_segment_bytes:
+            self._start_segment()
+        if self._file is None:
+            raise AssertionError("no segment is open")
+        data = records.encode(record)
+        self._file.write(data)
+        self._size += len(data)
+        self._is_dirty = True
+        segment = self._segments[-1]
+        segment.max_index = max(segment.max_index, _index_of(record))
+
+    def sync(self) -> None:
+        """Return once every record written is on disk."""
+        if self._file is not None and self._is_dirty:
+            self._file.flush()
+            os.fdatasync(self._file.fileno())
+            self._is_dirty = False
+
+    def delete_up_to(self, index: int) -> None:
+        """Delete the leading segments that hold nothing after ``index``."""
+        deleted = False
+        while len(self._segments) > 1 and self._segments[0].max_index <= index:
+            self._segments.pop(0).path.unlink()
+            deleted = True
+        if deleted:
+            files.sync_folder(self._folder)
+
+    def close(self) -> None:
+        """Close the open segment."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+    def _replay(
+        self,
+        segment: _Segment,
+        is_last: bool,
+        snapshot_index: int,
+        entries: list[messages.LogEntry],
+    ) -> tuple[int, str] | None:
+        data = segment.path.read_bytes()
+        end = 0
+        for frame in records.read_frames(data):
+            if isinstance(frame, result.Err):
+                return frame.err_value.offset, frame.err_value.reason
+            offset, payload = frame.ok_value
+            record = records.decode(payload)
+            segment.max_index = max(segment.max_index, _index_of(record))
+            if not _replay_record(record, snapshot_index, entries):
+                return offset, f"entry {_index_of(record)} does not follow the last one"
+            end = offset + records.HEADER_BYTES + len(payload)
+        if end < len(data):
+            if not is_last:
+                return end, "record cut short before the last segment"
+            _truncate(segment.path, end)
+        return None
+
+    def _start_segment(self) -> None:
+        self.sync()
+        self.close()
+        number = 1 + (_number_of(self._segments[-1].path) if self._segments else 0)
+        segment = _Segment(self._folder / f"log-{number:012d}.segment")
+        self._segments.append(segment)
+        self._open(segment.path)
+        files.sync_folder(self._folder)
+
+    def _open(self, path: pathlib.Path) -> None:
+        self._file = open(path, "ab")
+        self._size = path.stat().st_size
+
+
+def _index_of(record: records.Record) -> int:
+    return record.first if isinstance(record, records.Truncation) else record.index
+
+
+def _number_of(path: pathlib.Path) -> int:
+    return int(path.stem.removeprefix("log-"))
+
+
+def _replay_record(
+    record: records.Record, snapshot_index: int, entries: list[messages.LogEntry]
+) -> bool:
+    """Apply one record to the entries; false if it leaves a gap."""
+    first = _index_of(record)
+    while entries and entries[-1].index >= first:
+        entries.pop()
+    if isinstance(record, records.Truncation) or record.index <= snapshot_index:
+        return True
+    last_index = entries[-1].index if entries else snapshot_index
+    if record.index != last_index + 1:
+        return False
+    entries.append(record)
+    return True
+
+
+def _truncate(path: pathlib.Path, size: int) -> None:
+    with open(path, "r+b") as file:
+        file.truncate(size)
+        os.fsync(file.fileno())
--- a/packages/consensus/src/yuccapitch/consensus/storage.py
+++ b/packages/consensus/src/yuccapitch/consensus/storage.py
@@ -10,21 +10,21 @@
 from yuccapitch.consensus import core, effects, log
 from yuccapitch.protocol import consensus_messages as messages
 
+REPLACE_DISK = "move the data folder away and restart, to be admitted anew"
+
 
 @dataclasses.dataclass(frozen=True)
 class StorageError:
-    """Damage that recovery must not guess past; the disk has to be replaced."""
+    """Damage that recovery must not guess past, and what to do about it."""
 
     path: str
     offset: int
     reason: str
+    remedy: str = REPLACE_DISK
 
     def __str__(self) -> str:
-        """Say what is damaged and how to go on."""
-        return (
-            f"{self.path} is damaged at byte {self.offset}: {self.reason}; move the"
-            " data folder away and restart, so that the instance is admitted anew"
-        )
+        """Say what is wrong, where, and how to go on."""
+        return f"{self.path}, byte {self.offset}: {self.reason}; {self.remedy}"
 
 
 class Storage(typing.Protocol):
