Challenge an identity that asks to join

Ruled out: refusing a join while the present identity answers, since that one may be down for a moment.

--- a/packages/consensus/src/yuccapitch/consensus/core.py
+++ b/packages/consensus/src/yuccapitch/consensus/core.py
@@ -13,6 +13,7 @@
     effects,
     election,
     following,
+    joining,
     leadership,
     log as core_log,
     membership,
@@ -191,6 +192,7 @@
     messages.AppendReply: leadership.on_append_reply,
     messages.SnapshotRequest: following.on_snapshot_request,
     messages.SnapshotReply: leadership.on_snapshot_reply,
-    messages.JoinRequest: leadership.on_join_request,
+    messages.JoinRequest: joining.on_join_request,
+    messages.JoinChallenge: joining.on_join_challenge,
     messages.Refusal: _on_refusal,
 }
--- a/packages/consensus/src/yuccapitch/consensus/disk.py
+++ b/packages/consensus/src/yuccapitch/consensus/disk.py
@@ -116,7 +116,9 @@
             return result.Err(storage.StorageError(path, 0, "missing beside a log"))
         if self._segments.is_empty and raw_state:
             path = str(self._folder)
-            return result.Err(storage.StorageError(path, 0, "its log segments are missing"))
+            return result.Err(
+                storage.StorageError(path, 0, "its log segments are missing")
+            )
         self._segments.open()
         identity = (payload_by_name[_IDENTITY] or b"").decode()
         return result.Ok(
--- a/packages/consensus/src/yuccapitch/consensus/election.py
+++ b/packages/consensus/src/yuccapitch/consensus/election.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from yuccapitch.consensus import effects, leadership, state as core_state
+from yuccapitch.consensus import effects, joining, leadership, state as core_state
 from yuccapitch.protocol import consensus_messages as messages
 
 
@@ -12,7 +12,7 @@
         return
     core_state.reset_election_deadline(state, now)
     if not state.is_formed:
-        _ask_to_join(state)
+        joining.ask(state)
     if _may_stand(state):
         _start_pre_vote(state, now)
 
@@ -84,14 +84,6 @@
             leadership.start(state, now)
 
 
-def _ask_to_join(state: core_state.State) -> None:
-    request = messages.JoinRequest(
-        state.identity, messages.ANY_IDENTITY, state.instance_id
-    )
-    for peer_id in state.peer_ids:
-        core_state.send(state, peer_id, request)
-
-
 def _may_stand(state: core_state.State) -> bool:
     if not state.is_formed:
         return state.is_founder
--- a/packages/consensus/src/yuccapitch/consensus/leadership.py
+++ b/packages/consensus/src/yuccapitch/consensus/leadership.py
@@ -115,15 +115,6 @@
             replication.send_in_new_round(state, leading, member, progress, now)
 
 
-def on_join_request(
-    state: core_state.State, peer_id: str, message: messages.JoinRequest, now: float
-) -> None:
-    """Report an identity that asks to be admitted."""
-    is_member = state.log.members.find(message.sender) is not None
-    if state.leadership and not is_member and message.instance_id == peer_id:
-        state.effects.append(effects.JoinRequested(peer_id, message.sender))
-
-
 def change_members(
     state: core_state.State, members: membership.Membership
 ) -> result.Result[int, ChangeError]:
@@ -271,4 +262,6 @@
     progress = leading.progress_by_identity.get(identity)
     if progress is None:
         return False
-    return progress.match_index >= state.commit_index - CAUGHT_UP_LAG_ENTRIES
+    least = state.commit_index - CAUGHT_UP_LAG_ENTRIES
+    # A learner that holds the entry that admitted it is known to be there at all.
+    return progress.match_index >= max(least, state.log.membership_index)
--- a/packages/consensus/src/yuccapitch/consensus/state.py
+++ b/packages/consensus/src/yuccapitch/consensus/state.py
@@ -53,6 +53,9 @@
     progress_by_identity: dict[str, Progress] = dataclasses.field(default_factory=dict)
     sent_s_by_round: dict[int, float] = dataclasses.field(default_factory=dict)
     barriers: list[Barrier] = dataclasses.field(default_factory=list)
+    challenges_by_instance_id: dict[str, tuple[str, int]] = dataclasses.field(
+        default_factory=dict
+    )
     round_number: int = 0
     confirmed_round: int = 0
     confirmed_sent_s: float | None = None
--- a/packages/consensus/src/yuccapitch/consensus/storage.py
+++ b/packages/consensus/src/yuccapitch/consensus/storage.py
@@ -64,7 +64,7 @@
 
     def __init__(self, identity: str) -> None:
         """Start as a new disk with this identity."""
-        self._identity = identity
+        self.identity = identity
         self._synced = _Contents()
         self._written = _Contents()
 
@@ -72,7 +72,7 @@
         """Return what is on the disk."""
         contents = self._written
         recovered = core.Recovered(
-            self._identity,
+            self.identity,
             contents.hard_state,
             contents.snapshot,
             tuple(contents.entries),
--- /dev/null
+++ b/packages/consensus/tests/simulation.py
@@ -0,0 +1,325 @@
+"""Cores on fake disks, a fake network and clocks of differing rates, with checks."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from yuccapitch.consensus import core, effects, log, state, storage
+from yuccapitch.protocol import consensus_messages as messages
+
+STEP_S = 0.05
+TIMING = state.Timing()
+SNAPSHOT_INTERVAL_ENTRIES = 12
+
+
+@dataclasses.dataclass
+class Faults:
+    """Ways to break a replica on purpose, for tests of the checks themselves."""
+
+    sends_before_sync: bool = False
+    keeps_identity_of_lost_disk: bool = False
+
+
+@dataclasses.dataclass
+class Node:
+    """One instance: its disk, its clock and, while it runs, its core."""
+
+    instance_id: str
+    disk: storage.MemoryStorage
+    rate: float
+    offset_s: float
+    core: core.Core | None = None
+    generation: int = 1
+    chain: int = 0
+    applied_index: int = 0
+    snapshot_index: int = 0
+    crashes_in_next_flush: bool = False
+    proposals: dict[int, int] = dataclasses.field(default_factory=dict)
+    barriers: dict[int, int] = dataclasses.field(default_factory=dict)
+
+    def local_s(self, now):
+        return self.offset_s + now * self.rate
+
+    def true_s(self, local_s):
+        return (local_s - self.offset_s) / self.rate
+
+
+class World:
+    """A group of instances; every method that acts checks what must always hold."""
+
+    def __init__(self, size=3, seed=0, rates=None, faults=None):
+        self.now = 0.0
+        self.random = random.Random(seed)
+        self.faults = faults or Faults()
+        self.max_delay_s = 0.02
+        self.loss = 0.0
+        self.duplication = 0.0
+        self.cuts = set()
+        self.in_flight = []
+        self.entry_by_index = {}
+        self.chain_by_index = {0: 0}
+        self.acknowledged_index = 0
+        self.leader_by_term = {}
+        self.acknowledger_by_term = {}
+        self.lease_end_s_by_identity = {}
+        self.lost_identities = set()
+        self.next_command = 0
+        self.next_token = 0
+        instance_ids = [f"c{n}" for n in range(size)]
+        rates = rates or [1.0] * size
+        self.nodes = {
+            instance_id: Node(
+                instance_id,
+                storage.MemoryStorage(f"{instance_id}-1"),
+                rates[n],
+                100.0 * n,
+            )
+            for n, instance_id in enumerate(instance_ids)
+        }
+        for instance_id in instance_ids:
+            self.start(instance_id)
+
+    # Actions.
+
+    def start(self, instance_id):
+        node = self.nodes[instance_id]
+        peers = tuple(i for i in self.nodes if i != instance_id)
+        own_settings = core.Settings(instance_id, peers, instance_id == "c0", TIMING)
+        node.chain = node.applied_index = node.snapshot_index = 0
+        node.proposals, node.barriers = {}, {}
+        node.core = core.Core(
+            own_settings,
+            node.disk.load().unwrap(),
+            random.Random(self.random.random()),
+            node.local_s(self.now),
+        )
+        self.flush(node)
+
+    def kill(self, instance_id):
+        node = self.nodes[instance_id]
+        node.core = None
+        node.disk.crash()
+
+    def can_lose_disk(self, instance_id):
+        """Tell whether a quorum of every membership that may count keeps its disk."""
+        node = self.nodes[instance_id]
+        lost = self.lost_identities | {node.disk.identity}
+        return all(
+            members.is_quorum(members.voters() - lost)
+            for members in self._memberships()
+        )
+
+    def lose_disk(self, instance_id):
+        node = self.nodes[instance_id]
+        self.kill(instance_id)
+        node.generation += 1
+        identity = f"{instance_id}-{node.generation}"
+        self.lost_identities.add(node.disk.identity)
+        if self.faults.keeps_identity_of_lost_disk:
+            identity = node.disk.identity
+        node.disk = storage.MemoryStorage(identity)
+
+    def propose(self, instance_id):
+        """Propose at one instance, whether or not it leads."""
+        node = self.nodes[instance_id]
+        if node.core is None:
+            return None
+        self.next_command += 1
+        index = node.core.propose(b"%d" % self.next_command)
+        if index is not None:
+            node.proposals[index] = node.core.term
+            self.flush(node)
+        return index
+
+    def read(self, instance_id):
+        """Start a read that must see everything acknowledged before it."""
+        node = self.nodes[instance_id]
+        self.next_token += 1
+        if node.core is not None and node.core.read_barrier(self.next_token):
+            node.barriers[self.next_token] = self.acknowledged_index
+            self.flush(node)
+
+    def run(self, duration_s):
+        """Let time pass."""
+        end_s = self.now + duration_s
+        while self.now < end_s:
+            self.now += STEP_S
+            self._deliver_due()
+            for node in self.nodes.values():
+                if node.core is not None:
+                    self._admit_learners(node)
+                    node.core.tick(node.local_s(self.now))
+                    self.flush(node)
+
+    def heal(self):
+        """End all faults."""
+        self.max_delay_s, self.loss, self.duplication = 0.02, 0.0, 0.0
+        self.cuts.clear()
+        for instance_id, node in self.nodes.items():
+            node.crashes_in_next_flush = False
+            if node.core is None:
+                self.start(instance_id)
+
+    def leaders(self):
+        return [
+            i
+            for i, n in self.nodes.items()
+            if n.core is not None and n.core.role is effects.Role.LEADER
+        ]
+
+    def is_settled(self):
+        """Tell whether all instances vote and have applied everything acknowledged."""
+        leaders = self.leaders()
+        if len(leaders) != 1:
+            return False
+        members = self.nodes[leaders[0]].core.members
+        voters = {node.disk.identity for node in self.nodes.values()}
+        least = min(node.applied_index for node in self.nodes.values())
+        is_agreed = members.voters() == voters and len(members.members) == len(voters)
+        return is_agreed and least >= self.acknowledged_index
+
+    # Effects.
+
+    def flush(self, node):
+        taken = node.core.take_effects(node.local_s(self.now))
+        if self.faults.sends_before_sync:
+            self._send_all(node, taken)
+        for effect in taken:
+            self._persist(node, effect)
+        if node.crashes_in_next_flush and taken:
+            node.crashes_in_next_flush = False
+            self.kill(node.instance_id)
+            return
+        node.disk.sync()
+        if not self.faults.sends_before_sync:
+            self._send_all(node, taken)
+        for effect in taken:
+            self._perform(node, effect)
+        self._check_lease(node)
+        self._take_snapshot_if_due(node)
+
+    def _persist(self, node, effect):
+        match effect:
+            case effects.PersistHardState(hard_state):
+                node.disk.write_hard_state(hard_state)
+            case effects.PersistEntries(entries):
+                node.disk.write_entries(entries)
+            case effects.PersistSnapshot(snapshot, keeps_suffix):
+                node.disk.write_snapshot(snapshot, keeps_suffix)
+
+    def _send_all(self, node, taken):
+        for effect in taken:
+            if not isinstance(effect, effects.Send):
+                continue
+            copies = 2 if self.random.random() < self.duplication else 1
+            for _ in range(copies):
+                if self.random.random() >= self.loss:
+                    due_s = self.now + self.random.uniform(0.001, self.max_delay_s)
+                    item = (due_s, node.instance_id, effect.peer_id, effect.message)
+                    self.in_flight.append(item)
+
+    def _perform(self, node, effect):
+        match effect:
+            case effects.Apply(entries):
+                for entry in entries:
+                    self._apply(node, entry)
+            case effects.Restore(snapshot):
+                self._restore(node, snapshot)
+            case effects.RoleChanged(effects.Role.LEADER, term, _):
+                self._check_new_leader(node, term)
+            case effects.RoleChanged():
+                node.proposals, node.barriers = {}, {}
+            case effects.BarrierReached(token, index):
+                if token in node.barriers:
+                    assert index >= node.barriers.pop(token), "a read missed a change"
+            case effects.JoinRequested(instance_id, identity):
+                members = node.core.members.with_learner(instance_id, identity)
+                node.core.change_members(members)
+
+    def _admit_learners(self, node):
+        for member in node.core.members.members:
+            if not member.is_voter and node.core.role is effects.Role.LEADER:
+                node.core.change_members(node.core.members.with_voter(member.identity))
+
+    def _apply(self, node, entry):
+        assert entry.index == node.applied_index + 1
+        node.applied_index = entry.index
+        node.chain = hash((node.chain, entry))
+        known = self.entry_by_index.setdefault(entry.index, entry)
+        assert known == entry, f"index {entry.index} was committed as {known}"
+        self.chain_by_index.setdefault(entry.index, node.chain)
+        assert self.chain_by_index[entry.index] == node.chain
+        if node.proposals.pop(entry.index, None) == entry.term:
+            self._acknowledge(node, entry)
+
+    def _restore(self, node, snapshot):
+        node.applied_index = node.snapshot_index = snapshot.last_index
+        node.chain = int(snapshot.data)
+        assert self.chain_by_index[snapshot.last_index] == node.chain
+
+    def _take_snapshot_if_due(self, node):
+        due_index = node.snapshot_index + SNAPSHOT_INTERVAL_ENTRIES
+        if node.core is None or node.applied_index < due_index:
+            return
+        node.snapshot_index = node.applied_index
+        node.core.compact(node.applied_index, str(node.chain).encode())
+        self.flush(node)
+
+    # Checks.
+
+    def _acknowledge(self, node, entry):
+        self.acknowledged_index = max(self.acknowledged_index, entry.index)
+        identity = self._run_id(node)
+        known = self.acknowledger_by_term.setdefault(entry.term, identity)
+        assert known == identity, f"{known} and {identity} acknowledge in {entry.term}"
+
+    def _check_new_leader(self, node, term):
+        identity = self._run_id(node)
+        known = self.leader_by_term.setdefault(term, identity)
+        assert known == identity, f"{known} and {identity} lead term {term}"
+        for other, end_s in self.lease_end_s_by_identity.items():
+            is_over = other == identity or end_s <= self.now
+            assert is_over, f"{identity} leads during the lease of {other}"
+
+    def _check_lease(self, node):
+        if node.core is None:
+            return
+        until_s = node.core.leadership_confirmed_until()
+        if until_s > node.local_s(self.now):
+            identity = self._run_id(node)
+            self.lease_end_s_by_identity[identity] = node.true_s(until_s)
+
+    def _run_id(self, node):
+        return f"{node.instance_id}/{node.generation}"
+
+    def _memberships(self):
+        """Yield the latest committed membership and every later one in a log."""
+        known = [(i, e) for i, e in self.entry_by_index.items() if _sets_members(e)]
+        committed_index = max((i for i, _ in known), default=0)
+        for node in self.nodes.values():
+            recovered = node.disk.load().unwrap()
+            own_log = log.Log(recovered.snapshot)
+            for entry in recovered.entries:
+                own_log.append(entry)
+                if _sets_members(entry) and entry.index >= committed_index:
+                    yield own_log.members
+            if own_log.membership_index >= committed_index:
+                yield own_log.members
+
+    def _deliver_due(self):
+        due = sorted(
+            (item for item in self.in_flight if item[0] <= self.now),
+            key=lambda item: item[0],
+        )
+        self.in_flight = [item for item in self.in_flight if item[0] > self.now]
+        for _, sender_id, receiver_id, message in due:
+            node = self.nodes[receiver_id]
+            if node.core is None or (sender_id, receiver_id) in self.cuts:
+                continue
+            node.core.receive(sender_id, message, node.local_s(self.now))
+            self.flush(node)
+
+
+def _sets_members(entry):
+    return entry.kind == messages.EntryKind.MEMBERSHIP
--- a/packages/protocol/src/yuccapitch/protocol/consensus_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/consensus_messages.py
@@ -6,6 +6,7 @@
 import enum
 
 ANY_IDENTITY = ""
+NO_NONCE = 0
 
 
 class EntryKind(enum.IntEnum):
@@ -133,11 +134,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class JoinRequest:
-    """Asks the leader to admit a new identity of an instance."""
+    """Asks the leader to admit a new identity; ``nonce`` answers a challenge."""
 
     sender: str
     recipient: str
     instance_id: str
+    nonce: int
+
+
+@dataclasses.dataclass(frozen=True)
+class JoinChallenge:
+    """Asks an identity that wants to join whether it is still in use."""
+
+    sender: str
+    recipient: str
+    nonce: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -160,5 +171,6 @@
     | SnapshotRequest
     | SnapshotReply
     | JoinRequest
+    | JoinChallenge
     | Refusal
 )
