--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/ledger.py
@@ -0,0 +1,294 @@
+"""The grantor's ledger of leased shares, run by the control leader."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+import result
+
+from yuccapitch.protocol import lease_messages
+from yuccapitch.steering import fair_shares, resources
+
+LEASE_DURATION_S = 4.0
+CLOCK_RATE_BOUND = 0.01
+CLOCK_MARGIN = (1 + CLOCK_RATE_BOUND) / (1 - CLOCK_RATE_BOUND)
+"""Factor between two clocks that both run within the bound."""
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class HolderKey:
+    """One run of one holder's process."""
+
+    holder_id: str
+    incarnation: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StaleRenewal:
+    """A renewal that a later one of the same holder has overtaken."""
+
+    renewal_seq: int
+    seen_seq: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ForeignTerm:
+    """A renewal that follows a later term than the ledger's."""
+
+    epoch: int
+    ledger_epoch: int
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitInForce:
+    """The declared limit and the one that holders may still be using."""
+
+    declared: int
+    in_force: int
+    settled: bool
+    """False while shares granted in an earlier term may be unknown."""
+
+
+@dataclasses.dataclass
+class _Lease:
+    grant_seq: int
+    lapses_at: float
+    shares_by_resource: dict[resources.ResourceId, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class _PastUse:
+    resource_id: resources.ResourceId
+    share: int
+    ends_at: float
+
+
+@dataclasses.dataclass
+class _Holder:
+    renewal_seq: int
+    leases: list[_Lease] = dataclasses.field(default_factory=list)
+    past_uses: list[_PastUse] = dataclasses.field(default_factory=list)
+    demand_by_resource: dict[resources.ResourceId, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def lapses_at(self) -> float:
+        """When the last lease that was sent lapses."""
+        return max((lease.lapses_at for lease in self.leases), default=0.0)
+
+
+class Ledger:
+    """Divides limits into leased shares whose sum never passes them.
+
+    An answer may be sent only if the leader confirms with a quorum, by a round
+    started after the answer was made, that its term is still the latest.
+    """
+
+    def __init__(
+        self,
+        epoch: int,
+        resources_by_id: Mapping[resources.ResourceId, resources.Resource],
+        now: float,
+        lease_duration_s: float = LEASE_DURATION_S,
+    ) -> None:
+        self.epoch = epoch
+        self.lease_duration_s = lease_duration_s
+        self._resources_by_id = dict(resources_by_id)
+        self._started_at = now
+        self._grant_seq = 0
+        self._holders_by_key: dict[HolderKey, _Holder] = {}
+
+    def declare(
+        self, resources_by_id: Mapping[resources.ResourceId, resources.Resource]
+    ) -> None:
+        """Takes the limits of a newly accepted declaration."""
+        self._resources_by_id = dict(resources_by_id)
+
+    def renew(
+        self, renewal: lease_messages.ShareRenewal, now: float
+    ) -> result.Result[lease_messages.ShareAnswer, StaleRenewal | ForeignTerm]:
+        """Renews a holder's lease and answers with its shares."""
+        if renewal.epoch > self.epoch:
+            return result.Err(ForeignTerm(renewal.epoch, self.epoch))
+        if renewal.epoch < self.epoch:
+            # The shares it reports may have shrunk since; only a report made
+            # after the holder stopped listening to earlier terms is final.
+            return result.Ok(self._answer(renewal, 0, ()))
+        self._forget_lapsed(now)
+        key = HolderKey(renewal.holder_id, renewal.incarnation)
+        holder = self._holders_by_key.get(key)
+        if holder is None:
+            holder = self._admit(key, renewal, now)
+        elif renewal.renewal_seq <= holder.renewal_seq:
+            return result.Err(StaleRenewal(renewal.renewal_seq, holder.renewal_seq))
+        else:
+            self._acknowledge(holder, renewal, now)
+        holder.renewal_seq = renewal.renewal_seq
+        holder.demand_by_resource = {
+            resources.ResourceId(report.resource_id): report.demand
+            for report in renewal.reports
+        }
+        return result.Ok(self._grant(key, holder, renewal, now))
+
+    def limit_in_force(
+        self, resource_id: resources.ResourceId, now: float
+    ) -> LimitInForce:
+        """Reports how far a limit has come into force."""
+        resource = self._resources_by_id[resource_id]
+        counted = self.counted(resource_id, now)
+        return LimitInForce(
+            declared=resource.limit,
+            in_force=max(resource.limit, counted),
+            settled=not self._is_recovering(resource, now),
+        )
+
+    def counted(self, resource_id: resources.ResourceId, now: float) -> int:
+        """Sums the units that any holder may be using."""
+        return sum(
+            self._counted_of(holder, resource_id, now)
+            for holder in self._holders_by_key.values()
+        )
+
+    def _admit(
+        self, key: HolderKey, renewal: lease_messages.ShareRenewal, now: float
+    ) -> _Holder:
+        reported = {
+            resources.ResourceId(report.resource_id): report.held
+            for report in renewal.reports
+        }
+        holder = _Holder(renewal.renewal_seq)
+        holder.leases.append(_Lease(0, self._lapse_time(now), reported))
+        self._holders_by_key[key] = holder
+        return holder
+
+    def _acknowledge(
+        self, holder: _Holder, renewal: lease_messages.ShareRenewal, now: float
+    ) -> None:
+        replaced = [
+            lease for lease in holder.leases if lease.grant_seq < renewal.grant_seq
+        ]
+        holder.leases = [
+            lease for lease in holder.leases if lease.grant_seq >= renewal.grant_seq
+        ]
+        for lease in replaced:
+            for resource_id, share in lease.shares_by_resource.items():
+                window_s = self._window_s(resource_id)
+                if window_s > 0 and share > 0:
+                    ends_at = now + window_s * CLOCK_MARGIN**2
+                    holder.past_uses.append(_PastUse(resource_id, share, ends_at))
+        for lease in holder.leases:
+            if lease.grant_seq == renewal.grant_seq:
+                # Work in flight can exceed a reduced share until it ends.
+                for report in renewal.reports:
+                    resource_id = resources.ResourceId(report.resource_id)
+                    lease.shares_by_resource[resource_id] = report.held
+
+    def _grant(
+        self,
+        key: HolderKey,
+        holder: _Holder,
+        renewal: lease_messages.ShareRenewal,
+        now: float,
+    ) -> lease_messages.ShareAnswer:
+        self._grant_seq += 1
+        shares_by_resource: dict[resources.ResourceId, int] = {}
+        grants = []
+        for report in renewal.reports:
+            resource_id = resources.ResourceId(report.resource_id)
+            resource = self._resources_by_id.get(resource_id)
+            share = 0 if resource is None else self._share(key, resource, now)
+            shares_by_resource[resource_id] = share
+            limit = 0
+            if resource is not None:
+                limit = self.limit_in_force(resource_id, now).in_force
+            grants.append(lease_messages.ShareGrant(resource_id, share, limit))
+        holder.leases.append(
+            _Lease(self._grant_seq, self._lapse_time(now), shares_by_resource)
+        )
+        return self._answer(renewal, self._grant_seq, tuple(grants))
+
+    def _share(self, key: HolderKey, resource: resources.Resource, now: float) -> int:
+        resource_id = resource.resource_id
+        own = self._counted_of(self._holders_by_key[key], resource_id, now)
+        total = self.counted(resource_id, now)
+        if self._is_recovering(resource, now) and total <= resource.limit:
+            return own
+        target = self._targets_by_holder(resource, now).get(key, 0)
+        if self._is_recovering(resource, now):
+            return min(target, own)
+        # Growth takes only what nobody may be using; shrinking is always allowed.
+        return min(target, max(own, resource.limit - (total - own)))
+
+    def _targets_by_holder(
+        self, resource: resources.Resource, now: float
+    ) -> dict[HolderKey, int]:
+        demand_by_holder = {
+            key: holder.demand_by_resource[resource.resource_id]
+            for key, holder in self._holders_by_key.items()
+            if resource.resource_id in holder.demand_by_resource
+            and holder.lapses_at > now
+        }
+        return fair_shares.fair_shares(resource.limit, demand_by_holder)
+
+    def _counted_of(
+        self, holder: _Holder, resource_id: resources.ResourceId, now: float
+    ) -> int:
+        linger_s = self._linger_s(resource_id) * CLOCK_MARGIN
+        leased = [
+            lease.shares_by_resource.get(resource_id, 0)
+            for lease in holder.leases
+            if now < lease.lapses_at + linger_s
+        ]
+        past = [
+            use.share
+            for use in holder.past_uses
+            if use.resource_id == resource_id and now < use.ends_at
+        ]
+        return max(leased + past, default=0)
+
+    def _forget_lapsed(self, now: float) -> None:
+        linger_s = max(
+            (resource.linger_s for resource in self._resources_by_id.values()),
+            default=0.0,
+        )
+        for key, holder in list(self._holders_by_key.items()):
+            holder.past_uses = [use for use in holder.past_uses if use.ends_at > now]
+            holder.leases = [
+                lease
+                for lease in holder.leases
+                if lease.lapses_at + linger_s * CLOCK_MARGIN > now
+            ]
+            if not holder.leases and not holder.past_uses:
+                del self._holders_by_key[key]
+
+    def _is_recovering(self, resource: resources.Resource, now: float) -> bool:
+        recovery_s = (self.lease_duration_s + resource.linger_s) * CLOCK_MARGIN**2
+        return now < self._started_at + recovery_s
+
+    def _lapse_time(self, now: float) -> float:
+        return now + self.lease_duration_s * CLOCK_MARGIN
+
+    def _window_s(self, resource_id: resources.ResourceId) -> float:
+        resource = self._resources_by_id.get(resource_id)
+        return 0.0 if resource is None else resource.window_s
+
+    def _linger_s(self, resource_id: resources.ResourceId) -> float:
+        resource = self._resources_by_id.get(resource_id)
+        return 0.0 if resource is None else resource.linger_s
+
+    def _answer(
+        self,
+        renewal: lease_messages.ShareRenewal,
+        grant_seq: int,
+        grants: tuple[lease_messages.ShareGrant, ...],
+    ) -> lease_messages.ShareAnswer:
+        return lease_messages.ShareAnswer(
+            holder_id=renewal.holder_id,
+            incarnation=renewal.incarnation,
+            renewal_seq=renewal.renewal_seq,
+            epoch=self.epoch,
+            grant_seq=grant_seq,
+            grants=grants,
+        )
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/share_holder.py
@@ -0,0 +1,160 @@
+"""The holder's side of leased shares."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import math
+from collections.abc import Mapping
+
+import result
+
+from yuccapitch.protocol import lease_messages
+from yuccapitch.steering import ledger, resources
+
+DEMAND_HALF_LIFE_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Usage:
+    """What a holder uses and could use of one resource."""
+
+    demand: int
+    in_use: int = 0
+
+
+class Applied(enum.Enum):
+    """What an answer changed."""
+
+    SHARES = "shares"
+    EPOCH = "epoch"
+    """A new leader term; the holder should renew again at once."""
+
+
+class Ignored(enum.Enum):
+    """Why an answer was not applied."""
+
+    OTHER_HOLDER = "other-holder"
+    EARLIER_TERM = "earlier-term"
+    UNKNOWN_RENEWAL = "unknown-renewal"
+    OLDER_GRANT = "older-grant"
+    LAPSED = "lapsed"
+
+
+class ShareHolder:
+    """Shares by resource, each usable until its lease lapses."""
+
+    def __init__(
+        self,
+        holder_id: str,
+        incarnation: int,
+        lease_duration_s: float = ledger.LEASE_DURATION_S,
+    ) -> None:
+        self.holder_id = holder_id
+        self.incarnation = incarnation
+        self.lease_duration_s = lease_duration_s
+        self.epoch = 0
+        self.expires_at = 0.0
+        self._renewal_seq = 0
+        self._grant_seq = 0
+        self._grants_by_resource: dict[
+            resources.ResourceId, lease_messages.ShareGrant
+        ] = {}
+        self._sent_at_by_seq: dict[int, float] = {}
+
+    def renewal(
+        self, usage_by_resource: Mapping[resources.ResourceId, Usage], now: float
+    ) -> lease_messages.ShareRenewal:
+        """Makes the next renewal, to be sent at once."""
+        self._renewal_seq += 1
+        self._forget_lapsed_renewals(now)
+        self._sent_at_by_seq[self._renewal_seq] = now
+        resource_ids = sorted({*usage_by_resource, *self._grants_by_resource})
+        return lease_messages.ShareRenewal(
+            holder_id=self.holder_id,
+            incarnation=self.incarnation,
+            renewal_seq=self._renewal_seq,
+            epoch=self.epoch,
+            grant_seq=self._grant_seq,
+            reports=tuple(
+                self._report(resource_id, usage_by_resource.get(resource_id), now)
+                for resource_id in resource_ids
+            ),
+        )
+
+    def apply(
+        self, answer: lease_messages.ShareAnswer, now: float
+    ) -> result.Result[Applied, Ignored]:
+        """Applies an answer unless a later one or a later term overtook it."""
+        if (answer.holder_id, answer.incarnation) != (
+            self.holder_id,
+            self.incarnation,
+        ):
+            return result.Err(Ignored.OTHER_HOLDER)
+        if answer.epoch < self.epoch:
+            return result.Err(Ignored.EARLIER_TERM)
+        if answer.epoch > self.epoch:
+            # The shares stay usable until they lapse; the next renewal reports
+            # them to the new leader, who then knows that they no longer change.
+            self.epoch = answer.epoch
+            self._grant_seq = 0
+            return result.Ok(Applied.EPOCH)
+        if answer.grant_seq <= self._grant_seq:
+            return result.Err(Ignored.OLDER_GRANT)
+        sent_at = self._sent_at_by_seq.get(answer.renewal_seq)
+        if sent_at is None:
+            return result.Err(Ignored.UNKNOWN_RENEWAL)
+        if sent_at + self.lease_duration_s <= now:
+            return result.Err(Ignored.LAPSED)
+        self._grant_seq = answer.grant_seq
+        self.expires_at = sent_at + self.lease_duration_s
+        self._grants_by_resource = {
+            resources.ResourceId(grant.resource_id): grant for grant in answer.grants
+        }
+        return result.Ok(Applied.SHARES)
+
+    def share(self, resource_id: resources.ResourceId, now: float) -> int:
+        """Units of the resource that may be used now."""
+        grant = self._grants_by_resource.get(resource_id)
+        if grant is None or now >= self.expires_at:
+            return 0
+        return grant.share
+
+    def limit(self, resource_id: resources.ResourceId) -> int | None:
+        """Last limit in force that the grantor reported."""
+        grant = self._grants_by_resource.get(resource_id)
+        return None if grant is None else grant.limit
+
+    def _report(
+        self, resource_id: resources.ResourceId, usage: Usage | None, now: float
+    ) -> lease_messages.ShareReport:
+        known = usage or Usage(demand=0)
+        held = max(self.share(resource_id, now), known.in_use)
+        demand = max(known.demand, known.in_use)
+        return lease_messages.ShareReport(resource_id, held, demand)
+
+    def _forget_lapsed_renewals(self, now: float) -> None:
+        self._sent_at_by_seq = {
+            seq: sent_at
+            for seq, sent_at in self._sent_at_by_seq.items()
+            if sent_at + self.lease_duration_s > now
+        }
+
+
+class DemandEstimate:
+    """Peak of the recent demand, which decays by half each half-life."""
+
+    def __init__(self, half_life_s: float = DEMAND_HALF_LIFE_S) -> None:
+        self._half_life_s = half_life_s
+        self._peak = 0.0
+        self._peak_at = 0.0
+
+    def observe(self, units: int, now: float) -> None:
+        """Takes the units that were used or refused just now."""
+        self._peak = max(float(units), self.value(now))
+        self._peak_at = now
+
+    def value(self, now: float) -> float:
+        """Demand at the present time."""
+        age_s = max(0.0, now - self._peak_at)
+        return self._peak * math.pow(0.5, age_s / self._half_life_s)
--- /dev/null
+++ b/packages/steering/tests/test_ledger_machine.py
@@ -0,0 +1,319 @@
+"""Shares stay within limits over any order of messages, restarts and terms."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import hypothesis
+import pytest
+from hypothesis import stateful, strategies
+
+from yuccapitch.protocol import lease_messages
+from yuccapitch.steering import ledger, limiters, resources, share_holder
+
+LEASE_S = 4.0
+LIMIT = 10
+CAPACITY = resources.ResourceId("region:r1")
+CAP = resources.ResourceId("shift:s1")
+CLOCK_RATES = (0.99, 1.0, 1.01)
+HOLDER_IDS = ("a", "b", "c")
+
+
+def declared(limit: int) -> dict[resources.ResourceId, resources.Resource]:
+    """Both kinds of resource with one limit."""
+    kinds = resources.LimiterKind
+    return {
+        CAPACITY: resources.Resource(CAPACITY, kinds.CONCURRENCY, limit, linger_s=1.0),
+        CAP: resources.Resource(CAP, kinds.RATE, limit, window_s=2.0, linger_s=2.0),
+    }
+
+
+@dataclasses.dataclass
+class Clock:
+    """A clock that runs at its own rate."""
+
+    rate: float
+    offset_s: float
+
+    def read(self, true_time: float) -> float:
+        """What the clock shows."""
+        return self.offset_s + true_time * self.rate
+
+
+class Holder:
+    """A process that uses its shares to the full."""
+
+    def __init__(self, holder_id: str, incarnation: int, clock: Clock) -> None:
+        self.clock = clock
+        self.shares = share_holder.ShareHolder(holder_id, incarnation, LEASE_S)
+        self.capacity = limiters.ConcurrencyLimiter(declared(LIMIT)[CAPACITY])
+        self.cap = limiters.RateLimiter(declared(LIMIT)[CAP])
+        self.in_flight: list[limiters.Admitted] = []
+        self.alive = True
+
+
+class LedgerMachine(stateful.RuleBasedStateMachine):
+    """Holders, leaders and a network without any promise."""
+
+    ledger_class: type[ledger.Ledger] = ledger.Ledger
+    holder_class: type[share_holder.ShareHolder] = share_holder.ShareHolder
+
+    @stateful.initialize(
+        rates=strategies.lists(
+            strategies.sampled_from(CLOCK_RATES), min_size=4, max_size=4
+        ),
+        settled=strategies.booleans(),
+    )
+    def start(self, rates: list[float], settled: bool) -> None:
+        """Starts one leader and three holders."""
+        self.true_time = 100.0
+        self.limit = self.ceiling = LIMIT
+        self.rates = rates
+        self.incarnation = 1
+        self.lead(epoch=1)
+        self.holders = [self.new_holder(index) for index in range(len(HOLDER_IDS))]
+        self.renewals: list[lease_messages.ShareRenewal] = []
+        self.answers: list[lease_messages.ShareAnswer] = []
+        self.admitted_at: list[float] = []
+        if settled:
+            self.true_time += 10.0
+            for index in range(len(HOLDER_IDS)):
+                self.exchange(index, demand=0, lost=False)
+
+    def lead(self, epoch: int) -> None:
+        """Makes a leader on a machine with a clock of its own."""
+        self.epoch = epoch
+        self.clock = Clock(self.rates[3 - epoch % 2], 1000.0 * epoch)
+        self.ledger = self.ledger_class(
+            epoch, declared(self.limit), self.clock.read(self.true_time), LEASE_S
+        )
+
+    def new_holder(self, index: int) -> Holder:
+        """Starts a holder's process."""
+        clock = Clock(self.rates[index], 37.0 * index)
+        holder = Holder(HOLDER_IDS[index], self.incarnation, clock)
+        holder.shares = self.holder_class(HOLDER_IDS[index], self.incarnation, LEASE_S)
+        return holder
+
+    @stateful.rule(seconds=strategies.sampled_from([0.05, 0.3, 1.0, 2.5, 4.1]))
+    def advance(self, seconds: float) -> None:
+        """Lets time pass."""
+        self.true_time += seconds
+        for holder in self.holders:
+            now = holder.clock.read(self.true_time)
+            if now >= holder.shares.expires_at + 1.0:
+                self.finish(holder)
+
+    @stateful.rule(index=strategies.integers(0, 2), demand=strategies.integers(0, 12))
+    def renew(self, index: int, demand: int) -> None:
+        """A holder sends a renewal."""
+        holder = self.holders[index]
+        now = holder.clock.read(self.true_time)
+        usage = {
+            CAPACITY: share_holder.Usage(demand, holder.capacity.in_use(now)),
+            CAP: share_holder.Usage(demand),
+        }
+        self.renewals.append(holder.shares.renewal(usage, now))
+
+    @stateful.precondition(lambda self: self.renewals)
+    @stateful.rule(data=strategies.data(), doubled=strategies.booleans())
+    def deliver_renewal(self, data: strategies.DataObject, doubled: bool) -> None:
+        """Delivers any renewal sent so far to the present leader."""
+        renewal = self.take(data, self.renewals, doubled)
+        answer = self.ledger.renew(renewal, self.clock.read(self.true_time))
+        if answer.is_ok():
+            self.answers.append(answer.unwrap())
+
+    @stateful.precondition(lambda self: self.answers)
+    @stateful.rule(data=strategies.data(), doubled=strategies.booleans())
+    def deliver_answer(self, data: strategies.DataObject, doubled: bool) -> None:
+        """Delivers any answer sent so far, also of earlier leaders."""
+        answer = self.take(data, self.answers, doubled)
+        for holder in self.holders:
+            if holder.alive:
+                holder.shares.apply(answer, holder.clock.read(self.true_time))
+
+    @stateful.rule(
+        index=strategies.integers(0, 2),
+        demand=strategies.sampled_from([0, 3, 12]),
+        lost=strategies.booleans(),
+    )
+    def exchange(self, index: int, demand: int, lost: bool) -> None:
+        """Renews without delay, as in quiet times; the last answer may get lost."""
+        holder = self.holders[index]
+        for attempt in range(2):
+            self.renew(index, demand)
+            renewal = self.renewals.pop()
+            answer = self.ledger.renew(renewal, self.clock.read(self.true_time))
+            if answer.is_err():
+                continue
+            if lost and attempt == 1:
+                self.answers.append(answer.unwrap())
+                return
+            holder.shares.apply(answer.unwrap(), holder.clock.read(self.true_time))
+
+    @stateful.rule(index=strategies.integers(0, 2), units=strategies.integers(1, 12))
+    def use(self, index: int, units: int) -> None:
+        """Requests arrive at a holder."""
+        holder = self.holders[index]
+        now = holder.clock.read(self.true_time)
+        for _ in range(units):
+            taken = holder.capacity.admit(holder.shares.share(CAPACITY, now), 1, now)
+            if taken.is_ok():
+                holder.in_flight.append(taken.unwrap())
+            if holder.cap.admit(holder.shares.share(CAP, now), 1, now).is_ok():
+                self.admitted_at.append(self.true_time)
+
+    @stateful.rule(index=strategies.integers(0, 2))
+    def finish_work(self, index: int) -> None:
+        """The requests in flight at a holder end."""
+        self.finish(self.holders[index])
+
+    @stateful.rule(index=strategies.integers(0, 2))
+    def restart_holder(self, index: int) -> None:
+        """A holder loses its memory and its connections."""
+        self.incarnation += 1
+        self.holders[index] = self.new_holder(index)
+
+    @stateful.rule()
+    def change_leader(self) -> None:
+        """A new leader takes over; the old one can confirm nothing any more."""
+        self.lead(self.epoch + 1)
+
+    @stateful.rule(limit=strategies.integers(2, LIMIT))
+    def change_limit(self, limit: int) -> None:
+        """A catalogue change moves the limits."""
+        self.limit = limit
+        self.ledger.declare(declared(limit))
+
+    @stateful.invariant()
+    def live_shares_within_limit(self) -> None:
+        """Shares and work in flight never pass the limit in force."""
+        if not hasattr(self, "holders"):
+            return
+        for resource_id in (CAPACITY, CAP):
+            used = sum(self.used(holder, resource_id) for holder in self.holders)
+            now = self.clock.read(self.true_time)
+            state = self.ledger.limit_in_force(resource_id, now)
+            allowed = state.in_force if state.settled else LIMIT
+            assert used <= allowed, (resource_id, used, state)
+            assert state.in_force <= LIMIT
+
+    @stateful.invariant()
+    def rate_within_limit(self) -> None:
+        """No window of true time sees more than the limit."""
+        for start in getattr(self, "admitted_at", []):
+            window = [at for at in self.admitted_at if start <= at < start + 2.0]
+            assert len(window) <= LIMIT, window
+
+    def used(self, holder: Holder, resource_id: resources.ResourceId) -> int:
+        """Units that a holder may use or uses."""
+        share = holder.shares.share(resource_id, holder.clock.read(self.true_time))
+        if resource_id == CAP:
+            return share
+        return max(share, len(holder.in_flight))
+
+    @staticmethod
+    def finish(holder: Holder) -> None:
+        """Ends the work in flight."""
+        while holder.in_flight:
+            holder.capacity.release(holder.in_flight.pop())
+
+    @staticmethod
+    def take(data: strategies.DataObject, messages: list, doubled: bool) -> object:
+        """Picks a message and leaves a copy if it is doubled."""
+        index = data.draw(strategies.integers(0, len(messages) - 1))
+        return messages[index] if doubled else messages.pop(index)
+
+
+class ForgetfulLedger(ledger.Ledger):
+    """Counts only the last share sent, as if it had been acknowledged."""
+
+    def _grant(self, key, holder, renewal, now):
+        holder.leases.clear()
+        return super()._grant(key, holder, renewal, now)
+
+
+class HastyLedger(ledger.Ledger):
+    """Grants anew from its first second in office."""
+
+    def _is_recovering(self, resource, now):
+        return False
+
+
+class CredulousLedger(ledger.Ledger):
+    """Honours what holders reported in an earlier term."""
+
+    def renew(self, renewal, now):
+        if renewal.epoch < self.epoch:
+            renewal = dataclasses.replace(renewal, epoch=self.epoch, grant_seq=0)
+        return super().renew(renewal, now)
+
+
+class WindowlessLedger(ledger.Ledger):
+    """Moves a rate share before the old holder's window has passed."""
+
+    def _window_s(self, resource_id):
+        return 0.0
+
+    def _linger_s(self, resource_id):
+        return 0.0
+
+
+class ReceiptTimedHolder(share_holder.ShareHolder):
+    """Counts its lease from the receipt of the answer."""
+
+    def apply(self, answer, now):
+        applied = super().apply(answer, now)
+        if applied == share_holder.result.Ok(share_holder.Applied.SHARES):
+            self.expires_at = now + self.lease_duration_s
+        return applied
+
+
+class UnorderedHolder(share_holder.ShareHolder):
+    """Applies grants in any order."""
+
+    def apply(self, answer, now):
+        if answer.epoch == self.epoch:
+            self._grant_seq = 0
+        return super().apply(answer, now)
+
+
+SETTINGS = hypothesis.settings(
+    max_examples=120,
+    stateful_step_count=40,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+BROKEN_SETTINGS = hypothesis.settings(
+    SETTINGS, max_examples=3000, phases=[hypothesis.Phase.generate]
+)
+
+
+def test_ledger_machine() -> None:
+    """The real ledger and holder keep every invariant."""
+    stateful.run_state_machine_as_test(LedgerMachine, settings=SETTINGS)
+
+
+@pytest.mark.parametrize(
+    ("ledger_class", "holder_class"),
+    [
+        (ForgetfulLedger, share_holder.ShareHolder),
+        (HastyLedger, share_holder.ShareHolder),
+        (CredulousLedger, share_holder.ShareHolder),
+        (WindowlessLedger, share_holder.ShareHolder),
+        (ledger.Ledger, ReceiptTimedHolder),
+        (ledger.Ledger, UnorderedHolder),
+    ],
+)
+def test_ledger_machine_broken_variant(ledger_class, holder_class) -> None:
+    """Each mechanism is needed: without it the same machine fails."""
+
+    class Broken(LedgerMachine):
+        pass
+
+    Broken.ledger_class = ledger_class
+    Broken.holder_class = holder_class
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(Broken, settings=BROKEN_SETTINGS)
