--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/claim_attempt.py
@@ -0,0 +1,230 @@
+"""The claimant's side of claims: one attempt of one key, from claim to outcome."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Sequence
+
+from yuccapitch.catalogue import ids
+from yuccapitch.protocol import claim_messages
+
+RESEND_INTERVAL_S = 0.25
+POLL_INTERVAL_S = 0.25
+VOID_TIMEOUT_S = 1.0
+
+_State = claim_messages.RecordState
+_Verdict = claim_messages.Verdict
+
+
+class Phase(enum.Enum):
+    """What the claimant is doing."""
+
+    CLAIMING = "claiming"
+    DISPATCHED = "dispatched"
+    VOIDING = "voiding"
+    ENDED = "ended"
+
+
+@dataclasses.dataclass(frozen=True)
+class Dispatch:
+    """The request may be sent to one endpoint at a time, by this claimant only."""
+
+
+@dataclasses.dataclass(frozen=True)
+class AlreadyDispatched:
+    """Another claimant may have sent the request: replay its answer or `unknown`."""
+
+    state: claim_messages.RecordState
+    answer: claim_messages.ClaimAnswer | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Voided:
+    """The attempt never ran and never will: `not-run`."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Undecided:
+    """Too few holders voted in time: `unknown`."""
+
+
+Decision = Dispatch | AlreadyDispatched | Voided | Undecided
+
+
+@dataclasses.dataclass(frozen=True)
+class Send:
+    """A message to one holder."""
+
+    holder_id: ids.InstanceId
+    message: claim_messages.Claim | claim_messages.Void | claim_messages.Done
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """What to send now, and the decision if there is one."""
+
+    sends: tuple[Send, ...] = ()
+    decision: Decision | None = None
+
+
+class ClaimAttempt:
+    """Claims at a majority of each list of holders, or voids the attempt there."""
+
+    def __init__(
+        self,
+        key: str,
+        attempt: int,
+        claimant: str,
+        holder_lists: Sequence[Sequence[ids.InstanceId]],
+        deadline: float,
+    ) -> None:
+        self.key = key
+        self.attempt = attempt
+        self.claimant = claimant
+        self.phase = Phase.CLAIMING
+        self.next_tick_at = 0.0
+        self._lists = [tuple(holders) for holders in holder_lists]
+        self._holders = tuple(
+            dict.fromkeys(holder for holders in self._lists for holder in holders)
+        )
+        self._deadline = deadline
+        self._void_until = 0.0
+        self._granted: set[str] = set()
+        self._voided: set[str] = set()
+        self._replied: set[str] = set()
+        self._rivals_by_holder: dict[str, str] = {}
+
+    def start(self, now: float) -> Step:
+        """Claims at all holders."""
+        return self._claim(self._holders, now)
+
+    def start_void(self, now: float) -> Step:
+        """Voids without a claim, for a request that is refused beforehand."""
+        return self._start_void(now)
+
+    def on_reply(self, reply: claim_messages.ClaimReply, now: float) -> Step:
+        """Counts a holder's vote."""
+        if (reply.key, reply.attempt, reply.claimant) != (
+            self.key,
+            self.attempt,
+            self.claimant,
+        ):
+            return Step()
+        self._count(reply)
+        if self.phase is Phase.CLAIMING:
+            return self._after_claim_reply(reply, now)
+        if self.phase is Phase.VOIDING:
+            return self._after_void_reply(reply)
+        return Step()
+
+    def tick(self, now: float) -> Step:
+        """Resends to holders that have not voted, and ends at the deadline."""
+        if self.phase is Phase.CLAIMING and now >= self._deadline:
+            return self._start_void(now)
+        if self.phase is Phase.VOIDING and now >= self._void_until:
+            return self._end(self._without_majority())
+        if now < self.next_tick_at:
+            return Step()
+        if self.phase is Phase.CLAIMING:
+            pending = [h for h in self._holders if h not in self._granted]
+            return self._claim(pending, now)
+        if self.phase is Phase.VOIDING:
+            return self._void(now)
+        return Step()
+
+    def prove_not_run(self, now: float) -> Step:
+        """Voids after dispatch: no byte was sent, or every endpoint shed it."""
+        assert self.phase is Phase.DISPATCHED, "only a dispatched attempt has a proof"
+        return self._start_void(now)
+
+    def done(self, answer: claim_messages.ClaimAnswer) -> Step:
+        """Tells all holders the answer, to replay it to later duplicates."""
+        assert self.phase is Phase.DISPATCHED, "only a dispatched attempt has an answer"
+        self.phase = Phase.ENDED
+        message = claim_messages.Done(self.key, self.attempt, self.claimant, answer)
+        return Step(tuple(Send(holder, message) for holder in self._holders))
+
+    def _count(self, reply: claim_messages.ClaimReply) -> None:
+        verdict = _Verdict(reply.verdict)
+        state = _State(reply.record_state)
+        if self.phase is Phase.CLAIMING or verdict is not _Verdict.GRANTED:
+            # A grant that arrives late says nothing about the void.
+            self._replied.add(reply.holder_id)
+        if verdict is _Verdict.GRANTED and state is _State.CLAIMED:
+            self._granted.add(reply.holder_id)
+        if state is _State.VOID and reply.record_attempt >= self.attempt:
+            # A void never goes away: later attempts may only replace it.
+            self._voided.add(reply.holder_id)
+        if state is _State.CLAIMED and reply.record_claimant != self.claimant:
+            self._rivals_by_holder[reply.holder_id] = reply.record_claimant
+        else:
+            self._rivals_by_holder.pop(reply.holder_id, None)
+
+    def _after_claim_reply(self, reply: claim_messages.ClaimReply, now: float) -> Step:
+        if _State(reply.record_state) is _State.DONE:
+            return self._end(AlreadyDispatched(_State.DONE, reply.answer))
+        if self._is_majority(self._granted):
+            self.phase = Phase.DISPATCHED
+            return Step(decision=Dispatch())
+        if self._is_majority(self._voided):
+            return self._end(Voided())
+        if self._is_lost() and not self._may_run_elsewhere():
+            return self._start_void(now)
+        return Step()
+
+    def _after_void_reply(self, reply: claim_messages.ClaimReply) -> Step:
+        if _State(reply.record_state) is _State.DONE:
+            return self._end(AlreadyDispatched(_State.DONE, reply.answer))
+        if self._is_majority(self._voided):
+            return self._end(Voided())
+        if self._replied >= set(self._holders):
+            return self._end(self._without_majority())
+        return Step()
+
+    def _without_majority(self) -> Decision:
+        if self._rivals_by_holder:
+            return AlreadyDispatched(_State.CLAIMED, None)
+        return Undecided()
+
+    def _is_majority(self, holders: set[str]) -> bool:
+        if not self._lists or not all(self._lists):
+            return False
+        return all(
+            len(holders.intersection(listed)) > len(listed) // 2
+            for listed in self._lists
+        )
+
+    def _is_lost(self) -> bool:
+        open_votes = self._granted | (set(self._holders) - self._replied)
+        return not self._is_majority(open_votes)
+
+    def _may_run_elsewhere(self) -> bool:
+        silent = set(self._holders) - self._replied
+        return any(
+            self._is_majority(
+                silent | {h for h, r in self._rivals_by_holder.items() if r == rival}
+            )
+            for rival in set(self._rivals_by_holder.values())
+        )
+
+    def _claim(self, holders: Sequence[ids.InstanceId], now: float) -> Step:
+        self.next_tick_at = now + RESEND_INTERVAL_S
+        message = claim_messages.Claim(self.key, self.attempt, self.claimant)
+        return Step(tuple(Send(holder, message) for holder in holders))
+
+    def _start_void(self, now: float) -> Step:
+        self.phase = Phase.VOIDING
+        self._void_until = now + VOID_TIMEOUT_S
+        self._replied.clear()
+        return self._void(now)
+
+    def _void(self, now: float) -> Step:
+        self.next_tick_at = now + RESEND_INTERVAL_S
+        message = claim_messages.Void(self.key, self.attempt, self.claimant)
+        pending = [holder for holder in self._holders if holder not in self._voided]
+        return Step(tuple(Send(holder, message) for holder in pending))
+
+    def _end(self, decision: Decision) -> Step:
+        self.phase = Phase.ENDED
+        return Step(decision=decision)
