Prove claims and shares with state machines

The claims machine first failed because its claimant ids were reused after a kill: a killed claimant's claims were then granted to another as its own. Claimant ids must be unique for each arrival; the test counts arrivals now.

--- a/packages/steering/tests/test_claims_machine.py
+++ b/packages/steering/tests/test_claims_machine.py
@@ -51,6 +51,7 @@
         self.key_texts: list[str] = []
         self.last_attempts: dict[str, int] = {}
         self.claimants: list[Claimant] = []
+        self.arrivals = 0
         self.sends: list[claim_attempt.Send] = []
         self.replies: list[claim_messages.ClaimReply] = []
         self.runs: list[tuple[str, int]] = []
@@ -102,9 +103,10 @@
         parsed = claim_keys.parse(text, self.now)
         if parsed.is_err():
             return None
+        self.arrivals += 1
         lists = claim_placement.holder_lists(parsed.unwrap(), self.known_lists(lags))
         attempt = self.attempt_class(
-            text, number, f"claimant-{len(self.claimants)}", lists, self.now + 2.0
+            text, number, f"claimant-{self.arrivals}", lists, self.now + 2.0
         )
         claimant = Claimant(attempt)
         self.claimants.append(claimant)
@@ -251,7 +253,7 @@
     def on_void(self, message, now):
         record = self._records_by_key.get(message.key)
         if record and record.state is claim_messages.RecordState.CLAIMED:
-            message = dataclasses.replace(message, claimant=record.claimant)
+            del self._records_by_key[message.key]
         return super().on_void(message, now)
 
 
--- a/packages/steering/tests/test_ledger_machine.py
+++ b/packages/steering/tests/test_ledger_machine.py
@@ -229,8 +229,9 @@
     """Counts only the last share sent, as if it had been acknowledged."""
 
     def _grant(self, key, holder, renewal, now):
-        holder.leases.clear()
-        return super()._grant(key, holder, renewal, now)
+        answer = super()._grant(key, holder, renewal, now)
+        holder.leases = holder.leases[-1:]
+        return answer
 
 
 class HastyLedger(ledger.Ledger):
