Carry typed messages between instances over thrift frames

A message dataclass gives its thrift struct; frames carry a checksum that is verified before decoding. Ruled out: the pure Python protocol, which trusts lengths as well. With the checksum in front, garbage on the inner port closes its own connection only.

--- a/packages/protocol/src/yuccapitch/protocol/claim_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/claim_messages.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+from yuccapitch.protocol import registry
+
 
 class Verdict(enum.Enum):
     """What a holder did with a message."""
@@ -28,6 +30,7 @@
     DONE = "done"
 
 
+@registry.message(40)
 @dataclasses.dataclass(frozen=True)
 class ClaimAnswer:
     """The answer that a request got; the body only if it was kept."""
@@ -37,6 +40,7 @@
     body: bytes | None
 
 
+@registry.message(41)
 @dataclasses.dataclass(frozen=True)
 class Claim:
     """Asks for the sole right to dispatch an attempt of a key."""
@@ -46,6 +50,7 @@
     claimant: str
 
 
+@registry.message(42)
 @dataclasses.dataclass(frozen=True)
 class Void:
     """Asks that an attempt of a key and all before it never be claimed."""
@@ -55,6 +60,7 @@
     claimant: str
 
 
+@registry.message(43)
 @dataclasses.dataclass(frozen=True)
 class Done:
     """Tells the answer of an attempt that was dispatched."""
@@ -65,6 +71,7 @@
     answer: ClaimAnswer
 
 
+@registry.message(44)
 @dataclasses.dataclass(frozen=True)
 class ClaimReply:
     """A holder's reply to a claim, a void or an answer."""
--- a/packages/protocol/src/yuccapitch/protocol/consensus_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/consensus_messages.py
@@ -5,6 +5,8 @@
 import dataclasses
 import enum
 
+from yuccapitch.protocol import registry
+
 ANY_IDENTITY = ""
 NO_NONCE = 0
 
@@ -24,6 +26,7 @@
     WRONG_RECIPIENT = 2
 
 
+@registry.message(20)
 @dataclasses.dataclass(frozen=True)
 class LogEntry:
     """One entry of the log; ``kind`` holds an ``EntryKind`` value."""
@@ -34,6 +37,7 @@
     payload: bytes
 
 
+@registry.message(21)
 @dataclasses.dataclass(frozen=True)
 class PreVoteRequest:
     """Asks whether a vote would be granted in ``term``, without starting it."""
@@ -45,6 +49,7 @@
     last_term: int
 
 
+@registry.message(22)
 @dataclasses.dataclass(frozen=True)
 class PreVoteReply:
     """Answers a pre-vote; ``requested_term`` repeats the term asked about."""
@@ -56,6 +61,7 @@
     granted: bool
 
 
+@registry.message(23)
 @dataclasses.dataclass(frozen=True)
 class VoteRequest:
     """Asks for the vote of the recipient in ``term``."""
@@ -67,6 +73,7 @@
     last_term: int
 
 
+@registry.message(24)
 @dataclasses.dataclass(frozen=True)
 class VoteReply:
     """Answers a vote request; a granted vote is on disk before it is sent."""
@@ -77,6 +84,7 @@
     granted: bool
 
 
+@registry.message(25)
 @dataclasses.dataclass(frozen=True)
 class AppendRequest:
     """Carries entries, or none as a heartbeat, from the leader of ``term``."""
@@ -91,6 +99,7 @@
     round_number: int
 
 
+@registry.message(26)
 @dataclasses.dataclass(frozen=True)
 class AppendReply:
     """Tells how far the logs match, or after which index to try again."""
@@ -103,6 +112,7 @@
     round_number: int
 
 
+@registry.message(27)
 @dataclasses.dataclass(frozen=True)
 class SnapshotRequest:
     """Carries one chunk of the leader's snapshot."""
@@ -119,6 +129,7 @@
     round_number: int
 
 
+@registry.message(28)
 @dataclasses.dataclass(frozen=True)
 class SnapshotReply:
     """Names the next chunk wanted, or the log index reached once installed."""
@@ -132,6 +143,7 @@
     round_number: int
 
 
+@registry.message(29)
 @dataclasses.dataclass(frozen=True)
 class JoinRequest:
     """Asks the leader to admit a new identity; ``nonce`` answers a challenge."""
@@ -142,6 +154,7 @@
     nonce: int
 
 
+@registry.message(30)
 @dataclasses.dataclass(frozen=True)
 class JoinChallenge:
     """Asks an identity that wants to join whether it is still in use."""
@@ -151,6 +164,7 @@
     nonce: int
 
 
+@registry.message(31)
 @dataclasses.dataclass(frozen=True)
 class Refusal:
     """Says that a message was not processed; ``reason`` is a ``RefusalReason``."""
--- a/packages/protocol/src/yuccapitch/protocol/lease_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/lease_messages.py
@@ -4,7 +4,10 @@
 
 import dataclasses
 
+from yuccapitch.protocol import registry
 
+
+@registry.message(50)
 @dataclasses.dataclass(frozen=True)
 class ShareReport:
     """What a holder tells the grantor about one resource."""
@@ -16,6 +19,7 @@
     """Units that the holder could use now."""
 
 
+@registry.message(51)
 @dataclasses.dataclass(frozen=True)
 class ShareRenewal:
     """A holder's request to renew all its shares."""
@@ -31,6 +35,7 @@
     reports: tuple[ShareReport, ...]
 
 
+@registry.message(52)
 @dataclasses.dataclass(frozen=True)
 class ShareGrant:
     """The share of one resource that a holder may use."""
@@ -41,6 +46,7 @@
     """Limit in force, in the same units."""
 
 
+@registry.message(53)
 @dataclasses.dataclass(frozen=True)
 class ShareAnswer:
     """The grantor's answer to one renewal."""
--- /dev/null
+++ b/packages/protocol/src/yuccapitch/protocol/link.py
@@ -0,0 +1,263 @@
+"""One inner link: frames over a stream, correlation of replies, liveness."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+import inspect
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import result
+
+from yuccapitch.protocol import codec, events, frames, node_messages
+
+MAX_UNSENT_BYTES = 8 * 1024 * 1024
+MAX_PENDING_REQUESTS = 10_000
+
+Handler = Callable[[str, Any], Any]
+"""Takes the peer's id and a message; returns or awaits the reply, if any."""
+
+PeerCheck = Callable[[asyncio.StreamWriter, str], bool]
+"""Tells whether the peer of a stream may call itself by an instance id."""
+
+
+class LinkFault(enum.Enum):
+    """Why a request got no reply."""
+
+    CLOSED = "closed"
+    TIMEOUT = "timeout"
+    REMOTE = "remote"
+    OVERLOADED = "overloaded"
+
+
+@dataclasses.dataclass(frozen=True)
+class LinkError:
+    """A request without a reply; the peer may still have acted on it."""
+
+    fault: LinkFault
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class LinkTiming:
+    """Time between heartbeats, and silence after which a link is closed."""
+
+    heartbeat_interval_s: float = 0.2
+    timeout_s: float = 2.0
+
+
+class Link:
+    """A stream between two instances that carries messages both ways."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        own_id: str,
+        handlers_by_type: dict[type, Handler],
+        timing: LinkTiming,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._own_id = own_id
+        self._handlers_by_type = handlers_by_type
+        self._timing = timing
+        self._next_correlation_id = 0
+        self._futures_by_correlation_id: dict[int, asyncio.Future[Any]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_open = False
+        self.peer_id = ""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the greeting was exchanged and the link has not closed."""
+        return self._is_open
+
+    async def greet(
+        self, check: PeerCheck | None = None
+    ) -> result.Result[None, LinkError]:
+        """Exchange the first message of each side."""
+        hello = codec.encode(node_messages.Hello(self._own_id))
+        self._writer.write(frames.pack(frames.Kind.HELLO, 0, hello))
+        try:
+            async with asyncio.timeout(self._timing.timeout_s):
+                frame = await self._read_frame()
+        except (TimeoutError, OSError, asyncio.IncompleteReadError) as error:
+            return result.Err(LinkError(LinkFault.CLOSED, f"no greeting: {error!r}"))
+        if isinstance(frame, result.Err):
+            return frame
+        header, payload = frame.ok_value
+        if header.kind is not frames.Kind.HELLO:
+            return result.Err(LinkError(LinkFault.REMOTE, "the greeting is missing"))
+        decoded = codec.decode(payload)
+        if isinstance(decoded, result.Err) or not isinstance(
+            decoded.ok_value, node_messages.Hello
+        ):
+            return result.Err(LinkError(LinkFault.REMOTE, "the greeting is malformed"))
+        peer_id = decoded.ok_value.instance_id
+        if check is not None and not check(self._writer, peer_id):
+            detail = f"the peer's certificate is not that of {peer_id}"
+            return result.Err(LinkError(LinkFault.REMOTE, detail))
+        self.peer_id = peer_id
+        self._is_open = True
+        return result.Ok(None)
+
+    async def run(self) -> None:
+        """Handle what arrives until the link closes; then release every waiter."""
+        heartbeat = asyncio.create_task(self._send_heartbeats())
+        try:
+            await self._receive_frames()
+        finally:
+            heartbeat.cancel()
+            self.close()
+
+    def send(self, message: object) -> bool:
+        """Send a message without a reply; false if it was dropped."""
+        if not self._can_send():
+            return False
+        self._write(frames.Kind.ONE_WAY, 0, codec.encode(message))
+        return True
+
+    async def request(
+        self, message: object, timeout_s: float
+    ) -> result.Result[Any, LinkError]:
+        """Send a message and return its reply."""
+        if not self._is_open:
+            return result.Err(LinkError(LinkFault.CLOSED))
+        if (
+            len(self._futures_by_correlation_id) >= MAX_PENDING_REQUESTS
+            or not self._can_send()
+        ):
+            return result.Err(LinkError(LinkFault.OVERLOADED))
+        self._next_correlation_id += 1
+        correlation_id = self._next_correlation_id
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._futures_by_correlation_id[correlation_id] = future
+        self._write(frames.Kind.REQUEST, correlation_id, codec.encode(message))
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply: result.Result[Any, LinkError] = await future
+                return reply
+        except TimeoutError:
+            return result.Err(LinkError(LinkFault.TIMEOUT))
+        finally:
+            self._futures_by_correlation_id.pop(correlation_id, None)
+
+    def close(self) -> None:
+        """Close the stream and fail what waits for a reply."""
+        self._is_open = False
+        for future in self._futures_by_correlation_id.values():
+            if not future.done():
+                future.set_result(result.Err(LinkError(LinkFault.CLOSED)))
+        for task in self._tasks:
+            task.cancel()
+        self._writer.close()
+
+    def _can_send(self) -> bool:
+        transport = self._writer.transport
+        return self._is_open and transport.get_write_buffer_size() < MAX_UNSENT_BYTES
+
+    def _write(
+        self, kind: frames.Kind, correlation_id: int, payload: bytes = b""
+    ) -> None:
+        if self._is_open:
+            self._writer.write(frames.pack(kind, correlation_id, payload))
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            await asyncio.sleep(self._timing.heartbeat_interval_s)
+            self._write(frames.Kind.HEARTBEAT, 0)
+
+    async def _receive_frames(self) -> None:
+        while self._is_open:
+            try:
+                async with asyncio.timeout(self._timing.timeout_s):
+                    frame = await self._read_frame()
+            except TimeoutError:
+                events.event("link.silent", peer=self.peer_id)
+                return
+            except (OSError, asyncio.IncompleteReadError):
+                return
+            if isinstance(frame, result.Err):
+                detail = frame.err_value.detail
+                events.event("link.refused", peer=self.peer_id, reason=detail)
+                return
+            self._handle(*frame.ok_value)
+
+    async def _read_frame(
+        self,
+    ) -> result.Result[tuple[frames.Header, bytes], LinkError]:
+        unpacked = frames.unpack_header(
+            await self._reader.readexactly(frames.HEADER_BYTES)
+        )
+        if isinstance(unpacked, result.Err):
+            return result.Err(LinkError(LinkFault.REMOTE, unpacked.err_value.reason))
+        header = unpacked.ok_value
+        payload = await self._reader.readexactly(header.length)
+        if not frames.is_intact(header, payload):
+            return result.Err(LinkError(LinkFault.REMOTE, "a frame fails its checksum"))
+        return result.Ok((header, payload))
+
+    def _handle(self, header: frames.Header, payload: bytes) -> None:
+        if header.kind in (frames.Kind.HEARTBEAT, frames.Kind.HELLO):
+            return
+        decoded = codec.decode(payload)
+        if header.kind in (frames.Kind.RESPONSE, frames.Kind.FAILURE):
+            self._settle(header, decoded)
+        elif isinstance(decoded, result.Ok):
+            self._serve(header, decoded.ok_value)
+        elif header.kind is frames.Kind.REQUEST:
+            self._reply_failure(header.correlation_id, decoded.err_value.reason)
+
+    def _settle(
+        self, header: frames.Header, decoded: result.Result[Any, codec.CodecError]
+    ) -> None:
+        # A reply that comes after its request timed out finds no future.
+        future = self._futures_by_correlation_id.get(header.correlation_id)
+        if future is None or future.done():
+            return
+        if isinstance(decoded, result.Err):
+            error = LinkError(LinkFault.REMOTE, decoded.err_value.reason)
+            future.set_result(result.Err(error))
+        elif header.kind is frames.Kind.FAILURE:
+            error = LinkError(LinkFault.REMOTE, decoded.ok_value.reason)
+            future.set_result(result.Err(error))
+        else:
+            future.set_result(result.Ok(decoded.ok_value))
+
+    def _serve(self, header: frames.Header, message: object) -> None:
+        handler = self._handlers_by_type.get(type(message))
+        if handler is None:
+            if header.kind is frames.Kind.REQUEST:
+                reason = f"no handler for {type(message).__name__}"
+                self._reply_failure(header.correlation_id, reason)
+            return
+        reply = handler(self.peer_id, message)
+        if inspect.isawaitable(reply):
+            task = asyncio.create_task(self._reply_later(header, reply))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        else:
+            self._reply(header, reply)
+
+    async def _reply_later(
+        self, header: frames.Header, reply: Awaitable[object]
+    ) -> None:
+        with contextlib.suppress(asyncio.CancelledError):
+            self._reply(header, await reply)
+
+    def _reply(self, header: frames.Header, reply: object) -> None:
+        if header.kind is not frames.Kind.REQUEST:
+            return
+        if reply is None:
+            self._reply_failure(header.correlation_id, "no reply")
+            return
+        payload = codec.encode(reply)
+        self._write(frames.Kind.RESPONSE, header.correlation_id, payload)
+
+    def _reply_failure(self, correlation_id: int, reason: str) -> None:
+        payload = codec.encode(node_messages.RemoteFailure(reason))
+        self._write(frames.Kind.FAILURE, correlation_id, payload)
--- /dev/null
+++ b/packages/protocol/src/yuccapitch/protocol/peers.py
@@ -0,0 +1,200 @@
+"""The links of one instance: a server for incoming ones, one outgoing per peer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import ssl
+from typing import Any
+
+import result
+
+from yuccapitch.protocol import events, inner_tls, link as inner_link
+
+RECONNECT_DELAY_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """Where a peer's inner port listens."""
+
+    host: str
+    port: int
+
+
+class Peers:
+    """Sends messages to peers by instance id and hands out what arrives."""
+
+    def __init__(
+        self,
+        own_id: str,
+        timing: inner_link.LinkTiming,
+        tls: inner_tls.InnerTls | None = None,
+    ) -> None:
+        self._own_id = own_id
+        self._timing = timing
+        self._tls = tls
+        self._handlers_by_type: dict[type, inner_link.Handler] = {}
+        self._addresses_by_id: dict[str, Address] = {}
+        self._links_by_id: dict[str, inner_link.Link] = {}
+        self._connects_by_id: dict[str, asyncio.Task[inner_link.Link | None]] = {}
+        self._retry_at_by_id: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._exit_stack = contextlib.AsyncExitStack()
+
+    def handle(self, message_type: type, handler: inner_link.Handler) -> None:
+        """Call the handler for each message of a type, from whichever peer."""
+        self._handlers_by_type[message_type] = handler
+
+    def set_address(self, peer_id: str, address: Address) -> None:
+        """Tell where a peer listens; a changed address closes the old link."""
+        if self._addresses_by_id.get(peer_id) == address:
+            return
+        self._addresses_by_id[peer_id] = address
+        link = self._links_by_id.pop(peer_id, None)
+        if link is not None:
+            link.close()
+
+    async def start(self, host: str, port: int) -> Address:
+        """Listen for peers and return the address in use."""
+        server = await asyncio.start_server(self._accept, host, port)
+        await self._exit_stack.enter_async_context(_closing(server))
+        self._exit_stack.callback(self._close_links)
+        bound = server.sockets[0].getsockname()
+        return Address(bound[0], bound[1])
+
+    def send(self, peer_id: str, message: object) -> bool:
+        """Send a message without a reply; false if the peer has no open link."""
+        link = self._links_by_id.get(peer_id)
+        if link is not None and link.is_open:
+            return link.send(message)
+        self._connect(peer_id)
+        return False
+
+    async def request(
+        self, peer_id: str, message: object, timeout_s: float
+    ) -> result.Result[Any, inner_link.LinkError]:
+        """Send a message and return its reply, opening a link if there is none."""
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        link = await self._open_link(peer_id, timeout_s)
+        if link is None:
+            error = inner_link.LinkError(inner_link.LinkFault.CLOSED, "not connected")
+            return result.Err(error)
+        left_s = deadline - asyncio.get_running_loop().time()
+        return await link.request(message, left_s)
+
+    async def aclose(self) -> None:
+        """Close every link and the server."""
+        await self._exit_stack.aclose()
+
+    async def _open_link(
+        self, peer_id: str, timeout_s: float
+    ) -> inner_link.Link | None:
+        link = self._links_by_id.get(peer_id)
+        if link is not None and link.is_open:
+            return link
+        task = self._connect(peer_id)
+        if task is None:
+            return None
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            return None
+
+    def _connect(self, peer_id: str) -> asyncio.Task[inner_link.Link | None] | None:
+        task = self._connects_by_id.get(peer_id)
+        if task is not None:
+            return task
+        now = asyncio.get_running_loop().time()
+        if peer_id not in self._addresses_by_id:
+            return None
+        if now < self._retry_at_by_id.get(peer_id, 0.0):
+            return None
+        self._retry_at_by_id[peer_id] = now + RECONNECT_DELAY_S
+        task = asyncio.create_task(self._open(peer_id))
+        self._connects_by_id[peer_id] = task
+        task.add_done_callback(lambda _: self._connects_by_id.pop(peer_id, None))
+        return task
+
+    async def _open(self, peer_id: str) -> inner_link.Link | None:
+        address = self._addresses_by_id[peer_id]
+        context = None if self._tls is None else self._tls.client_context()
+        try:
+            async with asyncio.timeout(self._timing.timeout_s):
+                reader, writer = await asyncio.open_connection(
+                    address.host, address.port, ssl=context
+                )
+        except (OSError, TimeoutError, ssl.SSLError):
+            return None
+        link = self._new_link(reader, writer)
+        greeting = await link.greet(self._may_be)
+        if isinstance(greeting, result.Err) or link.peer_id != peer_id:
+            reason = "another instance answers at the peer's address"
+            if isinstance(greeting, result.Err):
+                reason = greeting.err_value.detail
+            events.event("link.refused", peer=peer_id, reason=reason)
+            link.close()
+            return None
+        if self._addresses_by_id.get(peer_id) != address:
+            link.close()
+            return None
+        self._links_by_id[peer_id] = link
+        events.event("link.opened", peer=peer_id, direction="out")
+        self._spawn(self._run(link, is_outgoing=True))
+        return link
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._tls is not None:
+            accepted = await inner_tls.accept(self._tls, writer)
+            if isinstance(accepted, result.Err):
+                return
+        link = self._new_link(reader, writer)
+        greeting = await link.greet(self._may_be)
+        if isinstance(greeting, result.Err):
+            reason = greeting.err_value.detail
+            events.event("link.refused", peer="unknown", reason=reason)
+            link.close()
+            return
+        self._spawn(self._run(link, is_outgoing=False))
+
+    async def _run(self, link: inner_link.Link, is_outgoing: bool) -> None:
+        try:
+            await link.run()
+        finally:
+            if is_outgoing and self._links_by_id.get(link.peer_id) is link:
+                del self._links_by_id[link.peer_id]
+            direction = "out" if is_outgoing else "in"
+            events.event("link.closed", peer=link.peer_id, direction=direction)
+
+    def _may_be(self, writer: asyncio.StreamWriter, claimed_id: str) -> bool:
+        if self._tls is None:
+            return True
+        return self._tls.peer_id(writer.get_extra_info("ssl_object")) == claimed_id
+
+    def _new_link(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> inner_link.Link:
+        return inner_link.Link(
+            reader, writer, self._own_id, self._handlers_by_type, self._timing
+        )
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _close_links(self) -> None:
+        for task in [*self._connects_by_id.values(), *self._tasks]:
+            task.cancel()
+
+
+@contextlib.asynccontextmanager
+async def _closing(server: asyncio.Server) -> Any:
+    try:
+        yield server
+    finally:
+        server.close()
--- /dev/null
+++ b/packages/protocol/tests/test_peers.py
@@ -0,0 +1,88 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+import result
+
+from yuccapitch.protocol import frames, link, node_messages, peers
+
+TIMING = link.LinkTiming(heartbeat_interval_s=0.05, timeout_s=1.0)
+
+
+class Pair:
+    """Two instances that know each other's address."""
+
+    def __init__(self, a: peers.Peers, b: peers.Peers, b_address: peers.Address):
+        self.a = a
+        self.b = b
+        self.b_address = b_address
+
+
+@pytest.fixture
+async def pair() -> AsyncIterator[Pair]:
+    async with contextlib.AsyncExitStack() as stack:
+        a = peers.Peers("a", TIMING)
+        b = peers.Peers("b", TIMING)
+        for instance in (a, b):
+            stack.push_async_callback(instance.aclose)
+        await a.start("127.0.0.1", 0)
+        address = await b.start("127.0.0.1", 0)
+        a.set_address("b", address)
+        yield Pair(a, b, address)
+
+
+async def test_peers_request_gets_its_own_reply(pair: Pair) -> None:
+    async def echo(peer: str, message: node_messages.VersionNotice) -> object:
+        await asyncio.sleep(0.01 if message.version == 1 else 0)
+        return message
+
+    pair.b.handle(node_messages.VersionNotice, echo)
+    replies = await asyncio.gather(
+        *(pair.a.request("b", node_messages.VersionNotice(n), 5) for n in (1, 2, 3))
+    )
+    assert [reply.unwrap().version for reply in replies] == [1, 2, 3]
+
+
+async def test_peers_request_without_handler_fails(pair: Pair) -> None:
+    reply = await pair.a.request("b", node_messages.VersionNotice(1), 5)
+    assert reply.unwrap_err().fault is link.LinkFault.REMOTE
+
+
+async def test_peers_request_to_unknown_peer_fails(pair: Pair) -> None:
+    reply = await pair.a.request("c", node_messages.VersionNotice(1), 5)
+    assert reply.unwrap_err().fault is link.LinkFault.CLOSED
+
+
+async def test_peers_wrong_instance_at_address_is_refused(pair: Pair) -> None:
+    pair.a.set_address("c", pair.b_address)
+    reply = await pair.a.request("c", node_messages.VersionNotice(1), 5)
+    assert isinstance(reply, result.Err)
+
+
+async def test_peers_garbage_closes_only_its_connection(pair: Pair) -> None:
+    reader, writer = await asyncio.open_connection(
+        pair.b_address.host, pair.b_address.port
+    )
+    writer.write(b"\x0f" * 4096)
+    received = await reader.read()
+    writer.close()
+    pair.b.handle(node_messages.VersionNotice, lambda peer, message: message)
+    reply = await pair.a.request("b", node_messages.VersionNotice(4), 5)
+    assert received[:2] == frames.MAGIC and reply.unwrap().version == 4
+
+
+async def test_peers_silent_peer_is_found(pair: Pair) -> None:
+    async def accept(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.Event().wait()
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    pair.a.set_address("silent", peers.Address("127.0.0.1", port))
+    reply = await pair.a.request("silent", node_messages.VersionNotice(1), 30)
+    server.close()
+    assert reply.unwrap_err().fault is link.LinkFault.CLOSED
