--- a/packages/steering/src/yuccapitch/steering/limiters.py
+++ b/packages/steering/src/yuccapitch/steering/limiters.py
@@ -5,7 +5,7 @@
 import abc
 import collections
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import result
 
@@ -56,6 +56,11 @@
     def __init__(self, resource: resources.Resource) -> None:
         self.resource = resource
 
+    @property
+    def is_windowed(self) -> bool:
+        """Whether used units come back with time and not by a release."""
+        return self.resource.window_s > 0
+
     @abc.abstractmethod
     def admit(self, share: int, units: int, now: float) -> Admission:
         """Takes units if the share allows it."""
@@ -89,6 +94,31 @@
     return decorate
 
 
+@dataclasses.dataclass(frozen=True)
+class AdmissionRequest:
+    """Units wanted of one share."""
+
+    limiter: Limiter
+    share: int
+    units: int = 1
+
+
+def admit_all(
+    requests: Sequence[AdmissionRequest], now: float
+) -> result.Result[tuple[Admitted, ...], Refused]:
+    """Takes units of every share or of none that can be given back."""
+    admitted: list[tuple[Limiter, Admitted]] = []
+    # Units of a window cannot be given back, so those are taken last.
+    for request in sorted(requests, key=lambda request: request.limiter.is_windowed):
+        admission = request.limiter.admit(request.share, request.units, now)
+        if admission.is_err():
+            for limiter, units in admitted:
+                limiter.release(units)
+            return result.Err(admission.unwrap_err())
+        admitted.append((request.limiter, admission.unwrap()))
+    return result.Ok(tuple(units for _, units in admitted))
+
+
 def limiter_for(resource: resources.Resource) -> Limiter:
     """Makes the limiter of a resource."""
     return _LIMITERS_BY_KIND[resource.kind](resource)
--- a/packages/steering/src/yuccapitch/steering/share_holder.py
+++ b/packages/steering/src/yuccapitch/steering/share_holder.py
@@ -27,6 +27,8 @@
     """What an answer changed."""
 
     SHARES = "shares"
+    REDUCED = "reduced"
+    """A share shrank; the holder should renew at once to free it for others."""
     EPOCH = "epoch"
     """A new leader term; the holder should renew again at once."""
 
@@ -108,10 +110,15 @@
             return result.Err(Ignored.LAPSED)
         self._grant_seq = answer.grant_seq
         self.expires_at = sent_at + self.lease_duration_s
-        self._grants_by_resource = {
+        granted = {
             resources.ResourceId(grant.resource_id): grant for grant in answer.grants
         }
-        return result.Ok(Applied.SHARES)
+        is_reduced = any(
+            resource_id not in granted or granted[resource_id].share < held.share
+            for resource_id, held in self._grants_by_resource.items()
+        )
+        self._grants_by_resource = granted
+        return result.Ok(Applied.REDUCED if is_reduced else Applied.SHARES)
 
     def share(self, resource_id: resources.ResourceId, now: float) -> int:
         """Units of the resource that may be used now."""
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/shifts.py
@@ -0,0 +1,141 @@
+"""Whether a request stays in its region, goes by a shift or is refused."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Callable, Mapping
+
+from yuccapitch.catalogue import ids, model
+from yuccapitch.steering import limiters
+
+RETRY_AFTER_S = 1.0
+
+
+class Refusal(enum.Enum):
+    """Why no region takes the request."""
+
+    NO_SHIFT = "home region is not usable and no shift is"
+    CAP = "home region is not usable and every shift is at its cap"
+    CAPACITY = "home region is at its capacity and no shift has room"
+
+
+@dataclasses.dataclass(frozen=True)
+class RegionState:
+    """What is known of one region for one service."""
+
+    live_endpoint_owners: frozenset[ids.OwnerId]
+    has_capacity: bool
+    drained: bool = False
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the region may serve at all."""
+        return bool(self.live_endpoint_owners) and not self.drained
+
+
+@dataclasses.dataclass(frozen=True)
+class StayHome:
+    """The home region serves the request."""
+
+
+@dataclasses.dataclass(frozen=True)
+class GoByShift:
+    """The shift's target serves the request, at the shift owner's endpoints."""
+
+    shift_id: ids.ShiftId
+    target: ids.RegionId
+    endpoint_owner: ids.OwnerId
+    admitted: limiters.Admitted
+
+
+@dataclasses.dataclass(frozen=True)
+class NotRun:
+    """No region serves the request now."""
+
+    retry_after_s: float
+    refusal: Refusal
+
+
+Route = StayHome | GoByShift | NotRun
+
+
+def drained_regions(drains_by_id: Mapping[str, model.Drain]) -> frozenset[ids.RegionId]:
+    """Regions that operators drain."""
+    return frozenset(
+        ids.RegionId(drain.target)
+        for drain in drains_by_id.values()
+        if drain.kind is model.DrainKind.REGION
+    )
+
+
+def route(
+    service_id: ids.ServiceId,
+    home: ids.RegionId,
+    shifts_by_id: Mapping[ids.ShiftId, model.Shift],
+    states_by_region: Mapping[ids.RegionId, RegionState],
+    admit: Callable[[ids.ShiftId], limiters.Admission],
+    draw: float,
+) -> Route:
+    """Routes one request; `draw` is uniform in [0, 1) and picks by fraction."""
+    usable_by_id = {
+        shift_id: shift
+        for shift_id, shift in sorted(shifts_by_id.items())
+        if (shift.service, shift.source) == (service_id, home)
+        and _takes(shift, states_by_region.get(shift.target))
+    }
+    state = states_by_region.get(home)
+    if state is None or not state.is_usable:
+        refusal = Refusal.CAP if usable_by_id else Refusal.NO_SHIFT
+        return _by_any_shift(usable_by_id, admit, draw, refusal)
+    if not state.has_capacity:
+        return _by_any_shift(usable_by_id, admit, draw, Refusal.CAPACITY)
+    return _by_fraction(usable_by_id, admit, draw)
+
+
+def _takes(shift: model.Shift, state: RegionState | None) -> bool:
+    return (
+        state is not None
+        and state.is_usable
+        and state.has_capacity
+        and shift.endpoint_owner in state.live_endpoint_owners
+    )
+
+
+def _by_fraction(
+    usable_by_id: Mapping[ids.ShiftId, model.Shift],
+    admit: Callable[[ids.ShiftId], limiters.Admission],
+    draw: float,
+) -> Route:
+    threshold = 0.0
+    for shift_id, shift in usable_by_id.items():
+        threshold += shift.fraction
+        if draw < threshold:
+            admission = admit(shift_id)
+            if admission.is_ok():
+                return _go(shift_id, shift, admission.unwrap())
+            return StayHome()
+    return StayHome()
+
+
+def _by_any_shift(
+    usable_by_id: Mapping[ids.ShiftId, model.Shift],
+    admit: Callable[[ids.ShiftId], limiters.Admission],
+    draw: float,
+    refusal: Refusal,
+) -> Route:
+    ordered = list(usable_by_id)
+    first = int(draw * len(ordered))
+    waits_s = []
+    for shift_id in ordered[first:] + ordered[:first]:
+        admission = admit(shift_id)
+        if admission.is_ok():
+            return _go(shift_id, usable_by_id[shift_id], admission.unwrap())
+        waits_s.append(admission.unwrap_err().retry_after_s)
+    return NotRun(min(waits_s, default=RETRY_AFTER_S), refusal)
+
+
+def _go(
+    shift_id: ids.ShiftId, shift: model.Shift, admitted: limiters.Admitted
+) -> GoByShift:
+    return GoByShift(shift_id, shift.target, shift.endpoint_owner, admitted)
--- a/packages/steering/tests/test_ledger_machine.py
+++ b/packages/steering/tests/test_ledger_machine.py
@@ -265,7 +265,7 @@
 
     def apply(self, answer, now):
         applied = super().apply(answer, now)
-        if applied == share_holder.result.Ok(share_holder.Applied.SHARES):
+        if applied.is_ok() and answer.grant_seq > 0:
             self.expires_at = now + self.lease_duration_s
         return applied
 
--- /dev/null
+++ b/packages/steering/tests/test_limits.py
@@ -0,0 +1,207 @@
+"""Limiters, ramps, shifts and resources."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+import result
+
+from yuccapitch.catalogue import ids, model
+from yuccapitch.protocol import lease_messages
+from yuccapitch.steering import (
+    fair_shares,
+    ledger,
+    limiters,
+    ramp,
+    resources,
+    share_holder,
+    shifts,
+)
+
+ID = resources.ResourceId("r")
+KINDS = resources.LimiterKind
+HOME, TARGET = ids.RegionId("home"), ids.RegionId("target")
+OWNER = ids.OwnerId("o")
+SERVICE = ids.ServiceId("s")
+SHIFT = ids.ShiftId("shift")
+LIVE = shifts.RegionState(frozenset([OWNER]), has_capacity=True)
+
+
+class MarginlessLedger(ledger.Ledger):
+    """Trusts that all clocks run at one rate."""
+
+    def _lapse_time(self, now: float) -> float:
+        return now + self.lease_duration_s
+
+
+@pytest.mark.parametrize(
+    ("ledger_class", "shared"), [(ledger.Ledger, 10), (MarginlessLedger, 20)]
+)
+def test_ledger_slow_holder_keeps_share_until_its_expiry(ledger_class, shared) -> None:
+    resource = resources.Resource(ID, KINDS.CONCURRENCY, 10)
+    grantor = ledger_class(1, {ID: resource}, 0.0)
+    slow, other = (share_holder.ShareHolder(name, 1) for name in "ab")
+    exchange(grantor, slow, 20.0 * 1.01, 20.0 * 0.99)
+    assert slow.share(ID, 20.0 * 0.99) == 10
+    lapse = 20.0 + 4.0
+    exchange(grantor, other, lapse * 1.01, lapse)
+    assert slow.share(ID, lapse * 0.99) + other.share(ID, lapse) == shared
+
+
+def test_ledger_unused_shares_move_within_two_renewals() -> None:
+    resource = resources.Resource(ID, KINDS.CONCURRENCY, 100)
+    grantor = ledger.Ledger(1, {ID: resource}, 0.0)
+    idle, busy = (share_holder.ShareHolder(name, 1) for name in "ab")
+    exchange(grantor, idle, 20.0, 20.0, demand=90)
+    exchange(grantor, busy, 20.0, 20.0, demand=0)
+    for now in (21.0, 22.0):
+        exchange(grantor, idle, now, now, demand=0)
+        exchange(grantor, busy, now, now, demand=90)
+    assert busy.share(ID, 22.0) >= 90
+
+
+def test_ledger_lowered_limit_is_reported_until_shares_shrink() -> None:
+    grantor = ledger.Ledger(1, {ID: resources.Resource(ID, KINDS.CONCURRENCY, 10)}, 0.0)
+    holder = share_holder.ShareHolder("a", 1)
+    exchange(grantor, holder, 20.0, 20.0)
+    grantor.declare({ID: resources.Resource(ID, KINDS.CONCURRENCY, 4)})
+    assert grantor.limit_in_force(ID, 20.0) == ledger.LimitInForce(4, 10, True)
+    exchange(grantor, holder, 21.0, 21.0)
+    exchange(grantor, holder, 22.0, 22.0)
+    assert grantor.limit_in_force(ID, 22.0) == ledger.LimitInForce(4, 4, True)
+
+
+def exchange(
+    grantor: ledger.Ledger,
+    holder: share_holder.ShareHolder,
+    grantor_now: float,
+    now: float,
+    demand: int = 10,
+) -> None:
+    """Renews until nothing asks for another renewal at once."""
+    while True:
+        renewal = holder.renewal({ID: share_holder.Usage(demand)}, now)
+        answer: lease_messages.ShareAnswer = grantor.renew(
+            renewal, grantor_now
+        ).unwrap()
+        if holder.apply(answer, now) == result.Ok(share_holder.Applied.SHARES):
+            return
+
+
+def test_fair_shares_small_demands_first() -> None:
+    shares = fair_shares.fair_shares(10, {"a": 2, "b": 9, "c": 9})
+    assert shares == {"a": 2, "b": 4, "c": 4}
+
+
+def test_fair_shares_spare_is_spread() -> None:
+    assert fair_shares.fair_shares(10, {"a": 0, "b": 2}) == {"a": 4, "b": 6}
+
+
+def test_concurrency_limiter_release_frees() -> None:
+    limiter = limiters.limiter_for(resources.Resource(ID, KINDS.CONCURRENCY, 1))
+    admitted = limiter.admit(1, 1, 0.0).unwrap()
+    assert limiter.admit(1, 1, 0.0).is_err()
+    limiter.release(admitted)
+    assert limiter.admit(1, 1, 0.0).is_ok()
+
+
+def test_rate_limiter_any_window_within_share() -> None:
+    draw = random.Random(1)
+    limiter = limiters.limiter_for(
+        resources.Resource(ID, KINDS.RATE, 5, window_s=1.0, linger_s=1.0)
+    )
+    times = sorted(draw.uniform(0, 20) for _ in range(400))
+    admitted = [now for now in times if limiter.admit(5, 1, now).is_ok()]
+    assert len(admitted) > 60
+    for start in admitted:
+        assert sum(start <= now < start + 1.0 for now in admitted) <= 5
+
+
+def test_rate_limiter_retry_after_is_enough() -> None:
+    limiter = limiters.limiter_for(resources.Resource(ID, KINDS.RATE, 1, window_s=1.0))
+    limiter.admit(1, 1, 0.25)
+    refused = limiter.admit(1, 1, 0.5).unwrap_err()
+    assert limiter.admit(1, 1, 0.5 + refused.retry_after_s).is_ok()
+
+
+def test_bytes_limiter_backs_off_and_grows_back() -> None:
+    limiter = limiters.BytesLimiter(
+        resources.Resource(ID, KINDS.BYTES, 1000, window_s=0.25)
+    )
+    signal = limiters.LinkSignal(loss=0.05, round_trip_s=0.11, base_round_trip_s=0.11)
+    limiter.observe(signal, 0.0)
+    limiter.observe(signal, 0.01)
+    assert limiter.fraction(0.01) == pytest.approx(0.5, abs=0.01)
+    assert limiter.admit(1000, 600, 0.01).is_err()
+    assert limiter.admit(1000, 600, 5.0).is_ok()
+    assert limiter.fraction(60.0) == 1.0
+
+
+def test_admit_all_gives_back_on_refusal() -> None:
+    capacity = limiters.limiter_for(resources.Resource(ID, KINDS.CONCURRENCY, 1))
+    rate = limiters.limiter_for(resources.Resource(ID, KINDS.RATE, 1, window_s=1.0))
+    wanted = [
+        limiters.AdmissionRequest(rate, 0),
+        limiters.AdmissionRequest(capacity, 1),
+    ]
+    assert limiters.admit_all(wanted, 0.0).is_err()
+    assert capacity.in_use(0.0) == 0
+
+
+def test_ramp_grows_from_floor_and_restarts_cold() -> None:
+    warmth = ramp.after_load(None, 100.0)
+    assert ramp.allowance(warmth, 100, 100.0) == 10
+    warmth = ramp.after_load(warmth, 115.0)
+    assert ramp.allowance(warmth, 100, 115.0) == 55
+    assert ramp.allowance(warmth, 100, 130.0) == 100
+    assert ramp.allowance(warmth, 100, 115.0 + ramp.COLD_AFTER_S + 1) == 10
+
+
+def shift(fraction: float = 0.0) -> dict[ids.ShiftId, model.Shift]:
+    """One shift from home to target."""
+    return {
+        SHIFT: model.Shift(
+            service=SERVICE,
+            source=HOME,
+            target=TARGET,
+            endpoint_owner=OWNER,
+            cap_per_s=1,
+            fraction=fraction,
+        )
+    }
+
+
+def admit(_: ids.ShiftId) -> limiters.Admission:
+    """A shift below its cap."""
+    return result.Ok(limiters.Admitted(ID, 1))
+
+
+def refuse(_: ids.ShiftId) -> limiters.Admission:
+    """A shift at its cap."""
+    return result.Err(limiters.Refused(ID, 0.4))
+
+
+DRAINED = shifts.RegionState(frozenset([OWNER]), has_capacity=True, drained=True)
+FULL = shifts.RegionState(frozenset([OWNER]), has_capacity=False)
+GONE = shifts.RegionState(frozenset(), has_capacity=True)
+GO = shifts.GoByShift(SHIFT, TARGET, OWNER, limiters.Admitted(ID, 1))
+
+
+@pytest.mark.parametrize(
+    ("home", "target", "fraction", "take", "expected"),
+    [
+        (LIVE, LIVE, 0.0, admit, shifts.StayHome()),
+        (LIVE, LIVE, 0.6, admit, GO),
+        (LIVE, LIVE, 0.4, admit, shifts.StayHome()),
+        (LIVE, LIVE, 0.6, refuse, shifts.StayHome()),
+        (FULL, LIVE, 0.0, admit, GO),
+        (DRAINED, LIVE, 0.0, admit, GO),
+        (GONE, LIVE, 0.0, refuse, shifts.NotRun(0.4, shifts.Refusal.CAP)),
+        (GONE, DRAINED, 0.0, admit, shifts.NotRun(1.0, shifts.Refusal.NO_SHIFT)),
+        (FULL, FULL, 0.0, admit, shifts.NotRun(1.0, shifts.Refusal.CAPACITY)),
+    ],
+)
+def test_route_by_state(home, target, fraction, take, expected) -> None:
+    states = {HOME: home, TARGET: target}
+    assert shifts.route(SERVICE, HOME, shift(fraction), states, take, 0.5) == expected
