--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/health.py
@@ -0,0 +1,191 @@
+"""An entry instance's view of endpoints: own observations, reports, probes."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import statistics
+from collections.abc import Iterable
+
+from yuccapitch.catalogue import ids
+
+SLOWNESS_WEIGHT = 0.05
+TYPICAL_WEIGHT = 0.02
+FRESH_S = 10.0
+"""Age at which a measurement no longer speaks for an endpoint."""
+REPORT_FRESH_S = 10.0
+DOUBT_AFTER_FAILURES = 3
+DOUBT_S = 1.0
+MAX_DOUBT_S = 30.0
+DEFAULT_SERVICE_S = 0.02
+
+
+class ExchangeEnd(enum.Enum):
+    """How an exchange with an endpoint ended, as this instance saw it."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    FAILED = "failed"
+    TIMED_OUT = "timed-out"
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadReport:
+    """An endpoint's statement about itself."""
+
+    endpoint_id: ids.EndpointId
+    in_flight: int
+    taken_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Standing:
+    """What is believed of an endpoint now."""
+
+    slowness: float
+    """Service time as a multiple of what is typical for the same work."""
+    doubtful: bool
+    measured: bool
+    reported_in_flight: int | None
+
+
+class HealthView:
+    """Measurements of the endpoints that one instance sends to."""
+
+    def __init__(self) -> None:
+        self._records_by_id: dict[ids.EndpointId, _Record] = {}
+        self._typical_s_by_route: dict[str, float] = {}
+
+    def observe_exchange(
+        self,
+        endpoint_id: ids.EndpointId,
+        end: ExchangeEnd,
+        route: str,
+        service_s: float,
+        now: float,
+    ) -> None:
+        """Record an own exchange, or one that a borrower reports on release."""
+        record = self._record(endpoint_id)
+        if end is ExchangeEnd.FAILED:
+            record.fail(now)
+            return
+        if end is ExchangeEnd.SHED:
+            return
+        if end is ExchangeEnd.TIMED_OUT:
+            record.fail(now)
+        else:
+            record.succeed()
+        typical_s = self._typical_s_by_route.setdefault(route, service_s)
+        # A slow endpoint must not raise what counts as typical.
+        sample_s = service_s / max(1.0, record.slowness)
+        self._typical_s_by_route[route] = typical_s + TYPICAL_WEIGHT * (
+            sample_s - typical_s
+        )
+        relative = service_s / max(typical_s, 1e-6)
+        record.slowness += SLOWNESS_WEIGHT * (relative - record.slowness)
+        record.exchanged_at = now
+
+    def observe_report(self, report: LoadReport) -> None:
+        """Record an endpoint's report unless a newer one is known."""
+        record = self._record(report.endpoint_id)
+        if record.report is None or report.taken_at > record.report.taken_at:
+            record.report = report
+
+    def observe_probe(
+        self, endpoint_id: ids.EndpointId, answered: bool, now: float
+    ) -> None:
+        """Record a probe; it counts only where no exchange has spoken since."""
+        record = self._record(endpoint_id)
+        if now - record.exchanged_at < FRESH_S and not record.failures:
+            return
+        if not answered:
+            record.fail(now)
+            return
+        record.succeed()
+        record.probed_at = now
+
+    def expected_service_s(
+        self, endpoint_id: ids.EndpointId, route: str, now: float
+    ) -> float:
+        """Return the expected service time of a route's work at an endpoint."""
+        return self.typical_service_s(route) * self.standing(endpoint_id, now).slowness
+
+    def typical_service_s(self, route: str) -> float:
+        """Return the service time of a route's work at an ordinary endpoint."""
+        return self._typical_s_by_route.get(route, DEFAULT_SERVICE_S)
+
+    def standing(self, endpoint_id: ids.EndpointId, now: float) -> Standing:
+        """Return what is believed of an endpoint, measurements aged."""
+        record = self._record(endpoint_id)
+        fresh = now - record.exchanged_at < FRESH_S
+        # A good figure fades to the ordinary one; a bad one stays until something
+        # newer replaces it.
+        slowness = record.slowness if fresh else max(1.0, record.slowness)
+        report = record.report
+        if report is not None and now - report.taken_at >= REPORT_FRESH_S:
+            report = None
+        return Standing(
+            slowness,
+            now < record.doubtful_until,
+            fresh or now - record.probed_at < FRESH_S,
+            None if report is None else report.in_flight,
+        )
+
+    def standings(
+        self, endpoint_ids: Iterable[ids.EndpointId], now: float
+    ) -> dict[ids.EndpointId, Standing]:
+        """Return the standing of each endpoint of a group.
+
+        Without any measurement, or if all are doubtful, none is preferred:
+        traffic stays spread over the whole group.
+        """
+        standings_by_id = {
+            endpoint_id: self.standing(endpoint_id, now) for endpoint_id in endpoint_ids
+        }
+        if not standings_by_id:
+            return standings_by_id
+        standings = standings_by_id.values()
+        if not any(standing.measured for standing in standings):
+            return {
+                endpoint_id: dataclasses.replace(standing, slowness=1.0, doubtful=False)
+                for endpoint_id, standing in standings_by_id.items()
+            }
+        if all(standing.doubtful for standing in standings):
+            return {
+                endpoint_id: dataclasses.replace(standing, doubtful=False)
+                for endpoint_id, standing in standings_by_id.items()
+            }
+        ordinary = max(0.1, statistics.median(s.slowness for s in standings))
+        return {
+            endpoint_id: dataclasses.replace(
+                standing, slowness=standing.slowness / ordinary
+            )
+            for endpoint_id, standing in standings_by_id.items()
+        }
+
+    def forget(self, endpoint_id: ids.EndpointId) -> None:
+        """Drop what was measured of an earlier incarnation."""
+        self._records_by_id.pop(endpoint_id, None)
+
+    def _record(self, endpoint_id: ids.EndpointId) -> _Record:
+        return self._records_by_id.setdefault(endpoint_id, _Record())
+
+
+@dataclasses.dataclass
+class _Record:
+    slowness: float = 1.0
+    exchanged_at: float = float("-inf")
+    probed_at: float = float("-inf")
+    report: LoadReport | None = None
+    failures: int = 0
+    doubtful_until: float = float("-inf")
+
+    def fail(self, now: float) -> None:
+        self.failures += 1
+        excess = self.failures - DOUBT_AFTER_FAILURES
+        if excess >= 0:
+            self.doubtful_until = now + min(MAX_DOUBT_S, DOUBT_S * 2.0**excess)
+
+    def succeed(self) -> None:
+        self.failures = 0
+        self.doubtful_until = float("-inf")
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/owners.py
@@ -0,0 +1,98 @@
+"""Which entry instance owns the slots of which endpoints."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from collections.abc import Mapping, Sequence
+
+import xxhash
+
+from yuccapitch.catalogue import ids
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Where an instance or endpoint runs."""
+
+    region: ids.RegionId
+    failure_domain: ids.FailureDomainId
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Pool:
+    """The endpoints of one service in one failure domain, owned together."""
+
+    service: ids.ServiceId
+    failure_domain: ids.FailureDomainId
+
+
+def ranked(key: str, instance_ids: Sequence[ids.InstanceId]) -> list[ids.InstanceId]:
+    """Order instances by rendezvous hash, the preferred one first."""
+    return sorted(
+        instance_ids,
+        key=lambda instance_id: (-_score(key, instance_id), instance_id),
+    )
+
+
+def assign_pools(
+    regions_by_pool: Mapping[Pool, ids.RegionId],
+    places_by_instance_id: Mapping[ids.InstanceId, Place],
+) -> dict[Pool, ids.InstanceId]:
+    """Give each pool an owner: in its failure domain if possible, else its region.
+
+    Pools are spread so that no instance of a failure domain owns more than its
+    even part; a pool moves only if its owner left or is above that part. Pools of a
+    region without instances have no owner.
+    """
+    owners_by_pool: dict[Pool, ids.InstanceId] = {}
+    owned: collections.Counter[ids.InstanceId] = collections.Counter()
+    pools_by_group: dict[tuple[ids.InstanceId, ...], list[Pool]] = {}
+    for pool in sorted(regions_by_pool):
+        group = _group(pool, regions_by_pool[pool], places_by_instance_id)
+        pools_by_group.setdefault(group, []).append(pool)
+    for group, pools in sorted(pools_by_group.items(), key=lambda item: len(item[0])):
+        if not group:
+            continue
+        owned_before = sum(owned[instance_id] for instance_id in group)
+        most = math.ceil((owned_before + len(pools)) / len(group))
+        for pool in pools:
+            owner = _owner(pool, group, owned, most)
+            owners_by_pool[pool] = owner
+            owned[owner] += 1
+    return owners_by_pool
+
+
+def _group(
+    pool: Pool,
+    region: ids.RegionId,
+    places_by_instance_id: Mapping[ids.InstanceId, Place],
+) -> tuple[ids.InstanceId, ...]:
+    in_domain = [
+        instance_id
+        for instance_id, place in places_by_instance_id.items()
+        if place.failure_domain == pool.failure_domain
+    ]
+    in_region = [
+        instance_id
+        for instance_id, place in places_by_instance_id.items()
+        if place.region == region
+    ]
+    return tuple(sorted(in_domain or in_region))
+
+
+def _owner(
+    pool: Pool,
+    group: tuple[ids.InstanceId, ...],
+    owned: collections.Counter[ids.InstanceId],
+    most: int,
+) -> ids.InstanceId:
+    key = f"{pool.service}/{pool.failure_domain}"
+    candidates = ranked(key, group)
+    below = [instance_id for instance_id in candidates if owned[instance_id] < most]
+    return (below or candidates)[0]
+
+
+def _score(key: str, instance_id: ids.InstanceId) -> int:
+    return xxhash.xxh64_intdigest(f"{key}|{instance_id}")
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/queue.py
@@ -0,0 +1,169 @@
+"""Requests that wait for a slot: bounded by deadline, impatient work first."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+
+import result
+
+from yuccapitch.catalogue import model
+
+RESERVED_FRACTION = 0.25
+"""Part of the slots that patient work may only borrow."""
+PATIENT_TURN = 16
+"""Every so many starts, one goes to patient work even if impatient work waits."""
+MAX_WAITING = 1024
+
+
+class ShedReason(enum.Enum):
+    """Why a request was refused before it was sent; each is `not-run`."""
+
+    WAIT_PASSES_DEADLINE = "wait-passes-deadline"
+    QUEUE_FULL = "queue-full"
+    EXPIRED = "expired"
+    EVICTED = "evicted-by-impatient-work"
+
+
+@dataclasses.dataclass(frozen=True)
+class Waiting:
+    """A request that needs a slot."""
+
+    request_id: str
+    patience: model.Patience
+    deadline: float
+    expected_service_s: float
+    recallable: bool = False
+    """Whether it may be cancelled while it runs and started again (read-only)."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Shed:
+    """A request refused before it was sent."""
+
+    request_id: str
+    reason: ShedReason
+
+
+class ClassQueue:
+    """Order of start for the requests that share one pool of slots."""
+
+    def __init__(self, slots: int, max_waiting: int = MAX_WAITING) -> None:
+        self.slots = slots
+        self.max_waiting = max_waiting
+        self.patient_in_flight = 0
+        self._starts_since_patient = 0
+        self._waiting_by_patience: dict[
+            model.Patience, collections.OrderedDict[str, Waiting]
+        ] = {patience: collections.OrderedDict() for patience in model.Patience}
+        self._recallable_by_id: dict[str, Waiting] = {}
+
+    def __len__(self) -> int:
+        return sum(len(waiting) for waiting in self._waiting_by_patience.values())
+
+    @property
+    def reserved(self) -> int:
+        """Slots kept for impatient work; at least one is left to patient work."""
+        return min(self.slots - 1, round(self.slots * RESERVED_FRACTION))
+
+    def expected_wait_s(
+        self, patience: model.Patience, expected_service_s: float
+    ) -> float:
+        """Estimate the wait of a request that arrives now and finds no free slot."""
+        ahead = len(self._waiting_by_patience[model.Patience.IMPATIENT])
+        slots = self.slots
+        if patience is model.Patience.PATIENT:
+            ahead += len(self._waiting_by_patience[model.Patience.PATIENT])
+            slots -= self.reserved
+        return (ahead + 1) * expected_service_s / max(1, slots)
+
+    def offer(
+        self, request: Waiting, now: float
+    ) -> result.Result[tuple[Shed, ...], Shed]:
+        """Queue a request; return those it displaced, or why it is refused."""
+        wait_s = 0.0
+        if len(self):
+            wait_s = self.expected_wait_s(request.patience, request.expected_service_s)
+        if now + wait_s >= request.deadline:
+            return result.Err(Shed(request.request_id, ShedReason.WAIT_PASSES_DEADLINE))
+        displaced: tuple[Shed, ...] = ()
+        if len(self) >= self.max_waiting:
+            patient = self._waiting_by_patience[model.Patience.PATIENT]
+            if request.patience is model.Patience.PATIENT or not patient:
+                return result.Err(Shed(request.request_id, ShedReason.QUEUE_FULL))
+            # The newest is displaced, so that the oldest keep coming nearer.
+            newest_id, _ = patient.popitem(last=True)
+            displaced = (Shed(newest_id, ShedReason.EVICTED),)
+        self._waiting_by_patience[request.patience][request.request_id] = request
+        return result.Ok(displaced)
+
+    def drop_expired(self, now: float) -> tuple[Shed, ...]:
+        """Remove the requests whose deadline leaves no time to be served."""
+        dropped = []
+        for waiting in self._waiting_by_patience.values():
+            expired = [w.request_id for w in waiting.values() if w.deadline <= now]
+            for request_id in expired:
+                del waiting[request_id]
+                dropped.append(Shed(request_id, ShedReason.EXPIRED))
+        return tuple(dropped)
+
+    def remove(self, request_id: str) -> bool:
+        """Remove a waiting request whose caller has left."""
+        for waiting in self._waiting_by_patience.values():
+            if waiting.pop(request_id, None) is not None:
+                return True
+        return False
+
+    def peek(self, now: float) -> Waiting | None:
+        """Return the request to start when a slot is free, expired ones skipped."""
+        impatient = self._first_live(model.Patience.IMPATIENT, now)
+        patient = self._first_live(model.Patience.PATIENT, now)
+        if patient is not None and not self._patient_may_start(patient):
+            patient = None
+        patient_due = self._starts_since_patient >= PATIENT_TURN - 1
+        if impatient is None or (patient is not None and patient_due):
+            return patient
+        return impatient
+
+    def start(self, request: Waiting) -> None:
+        """Record that a request got a slot."""
+        self._waiting_by_patience[request.patience].pop(request.request_id, None)
+        if request.patience is model.Patience.IMPATIENT:
+            self._starts_since_patient += 1
+            return
+        self._starts_since_patient = 0
+        self.patient_in_flight += 1
+        if request.recallable:
+            self._recallable_by_id[request.request_id] = request
+
+    def finish(self, request: Waiting) -> None:
+        """Record that a started request gave its slot back."""
+        if request.patience is model.Patience.PATIENT:
+            self.patient_in_flight -= 1
+            self._recallable_by_id.pop(request.request_id, None)
+
+    def recall(self) -> Waiting | None:
+        """Return patient work on a borrowed slot to cancel and queue again.
+
+        To be asked when impatient work waits and no slot is free.
+        """
+        if not self._waiting_by_patience[model.Patience.IMPATIENT]:
+            return None
+        if self.patient_in_flight <= self.slots - self.reserved:
+            return None
+        if not self._recallable_by_id:
+            return None
+        # The newest has the least finished work to lose.
+        return self._recallable_by_id.pop(next(reversed(self._recallable_by_id)))
+
+    def _first_live(self, patience: model.Patience, now: float) -> Waiting | None:
+        for request in self._waiting_by_patience[patience].values():
+            if request.deadline > now:
+                return request
+        return None
+
+    def _patient_may_start(self, request: Waiting) -> bool:
+        if self.patient_in_flight < self.slots - self.reserved:
+            return True
+        return request.recallable and self.patient_in_flight < self.slots
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/retry.py
@@ -0,0 +1,119 @@
+"""Whether a failed attempt may be sent again: safety, budget, deadline."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+import result
+
+from yuccapitch.catalogue import ids, model
+
+BUDGET_RATIO = 0.1
+"""Retries allowed for each first attempt."""
+BUDGET_BURST = 10.0
+MAX_ATTEMPTS = 3
+SHED_AVOIDANCE_S = 1.0
+"""Time for which an endpoint that shed gets no retry."""
+
+
+class AttemptEnd(enum.Enum):
+    """How an attempt without an answer ended."""
+
+    NOT_SENT = "not-sent"
+    SHED = "shed"
+    BROKEN = "broken"
+    TIMED_OUT = "timed-out"
+
+
+class Stop(enum.Enum):
+    """Why no further attempt is made."""
+
+    MAY_HAVE_RUN = "may-have-run"
+    BUDGET_SPENT = "budget-spent"
+    DEADLINE = "deadline"
+    ATTEMPTS = "attempts"
+    NO_OTHER_ENDPOINT = "no-other-endpoint"
+
+
+@dataclasses.dataclass(frozen=True)
+class Attempt:
+    """The last attempt of a request."""
+
+    number: int
+    request_class: model.RequestClass
+    end: AttemptEnd
+    deadline: float
+    expected_service_s: float
+
+
+class RetryBudget:
+    """Token bucket of one service: first attempts fill it, retries spend it."""
+
+    def __init__(
+        self, ratio: float = BUDGET_RATIO, burst: float = BUDGET_BURST
+    ) -> None:
+        self.ratio = ratio
+        self.burst = burst
+        self.tokens = burst
+
+    def record_first_attempt(self) -> None:
+        """Add a first attempt's part of a retry."""
+        self.tokens = min(self.burst, self.tokens + self.ratio)
+
+    def spend(self) -> bool:
+        """Take the token of one retry, if there is one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class ShedMemory:
+    """Endpoints just seen to shed."""
+
+    def __init__(self) -> None:
+        self._shed_at_by_id: dict[ids.EndpointId, float] = {}
+
+    def record(self, endpoint_id: ids.EndpointId, now: float) -> None:
+        """Remember that the endpoint shed a request."""
+        self._shed_at_by_id[endpoint_id] = now
+
+    def avoided(self, now: float) -> frozenset[ids.EndpointId]:
+        """Return the endpoints that get no retry now."""
+        self._shed_at_by_id = {
+            endpoint_id: shed_at
+            for endpoint_id, shed_at in self._shed_at_by_id.items()
+            if now - shed_at < SHED_AVOIDANCE_S
+        }
+        return frozenset(self._shed_at_by_id)
+
+
+def may_run_again(request_class: model.RequestClass, end: AttemptEnd) -> bool:
+    """Return whether a further attempt cannot run the request twice.
+
+    Kept-once requests are resent through their claim, never by this rule alone.
+    """
+    if end in (AttemptEnd.NOT_SENT, AttemptEnd.SHED):
+        return True
+    return request_class is model.RequestClass.READ_ONLY
+
+
+def decide_retry(
+    attempt: Attempt, budget: RetryBudget, other_endpoints: int, now: float
+) -> result.Result[int, Stop]:
+    """Return the number of the next attempt, or why there is none.
+
+    The budget is charged last, so that a retry refused for another reason is free.
+    """
+    if not may_run_again(attempt.request_class, attempt.end):
+        return result.Err(Stop.MAY_HAVE_RUN)
+    if attempt.number >= MAX_ATTEMPTS:
+        return result.Err(Stop.ATTEMPTS)
+    if now + attempt.expected_service_s >= attempt.deadline:
+        return result.Err(Stop.DEADLINE)
+    if other_endpoints <= 0:
+        return result.Err(Stop.NO_OTHER_ENDPOINT)
+    if not budget.spend():
+        return result.Err(Stop.BUDGET_SPENT)
+    return result.Ok(attempt.number + 1)
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/slots.py
@@ -0,0 +1,221 @@
+"""The owner's table of endpoint slots: who holds each one, and until when."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import heapq
+
+import result
+
+from yuccapitch.catalogue import ids
+
+RELEASE_GRACE_S = 0.25
+"""Time past its deadline for which a request may still occupy an endpoint."""
+
+
+class SlotRefusal(enum.Enum):
+    """Why a slot was not given."""
+
+    NO_FREE_SLOT = "no-free-slot"
+    NOT_OWNER = "not-owner"
+    LEASE_LAPSED = "lease-lapsed"
+    DEADLINE_PASSED = "deadline-passed"
+
+
+@dataclasses.dataclass(frozen=True)
+class Hold:
+    """One slot of an endpoint, held for one request."""
+
+    term: int
+    number: int
+    endpoint_id: ids.EndpointId
+    holder: ids.InstanceId
+    work_ends_by: float
+    """Deadline to pass down to the endpoint; the exchange is closed then."""
+    reclaim_at: float
+    """When the owner takes the slot back if no release has arrived."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Quarantine:
+    """Slots that work of an earlier owner may still occupy."""
+
+    slots: int
+    until: float
+
+
+class SlotTable:
+    """Slots of the endpoints that one entry instance owns under a lease.
+
+    `term` must differ between two ownerships by the same instance, so that a
+    release meant for the first cannot free a slot of the second.
+    """
+
+    def __init__(self, *, term: int, lease_until: float, longest_deadline_s: float):
+        self.term = term
+        self.lease_until = lease_until
+        self.longest_deadline_s = longest_deadline_s
+        self._numbers = 0
+        self._endpoints_by_id: dict[ids.EndpointId, _EndpointSlots] = {}
+        self._holds_by_number: dict[int, Hold] = {}
+        self._reclaims: list[tuple[float, int]] = []
+
+    @property
+    def endpoint_ids(self) -> tuple[ids.EndpointId, ...]:
+        """Endpoints whose slots this table gives out."""
+        return tuple(self._endpoints_by_id)
+
+    @property
+    def holds(self) -> tuple[Hold, ...]:
+        """Every slot held now."""
+        return tuple(self._holds_by_number.values())
+
+    def renew(self, lease_until: float) -> None:
+        """Extend the ownership lease; an older renewal has no effect."""
+        self.lease_until = max(self.lease_until, lease_until)
+
+    def add_endpoint(
+        self,
+        endpoint_id: ids.EndpointId,
+        slots: int,
+        quarantines: tuple[Quarantine, ...] = (),
+    ) -> None:
+        """Own an endpoint, or change its number of slots."""
+        known = self._endpoints_by_id.get(endpoint_id)
+        if known is None:
+            known = self._endpoints_by_id[endpoint_id] = _EndpointSlots(slots)
+        known.slots = slots
+        known.quarantines = [*known.quarantines, *quarantines]
+
+    def remove_endpoint(self, endpoint_id: ids.EndpointId) -> tuple[Hold, ...]:
+        """Stop owning an endpoint; return the holds to hand to its next owner."""
+        self._endpoints_by_id.pop(endpoint_id, None)
+        holds = [h for h in self.holds if h.endpoint_id == endpoint_id]
+        for hold in holds:
+            del self._holds_by_number[hold.number]
+        return tuple(holds)
+
+    def free(self, endpoint_id: ids.EndpointId, now: float) -> int:
+        """Return how many slots of the endpoint may be acquired now."""
+        if now >= self.lease_until:
+            return 0
+        self.reclaim(now)
+        endpoint = self._endpoints_by_id.get(endpoint_id)
+        return 0 if endpoint is None else endpoint.free(now)
+
+    def slots(self, endpoint_id: ids.EndpointId) -> int:
+        """Return the declared slots of an owned endpoint."""
+        endpoint = self._endpoints_by_id.get(endpoint_id)
+        return 0 if endpoint is None else endpoint.slots
+
+    def usable_slots(self, now: float) -> int:
+        """Return the slots of all endpoints that are not in quarantine."""
+        return sum(e.usable(now) for e in self._endpoints_by_id.values())
+
+    def total_free(self, now: float) -> int:
+        """Return the free slots of all endpoints."""
+        return sum(self.free(endpoint_id, now) for endpoint_id in self.endpoint_ids)
+
+    def acquire(
+        self,
+        endpoint_id: ids.EndpointId,
+        holder: ids.InstanceId,
+        deadline: float,
+        now: float,
+    ) -> result.Result[Hold, SlotRefusal]:
+        """Hold a slot for one request, by this instance or a borrower."""
+        if now >= self.lease_until:
+            return result.Err(SlotRefusal.LEASE_LAPSED)
+        if deadline <= now:
+            return result.Err(SlotRefusal.DEADLINE_PASSED)
+        endpoint = self._endpoints_by_id.get(endpoint_id)
+        if endpoint is None:
+            return result.Err(SlotRefusal.NOT_OWNER)
+        self.reclaim(now)
+        if endpoint.free(now) <= 0:
+            return result.Err(SlotRefusal.NO_FREE_SLOT)
+        # The next owner's quarantine relies on this bound.
+        work_ends_by = min(deadline, now + self.longest_deadline_s)
+        self._numbers += 1
+        hold = Hold(
+            self.term,
+            self._numbers,
+            endpoint_id,
+            holder,
+            work_ends_by,
+            work_ends_by + RELEASE_GRACE_S,
+        )
+        endpoint.held += 1
+        self._holds_by_number[hold.number] = hold
+        heapq.heappush(self._reclaims, (hold.reclaim_at, hold.number))
+        return result.Ok(hold)
+
+    def release(self, term: int, number: int) -> Hold | None:
+        """Free a slot; a doubled release or one of another term has no effect."""
+        if term != self.term:
+            return None
+        hold = self._holds_by_number.pop(number, None)
+        if hold is not None and hold.endpoint_id in self._endpoints_by_id:
+            self._endpoints_by_id[hold.endpoint_id].held -= 1
+        return hold
+
+    def reclaim(self, now: float) -> tuple[Hold, ...]:
+        """Take back slots whose release message must have been lost."""
+        reclaimed = []
+        while self._reclaims and self._reclaims[0][0] <= now:
+            _, number = heapq.heappop(self._reclaims)
+            hold = self.release(self.term, number)
+            if hold is not None:
+                reclaimed.append(hold)
+        return tuple(reclaimed)
+
+
+def take_over_quarantines(
+    slots: int,
+    *,
+    patient_slots: int,
+    lease_end: float,
+    impatient_deadline_s: float,
+    longest_deadline_s: float,
+) -> tuple[Quarantine, ...]:
+    """Return the quarantines of an endpoint taken over after an owner's loss.
+
+    Patient work, which has the longest deadlines, never holds more than
+    `patient_slots` of an endpoint, so the others are free again sooner.
+    """
+    impatient = slots - patient_slots
+    early = lease_end + impatient_deadline_s + RELEASE_GRACE_S
+    late = lease_end + longest_deadline_s + RELEASE_GRACE_S
+    return (Quarantine(impatient, early), Quarantine(patient_slots, late))
+
+
+def hand_over_quarantines(
+    holds: tuple[Hold, ...], now: float
+) -> tuple[Quarantine, ...]:
+    """Return the quarantines of an endpoint whose former owner listed its holds."""
+    return tuple(Quarantine(1, h.reclaim_at) for h in holds if h.reclaim_at > now)
+
+
+def connection_share(connections: int, declared_instances: int) -> int:
+    """Return the connections that one of a region's instances may open.
+
+    Dividing by the declared instances, not by the live ones, keeps the sum below
+    the endpoint's limit without any agreement on who is alive.
+    """
+    return connections // max(1, declared_instances)
+
+
+@dataclasses.dataclass
+class _EndpointSlots:
+    slots: int
+    held: int = 0
+    quarantines: list[Quarantine] = dataclasses.field(default_factory=list)
+
+    def usable(self, now: float) -> int:
+        if self.quarantines:
+            self.quarantines = [q for q in self.quarantines if q.until > now]
+        return max(0, self.slots - sum(q.slots for q in self.quarantines))
+
+    def free(self, now: float) -> int:
+        return self.usable(now) - self.held
