--- a/packages/steering/src/yuccapitch/steering/entry_choice.py
+++ b/packages/steering/src/yuccapitch/steering/entry_choice.py
@@ -99,6 +99,6 @@
 
 def _draw(line: WeightedEntry, client: str) -> float:
     # Weighted rendezvous: the first place falls to each entry by its weight.
-    digest = xxhash.xxh64_intdigest(f"{client}|{line.instance_id}")
+    digest = xxhash.xxh64_intdigest(f"{client}|{line.instance_id}".encode())
     uniform = (digest + 1) / (2.0**64 + 2)
     return float(uniform ** (1.0 / line.weight))
--- a/packages/steering/src/yuccapitch/steering/owners.py
+++ b/packages/steering/src/yuccapitch/steering/owners.py
@@ -95,4 +95,4 @@
 
 
 def _score(key: str, instance_id: ids.InstanceId) -> int:
-    return xxhash.xxh64_intdigest(f"{key}|{instance_id}")
+    return xxhash.xxh64_intdigest(f"{key}|{instance_id}".encode())
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -0,0 +1,231 @@
+"""The owner's side of a pool: grants slots to its own requests and to borrowers."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Iterable
+
+import result
+
+from yuccapitch.catalogue import ids, model
+from yuccapitch.steering import endpoint_choice, health, queue, slots
+
+MIN_RETRY_AFTER_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Ask:
+    """A request that needs a slot of the pool."""
+
+    request_id: str
+    holder: ids.InstanceId
+    patience: model.Patience
+    route: str
+    deadline: float
+    recallable: bool = False
+    avoided: frozenset[ids.EndpointId] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True)
+class Granted:
+    """The holder may send the request to the endpoint now."""
+
+    ask: Ask
+    hold: slots.Hold
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """The request gets no slot; it has not been sent (`not-run`)."""
+
+    ask: Ask
+    reason: queue.ShedReason
+    retry_after_s: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Recalled:
+    """The holder is to cancel the exchange, release the slot and ask again."""
+
+    ask: Ask
+    hold: slots.Hold
+
+
+Decision = Granted | Refused | Recalled
+
+
+class SlotPool:
+    """Slots, queue and endpoint choice of endpoints that are owned together.
+
+    Each method returns what is to be told to the holders, in order.
+    """
+
+    def __init__(
+        self,
+        table: slots.SlotTable,
+        view: health.HealthView,
+        rng: random.Random,
+        policy: str = endpoint_choice.DEFAULT_POLICY,
+    ) -> None:
+        self.table = table
+        self.view = view
+        self.policy = policy
+        self._rng = rng
+        self._queue = queue.ClassQueue(0)
+        self._closed_ids: frozenset[ids.EndpointId] = frozenset()
+        self._asks_by_id: dict[str, Ask] = {}
+        self._started_by_number: dict[int, tuple[Ask, queue.Waiting]] = {}
+        self._numbers_by_request_id: dict[str, int] = {}
+
+    def close_endpoints(self, endpoint_ids: Iterable[ids.EndpointId]) -> None:
+        """Set the endpoints that get no new work (leaving, drained)."""
+        self._closed_ids = frozenset(endpoint_ids)
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._queue)
+
+    def free(self, now: float) -> int:
+        """Return the free slots of the endpoints that take new work."""
+        return sum(self.table.free(e, now) for e in self._open_ids())
+
+    def usable_slots(self) -> int:
+        """Return the slots of the endpoints that take new work, as last counted."""
+        return self._queue.slots
+
+    def ask(self, ask: Ask, now: float) -> tuple[Decision, ...]:
+        """Take in a request."""
+        self._count_slots(now)
+        waiting = queue.Waiting(
+            ask.request_id,
+            ask.patience,
+            ask.deadline,
+            self.view.typical_service_s(ask.route),
+            ask.recallable,
+        )
+        offered = self._queue.offer(waiting, now)
+        if isinstance(offered, result.Err):
+            return (self._refused(ask, offered.err_value.reason),)
+        self._asks_by_id[ask.request_id] = ask
+        decisions: list[Decision] = self._sheds(offered.ok_value)
+        decisions += self._start(now)
+        return tuple(decisions + self._recalls())
+
+    def release(
+        self,
+        term: int,
+        number: int,
+        end: health.ExchangeEnd | None,
+        service_s: float,
+        now: float,
+    ) -> tuple[Decision, ...]:
+        """Take back a slot; `end` is none if the exchange told nothing."""
+        hold = self.table.release(term, number)
+        if hold is not None:
+            ask = self._finish(hold)
+            if end is not None and ask is not None:
+                self.view.observe_exchange(
+                    hold.endpoint_id, end, ask.route, service_s, now
+                )
+        return tuple(self._start(now))
+
+    def cancel(self, request_id: str, now: float) -> tuple[Decision, ...]:
+        """Withdraw a request that may still be waiting."""
+        if self._queue.remove(request_id):
+            del self._asks_by_id[request_id]
+        return tuple(self._start(now))
+
+    def tick(self, now: float) -> tuple[Decision, ...]:
+        """Do what the passing of time calls for; to be called some times a second."""
+        self._count_slots(now)
+        for hold in self.table.reclaim(now):
+            self._finish(hold)
+        decisions: list[Decision] = self._sheds(self._queue.drop_expired(now))
+        return tuple(decisions + self._start(now))
+
+    def _open_ids(self) -> list[ids.EndpointId]:
+        return [e for e in self.table.endpoint_ids if e not in self._closed_ids]
+
+    def _count_slots(self, now: float) -> None:
+        self._queue.slots = sum(
+            self.table.usable_slots(endpoint_id, now) for endpoint_id in self._open_ids()
+        )
+
+    def _start(self, now: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        while True:
+            waiting = self._queue.peek(now)
+            if waiting is None:
+                return decisions
+            ask = self._asks_by_id[waiting.request_id]
+            hold = self._acquire(ask, waiting, now)
+            if hold is None:
+                return decisions
+            self._queue.start(waiting)
+            del self._asks_by_id[ask.request_id]
+            self._started_by_number[hold.number] = (ask, waiting)
+            self._numbers_by_request_id[ask.request_id] = hold.number
+            decisions.append(Granted(ask, hold))
+
+    def _acquire(
+        self, ask: Ask, waiting: queue.Waiting, now: float
+    ) -> slots.Hold | None:
+        endpoint_ids = self._open_ids()
+        free_by_id = {e: self.table.free(e, now) for e in endpoint_ids}
+        if not any(free > 0 for free in free_by_id.values()):
+            return None
+        standings_by_id = self.view.standings(endpoint_ids, now)
+        candidates = [
+            endpoint_choice.Candidate(
+                endpoint_id,
+                self.table.slots(endpoint_id),
+                free_by_id[endpoint_id],
+                standings_by_id[endpoint_id].slowness,
+                standings_by_id[endpoint_id].doubtful,
+            )
+            for endpoint_id in endpoint_ids
+        ]
+        need = endpoint_choice.Need(
+            ask.patience,
+            waiting.expected_service_s,
+            self._queue.expected_wait_s(ask.patience, waiting.expected_service_s),
+            ask.avoided,
+        )
+        chosen = endpoint_choice.choose(candidates, need, self._rng, self.policy)
+        if chosen is None:
+            return None
+        acquired = self.table.acquire(chosen, ask.holder, ask.deadline, now)
+        return acquired.ok_value if isinstance(acquired, result.Ok) else None
+
+    def _recalls(self) -> list[Decision]:
+        waiting = self._queue.recall()
+        if waiting is None:
+            return []
+        number = self._numbers_by_request_id[waiting.request_id]
+        hold = self.table.hold(number)
+        if hold is None:
+            return []
+        return [Recalled(self._started_by_number[number][0], hold)]
+
+    def _finish(self, hold: slots.Hold) -> Ask | None:
+        started = self._started_by_number.pop(hold.number, None)
+        if started is None:
+            return None
+        ask, waiting = started
+        self._numbers_by_request_id.pop(ask.request_id, None)
+        self._queue.finish(waiting)
+        return ask
+
+    def _sheds(self, sheds: Iterable[queue.Shed]) -> list[Decision]:
+        return [
+            self._refused(self._asks_by_id.pop(shed.request_id), shed.reason)
+            for shed in sheds
+        ]
+
+    def _refused(self, ask: Ask, reason: queue.ShedReason) -> Refused:
+        wait_s = self._queue.expected_wait_s(
+            ask.patience, self.view.typical_service_s(ask.route)
+        )
+        return Refused(ask, reason, max(MIN_RETRY_AFTER_S, wait_s))
--- a/packages/steering/src/yuccapitch/steering/probes.py
+++ b/packages/steering/src/yuccapitch/steering/probes.py
@@ -53,4 +53,4 @@
 
 
 def _phase(endpoint_id: ids.EndpointId) -> float:
-    return xxhash.xxh32_intdigest(endpoint_id) / 2.0**32
+    return xxhash.xxh32_intdigest(endpoint_id.encode()) / 2.0**32
--- a/packages/steering/src/yuccapitch/steering/slots.py
+++ b/packages/steering/src/yuccapitch/steering/slots.py
@@ -109,13 +109,14 @@
         endpoint = self._endpoints_by_id.get(endpoint_id)
         return 0 if endpoint is None else endpoint.slots
 
-    def usable_slots(self, now: float) -> int:
-        """Return the slots of all endpoints that are not in quarantine."""
-        return sum(e.usable(now) for e in self._endpoints_by_id.values())
+    def usable_slots(self, endpoint_id: ids.EndpointId, now: float) -> int:
+        """Return the slots of an owned endpoint that are not in quarantine."""
+        endpoint = self._endpoints_by_id.get(endpoint_id)
+        return 0 if endpoint is None else endpoint.usable(now)
 
-    def total_free(self, now: float) -> int:
-        """Return the free slots of all endpoints."""
-        return sum(self.free(endpoint_id, now) for endpoint_id in self.endpoint_ids)
+    def hold(self, number: int) -> Hold | None:
+        """Return the hold of that number, if the slot is still held."""
+        return self._holds_by_number.get(number)
 
     def acquire(
         self,
