--- /dev/null
+++ b/bench/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the steering experiment."""
--- /dev/null
+++ b/bench/steering/slot_designs.py
@@ -0,0 +1,327 @@
+"""Adapter for designs in which owners give out the slots of endpoints."""
+
+from __future__ import annotations
+
+import random
+
+from bench.steering import designs, world as world_module
+from yuccapitch.catalogue import ids, model
+from yuccapitch.steering import (
+    entry_choice,
+    health,
+    owners,
+    pool,
+    pool_choice,
+    slots,
+)
+
+COUNT_INTERVAL_S = 0.1
+TICK_S = 0.02
+PEER_LOSS_S = 1.0
+SERVICE = ids.ServiceId("service")
+ENDS_BY_WORD = {
+    "answered": health.ExchangeEnd.ANSWERED,
+    "shed": health.ExchangeEnd.SHED,
+    "expired": health.ExchangeEnd.TIMED_OUT,
+}
+
+
+class Slotted:
+    """Owned slots: the grain of ownership, lending or forwarding are options."""
+
+    def __init__(
+        self, world: world_module.World, spec: designs.Spec, report_delay_s: float
+    ) -> None:
+        self.world = world
+        self.spec = spec
+        self.count_delay_s = report_delay_s
+        self.rng = random.Random(world.rng.random())
+        self.terms = 0
+        self.dispatches: dict[tuple, object] = {}
+        self.pools_by_owner: dict[ids.InstanceId, pool.SlotPool] = {}
+        self.owners_by_endpoint: dict[ids.EndpointId, ids.InstanceId] = {}
+        self.views: dict[tuple, pool_choice.PoolView] = {}
+        self.open_asks: dict[tuple, int] = {}
+        self.requests_by_id: dict[str, tuple] = {}
+        self.known_dead: set[ids.InstanceId] = set()
+        self._assign(())
+        world.after(0.0, self._count)
+        world.after(0.0, self._tick)
+
+    def lose_entry(self, entry: world_module.Entry) -> None:
+        """Let an entry instance die; its slots move when its lease has lapsed."""
+        entry.alive = False
+        now = self.world.now
+        self.world.after(PEER_LOSS_S, self.known_dead.add, entry.instance_id)
+        self.world.after(self.spec.lease_s, self._take_over, now + self.spec.lease_s)
+
+    def submit(self, request: world_module.Request) -> None:
+        """Let a caller send its request to the entry a look-up named."""
+        entry = self._entry(request)
+        if entry is None:
+            return
+        delay = world_module.CLIENT_S
+        if entry.place.region != request.region:
+            delay += world_module.BETWEEN_REGIONS_S
+        self.world.after(delay, self._arrive, entry, request, delay)
+
+    def _entry(self, request: world_module.Request) -> world_module.Entry | None:
+        alive = [e for e in self.world.entries if e.alive]
+        if not alive:
+            return None
+        local = [e for e in alive if e.place.region == request.region] or alive
+        if not self.spec.steer:
+            return self.rng.choice(local)
+        views = [self._entry_view(e) for e in local]
+        regions = sorted({e.place.region for e in local})
+        self.rng.shuffle(regions)
+        client = f"c{request.number}"
+        lines = entry_choice.choose_entries(views, regions, client, self.world.now)
+        return self.world.entries_by_id[lines[0].instance_id]
+
+    def _entry_view(self, entry: world_module.Entry) -> entry_choice.EntryView:
+        owned = self.pools_by_owner.get(entry.instance_id)
+        return entry_choice.EntryView(
+            entry.instance_id,
+            entry.place.region,
+            entry.place.failure_domain,
+            entry_choice.EntryState.SERVING,
+            0 if owned is None else owned.usable_slots(),
+            0.0,
+            self.world.now,
+        )
+
+    def _arrive(
+        self,
+        entry: world_module.Entry,
+        request: world_module.Request,
+        to_client_s: float,
+    ) -> None:
+        if not entry.alive:
+            return
+        now = self.world.now
+        view = pool_choice.choose_pool(
+            self._views(entry), self.world.setting.mean_s, now
+        )
+        if view is None:
+            return
+        request.attempts += 1
+        request_id = f"{request.number}.{request.attempts}"
+        lend = self.spec.remote == "lend"
+        holder = entry.instance_id if lend else view.owner
+        patience = request.patience
+        ask = pool.Ask(
+            request_id,
+            holder,
+            patience if self.spec.classes else model.Patience.IMPATIENT,
+            patience.value,
+            request.deadline - to_client_s,
+            self.spec.classes and patience is model.Patience.PATIENT,
+        )
+        self.requests_by_id[request_id] = (entry, request, to_client_s, view.owner)
+        key = (entry.instance_id, view.owner)
+        self.open_asks[key] = self.open_asks.get(key, 0) + 1
+        self.world.after(view.distance_s, self._asked, view.owner, ask)
+
+    def _views(self, entry: world_module.Entry) -> list[pool_choice.PoolView]:
+        views = []
+        for owner, owned in self.pools_by_owner.items():
+            if owner in self.known_dead:
+                continue
+            place = self.world.entries_by_id[owner].place
+            if place.region != entry.place.region:
+                continue
+            if owner == entry.instance_id:
+                views.append(self._own_view(owner, owned))
+                continue
+            known = self.views.get((entry.instance_id, owner))
+            if known is not None:
+                views.append(known)
+        return views
+
+    def _own_view(
+        self, owner: ids.InstanceId, owned: pool.SlotPool, distance_s: float = 0.0
+    ) -> pool_choice.PoolView:
+        place = self.world.entries_by_id[owner].place
+        return pool_choice.PoolView(
+            owners.Pool(SERVICE, ids.FailureDomainId(f"{place.failure_domain}{owner}")),
+            owner,
+            distance_s,
+            owned.usable_slots(),
+            owned.free(self.world.now),
+            owned.waiting,
+            self.world.now,
+        )
+
+    def _asked(self, owner: ids.InstanceId, ask: pool.Ask) -> None:
+        if not self.world.entries_by_id[owner].alive:
+            return
+        self._tell(owner, self.pools_by_owner[owner].ask(ask, self.world.now))
+
+    def _tell(
+        self, owner: ids.InstanceId, decisions: tuple[pool.Decision, ...]
+    ) -> None:
+        for decision in decisions:
+            match decision:
+                case pool.Granted(ask, hold):
+                    holder = self.world.entries_by_id[ask.holder]
+                    self.world.after(
+                        self._between(owner, ask.holder),
+                        self._dispatch,
+                        holder,
+                        owner,
+                        ask,
+                        hold,
+                    )
+                case pool.Refused(ask, _, _):
+                    self._close(ask.request_id)
+                case pool.Recalled(ask, hold):
+                    pass
+
+    def _dispatch(
+        self,
+        holder: world_module.Entry,
+        owner: ids.InstanceId,
+        ask: pool.Ask,
+        hold: slots.Hold,
+    ) -> None:
+        if not holder.alive:
+            return
+        entry, request, to_client_s, _ = self.requests_by_id[ask.request_id]
+        endpoint = self.world.endpoints_by_id[hold.endpoint_id]
+        started_at = self.world.now
+
+        def reply(word: str) -> None:
+            self.world.after(
+                self._between(holder.instance_id, owner),
+                self._released,
+                owner,
+                hold,
+                ENDS_BY_WORD[word],
+                self.world.now - started_at,
+            )
+            self._close(ask.request_id)
+            if word == "answered" and entry.alive:
+                back = self._between(holder.instance_id, entry.instance_id)
+                self.world.finish(request, to_client_s + back)
+
+        self.world.send_to_endpoint(holder, endpoint, request, reply, hold.work_ends_by)
+
+    def _released(
+        self,
+        owner: ids.InstanceId,
+        hold: slots.Hold,
+        end: health.ExchangeEnd,
+        service_s: float,
+    ) -> None:
+        if not self.world.entries_by_id[owner].alive:
+            return
+        owned = self.pools_by_owner.get(owner)
+        if owned is None:
+            return
+        now = self.world.now
+        self._tell(owner, owned.release(hold.term, hold.number, end, service_s, now))
+
+    def _close(self, request_id: str) -> None:
+        known = self.requests_by_id.pop(request_id, None)
+        if known is not None:
+            entry, _, _, owner = known
+            self.open_asks[(entry.instance_id, owner)] -= 1
+
+    def _between(self, a: ids.InstanceId, b: ids.InstanceId) -> float:
+        if a == b:
+            return 0.0
+        entries_by_id = self.world.entries_by_id
+        return self.world.delay(entries_by_id[a].place, entries_by_id[b].place)
+
+    def _count(self) -> None:
+        for owner, owned in self.pools_by_owner.items():
+            owner_entry = self.world.entries_by_id[owner]
+            if not owner_entry.alive:
+                continue
+            for entry in self.world.entries:
+                same_region = entry.place.region == owner_entry.place.region
+                if entry is owner_entry or not same_region:
+                    continue
+                distance_s = self._between(owner, entry.instance_id)
+                view = self._own_view(owner, owned, distance_s)
+                key = (entry.instance_id, owner)
+                self.world.after(
+                    distance_s + self.count_delay_s, self._counted, key, view
+                )
+        self.world.after(COUNT_INTERVAL_S, self._count)
+
+    def _counted(self, key: tuple, view: pool_choice.PoolView) -> None:
+        self.views[key] = view
+
+    def _tick(self) -> None:
+        for owner, owned in list(self.pools_by_owner.items()):
+            if self.world.entries_by_id[owner].alive:
+                self._tell(owner, owned.tick(self.world.now))
+        self.world.after(TICK_S, self._tick)
+
+    def _take_over(self, lease_end: float) -> None:
+        setting = self.world.setting
+        patient_slots = max(1, setting.slots - round(setting.slots * 0.25))
+        quarantines = slots.take_over_quarantines(
+            setting.slots,
+            patient_slots=patient_slots,
+            lease_end=lease_end,
+            impatient_deadline_s=setting.impatient_deadline_s,
+            longest_deadline_s=setting.patient_deadline_s,
+        )
+        for owner in [o for o in self.pools_by_owner if o in self.known_dead]:
+            del self.pools_by_owner[owner]
+        self._assign(quarantines)
+
+    def _assign(self, quarantines: tuple[slots.Quarantine, ...]) -> None:
+        wanted = self._owners_by_endpoint()
+        for endpoint in self.world.endpoints:
+            endpoint_id = endpoint.endpoint_id
+            owner = wanted[endpoint_id]
+            if owner is None or self.owners_by_endpoint.get(endpoint_id) == owner:
+                continue
+            former = self.owners_by_endpoint.get(endpoint_id)
+            if former in self.pools_by_owner:
+                continue
+            self.owners_by_endpoint[endpoint_id] = owner
+            if owner not in self.pools_by_owner:
+                self.pools_by_owner[owner] = self._new_pool()
+            self.pools_by_owner[owner].table.add_endpoint(
+                endpoint_id, endpoint.slots, quarantines
+            )
+        for owned in self.pools_by_owner.values():
+            owned.tick(self.world.now)
+
+    def _new_pool(self) -> pool.SlotPool:
+        self.terms += 1
+        table = slots.SlotTable(
+            term=self.terms,
+            lease_until=float("inf"),
+            longest_deadline_s=self.world.setting.patient_deadline_s,
+        )
+        view = health.HealthView()
+        return pool.SlotPool(table, view, random.Random(self.rng.random()))
+
+    def _owners_by_endpoint(self) -> dict[ids.EndpointId, ids.InstanceId | None]:
+        alive = {e.instance_id: e.place for e in self.world.entries if e.alive}
+        if self.spec.grain == "domain":
+            regions = {
+                owners.Pool(SERVICE, e.place.failure_domain): e.place.region
+                for e in self.world.endpoints
+            }
+            assigned = owners.assign_pools(regions, alive)
+            return {
+                e.endpoint_id: assigned.get(
+                    owners.Pool(SERVICE, e.place.failure_domain)
+                )
+                for e in self.world.endpoints
+            }
+        wanted: dict[ids.EndpointId, ids.InstanceId | None] = {}
+        for endpoint in self.world.endpoints:
+            region = endpoint.place.region
+            local = [i for i, place in alive.items() if place.region == region]
+            key = region if self.spec.grain == "region" else endpoint.endpoint_id
+            ranked = owners.ranked(key, local)
+            wanted[endpoint.endpoint_id] = ranked[0] if ranked else None
+        return wanted
--- /dev/null
+++ b/bench/steering/world.py
@@ -0,0 +1,238 @@
+"""Discrete-event stand-ins: time, places, delays, endpoints, requests."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+import math
+import random
+from collections.abc import Callable
+
+from yuccapitch.catalogue import ids, model
+from yuccapitch.steering import owners
+
+SAME_DOMAIN_S = 0.00025
+BETWEEN_REGIONS_S = 0.055
+CLIENT_S = 0.003
+CONNECT_S = 0.001
+COLD_REQUESTS = 150
+REGIONS = ("r1", "r2", "r3")
+
+
+@dataclasses.dataclass(frozen=True)
+class Setting:
+    """Sizes of one service of one deployment, and its assumed workload."""
+
+    name: str
+    endpoints: int
+    slots: int
+    entries: int
+    between_domains_s: float
+    patient_part: float
+    impatient_s: float = 0.02
+    patient_s: float = 0.06
+    impatient_deadline_s: float = 0.5
+    patient_deadline_s: float = 5.0
+
+    @property
+    def mean_s(self) -> float:
+        """Return the mean service time over both kinds of work."""
+        patient_s = self.patient_part * self.patient_s
+        return patient_s + (1 - self.patient_part) * self.impatient_s
+
+
+SETTINGS_BY_NAME = {
+    setting.name: setting
+    for setting in (
+        Setting("batch", 20, 4, 11, 0.003, 0.2),
+        Setting("pigment", 14, 5, 11, 0.003, 0.5),
+        Setting("storefront", 18, 7, 10, 0.005, 0.1),
+        Setting("artwork", 12, 7, 10, 0.005, 0.5),
+    )
+}
+
+
+@dataclasses.dataclass(eq=False)
+class Request:
+    """One caller's request and how it ended."""
+
+    number: int
+    region: ids.RegionId
+    patience: model.Patience
+    sent_at: float
+    deadline: float
+    demand_s: float
+    finished_at: float = math.inf
+    done: bool = False
+    attempts: int = 0
+
+
+@dataclasses.dataclass(eq=False)
+class Entry:
+    """An entry instance."""
+
+    instance_id: ids.InstanceId
+    place: owners.Place
+    alive: bool = True
+
+
+class World:
+    """Events in order of time, and everything they act on."""
+
+    def __init__(self, setting: Setting, seed: int, shape: float) -> None:
+        self.setting = setting
+        self.rng = random.Random(seed)
+        self.shape = shape
+        self.now = 0.0
+        self.requests: list[Request] = []
+        self.capacity_factor = 1.0
+        self._events: list[tuple[float, int, Callable[..., None], tuple]] = []
+        self._sequence = 0
+        self._idle: collections.Counter = collections.Counter()
+        domains = [
+            owners.Place(ids.RegionId(r), ids.FailureDomainId(f"{r}{d}"))
+            for d in "ab"
+            for r in REGIONS
+        ]
+        self.entries = [
+            Entry(ids.InstanceId(f"e{i:02}"), domains[i % 6])
+            for i in range(setting.entries)
+        ]
+        self.endpoints = [
+            Endpoint(self, ids.EndpointId(f"b{i:02}"), domains[i % 6], setting.slots)
+            for i in range(setting.endpoints)
+        ]
+        self.endpoints_by_id = {e.endpoint_id: e for e in self.endpoints}
+        self.entries_by_id = {e.instance_id: e for e in self.entries}
+
+    def at(self, time: float, call: Callable[..., None], *args: object) -> None:
+        """Schedule a call."""
+        self._sequence += 1
+        heapq.heappush(self._events, (time, self._sequence, call, args))
+
+    def after(self, delay: float, call: Callable[..., None], *args: object) -> None:
+        """Schedule a call after a delay."""
+        self.at(self.now + delay, call, *args)
+
+    def run(self, until: float) -> None:
+        """Carry out the events up to a time."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, call, args = heapq.heappop(self._events)
+            call(*args)
+        self.now = until
+
+    def delay(self, a: owners.Place, b: owners.Place) -> float:
+        """Return the one-way time between two places."""
+        if a.region != b.region:
+            return BETWEEN_REGIONS_S
+        if a.failure_domain != b.failure_domain:
+            return self.setting.between_domains_s
+        return SAME_DOMAIN_S
+
+    def demand(self, patience: model.Patience) -> float:
+        """Draw the service time of a request."""
+        impatient = patience is model.Patience.IMPATIENT
+        mean = self.setting.impatient_s if impatient else self.setting.patient_s
+        return self.rng.gammavariate(self.shape, mean / self.shape)
+
+    def send_to_endpoint(
+        self,
+        entry: Entry,
+        endpoint: Endpoint,
+        request: Request,
+        reply: Callable[[str], None],
+        deadline: float,
+    ) -> None:
+        """Send a request; the answer comes back to the entry if it is alive."""
+        pair = (entry.instance_id, endpoint.endpoint_id)
+        delay = self.delay(entry.place, endpoint.place)
+        if self._idle[pair] > 0:
+            self._idle[pair] -= 1
+            connect = 0.0
+        else:
+            connect = CONNECT_S + 2 * delay
+
+        def back(end: str) -> None:
+            self._idle[pair] += 1
+            if entry.alive:
+                reply(end)
+
+        def answer(end: str) -> None:
+            self.after(delay, back, end)
+
+        self.after(connect + delay, endpoint.arrive, request, answer, deadline)
+
+    def finish(self, request: Request, to_client_s: float = CLIENT_S) -> None:
+        """Record that the whole answer reaches the caller."""
+        if not request.done:
+            request.done = True
+            request.finished_at = self.now + to_client_s
+
+
+class Endpoint:
+    """A back end: slots, a bounded queue behind them, shedding beyond."""
+
+    def __init__(
+        self, world: World, endpoint_id: ids.EndpointId, place: owners.Place, slots: int
+    ) -> None:
+        self.world = world
+        self.endpoint_id = endpoint_id
+        self.place = place
+        self.slots = slots
+        self.queue_limit = 4 * slots
+        self.slow_factor = 1.0
+        self.cold_left = 0
+        self.alive = True
+        self.false_reports = False
+        self.running = 0
+        self.passes = 0
+        self.most_in_flight = 0
+        self._queue: collections.deque = collections.deque()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that have arrived and not ended."""
+        return self.running + len(self._queue)
+
+    @property
+    def reported_in_flight(self) -> int:
+        """What it says of its load."""
+        return 0 if self.false_reports else self.in_flight
+
+    def arrive(
+        self, request: Request, answer: Callable[[str], None], deadline: float
+    ) -> None:
+        """Take a request in, or shed it."""
+        if not self.alive:
+            return
+        if self.in_flight >= self.slots:
+            self.passes += 1
+        if len(self._queue) >= self.queue_limit:
+            answer("shed")
+            return
+        self._queue.append((request, answer, deadline))
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        self._start()
+
+    def _start(self) -> None:
+        while self._queue and self.running < self.slots:
+            request, answer, deadline = self._queue.popleft()
+            if deadline <= self.world.now:
+                answer("expired")
+                continue
+            service_s = request.demand_s * self.slow_factor
+            service_s /= self.world.capacity_factor
+            if self.cold_left > 0:
+                service_s *= 1.0 + 3.0 * self.cold_left / COLD_REQUESTS
+                self.cold_left -= 1
+            self.running += 1
+            left_s = deadline - self.world.now
+            end = "answered" if service_s <= left_s else "expired"
+            self.world.after(min(service_s, left_s), self._end, answer, end)
+
+    def _end(self, answer: Callable[[str], None], end: str) -> None:
+        self.running -= 1
+        if self.alive:
+            answer(end)
+            self._start()
--- /dev/null
+++ b/bench/steering_experiment.py
@@ -0,0 +1,125 @@
+"""Compares designs for sharing endpoint slots among entry instances.
+
+Run from the root: `PYTHONPATH=.:$(echo packages/*/src | tr ' ' ':') python
+bench/steering_experiment.py --service batch --seed 1`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import multiprocessing
+
+from bench.steering import designs, scenarios, world
+
+SPECS = (
+    designs.Spec("baseline", "baseline", "random"),
+    designs.Spec("power-of-two", "unshared", "power-of-two"),
+    designs.Spec("least-outstanding", "unshared", "least-outstanding"),
+    designs.Spec("endpoint/forward", grain="endpoint", remote="forward"),
+    designs.Spec("endpoint/lend", grain="endpoint", remote="lend"),
+    designs.Spec("region/lend", grain="region", remote="lend"),
+    designs.Spec("region/lend/unsteered", grain="region", steer=False),
+    designs.Spec("domain/forward", grain="domain", remote="forward"),
+    designs.Spec("domain/lend", grain="domain", remote="lend"),
+    designs.Spec("domain/lend/unsteered", grain="domain", steer=False),
+    designs.Spec("domain/lend/no-classes", grain="domain", classes=False),
+)
+SCENARIOS = (
+    scenarios.Scenario("steady 60%", load=0.6),
+    scenarios.Scenario("steady 80%"),
+    scenarios.Scenario("steady 80% exponential", shape=1.0),
+    scenarios.Scenario("steady 90%", load=0.9),
+    scenarios.Scenario("reports 1 s late", report_delay_s=1.0),
+    scenarios.Scenario("reports 5 s late", report_delay_s=5.0),
+    scenarios.Scenario("false reports", fault=scenarios.false_reports),
+    scenarios.Scenario("slow endpoint", fault=scenarios.slow),
+    scenarios.Scenario("cold endpoint", fault=scenarios.cold, fault_at=3.0),
+    scenarios.Scenario("lost entry", fault=scenarios.lost_entry, fault_at=3.0),
+    scenarios.Scenario("lost region 50%", 0.5, fault=scenarios.lost_region, fault_at=3),
+    scenarios.Scenario("dip", duration_s=20.0, fault=scenarios.dip, fault_at=3.0),
+)
+LOADS = tuple(0.5 + 0.05 * step for step in range(23))
+DIP_END_S = 8
+
+
+def main() -> None:
+    """Run the chosen service, designs and scenarios and print the figures."""
+    args = _arguments()
+    setting = world.SETTINGS_BY_NAME[args.service]
+    specs = [s for s in SPECS if args.design is None or args.design in s.label]
+    if specs[0].kind != "baseline":
+        specs = [SPECS[0], *specs]
+    cases = [s for s in SCENARIOS if args.scenario is None or args.scenario in s.name]
+    jobs = [(setting, spec, case, args.seed) for case in cases for spec in specs]
+    print(f"service {args.service} seed {args.seed}: {setting}")
+    with multiprocessing.Pool(args.processes) as workers:
+        figures = workers.starmap(scenarios.run, jobs, chunksize=1)
+        _print_scenarios(jobs, figures)
+        if args.scenario is None:
+            tops = workers.starmap(
+                highest_load, [(setting, spec, args.seed) for spec in specs]
+            )
+            _print_tops(specs, tops)
+
+
+def highest_load(
+    setting: world.Setting, spec: designs.Spec, seed: int
+) -> tuple[float, float]:
+    """Return the highest loads with impatient p99 in time, and without a pass."""
+    held = unpassed = 0.0
+    for load in LOADS:
+        case = scenarios.Scenario("load", load, duration_s=6.0)
+        figures = scenarios.run(setting, spec, case, seed)
+        if figures.impatient_p99_ms >= 1000 * setting.impatient_deadline_s:
+            break
+        held = load
+        if not figures.passes:
+            unpassed = load
+    return held, unpassed
+
+
+def _arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--service", default="batch", choices=world.SETTINGS_BY_NAME)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--design", help="only designs whose label contains this")
+    parser.add_argument("--scenario", help="only scenarios whose name contains this")
+    parser.add_argument("--processes", type=int, default=3)
+    return parser.parse_args()
+
+
+def _print_scenarios(jobs: list, figures: list[scenarios.Figures]) -> None:
+    scenario_name = ""
+    for (_, spec, case, _), f in zip(jobs, figures, strict=True):
+        if case.name != scenario_name:
+            scenario_name = case.name
+            print(f"\n{scenario_name}")
+            print(
+                f"  {'design':24} {'imp p50':>8} {'p99 ms':>8} {'ratio':>6}"
+                f" {'pat p50':>8} {'p99':>8} {'good':>7} {'pat good':>8} {'passes':>7}"
+            )
+        if spec.kind == "baseline":
+            base = f
+        print(
+            f"  {spec.label:24} {f.impatient_p50_ms:8.1f} {f.impatient_p99_ms:8.1f}"
+            f" {f.impatient_p99_ms / base.impatient_p99_ms:6.2f}"
+            f" {f.patient_p50_ms:8.1f} {f.patient_p99_ms:8.1f}"
+            f" {f.goodput:7.2%} {f.patient_goodput:8.2%} {f.passes:7}"
+        )
+        if case.name in ("dip", "lost entry"):
+            seconds = " ".join(f"{part:.0%}" for part in f.goodput_by_second)
+            print(f"    impatient goodput by second: {seconds}")
+
+
+def _print_tops(specs: list[designs.Spec], tops: list[tuple[float, float]]) -> None:
+    print("\nhighest load with impatient p99 within the deadline")
+    base = tops[0][0]
+    for spec, (held, unpassed) in zip(specs, tops, strict=True):
+        print(
+            f"  {spec.label:24} {held:5.0%} ratio {held / base:5.2f}"
+            f" without a slot limit passed {unpassed:5.0%}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -150,7 +150,8 @@
 
     def _count_slots(self, now: float) -> None:
         self._queue.slots = sum(
-            self.table.usable_slots(endpoint_id, now) for endpoint_id in self._open_ids()
+            self.table.usable_slots(endpoint_id, now)
+            for endpoint_id in self._open_ids()
         )
 
     def _start(self, now: float) -> list[Decision]:
