--- a/bench/steering/designs.py
+++ b/bench/steering/designs.py
@@ -5,13 +5,12 @@
 import dataclasses
 import math
 import random
-from collections.abc import Callable
 
 import result
 
 from bench.steering import world as world_module
 from yuccapitch.catalogue import ids, model
-from yuccapitch.steering import endpoint_choice, health, retry
+from yuccapitch.steering import endpoint_choice, retry
 
 REPORT_INTERVAL_S = 0.25
 BASELINE_ATTEMPTS = 4
@@ -29,6 +28,8 @@
     steer: bool = True
     lease_s: float = 4.0
     classes: bool = True
+    recall: bool = True
+    overflow: bool = True
 
 
 class Unshared:
@@ -41,6 +42,7 @@
         self.spec = spec
         self.report_delay_s = report_delay_s
         self.rng = random.Random(world.rng.random())
+        self.remote = 0
         self.baseline = spec.kind == "baseline"
         self.budgets_by_entry = {e: retry.RetryBudget() for e in world.entries}
         self.sheds_by_entry = {e: retry.ShedMemory() for e in world.entries}
@@ -156,9 +158,8 @@
         avoided: frozenset[ids.EndpointId] = frozenset()
         if not self.baseline:
             avoided = self.sheds_by_entry[entry].avoided(self.world.now)
+        if len(avoided) >= len(candidates):
+            avoided = frozenset()
         need = endpoint_choice.Need(model.Patience.IMPATIENT, 0.02, 0.0, avoided)
         chosen = endpoint_choice.choose(candidates, need, self.rng, self.spec.policy)
         return None if chosen is None else self.world.endpoints_by_id[chosen]
-
-
-Reply = Callable[[health.ExchangeEnd | None], None]
--- a/bench/steering/scenarios.py
+++ b/bench/steering/scenarios.py
@@ -22,6 +22,9 @@
     report_delay_s: float = 0.1
     shape: float = 4.0
     fault_at: float = 0.0
+    patient_s: float | None = None
+    endpoint_queue: int = 4
+    """Requests that an endpoint queues for each slot before it sheds."""
     fault: Callable[[world_module.World, object], None] | None = None
 
 
@@ -37,6 +40,8 @@
     patient_goodput: float
     passes: int
     """Arrivals at an endpoint whose slots were all in use."""
+    remote_part: float
+    """Requests that needed an inner message."""
     goodput_by_second: tuple[float, ...]
 
 
@@ -44,14 +49,18 @@
     setting: world_module.Setting, spec: designs.Spec, scenario: Scenario, seed: int
 ) -> Figures:
     """Run one design under one scenario."""
+    if scenario.patient_s is not None:
+        setting = dataclasses.replace(setting, patient_s=scenario.patient_s)
     world = world_module.World(setting, seed, scenario.shape)
+    for endpoint in world.endpoints:
+        endpoint.queue_limit = scenario.endpoint_queue * endpoint.slots
     make = slot_designs.Slotted if spec.kind == "slots" else designs.Unshared
     design = make(world, spec, scenario.report_delay_s)
     _schedule_arrivals(world, design, scenario)
     if scenario.fault is not None:
         world.at(scenario.fault_at, scenario.fault, world, design)
     world.run(scenario.duration_s + 1.0)
-    return _figures(world, scenario)
+    return _figures(world, scenario, design.remote)
 
 
 def lost_entry(world: world_module.World, design: object) -> None:
@@ -138,7 +147,7 @@
         )
 
 
-def _figures(world: world_module.World, scenario: Scenario) -> Figures:
+def _figures(world: world_module.World, scenario: Scenario, remote: int) -> Figures:
     latencies: dict[model.Patience, list[float]] = {p: [] for p in model.Patience}
     impatient_by_second: dict[int, list[bool]] = {}
     for request in world.requests:
@@ -163,6 +172,7 @@
         _below(impatient, setting.impatient_deadline_s),
         _below(patient, setting.patient_deadline_s),
         sum(endpoint.passes for endpoint in world.endpoints),
+        remote / max(1, len(world.requests)),
         tuple(sum(ends) / len(ends) for _, ends in sorted(impatient_by_second.items())),
     )
 
--- a/bench/steering/slot_designs.py
+++ b/bench/steering/slot_designs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 from bench.steering import designs, world as world_module
@@ -37,6 +38,7 @@
         self.count_delay_s = report_delay_s
         self.rng = random.Random(world.rng.random())
         self.terms = 0
+        self.remote = 0
         self.dispatches: dict[tuple, object] = {}
         self.pools_by_owner: dict[ids.InstanceId, pool.SlotPool] = {}
         self.owners_by_endpoint: dict[ids.EndpointId, ids.InstanceId] = {}
@@ -101,7 +103,7 @@
             return
         now = self.world.now
         view = pool_choice.choose_pool(
-            self._views(entry), self.world.setting.mean_s, now
+            self._views(entry), request.patience, self.world.setting.mean_s, now
         )
         if view is None:
             return
@@ -116,8 +118,11 @@
             patience if self.spec.classes else model.Patience.IMPATIENT,
             patience.value,
             request.deadline - to_client_s,
-            self.spec.classes and patience is model.Patience.PATIENT,
+            self.spec.recall
+            and request.attempts == 1
+            and patience is model.Patience.PATIENT,
         )
+        self.remote += view.distance_s > 0
         self.requests_by_id[request_id] = (entry, request, to_client_s, view.owner)
         key = (entry.instance_id, view.owner)
         self.open_asks[key] = self.open_asks.get(key, 0) + 1
@@ -129,14 +134,15 @@
             if owner in self.known_dead:
                 continue
             place = self.world.entries_by_id[owner].place
-            if place.region != entry.place.region:
+            if place.region != entry.place.region and not self.spec.overflow:
                 continue
             if owner == entry.instance_id:
                 views.append(self._own_view(owner, owned))
                 continue
             known = self.views.get((entry.instance_id, owner))
             if known is not None:
-                views.append(known)
+                sent = self.open_asks.get((entry.instance_id, owner), 0)
+                views.append(dataclasses.replace(known, sent_since=sent))
         return views
 
     def _own_view(
@@ -149,7 +155,9 @@
             distance_s,
             owned.usable_slots(),
             owned.free(self.world.now),
-            owned.waiting,
+            owned.waiting(model.Patience.IMPATIENT),
+            owned.waiting(model.Patience.PATIENT),
+            self.world.now,
             self.world.now,
         )
 
@@ -176,7 +184,17 @@
                 case pool.Refused(ask, _, _):
                     self._close(ask.request_id)
                 case pool.Recalled(ask, hold):
-                    pass
+                    self._recall(owner, ask, hold)
+
+    def _recall(self, owner: ids.InstanceId, ask: pool.Ask, hold: slots.Hold) -> None:
+        known = self.requests_by_id.get(ask.request_id)
+        if known is None:
+            return
+        endpoint = self.world.endpoints_by_id[hold.endpoint_id]
+        holder = self.world.entries_by_id[ask.holder]
+        delay = self._between(owner, ask.holder)
+        delay += self.world.delay(holder.place, endpoint.place)
+        self.world.after(delay, endpoint.cancel, known[1])
 
     def _dispatch(
         self,
@@ -197,10 +215,12 @@
                 self._released,
                 owner,
                 hold,
-                ENDS_BY_WORD[word],
+                ENDS_BY_WORD.get(word),
                 self.world.now - started_at,
             )
             self._close(ask.request_id)
+            if word == "cancelled" and entry.alive:
+                self._arrive(entry, request, to_client_s)
             if word == "answered" and entry.alive:
                 back = self._between(holder.instance_id, entry.instance_id)
                 self.world.finish(request, to_client_s + back)
@@ -211,7 +231,7 @@
         self,
         owner: ids.InstanceId,
         hold: slots.Hold,
-        end: health.ExchangeEnd,
+        end: health.ExchangeEnd | None,
         service_s: float,
     ) -> None:
         if not self.world.entries_by_id[owner].alive:
@@ -240,8 +260,7 @@
             if not owner_entry.alive:
                 continue
             for entry in self.world.entries:
-                same_region = entry.place.region == owner_entry.place.region
-                if entry is owner_entry or not same_region:
+                if entry is owner_entry:
                     continue
                 distance_s = self._between(owner, entry.instance_id)
                 view = self._own_view(owner, owned, distance_s)
@@ -252,7 +271,7 @@
         self.world.after(COUNT_INTERVAL_S, self._count)
 
     def _counted(self, key: tuple, view: pool_choice.PoolView) -> None:
-        self.views[key] = view
+        self.views[key] = dataclasses.replace(view, heard_at=self.world.now)
 
     def _tick(self) -> None:
         for owner, owned in list(self.pools_by_owner.items()):
@@ -270,7 +289,10 @@
             impatient_deadline_s=setting.impatient_deadline_s,
             longest_deadline_s=setting.patient_deadline_s,
         )
-        for owner in [o for o in self.pools_by_owner if o in self.known_dead]:
+        for owner in list(self.pools_by_owner):
+            if self.world.entries_by_id[owner].alive:
+                continue
+            self.known_dead.add(owner)
             del self.pools_by_owner[owner]
         self._assign(quarantines)
 
--- a/bench/steering/world.py
+++ b/bench/steering/world.py
@@ -189,6 +189,7 @@
         self.passes = 0
         self.most_in_flight = 0
         self._queue: collections.deque = collections.deque()
+        self._answers_by_request: dict[Request, Callable[[str], None]] = {}
 
     @property
     def in_flight(self) -> int:
@@ -227,11 +228,21 @@
                 service_s *= 1.0 + 3.0 * self.cold_left / COLD_REQUESTS
                 self.cold_left -= 1
             self.running += 1
+            self._answers_by_request[request] = answer
             left_s = deadline - self.world.now
             end = "answered" if service_s <= left_s else "expired"
-            self.world.after(min(service_s, left_s), self._end, answer, end)
+            self.world.after(min(service_s, left_s), self._end, request, answer, end)
 
-    def _end(self, answer: Callable[[str], None], end: str) -> None:
+    def cancel(self, request: Request) -> None:
+        """Stop the work of a request whose exchange was closed."""
+        answer = self._answers_by_request.get(request)
+        if answer is not None:
+            self._end(request, answer, "cancelled")
+
+    def _end(self, request: Request, answer: Callable[[str], None], end: str) -> None:
+        if self._answers_by_request.get(request) is not answer:
+            return
+        del self._answers_by_request[request]
         self.running -= 1
         if self.alive:
             answer(end)
--- a/bench/steering_experiment.py
+++ b/bench/steering_experiment.py
@@ -8,6 +8,7 @@
 
 import argparse
 import multiprocessing
+import re
 
 from bench.steering import designs, scenarios, world
 
@@ -16,13 +17,19 @@
     designs.Spec("power-of-two", "unshared", "power-of-two"),
     designs.Spec("least-outstanding", "unshared", "least-outstanding"),
     designs.Spec("endpoint/forward", grain="endpoint", remote="forward"),
-    designs.Spec("endpoint/lend", grain="endpoint", remote="lend"),
-    designs.Spec("region/lend", grain="region", remote="lend"),
+    designs.Spec("endpoint/lend", grain="endpoint"),
+    designs.Spec("region/lend", grain="region"),
     designs.Spec("region/lend/unsteered", grain="region", steer=False),
-    designs.Spec("domain/forward", grain="domain", remote="forward"),
-    designs.Spec("domain/lend", grain="domain", remote="lend"),
+    designs.Spec("region/forward", grain="region", remote="forward"),
+    designs.Spec("domain/lend", grain="domain"),
     designs.Spec("domain/lend/unsteered", grain="domain", steer=False),
-    designs.Spec("domain/lend/no-classes", grain="domain", classes=False),
+    designs.Spec("domain/forward", remote="forward"),
+    designs.Spec("domain/forward/unsteered", remote="forward", steer=False),
+    designs.Spec("domain/forward/no-classes", remote="forward", classes=False),
+    designs.Spec("domain/forward/no-recall", remote="forward", recall=False),
+    designs.Spec("domain/forward/no-overflow", remote="forward", overflow=False),
+    designs.Spec("domain/forward/lease 1 s", remote="forward", lease_s=1.0),
+    designs.Spec("domain/forward/proven", remote="forward", lease_s=0.2),
 )
 SCENARIOS = (
     scenarios.Scenario("steady 60%", load=0.6),
@@ -36,6 +43,14 @@
     scenarios.Scenario("cold endpoint", fault=scenarios.cold, fault_at=3.0),
     scenarios.Scenario("lost entry", fault=scenarios.lost_entry, fault_at=3.0),
     scenarios.Scenario("lost region 50%", 0.5, fault=scenarios.lost_region, fault_at=3),
+    scenarios.Scenario("long patient work", patient_s=0.6),
+    scenarios.Scenario(
+        "dip, unbounded endpoint queues",
+        duration_s=20.0,
+        fault=scenarios.dip,
+        fault_at=3.0,
+        endpoint_queue=1000,
+    ),
     scenarios.Scenario("dip", duration_s=20.0, fault=scenarios.dip, fault_at=3.0),
 )
 LOADS = tuple(0.5 + 0.05 * step for step in range(23))
@@ -46,10 +61,14 @@
     """Run the chosen service, designs and scenarios and print the figures."""
     args = _arguments()
     setting = world.SETTINGS_BY_NAME[args.service]
-    specs = [s for s in SPECS if args.design is None or args.design in s.label]
+    specs = [s for s in SPECS if args.design is None or re.search(args.design, s.label)]
     if specs[0].kind != "baseline":
         specs = [SPECS[0], *specs]
-    cases = [s for s in SCENARIOS if args.scenario is None or args.scenario in s.name]
+    cases = [
+        s
+        for s in SCENARIOS
+        if args.scenario is None or re.search(args.scenario, s.name)
+    ]
     jobs = [(setting, spec, case, args.seed) for case in cases for spec in specs]
     print(f"service {args.service} seed {args.seed}: {setting}")
     with multiprocessing.Pool(args.processes) as workers:
@@ -82,8 +101,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--service", default="batch", choices=world.SETTINGS_BY_NAME)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--design", help="only designs whose label contains this")
-    parser.add_argument("--scenario", help="only scenarios whose name contains this")
+    parser.add_argument("--design", help="only designs whose label matches")
+    parser.add_argument("--scenario", help="only scenarios whose name matches")
     parser.add_argument("--processes", type=int, default=3)
     return parser.parse_args()
 
@@ -96,7 +115,7 @@
             print(f"\n{scenario_name}")
             print(
                 f"  {'design':24} {'imp p50':>8} {'p99 ms':>8} {'ratio':>6}"
-                f" {'pat p50':>8} {'p99':>8} {'good':>7} {'pat good':>8} {'passes':>7}"
+                f" {'pat p50':>8} {'p99':>8} {'good':>7} {'pat good':>8} {'passes':>7} {'remote':>6}"
             )
         if spec.kind == "baseline":
             base = f
@@ -104,9 +123,9 @@
             f"  {spec.label:24} {f.impatient_p50_ms:8.1f} {f.impatient_p99_ms:8.1f}"
             f" {f.impatient_p99_ms / base.impatient_p99_ms:6.2f}"
             f" {f.patient_p50_ms:8.1f} {f.patient_p99_ms:8.1f}"
-            f" {f.goodput:7.2%} {f.patient_goodput:8.2%} {f.passes:7}"
+            f" {f.goodput:7.2%} {f.patient_goodput:8.2%} {f.passes:7} {f.remote_part:6.0%}"
         )
-        if case.name in ("dip", "lost entry"):
+        if case.name.startswith(("dip", "lost entry")):
             seconds = " ".join(f"{part:.0%}" for part in f.goodput_by_second)
             print(f"    impatient goodput by second: {seconds}")
 
--- a/packages/protocol/src/yuccapitch/protocol/slot_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/slot_messages.py
@@ -96,7 +96,8 @@
     failure_domain: str
     slots: int
     free: int
-    waiting: int
+    waiting_impatient: int
+    waiting_patient: int
     sequence: int
 
 
--- a/packages/steering/src/yuccapitch/steering/health.py
+++ b/packages/steering/src/yuccapitch/steering/health.py
@@ -156,6 +156,8 @@
                 for endpoint_id, standing in standings_by_id.items()
             }
         ordinary = max(0.1, statistics.median(s.slowness for s in standings))
+        if abs(ordinary - 1.0) < 0.05:
+            return standings_by_id
         return {
             endpoint_id: dataclasses.replace(
                 standing, slowness=standing.slowness / ordinary
--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -82,10 +82,9 @@
         """Set the endpoints that get no new work (leaving, drained)."""
         self._closed_ids = frozenset(endpoint_ids)
 
-    @property
-    def waiting(self) -> int:
-        """Requests in the queue."""
-        return len(self._queue)
+    def waiting(self, patience: model.Patience) -> int:
+        """Return how many requests of a class wait."""
+        return self._queue.waiting(patience)
 
     def free(self, now: float) -> int:
         """Return the free slots of the endpoints that take new work."""
--- a/packages/steering/src/yuccapitch/steering/pool_choice.py
+++ b/packages/steering/src/yuccapitch/steering/pool_choice.py
@@ -5,11 +5,13 @@
 import dataclasses
 from collections.abc import Sequence
 
-from yuccapitch.catalogue import ids
+from yuccapitch.catalogue import ids, model
 from yuccapitch.steering import owners
 
 COUNT_FRESH_S = 1.0
 UNKNOWN_LOAD_PENALTY_S = 0.02
+SILENT_S = 0.35
+"""Silence after which an owner is asked only if there is no other."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,25 +24,45 @@
     """One-way time to the owner; zero for an own pool."""
     slots: int
     free: int
-    waiting: int
+    waiting_impatient: int
+    waiting_patient: int
     counted_at: float
-    asked_since: int = 0
-    """Own asks since the count that have not been released."""
+    """When the owner took these counts, in the clock of this instance."""
+    heard_at: float
+    """When anything last arrived from the owner."""
+    sent_since: int = 0
+    """Own requests sent there and not yet answered."""
 
 
 def choose_pool(
-    views: Sequence[PoolView], service_s: float, now: float
+    views: Sequence[PoolView],
+    patience: model.Patience,
+    service_s: float,
+    now: float,
 ) -> PoolView | None:
-    """Return the pool with the shortest expected time to a slot."""
+    """Return the pool with the shortest expected time to a slot.
+
+    Views of other regions may be among those given, where the request is allowed
+    to leave its region; their distance then makes them the last resort.
+    """
     usable = [view for view in views if view.slots > 0]
+    heard = [v for v in usable if v.distance_s <= 0 or now - v.heard_at < SILENT_S]
     if not usable:
         return None
-    return min(usable, key=lambda v: (_expected_s(v, service_s, now), v.pool))
+    return min(
+        heard or usable,
+        key=lambda v: (_expected_s(v, patience, service_s, now), v.pool),
+    )
 
 
-def _expected_s(view: PoolView, service_s: float, now: float) -> float:
+def _expected_s(
+    view: PoolView, patience: model.Patience, service_s: float, now: float
+) -> float:
     expected_s = 2 * view.distance_s
     if view.distance_s > 0 and now - view.counted_at >= COUNT_FRESH_S:
         return expected_s + UNKNOWN_LOAD_PENALTY_S
-    backlog = view.waiting + view.asked_since + 1 - view.free
+    waiting = view.waiting_impatient
+    if patience is model.Patience.PATIENT:
+        waiting += view.waiting_patient
+    backlog = waiting + view.sent_since + 1 - view.free
     return expected_s + max(0, backlog) * service_s / view.slots
--- a/packages/steering/src/yuccapitch/steering/queue.py
+++ b/packages/steering/src/yuccapitch/steering/queue.py
@@ -62,6 +62,10 @@
     def __len__(self) -> int:
         return sum(len(waiting) for waiting in self._waiting_by_patience.values())
 
+    def waiting(self, patience: model.Patience) -> int:
+        """Return how many requests of a class wait."""
+        return len(self._waiting_by_patience[patience])
+
     @property
     def reserved(self) -> int:
         """Slots kept for impatient work; at least one is left to patient work."""
