--- a/bench/steering/slot_designs.py
+++ b/bench/steering/slot_designs.py
@@ -109,7 +109,10 @@
             return
         request.attempts += 1
         request_id = f"{request.number}.{request.attempts}"
-        lend = self.spec.remote == "lend"
+        owner_region = self.world.entries_by_id[view.owner].place.region
+        lend = self.spec.remote == "lend" or (
+            self.spec.remote == "mixed" and owner_region == entry.place.region
+        )
         holder = entry.instance_id if lend else view.owner
         patience = request.patience
         ask = pool.Ask(
--- a/bench/steering_experiment.py
+++ b/bench/steering_experiment.py
@@ -23,6 +23,8 @@
     designs.Spec("region/forward", grain="region", remote="forward"),
     designs.Spec("domain/lend", grain="domain"),
     designs.Spec("domain/lend/unsteered", grain="domain", steer=False),
+    designs.Spec("domain/mixed", remote="mixed"),
+    designs.Spec("domain/mixed/unsteered", remote="mixed", steer=False),
     designs.Spec("domain/forward", remote="forward"),
     designs.Spec("domain/forward/unsteered", remote="forward", steer=False),
     designs.Spec("domain/forward/no-classes", remote="forward", classes=False),
@@ -54,7 +56,10 @@
     scenarios.Scenario("dip", duration_s=20.0, fault=scenarios.dip, fault_at=3.0),
 )
 LOADS = tuple(0.5 + 0.05 * step for step in range(23))
-DIP_END_S = 8
+HEADING = (
+    f"  {'design':26} {'imp p50':>8} {'p99 ms':>8} {'ratio':>6} {'pat p50':>8}"
+    f" {'p99':>8} {'good':>7} {'pat good':>8} {'passes':>7} {'remote':>6}"
+)
 
 
 def main() -> None:
@@ -74,7 +79,7 @@
     with multiprocessing.Pool(args.processes) as workers:
         figures = workers.starmap(scenarios.run, jobs, chunksize=1)
         _print_scenarios(jobs, figures)
-        if args.scenario is None:
+        if args.loads:
             tops = workers.starmap(
                 highest_load, [(setting, spec, args.seed) for spec in specs]
             )
@@ -103,6 +108,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--design", help="only designs whose label matches")
     parser.add_argument("--scenario", help="only scenarios whose name matches")
+    parser.add_argument("--loads", action="store_true", help="find highest loads")
     parser.add_argument("--processes", type=int, default=3)
     return parser.parse_args()
 
@@ -113,17 +119,15 @@
         if case.name != scenario_name:
             scenario_name = case.name
             print(f"\n{scenario_name}")
-            print(
-                f"  {'design':24} {'imp p50':>8} {'p99 ms':>8} {'ratio':>6}"
-                f" {'pat p50':>8} {'p99':>8} {'good':>7} {'pat good':>8} {'passes':>7} {'remote':>6}"
-            )
+            print(HEADING)
         if spec.kind == "baseline":
             base = f
         print(
-            f"  {spec.label:24} {f.impatient_p50_ms:8.1f} {f.impatient_p99_ms:8.1f}"
+            f"  {spec.label:26} {f.impatient_p50_ms:8.1f} {f.impatient_p99_ms:8.1f}"
             f" {f.impatient_p99_ms / base.impatient_p99_ms:6.2f}"
             f" {f.patient_p50_ms:8.1f} {f.patient_p99_ms:8.1f}"
-            f" {f.goodput:7.2%} {f.patient_goodput:8.2%} {f.passes:7} {f.remote_part:6.0%}"
+            f" {f.goodput:7.2%} {f.patient_goodput:8.2%} {f.passes:7}"
+            f" {f.remote_part:6.0%}"
         )
         if case.name.startswith(("dip", "lost entry")):
             seconds = " ".join(f"{part:.0%}" for part in f.goodput_by_second)
@@ -135,7 +139,7 @@
     base = tops[0][0]
     for spec, (held, unpassed) in zip(specs, tops, strict=True):
         print(
-            f"  {spec.label:24} {held:5.0%} ratio {held / base:5.2f}"
+            f"  {spec.label:26} {held:5.0%} ratio {held / base:5.2f}"
             f" without a slot limit passed {unpassed:5.0%}"
         )
 
