Test slots, queue and leaving signs by state machines

The slot machine found that a second hand-over soon after the first lost the quarantines that the first had handed on: 5 requests in flight on 4 slots. remove_endpoint now returns them together with the holds.

--- a/packages/steering/src/yuccapitch/steering/queue.py
+++ b/packages/steering/src/yuccapitch/steering/queue.py
@@ -52,6 +52,7 @@
     def __init__(self, slots: int, max_waiting: int = MAX_WAITING) -> None:
         self.slots = slots
         self.max_waiting = max_waiting
+        self.patient_turn = PATIENT_TURN
         self.patient_in_flight = 0
         self._starts_since_patient = 0
         self._waiting_by_patience: dict[
@@ -125,7 +126,7 @@
         patient = self._first_live(model.Patience.PATIENT, now)
         if patient is not None and not self._patient_may_start(patient):
             patient = None
-        patient_due = self._starts_since_patient >= PATIENT_TURN - 1
+        patient_due = self._starts_since_patient >= self.patient_turn - 1
         if impatient is None or (patient is not None and patient_due):
             return patient
         return impatient
--- a/packages/steering/src/yuccapitch/steering/slots.py
+++ b/packages/steering/src/yuccapitch/steering/slots.py
@@ -88,13 +88,22 @@
         known.slots = slots
         known.quarantines = [*known.quarantines, *quarantines]
 
-    def remove_endpoint(self, endpoint_id: ids.EndpointId) -> tuple[Hold, ...]:
-        """Stop owning an endpoint; return the holds to hand to its next owner."""
-        self._endpoints_by_id.pop(endpoint_id, None)
+    def remove_endpoint(
+        self, endpoint_id: ids.EndpointId, now: float
+    ) -> tuple[Quarantine, ...]:
+        """Stop owning an endpoint; return what its next owner must quarantine.
+
+        Quarantines that this table got from an earlier owner are passed on.
+        """
+        endpoint = self._endpoints_by_id.pop(endpoint_id, None)
+        if endpoint is None:
+            return ()
         holds = [h for h in self.holds if h.endpoint_id == endpoint_id]
         for hold in holds:
             del self._holds_by_number[hold.number]
-        return tuple(holds)
+        held = [Quarantine(1, hold.reclaim_at) for hold in holds]
+        inherited = [q for q in endpoint.quarantines if q.until > now]
+        return tuple(held + inherited)
 
     def free(self, endpoint_id: ids.EndpointId, now: float) -> int:
         """Return how many slots of the endpoint may be acquired now."""
@@ -191,13 +200,6 @@
     return (Quarantine(impatient, early), Quarantine(patient_slots, late))
 
 
-def hand_over_quarantines(
-    holds: tuple[Hold, ...], now: float
-) -> tuple[Quarantine, ...]:
-    """Return the quarantines of an endpoint whose former owner listed its holds."""
-    return tuple(Quarantine(1, h.reclaim_at) for h in holds if h.reclaim_at > now)
-
-
 def connection_share(connections: int, declared_instances: int) -> int:
     """Return the connections that one of a region's instances may open.
 
--- /dev/null
+++ b/packages/steering/tests/test_queue_machine.py
@@ -0,0 +1,165 @@
+"""State machine: order, bounds and progress of the queue by class."""
+
+from __future__ import annotations
+
+import hypothesis
+import pytest
+import result
+from hypothesis import stateful, strategies
+
+from yuccapitch.catalogue import model
+from yuccapitch.steering import queue
+
+IMPATIENT = model.Patience.IMPATIENT
+PATIENT = model.Patience.PATIENT
+SLOTS = 4
+MAX_WAITING = 12
+
+
+class QueueMachine(stateful.RuleBasedStateMachine):
+    """Requests arrive, start and end in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.queue = queue.ClassQueue(SLOTS, MAX_WAITING)
+        self.now = 0.0
+        self.number = 0
+        self.running: list[queue.Waiting] = []
+        self.impatient_starts = 0
+
+    @stateful.rule(
+        patient=strategies.booleans(),
+        recallable=strategies.booleans(),
+        limit_s=strategies.sampled_from([0.0, 0.5, 5.0, 1000.0]),
+    )
+    def offer(self, patient: bool, recallable: bool, limit_s: float) -> None:
+        """Offer a request; only patient work is ever displaced by another."""
+        self.number += 1
+        request = queue.Waiting(
+            str(self.number),
+            PATIENT if patient else IMPATIENT,
+            self.now + limit_s,
+            0.02,
+            patient and recallable,
+        )
+        waiting_patient = self.queue.waiting(PATIENT)
+        offered = self.queue.offer(request, self.now)
+        if limit_s == 0.0:
+            assert isinstance(offered, result.Err)
+        if isinstance(offered, result.Ok) and offered.ok_value:
+            assert not patient
+            assert self.queue.waiting(PATIENT) == waiting_patient - 1
+        if isinstance(offered, result.Err) and not patient and limit_s > 100.0:
+            assert not waiting_patient, "impatient work was refused before patient"
+
+    @stateful.rule()
+    def start(self) -> None:
+        """Start the next request on a free slot."""
+        if len(self.running) >= SLOTS:
+            return
+        patients = [w for w in self.running if w.patience is PATIENT]
+        could_start = len(patients) < SLOTS - self.queue.reserved
+        patient_waits = self.queue.waiting(PATIENT) and could_start
+        request = self.queue.peek(self.now)
+        if request is None:
+            return
+        assert request.deadline > self.now
+        self.queue.start(request)
+        self.running.append(request)
+        if request.patience is IMPATIENT:
+            self.impatient_starts = self.impatient_starts + 1 if patient_waits else 0
+            assert self.impatient_starts < queue.PATIENT_TURN, "patient work starves"
+            return
+        self.impatient_starts = 0
+        if not request.recallable:
+            assert could_start, "patient work holds reserved slots for good"
+
+    @stateful.rule(index=strategies.integers(0, SLOTS - 1))
+    def finish(self, index: int) -> None:
+        """End a running request."""
+        if index < len(self.running):
+            self.queue.finish(self.running.pop(index))
+
+    @stateful.rule()
+    def recall(self) -> None:
+        """Ask for borrowed slots back, as the pool does for impatient work."""
+        recalled = self.queue.recall()
+        if recalled is not None:
+            assert recalled.recallable and recalled in self.running
+            self.running.remove(recalled)
+            self.queue.finish(recalled)
+
+    @stateful.rule(step_s=strategies.sampled_from([0.1, 1.0]))
+    def wait(self, step_s: float) -> None:
+        """Let time pass and expired requests go."""
+        self.now += step_s
+        self.queue.drop_expired(self.now)
+
+    @stateful.invariant()
+    def bounded(self) -> None:
+        """The queue keeps its bound, patient work its part of the slots."""
+        assert len(self.queue) <= MAX_WAITING
+        assert self.queue.patient_in_flight == sum(
+            w.patience is PATIENT for w in self.running
+        )
+
+
+NO_TURN = 10**9
+"""Broken variant: impatient work always goes first."""
+
+
+TestQueueMachine = QueueMachine.TestCase
+TestQueueMachine.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=50, deadline=None
+)
+
+
+def _serve_steady_impatient(patient_turn: int) -> bool:
+    line = queue.ClassQueue(SLOTS)
+    line.patient_turn = patient_turn
+    line.offer(queue.Waiting("p", PATIENT, 1e9, 0.02), 0.0)
+    for number in range(100):
+        line.offer(queue.Waiting(str(number), IMPATIENT, 1e9, 0.02), 0.0)
+        request = line.peek(0.0)
+        assert request is not None
+        line.start(request)
+        line.finish(request)
+        if request.request_id == "p":
+            return True
+    return False
+
+
+def test_queue_patient_work_starts_under_steady_impatient_work() -> None:
+    assert _serve_steady_impatient(queue.PATIENT_TURN)
+    assert not _serve_steady_impatient(NO_TURN)
+
+
+def test_queue_refuses_wait_beyond_deadline() -> None:
+    line = queue.ClassQueue(1)
+    assert line.offer(queue.Waiting("a", IMPATIENT, 1.0, 0.6), 0.0).is_ok()
+    assert line.offer(queue.Waiting("b", IMPATIENT, 1.0, 0.6), 0.0) == result.Err(
+        queue.Shed("b", queue.ShedReason.WAIT_PASSES_DEADLINE)
+    )
+
+
+def test_queue_keeps_reserved_slots_from_unrecallable_work() -> None:
+    line = queue.ClassQueue(4)
+    for number in range(4):
+        line.offer(queue.Waiting(str(number), PATIENT, 9.0, 0.02), 0.0)
+    for _ in range(3):
+        request = line.peek(0.0)
+        assert request is not None
+        line.start(request)
+    assert line.peek(0.0) is None
+
+
+def test_queue_machine_without_reserve_fails(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(queue, "RESERVED_FRACTION", 0.0)
+    line = queue.ClassQueue(4)
+    for number in range(4):
+        line.offer(queue.Waiting(str(number), PATIENT, 9.0, 0.02), 0.0)
+    for _ in range(3):
+        request = line.peek(0.0)
+        assert request is not None
+        line.start(request)
+    assert line.peek(0.0) is not None
--- /dev/null
+++ b/packages/steering/tests/test_slots_machine.py
@@ -0,0 +1,166 @@
+"""State machine: work in flight at an endpoint never exceeds its slots."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import hypothesis
+import pytest
+import result
+from hypothesis import stateful, strategies
+
+from yuccapitch.catalogue import ids
+from yuccapitch.steering import slots
+
+ENDPOINT = ids.EndpointId("b1")
+SLOTS = 4
+PATIENT_SLOTS = 3
+LEASE_S = 4.0
+IMPATIENT_S = 0.5
+LONGEST_S = 5.0
+
+
+@dataclasses.dataclass
+class Work:
+    """A request whose holder may send it late, and lose its release."""
+
+    hold: slots.Hold
+    arrives_at: float
+    ends_at: float
+
+
+class SlotMachine(stateful.RuleBasedStateMachine):
+    """Owners follow one another; borrowers are slow and lose messages."""
+
+    quarantine = True
+    reclaim_early_s = 0.0
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.term = 1
+        self.works: list[Work] = []
+        self.table = self._table()
+        self.table.add_endpoint(ENDPOINT, SLOTS)
+
+    @stateful.rule(
+        patient=strategies.booleans(),
+        travel_s=strategies.sampled_from([0.0, 0.003, 0.055]),
+        service_s=strategies.sampled_from([0.01, 0.2, 10.0]),
+    )
+    def dispatch(self, patient: bool, travel_s: float, service_s: float) -> None:
+        """Acquire a slot for the owner or a borrower and send the request."""
+        running = [w for w in self.works if w.hold.work_ends_by - self.now > 0]
+        patients = [w for w in running if w.hold.holder == "patient"]
+        if patient and len(patients) >= PATIENT_SLOTS:
+            return
+        limit_s = LONGEST_S if patient else IMPATIENT_S
+        holder = ids.InstanceId("patient" if patient else "impatient")
+        got = self.table.acquire(ENDPOINT, holder, self.now + limit_s, self.now)
+        if isinstance(got, result.Err):
+            return
+        hold = got.ok_value
+        arrives_at = self.now + travel_s
+        # The endpoint stops at the deadline that is passed down to it.
+        ends_at = min(arrives_at + service_s, hold.work_ends_by)
+        self.works.append(Work(hold, arrives_at, ends_at))
+
+    @stateful.rule(lost=strategies.booleans(), doubled=strategies.booleans())
+    def release(self, lost: bool, doubled: bool) -> None:
+        """Let the oldest work end; its release may be lost or sent twice."""
+        if not self.works:
+            return
+        work = min(self.works, key=lambda w: w.ends_at)
+        self.works.remove(work)
+        self.now = max(self.now, work.ends_at)
+        if not lost:
+            for _ in range(1 + doubled):
+                self.table.release(work.hold.term, work.hold.number)
+
+    @stateful.rule(step_s=strategies.sampled_from([0.01, 0.3, 1.0, 6.0]))
+    def wait(self, step_s: float) -> None:
+        """Let time pass; the owner keeps its lease."""
+        self.now += step_s
+        self.table.renew(self.now + LEASE_S)
+        self.works = [w for w in self.works if w.ends_at > self.now]
+
+    @stateful.rule()
+    def take_over(self) -> None:
+        """Lose the owner; the next one starts when the lease has lapsed."""
+        lease_end = self.table.lease_until
+        old = self.table
+        self.now = max(self.now, lease_end)
+        assert isinstance(
+            old.acquire(ENDPOINT, ids.InstanceId("old"), self.now + 1, self.now),
+            result.Err,
+        )
+        self.works = [w for w in self.works if w.ends_at > self.now]
+        self.term += 1
+        self.table = self._table()
+        quarantines = slots.take_over_quarantines(
+            SLOTS,
+            patient_slots=PATIENT_SLOTS,
+            lease_end=lease_end,
+            impatient_deadline_s=IMPATIENT_S,
+            longest_deadline_s=LONGEST_S,
+        )
+        self.table.add_endpoint(ENDPOINT, SLOTS, quarantines if self.quarantine else ())
+
+    @stateful.rule()
+    def hand_over(self) -> None:
+        """Move the endpoint to a new owner that is told of the holds."""
+        quarantines = self.table.remove_endpoint(ENDPOINT, self.now)
+        self.term += 1
+        self.table = self._table()
+        self.table.add_endpoint(ENDPOINT, SLOTS, quarantines if self.quarantine else ())
+
+    @stateful.invariant()
+    def never_above_slots(self) -> None:
+        """Count what runs at the endpoint, by its own journal."""
+        running = [w for w in self.works if w.arrives_at <= self.now < w.ends_at]
+        assert len(running) <= SLOTS
+
+    def _table(self) -> slots.SlotTable:
+        return slots.SlotTable(
+            term=self.term,
+            lease_until=self.now + LEASE_S,
+            longest_deadline_s=LONGEST_S,
+        )
+
+
+class WithoutQuarantine(SlotMachine):
+    """Broken variant: a new owner counts every slot as free."""
+
+    quarantine = False
+
+
+TestSlotMachine = SlotMachine.TestCase
+TestSlotMachine.settings = hypothesis.settings(
+    max_examples=80, stateful_step_count=30, deadline=None
+)
+
+
+def test_slot_machine_second_hand_over_passes_quarantines_on() -> None:
+    first = slots.SlotTable(term=1, lease_until=9.0, longest_deadline_s=5.0)
+    first.add_endpoint(ENDPOINT, 2)
+    first.acquire(ENDPOINT, ids.InstanceId("e1"), 1.0, 0.0).unwrap()
+    second = slots.SlotTable(term=2, lease_until=9.0, longest_deadline_s=5.0)
+    second.add_endpoint(ENDPOINT, 2, first.remove_endpoint(ENDPOINT, 0.0))
+    assert second.free(ENDPOINT, 0.1) == 1
+    third = slots.SlotTable(term=3, lease_until=9.0, longest_deadline_s=5.0)
+    third.add_endpoint(ENDPOINT, 2, second.remove_endpoint(ENDPOINT, 0.1))
+    assert third.free(ENDPOINT, 0.2) == 1
+
+
+def test_slot_machine_without_quarantine_fails() -> None:
+    settings = hypothesis.settings(
+        max_examples=200,
+        stateful_step_count=30,
+        deadline=None,
+        database=None,
+        derandomize=True,
+        report_multiple_bugs=False,
+        phases=[hypothesis.Phase.generate],
+    )
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(WithoutQuarantine, settings=settings)
