--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -155,19 +155,22 @@
 
     def _start(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
-        while True:
-            waiting = self._queue.peek(now)
-            if waiting is None:
-                return decisions
+        while (granted := self._start_one(now)) is not None:
+            decisions.append(granted)
+        return decisions
+
+    def _start_one(self, now: float) -> Granted | None:
+        for waiting in self._queue.next_requests(now):
             ask = self._asks_by_id[waiting.request_id]
             hold = self._acquire(ask, waiting, now)
             if hold is None:
-                return decisions
+                continue
             self._queue.start(waiting)
             del self._asks_by_id[ask.request_id]
             self._started_by_number[hold.number] = (ask, waiting)
             self._numbers_by_request_id[ask.request_id] = hold.number
-            decisions.append(Granted(ask, hold))
+            return Granted(ask, hold)
+        return None
 
     def _acquire(
         self, ask: Ask, waiting: queue.Waiting, now: float
--- a/packages/steering/src/yuccapitch/steering/queue.py
+++ b/packages/steering/src/yuccapitch/steering/queue.py
@@ -70,7 +70,7 @@
     @property
     def reserved(self) -> int:
         """Slots kept for impatient work; at least one is left to patient work."""
-        return min(self.slots - 1, round(self.slots * RESERVED_FRACTION))
+        return max(0, min(self.slots - 1, round(self.slots * RESERVED_FRACTION)))
 
     def expected_wait_s(
         self, patience: model.Patience, expected_service_s: float
@@ -120,16 +120,19 @@
                 return True
         return False
 
-    def peek(self, now: float) -> Waiting | None:
-        """Return the request to start when a slot is free, expired ones skipped."""
+    def next_requests(self, now: float) -> tuple[Waiting, ...]:
+        """Return the next request of each class that may start, in order.
+
+        The second is for the case that no free slot suits the first.
+        """
         impatient = self._first_live(model.Patience.IMPATIENT, now)
         patient = self._first_live(model.Patience.PATIENT, now)
         if patient is not None and not self._patient_may_start(patient):
             patient = None
-        patient_due = self._starts_since_patient >= self.patient_turn - 1
-        if impatient is None or (patient is not None and patient_due):
-            return patient
-        return impatient
+        order = [impatient, patient]
+        if self._starts_since_patient >= self.patient_turn - 1:
+            order.reverse()
+        return tuple(request for request in order if request is not None)
 
     def start(self, request: Waiting) -> None:
         """Record that a request got a slot."""
--- /dev/null
+++ b/packages/steering/tests/test_health.py
@@ -0,0 +1,74 @@
+from __future__ import annotations
+
+from yuccapitch.catalogue import ids
+from yuccapitch.steering import health
+
+ENDPOINTS = tuple(ids.EndpointId(f"b{number}") for number in range(5))
+SLOW = ENDPOINTS[0]
+
+
+def _view(slow_s: float = 0.08, exchanges: int = 60) -> health.HealthView:
+    view = health.HealthView()
+    for _ in range(exchanges):
+        for endpoint_id in ENDPOINTS:
+            service_s = slow_s if endpoint_id == SLOW else 0.02
+            view.observe_exchange(
+                endpoint_id, health.ExchangeEnd.ANSWERED, "r", service_s, 1.0
+            )
+    return view
+
+
+def test_health_slow_endpoint_is_measured_relative_to_others() -> None:
+    standings_by_id = _view().standings(ENDPOINTS, 1.0)
+    assert standings_by_id[SLOW].slowness > 3.0
+    assert all(0.8 < standings_by_id[e].slowness < 1.2 for e in ENDPOINTS[1:])
+
+
+def test_health_good_figure_fades_and_bad_one_stays() -> None:
+    view = _view(slow_s=0.005)
+    view.observe_exchange(
+        ENDPOINTS[1], health.ExchangeEnd.ANSWERED, "r", 0.02, 1.0 + health.FRESH_S
+    )
+    later = 1.0 + health.FRESH_S
+    assert view.standing(SLOW, 1.0).slowness < 0.6
+    assert view.standing(SLOW, later).slowness == 1.0
+    assert _view().standing(SLOW, later).slowness > 3.0
+
+
+def test_health_without_measurements_prefers_none() -> None:
+    standings_by_id = _view().standings(ENDPOINTS, 1.0 + health.FRESH_S)
+    assert {s.slowness for s in standings_by_id.values()} == {1.0}
+    assert not any(s.doubtful for s in standings_by_id.values())
+
+
+def test_health_failures_raise_doubt_that_ends() -> None:
+    view = _view()
+    for _ in range(health.DOUBT_AFTER_FAILURES):
+        view.observe_exchange(SLOW, health.ExchangeEnd.FAILED, "r", 0.0, 2.0)
+    assert view.standing(SLOW, 2.0).doubtful
+    assert not view.standing(SLOW, 2.0 + health.DOUBT_S).doubtful
+    view.observe_probe(SLOW, True, 2.5)
+    assert not view.standing(SLOW, 2.5).doubtful
+
+
+def test_health_all_doubtful_stays_spread() -> None:
+    view = _view()
+    for endpoint_id in ENDPOINTS:
+        for _ in range(health.DOUBT_AFTER_FAILURES):
+            view.observe_exchange(endpoint_id, health.ExchangeEnd.FAILED, "r", 0, 2.0)
+    assert not any(s.doubtful for s in view.standings(ENDPOINTS, 2.0).values())
+
+
+def test_health_older_report_is_ignored() -> None:
+    view = health.HealthView()
+    view.observe_report(health.LoadReport(SLOW, 3, 5.0))
+    view.observe_report(health.LoadReport(SLOW, 0, 4.0))
+    assert view.standing(SLOW, 5.0).reported_in_flight == 3
+    assert view.standing(SLOW, 5.0 + health.REPORT_FRESH_S).reported_in_flight is None
+
+
+def test_health_probe_cannot_outvote_fresh_exchange() -> None:
+    view = _view()
+    for _ in range(10):
+        view.observe_probe(SLOW, False, 1.5)
+    assert not view.standing(SLOW, 1.5).doubtful
--- a/packages/steering/tests/test_queue_machine.py
+++ b/packages/steering/tests/test_queue_machine.py
@@ -16,6 +16,10 @@
 MAX_WAITING = 12
 
 
+def _next(line: queue.ClassQueue, now: float) -> queue.Waiting | None:
+    return next(iter(line.next_requests(now)), None)
+
+
 class QueueMachine(stateful.RuleBasedStateMachine):
     """Requests arrive, start and end in any order."""
 
@@ -60,7 +64,7 @@
         patients = [w for w in self.running if w.patience is PATIENT]
         could_start = len(patients) < SLOTS - self.queue.reserved
         patient_waits = self.queue.waiting(PATIENT) and could_start
-        request = self.queue.peek(self.now)
+        request = _next(self.queue, self.now)
         if request is None:
             return
         assert request.deadline > self.now
@@ -120,7 +124,7 @@
     line.offer(queue.Waiting("p", PATIENT, 1e9, 0.02), 0.0)
     for number in range(100):
         line.offer(queue.Waiting(str(number), IMPATIENT, 1e9, 0.02), 0.0)
-        request = line.peek(0.0)
+        request = _next(line, 0.0)
         assert request is not None
         line.start(request)
         line.finish(request)
@@ -147,10 +151,10 @@
     for number in range(4):
         line.offer(queue.Waiting(str(number), PATIENT, 9.0, 0.02), 0.0)
     for _ in range(3):
-        request = line.peek(0.0)
+        request = _next(line, 0.0)
         assert request is not None
         line.start(request)
-    assert line.peek(0.0) is None
+    assert _next(line, 0.0) is None
 
 
 def test_queue_machine_without_reserve_fails(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -159,7 +163,7 @@
     for number in range(4):
         line.offer(queue.Waiting(str(number), PATIENT, 9.0, 0.02), 0.0)
     for _ in range(3):
-        request = line.peek(0.0)
+        request = _next(line, 0.0)
         assert request is not None
         line.start(request)
-    assert line.peek(0.0) is not None
+    assert _next(line, 0.0) is not None
--- /dev/null
+++ b/packages/steering/tests/test_retry.py
@@ -0,0 +1,61 @@
+from __future__ import annotations
+
+import pytest
+import result
+
+from yuccapitch.catalogue import ids, model
+from yuccapitch.steering import retry
+
+READ_ONLY = model.RequestClass.READ_ONLY
+AT_MOST_ONCE = model.RequestClass.AT_MOST_ONCE
+
+
+def _attempt(
+    request_class: model.RequestClass = READ_ONLY,
+    end: retry.AttemptEnd = retry.AttemptEnd.SHED,
+    number: int = 1,
+) -> retry.Attempt:
+    return retry.Attempt(number, request_class, end, 1.0, 0.02)
+
+
+@pytest.mark.parametrize("end", [retry.AttemptEnd.BROKEN, retry.AttemptEnd.TIMED_OUT])
+def test_retry_refuses_what_may_have_run(end: retry.AttemptEnd) -> None:
+    for request_class in (AT_MOST_ONCE, model.RequestClass.KEPT_ONCE):
+        decided = retry.decide_retry(
+            _attempt(request_class, end), retry.RetryBudget(), 1, 0.0
+        )
+        assert decided == result.Err(retry.Stop.MAY_HAVE_RUN)
+
+
+def test_retry_allows_shed_at_most_once() -> None:
+    decided = retry.decide_retry(_attempt(AT_MOST_ONCE), retry.RetryBudget(), 1, 0.0)
+    assert decided == result.Ok(2)
+
+
+def test_retry_budget_bounds_retries_to_a_part() -> None:
+    budget = retry.RetryBudget(ratio=0.1, burst=10.0)
+    retries = 0
+    for _ in range(1000):
+        budget.record_first_attempt()
+        retries += retry.decide_retry(_attempt(), budget, 1, 0.0).is_ok()
+    assert 100 <= retries <= 110
+
+
+def test_retry_refused_for_another_reason_spends_nothing() -> None:
+    budget = retry.RetryBudget()
+    late = retry.decide_retry(_attempt(), budget, 1, 0.99)
+    alone = retry.decide_retry(_attempt(), budget, 0, 0.0)
+    third = retry.decide_retry(_attempt(number=3), budget, 1, 0.0)
+    assert [late, alone, third] == [
+        result.Err(retry.Stop.DEADLINE),
+        result.Err(retry.Stop.NO_OTHER_ENDPOINT),
+        result.Err(retry.Stop.ATTEMPTS),
+    ]
+    assert budget.tokens == retry.BUDGET_BURST
+
+
+def test_shed_memory_forgets_after_a_second() -> None:
+    memory = retry.ShedMemory()
+    memory.record(ids.EndpointId("b1"), 0.0)
+    assert memory.avoided(0.9) == {"b1"}
+    assert memory.avoided(1.0) == frozenset()
