--- /dev/null
+++ b/packages/control/src/yuccapitch/control/lease_client.py
@@ -0,0 +1,202 @@
+"""The entry's side of the configuration lease."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable, Sequence
+
+import reactivex
+import result
+from reactivex import subject
+
+from yuccapitch.catalogue import holders, ids, model
+from yuccapitch.control import leases
+from yuccapitch.protocol import (
+    events,
+    lease_messages,
+    link,
+    node_messages,
+    peers as inner_peers,
+)
+
+RETRY_DELAY_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """What an entry instance acts on while its lease lasts."""
+
+    version: ids.Version
+    declaration: model.Declaration | None
+    holder_lists: tuple[holders.HolderList, ...]
+    live_by_id: dict[ids.InstanceId, node_messages.LiveInstance]
+
+
+EMPTY = Configuration(ids.Version(0), None, (), {})
+
+
+@dataclasses.dataclass(frozen=True)
+class Self:
+    """What an instance tells of itself with each request."""
+
+    instance_id: str
+    incarnation: int
+    failure_domain: str
+    http: inner_peers.Address
+    inner: inner_peers.Address
+
+
+class LeaseClient:
+    """Keeps the lease and hands out each new configuration."""
+
+    def __init__(
+        self,
+        own: Self,
+        control_ids: Sequence[str],
+        links: inner_peers.Peers,
+        renew_interval_s: float,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._control_ids = tuple(control_ids)
+        self._links = links
+        self._renew_interval_s = renew_interval_s
+        self._clock = clock
+        self._rng = rng
+        self._leader_id = self._control_ids[0]
+        self._live_sequence = 0
+        self._live_term = 0
+        self._wake = asyncio.Event()
+        self._subject: subject.BehaviorSubject[Configuration]
+        self._subject = subject.BehaviorSubject(EMPTY)
+        self.configuration = EMPTY
+        self.lease_until = float("-inf")
+        self.is_stopping = False
+        self.in_flight: Callable[[], int] = lambda: 0
+        self.share_renewal: Callable[[float], lease_messages.ShareRenewal | None]
+        self.share_renewal = lambda now: None
+        self.share_answer: Callable[[lease_messages.ShareAnswer, float], bool]
+        self.share_answer = lambda answer, now: False
+        links.handle(node_messages.VersionNotice, self._on_notice)
+
+    @property
+    def configurations(self) -> reactivex.Observable[Configuration]:
+        """Each configuration as it comes into force here, the current one first."""
+        return self._subject
+
+    def is_leased(self, now: float) -> bool:
+        """Whether the instance may take new work."""
+        return now < self.lease_until and self.configuration.version > 0
+
+    def wake(self) -> None:
+        """Renew at once."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Renew the lease until cancelled."""
+        was_leased = False
+        while True:
+            self._wake.clear()
+            renewed = await self._renew()
+            is_leased = self.is_leased(self._clock())
+            if was_leased and not is_leased:
+                events.event("entry.lease-lapsed", version=self.configuration.version)
+            if is_leased and not was_leased:
+                events.event("entry.lease-granted", version=self.configuration.version)
+            was_leased = is_leased
+            delay_s = self._renew_interval_s if renewed else RETRY_DELAY_S
+            try:
+                async with asyncio.timeout(delay_s * self._rng.uniform(0.9, 1.0)):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _renew(self) -> bool:
+        sent_at = self._clock()
+        reply = await self._links.request(
+            self._leader_id, self._request(sent_at), self._renew_interval_s
+        )
+        match reply:
+            case result.Ok(node_messages.LeaseGrant() as grant):
+                self._apply(grant, sent_at)
+                return True
+            case result.Ok(node_messages.LeaseRefusal(leader_id, reason)):
+                self._leader_id = self._next_leader(leader_id)
+                events.event("entry.lease-refused", reason=reason)
+            case result.Err(link.LinkError(fault, _)):
+                self._leader_id = self._next_leader("")
+                events.event("entry.lease-refused", reason=fault.value)
+        return False
+
+    def _request(self, now: float) -> node_messages.LeaseRequest:
+        own = self._own
+        return node_messages.LeaseRequest(
+            instance_id=own.instance_id,
+            incarnation=own.incarnation,
+            version=self.configuration.version,
+            is_stopping=self.is_stopping,
+            http_host=own.http.host,
+            http_port=own.http.port,
+            inner_host=own.inner.host,
+            inner_port=own.inner.port,
+            failure_domain=own.failure_domain,
+            in_flight=self.in_flight(),
+            live_sequence=self._live_sequence,
+            shares=self.share_renewal(now),
+        )
+
+    def _apply(self, grant: node_messages.LeaseGrant, sent_at: float) -> None:
+        current = self.configuration
+        if grant.version < current.version:
+            # A leader that is confirmed holds every accepted version.
+            raise AssertionError(f"granted {grant.version} after {current.version}")
+        changed = grant.version > current.version or grant.live_instances is not None
+        if grant.version > current.version:
+            assert grant.declaration is not None and grant.holder_lists is not None
+            current = dataclasses.replace(
+                current,
+                version=ids.Version(grant.version),
+                declaration=model.Declaration.model_validate_json(grant.declaration),
+                holder_lists=leases.parse_holder_lists(grant.holder_lists),
+            )
+        if grant.live_instances is not None:
+            live_by_id = {
+                ids.InstanceId(live.instance_id): live for live in grant.live_instances
+            }
+            current = dataclasses.replace(current, live_by_id=live_by_id)
+            self._live_sequence = grant.live_sequence
+        if changed:
+            is_new_version = current.version > self.configuration.version
+            self._take(current)
+            if is_new_version:
+                # Acknowledges the version, so that it counts as in force here.
+                self.wake()
+        self.lease_until = max(self.lease_until, sent_at + grant.duration_s)
+        if grant.shares is not None and self.share_answer(grant.shares, sent_at):
+            self.wake()
+
+    def _take(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        for instance_id, live in configuration.live_by_id.items():
+            if instance_id != self._own.instance_id:
+                address = inner_peers.Address(live.inner_host, live.inner_port)
+                self._links.set_address(instance_id, address)
+        events.event(
+            "entry.version-applied",
+            version=configuration.version,
+            live=len(configuration.live_by_id),
+        )
+        self._subject.on_next(configuration)
+
+    def _next_leader(self, hint: str) -> str:
+        if hint in self._control_ids:
+            return hint
+        position = self._control_ids.index(self._leader_id)
+        return self._control_ids[(position + 1) % len(self._control_ids)]
+
+    def _on_notice(self, peer_id: str, notice: node_messages.VersionNotice) -> None:
+        if notice.version > self.configuration.version:
+            self.wake()
--- /dev/null
+++ b/packages/control/src/yuccapitch/control/leases.py
@@ -0,0 +1,217 @@
+"""Configuration leases: the leader's record of who acts on which version."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pydantic
+import result
+
+from yuccapitch.catalogue import (
+    api,
+    holders as holder_lists,
+    ids,
+    loading,
+    model,
+    state as catalogue_state,
+)
+from yuccapitch.protocol import node_messages
+from yuccapitch.steering import ledger, resources
+
+_HOLDER_LISTS = pydantic.TypeAdapter(tuple[holder_lists.HolderList, ...])
+
+
+@dataclasses.dataclass
+class _Holder:
+    live: node_messages.LiveInstance
+    version: ids.Version
+    """Last version that the holder acknowledged."""
+    lapses_at_by_version: dict[ids.Version, float]
+    """When the last lease granted on each unacknowledged version lapses."""
+
+    @property
+    def lapses_at(self) -> float:
+        """When the last lease that was granted lapses."""
+        return max(self.lapses_at_by_version.values())
+
+    def may_act_below(self, version: ids.Version, now: float) -> bool:
+        """Whether the holder may act on an older version than the given one."""
+        return self.version < version and any(
+            granted < version and now < lapses_at
+            for granted, lapses_at in self.lapses_at_by_version.items()
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Refused:
+    """Why no lease is granted."""
+
+    reason: str
+
+
+class LeaseTerm:
+    """Leases granted by one leader in one term.
+
+    A lease counts from the holder's send time there and from the grant here,
+    so that it lapses here last. Holders of an earlier leader's leases are unknown until
+    those leases must have lapsed.
+    """
+
+    def __init__(
+        self,
+        term: int,
+        state: catalogue_state.CatalogueState,
+        now: float,
+        lease_duration_s: float,
+    ) -> None:
+        self.term = term
+        self._state = state
+        self._lease_duration_s = lease_duration_s
+        self._settles_at = now + lease_duration_s * ledger.CLOCK_MARGIN**2
+        self._holders_by_id: dict[ids.InstanceId, _Holder] = {}
+        self._live_sequence = 1
+        self._ledger = ledger.Ledger(
+            term, self._resources_by_id(), now, lease_duration_s
+        )
+
+    def declare(self) -> None:
+        """Take the limits of a newly accepted version."""
+        self._ledger.declare(self._resources_by_id())
+        self._live_sequence += 1
+
+    def renew(
+        self, request: node_messages.LeaseRequest, now: float
+    ) -> result.Result[node_messages.LeaseGrant, Refused]:
+        """Grant a lease on the current version."""
+        instance_id = ids.InstanceId(request.instance_id)
+        if not self._is_declared(instance_id):
+            reason = f"the catalogue declares no entry instance {instance_id!r}"
+            return result.Err(Refused(reason))
+        self._forget_lapsed(now)
+        self._record(instance_id, request, now)
+        is_current = request.version == self._state.version
+        has_live = request.live_sequence == self._live_sequence
+        shares = None
+        if request.shares is not None:
+            renewed = self._ledger.renew(request.shares, now)
+            shares = renewed.ok() if isinstance(renewed, result.Ok) else None
+        grant = node_messages.LeaseGrant(
+            term=self.term,
+            version=self._state.version,
+            duration_s=self._lease_duration_s,
+            declaration=None if is_current else self._declaration_bytes(),
+            holder_lists=None if is_current else self._holder_list_bytes(),
+            live_sequence=self._live_sequence,
+            live_instances=None if has_live else self._live_instances(),
+            shares=shares,
+        )
+        return result.Ok(grant)
+
+    def statuses(self, now: float) -> tuple[api.HolderStatus, ...]:
+        """Return what each holder acts on."""
+        return tuple(
+            api.HolderStatus(
+                instance_id=instance_id,
+                version=holder.version,
+                lease_left_ms=max(0, round((holder.lapses_at - now) * 1000)),
+            )
+            for instance_id, holder in sorted(self._holders_by_id.items())
+        )
+
+    def in_force(self, version: ids.Version, now: float) -> api.InForceBody:
+        """Return whether no instance may act on an older version."""
+        lagging = {
+            instance_id
+            for instance_id, holder in self._holders_by_id.items()
+            if holder.may_act_below(version, now)
+        }
+        if now < self._settles_at:
+            lagging |= self._entry_ids() - set(self._holders_by_id)
+        is_accepted = version <= self._state.version
+        return api.InForceBody(
+            version=version,
+            everywhere=is_accepted and not lagging,
+            lagging=tuple(sorted(lagging)),
+        )
+
+    def live_ids(self, now: float) -> tuple[ids.InstanceId, ...]:
+        """Return the holders of live leases."""
+        return tuple(
+            instance_id
+            for instance_id, holder in self._holders_by_id.items()
+            if now < holder.lapses_at
+        )
+
+    def _record(
+        self,
+        instance_id: ids.InstanceId,
+        request: node_messages.LeaseRequest,
+        now: float,
+    ) -> None:
+        live = node_messages.LiveInstance(
+            instance_id=request.instance_id,
+            incarnation=request.incarnation,
+            http_host=request.http_host,
+            http_port=request.http_port,
+            inner_host=request.inner_host,
+            inner_port=request.inner_port,
+            failure_domain=request.failure_domain,
+            is_stopping=request.is_stopping,
+        )
+        known = self._holders_by_id.get(instance_id)
+        if known is None or known.live != live:
+            self._live_sequence += 1
+        lapses_at = now + self._lease_duration_s * ledger.CLOCK_MARGIN
+        lapses_at_by_version = {} if known is None else known.lapses_at_by_version
+        lapses_at_by_version = {
+            version: lapses_at
+            for version, lapses_at in lapses_at_by_version.items()
+            if version >= request.version
+        }
+        lapses_at_by_version[self._state.version] = lapses_at
+        self._holders_by_id[instance_id] = _Holder(
+            live, ids.Version(request.version), lapses_at_by_version
+        )
+
+    def _forget_lapsed(self, now: float) -> None:
+        lapsed = [
+            instance_id
+            for instance_id, holder in self._holders_by_id.items()
+            if holder.lapses_at <= now
+        ]
+        for instance_id in lapsed:
+            del self._holders_by_id[instance_id]
+            self._live_sequence += 1
+
+    def _live_instances(self) -> tuple[node_messages.LiveInstance, ...]:
+        return tuple(holder.live for _, holder in sorted(self._holders_by_id.items()))
+
+    def _is_declared(self, instance_id: ids.InstanceId) -> bool:
+        return self._state.declaration is None or instance_id in self._entry_ids()
+
+    def _entry_ids(self) -> set[ids.InstanceId]:
+        if self._state.declaration is None:
+            return set()
+        return {
+            instance_id
+            for instance_id, instance in self._state.declaration.instances_by_id.items()
+            if model.Role.ENTRY in instance.roles
+        }
+
+    def _resources_by_id(self) -> dict[resources.ResourceId, resources.Resource]:
+        if self._state.declaration is None:
+            return {}
+        return resources.resources_by_id(self._state.declaration)
+
+    def _declaration_bytes(self) -> bytes | None:
+        if self._state.declaration is None:
+            return None
+        return loading.canonical_bytes(self._state.declaration)
+
+    def _holder_list_bytes(self) -> bytes:
+        return _HOLDER_LISTS.dump_json(self._state.holder_lists)
+
+
+def parse_holder_lists(data: bytes) -> tuple[holder_lists.HolderList, ...]:
+    """Return the holder lists that a grant carries."""
+    return _HOLDER_LISTS.validate_json(data)
--- /dev/null
+++ b/packages/control/src/yuccapitch/control/service.py
@@ -0,0 +1,206 @@
+"""The control role: serves the replicated catalogue and grants leases."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import result
+
+from yuccapitch.catalogue import api, changes, ids, state as catalogue_state
+from yuccapitch.consensus import effects, replica as consensus_replica
+from yuccapitch.control import leases, operator_api
+from yuccapitch.protocol import events, node_messages, peers as inner_peers
+
+MS_PER_S = 1000
+
+HttpAddress = Callable[[str], str | None]
+"""Returns the HTTP address of a control instance, if it is known."""
+
+
+class NotifyingState:
+    """The catalogue state, with a call after each change of version."""
+
+    def __init__(
+        self, state: catalogue_state.CatalogueState, on_version: Callable[[], None]
+    ) -> None:
+        self.state = state
+        self._on_version = on_version
+
+    def apply(self, index: int, command: bytes) -> object:
+        """Apply a committed command."""
+        before = self.state.version
+        outcome = self.state.apply(index, command)
+        if self.state.version != before:
+            self._on_version()
+        return outcome
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return self.state.snapshot()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+        self.state.restore(data)
+        self._on_version()
+
+
+class ControlService:
+    """One control instance's part of the replicated catalogue."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        state: catalogue_state.CatalogueState,
+        links: inner_peers.Peers,
+        http_address: HttpAddress,
+        lease_duration_s: float,
+        clock: Callable[[], float],
+    ) -> None:
+        self._instance_id = instance_id
+        self._state = state
+        self._links = links
+        self._http_address = http_address
+        self._lease_duration_s = lease_duration_s
+        self._clock = clock
+        self._lease_term: leases.LeaseTerm | None = None
+        self._replica: consensus_replica.Replica
+        links.handle(node_messages.LeaseRequest, self.renew_lease)
+
+    def attach(self, replica: consensus_replica.Replica) -> None:
+        """Use the replica that applies to the state."""
+        self._replica = replica
+
+    @property
+    def state(self) -> catalogue_state.CatalogueState:
+        """Return the state that this instance has applied."""
+        return self._state
+
+    async def submit(self, change: changes.Change) -> result.Result[
+        changes.Accepted | changes.Conflict | changes.Refused,
+        operator_api.NotLeader | operator_api.Unavailable,
+    ]:
+        """Commit the change and return its outcome."""
+        barrier = await self.read_barrier()
+        if isinstance(barrier, result.Err):
+            return barrier
+        admitted = self._state.admit(change)
+        if isinstance(admitted, result.Err):
+            return result.Ok(admitted.err_value)
+        command = self._state.command(change, int(time.time() * MS_PER_S))
+        proposed = await self._replica.propose(command)
+        match proposed:
+            case result.Ok(outcome):
+                assert isinstance(
+                    outcome, changes.Accepted | changes.Conflict | changes.Refused
+                )
+                _log_outcome(change, outcome)
+                return result.Ok(outcome)
+            case result.Err(consensus_replica.NotLeader(leader_id)):
+                return result.Err(self._not_leader(leader_id))
+            case _:
+                message = "leadership was lost before the change was committed"
+                return result.Err(operator_api.Unavailable(message, True))
+
+    async def read_barrier(
+        self,
+    ) -> result.Result[None, operator_api.NotLeader | operator_api.Unavailable]:
+        """Return once the state holds all that was accepted before the call."""
+        reached = await self._replica.read_barrier()
+        if isinstance(reached, result.Err):
+            return result.Err(self._not_leader(reached.err_value.leader_id))
+        return result.Ok(None)
+
+    def in_force(self, version: ids.Version) -> api.InForceBody:
+        """Return whether the version is in force on every instance that acts."""
+        if self._lease_term is None:
+            return api.InForceBody(version=version, everywhere=False)
+        return self._lease_term.in_force(version, self._clock())
+
+    def status(self) -> api.StatusBody:
+        """Return what this instance knows of the control plane."""
+        core = self._replica.core
+        now = self._clock()
+        term = self._lease_term
+        return api.StatusBody(
+            instance_id=ids.InstanceId(self._instance_id),
+            consensus_role=core.role.value,
+            leader=core.leader_id,
+            term=core.term,
+            version=self._state.version,
+            digest=self._state.digest,
+            members=tuple(
+                api.MemberStatus(
+                    instance_id=ids.InstanceId(member.instance_id),
+                    address=self._http_address(member.instance_id) or "",
+                    voter=member.is_voter,
+                )
+                for member in core.members.members
+            ),
+            holders=() if term is None else term.statuses(now),
+            in_force=None if term is None else term.in_force(self._state.version, now),
+        )
+
+    def on_version(self) -> None:
+        """Tell the holders of leases that a later version was accepted."""
+        events.event("entry.version-applied", version=self._state.version)
+        if self._lease_term is None:
+            return
+        self._lease_term.declare()
+        notice = node_messages.VersionNotice(self._state.version)
+        for instance_id in self._lease_term.live_ids(self._clock()):
+            self._links.send(instance_id, notice)
+
+    def on_effect(self, effect: effects.Effect) -> None:
+        """Follow the changes of leadership."""
+        if isinstance(effect, effects.RoleChanged):
+            if effect.role is not effects.Role.LEADER:
+                self._lease_term = None
+
+    async def renew_lease(
+        self, peer_id: str, request: node_messages.LeaseRequest
+    ) -> node_messages.LeaseGrant | node_messages.LeaseRefusal:
+        """Grant a lease if this instance is confirmed as the leader."""
+        if request.instance_id != peer_id:
+            return node_messages.LeaseRefusal("", "the request is not the peer's own")
+        if self._lease_term is None and self._replica.is_leader:
+            await self._begin_term()
+        term = self._lease_term
+        now = self._clock()
+        # No other leader can exist while the confirmation holds.
+        if term is None or now >= self._replica.leadership_confirmed_until:
+            leader_id = self._replica.leader_id or ""
+            return node_messages.LeaseRefusal(leader_id, "not the confirmed leader")
+        self._links.set_address(
+            peer_id, inner_peers.Address(request.inner_host, request.inner_port)
+        )
+        renewed = term.renew(request, now)
+        if isinstance(renewed, result.Err):
+            return node_messages.LeaseRefusal("", renewed.err_value.reason)
+        return renewed.ok_value
+
+    async def _begin_term(self) -> None:
+        # The barrier shows that the state holds every earlier leader's entries.
+        barrier = await self._replica.read_barrier()
+        term = self._replica.core.term
+        is_new = self._lease_term is None or self._lease_term.term != term
+        if isinstance(barrier, result.Ok) and self._replica.is_leader and is_new:
+            self._lease_term = leases.LeaseTerm(
+                term, self._state, self._clock(), self._lease_duration_s
+            )
+
+    def _not_leader(self, leader_id: str | None) -> operator_api.NotLeader:
+        if leader_id is None or leader_id == self._instance_id:
+            return operator_api.NotLeader(None)
+        return operator_api.NotLeader(self._http_address(leader_id))
+
+
+def _log_outcome(change: changes.Change, outcome: object) -> None:
+    if isinstance(outcome, changes.Accepted):
+        events.event(
+            "change.accepted", change_id=change.change_id, version=outcome.version
+        )
+    else:
+        events.event(
+            "change.refused", change_id=change.change_id, outcome=repr(outcome)
+        )
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/bodies.py
@@ -0,0 +1,125 @@
+"""Request bodies on their way from a caller to an endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+from collections.abc import AsyncIterator
+
+import result
+from aiohttp import web
+
+from yuccapitch.gateway import outcomes
+
+BUFFERED_BYTES = 256 * 1024
+"""Bodies up to this size are read whole before an endpoint is chosen."""
+CHUNK_BYTES = 64 * 1024
+STALL_TIMEOUT_S = 10.0
+"""Time without a byte from a caller after which its request is given up."""
+
+
+class BodyFault(enum.Enum):
+    """Why a caller's body ended early."""
+
+    TOO_LARGE = "too-large"
+    STALLED = "stalled"
+    CUT_OFF = "cut-off"
+
+
+class BodyError(Exception):
+    """Carries a fault of the caller's body through the HTTP client."""
+
+    def __init__(self, fault: BodyFault) -> None:
+        super().__init__(fault.value)
+        self.fault = fault
+
+
+@dataclasses.dataclass
+class Body:
+    """A body that is either whole in memory or read from the caller once."""
+
+    request: web.Request
+    most_bytes: int
+    head: bytes = b""
+    is_whole: bool = False
+    is_consumed: bool = False
+    """Whether bytes beyond the head were taken from the caller."""
+    all_sent: bool = False
+    """Whether the last byte was handed to the connection with an endpoint."""
+
+    @property
+    def can_resend(self) -> bool:
+        """Whether the body can be sent from its start again."""
+        return self.is_whole or not self.is_consumed
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body from its start; raise BodyError if it ends early."""
+        self.all_sent = self.is_whole
+        if self.head:
+            yield self.head
+        if self.is_whole:
+            return
+        self.is_consumed = True
+        taken = len(self.head)
+        async for chunk in _read(self.request):
+            taken += len(chunk)
+            if taken > self.most_bytes:
+                raise BodyError(BodyFault.TOO_LARGE)
+            # Set before the yield: once handed over, the last byte may arrive.
+            self.all_sent = self._is_last(taken)
+            yield chunk
+        self.all_sent = True
+
+    def _is_last(self, taken: int) -> bool:
+        return taken == self.request.content_length or self.request.content.at_eof()
+
+
+async def open_body(
+    request: web.Request, most_bytes: int
+) -> result.Result[Body, outcomes.Failure]:
+    """Read the head of a body, which is the whole of a small one."""
+    body = Body(request, most_bytes)
+    if not request.body_exists:
+        body.is_whole = True
+        return result.Ok(body)
+    taken = bytearray()
+    try:
+        async for chunk in _read(request):
+            taken += chunk
+            if len(taken) > most_bytes:
+                return result.Err(failure_of(BodyFault.TOO_LARGE))
+            if len(taken) >= BUFFERED_BYTES:
+                break
+        else:
+            body.is_whole = True
+    except BodyError as error:
+        return result.Err(failure_of(error.fault))
+    body.head = bytes(taken)
+    return result.Ok(body)
+
+
+def failure_of(fault: BodyFault) -> outcomes.Failure:
+    """Return the failure that tells a caller of its body's fault."""
+    messages_by_fault = {
+        BodyFault.TOO_LARGE: (413, "the body is larger than the route takes"),
+        BodyFault.STALLED: (408, f"no byte of the body came for {STALL_TIMEOUT_S} s"),
+        BodyFault.CUT_OFF: (400, "the body ended before its announced length"),
+    }
+    status, message = messages_by_fault[fault]
+    return outcomes.Failure(status, f"body-{fault.value}", message)
+
+
+async def _read(request: web.Request) -> AsyncIterator[bytes]:
+    while True:
+        try:
+            async with asyncio.timeout(STALL_TIMEOUT_S):
+                chunk = await request.content.readany()
+        except TimeoutError:
+            raise BodyError(BodyFault.STALLED) from None
+        except (OSError, web.RequestPayloadError):
+            raise BodyError(BodyFault.CUT_OFF) from None
+        if not chunk:
+            return
+        for start in range(0, len(chunk), CHUNK_BYTES):
+            yield chunk[start : start + CHUNK_BYTES]
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/config_view.py
@@ -0,0 +1,110 @@
+"""A configuration indexed for the decisions of one entry instance."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+
+import result
+
+from yuccapitch.catalogue import ids, model
+from yuccapitch.steering import lookup_table
+
+
+@dataclasses.dataclass(frozen=True)
+class NamedRoute:
+    """A route with its id."""
+
+    route_id: ids.RouteId
+    route: model.Route
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigView:
+    """One version of the declaration."""
+
+    version: ids.Version
+    declaration: model.Declaration
+
+    def region_of_domain(self, domain: ids.FailureDomainId) -> ids.RegionId:
+        """Return the region of a failure domain."""
+        return self.declaration.failure_domains_by_id[domain].region
+
+    def region_of_client(self, address: lookup_table.Address) -> ids.RegionId:
+        """Return the home region of a client's address."""
+        found = self._lookup_table.region_of(address)
+        return self.declaration.default_region if found is None else found
+
+    def find_route(
+        self, service: ids.ServiceId, method: str, path: str
+    ) -> NamedRoute | None:
+        """Return the route with the longest prefix that covers a request."""
+        for named in self._routes_by_service.get(service, ()):
+            if method in named.route.methods and _covers(named.route, path):
+                return named
+        return None
+
+    def methods_of(self, service: ids.ServiceId, path: str) -> frozenset[str]:
+        """Return the methods that some route takes at a path."""
+        return frozenset(
+            method
+            for named in self._routes_by_service.get(service, ())
+            if _covers(named.route, path)
+            for method in named.route.methods
+        )
+
+    def endpoints(
+        self, service: ids.ServiceId, region: ids.RegionId
+    ) -> dict[ids.EndpointId, model.Endpoint]:
+        """Return the endpoints of a service in a region."""
+        return self._endpoints_by_place.get((service, region), {})
+
+    def regions_by_distance(self, home: ids.RegionId) -> tuple[ids.RegionId, ...]:
+        """Return all regions, the home first, then by the delay of the links."""
+        delays_ms = {
+            link.target: link.delay_ms
+            for link in self.declaration.links_by_id.values()
+            if link.source == home
+        }
+        others = [region for region in self.declaration.regions_by_id if region != home]
+        others.sort(key=lambda region: (delays_ms.get(region, float("inf")), region))
+        return (home, *others)
+
+    @functools.cached_property
+    def _lookup_table(self) -> lookup_table.LookupTable:
+        blocks = self.declaration.regions_by_client_block.items()
+        built = lookup_table.build(blocks, tuple(self.declaration.regions_by_id))
+        if isinstance(built, result.Err):
+            raise AssertionError(f"an accepted declaration has faults: {built}")
+        return built.ok_value
+
+    @functools.cached_property
+    def _routes_by_service(self) -> dict[ids.ServiceId, tuple[NamedRoute, ...]]:
+        routes_by_service: dict[ids.ServiceId, list[NamedRoute]] = {}
+        for route_id, route in self.declaration.routes_by_id.items():
+            named = NamedRoute(route_id, route)
+            routes_by_service.setdefault(route.service, []).append(named)
+        return {
+            service: tuple(
+                sorted(routes, key=lambda named: -len(named.route.path_prefix))
+            )
+            for service, routes in routes_by_service.items()
+        }
+
+    @functools.cached_property
+    def _endpoints_by_place(
+        self,
+    ) -> dict[tuple[ids.ServiceId, ids.RegionId], dict[ids.EndpointId, model.Endpoint]]:
+        endpoints_by_place: dict[
+            tuple[ids.ServiceId, ids.RegionId], dict[ids.EndpointId, model.Endpoint]
+        ] = {}
+        for endpoint_id, endpoint in self.declaration.endpoints_by_id.items():
+            region = self.region_of_domain(endpoint.failure_domain)
+            place = (endpoint.service, region)
+            endpoints_by_place.setdefault(place, {})[endpoint_id] = endpoint
+        return endpoints_by_place
+
+
+def _covers(route: model.Route, path: str) -> bool:
+    prefix = route.path_prefix.rstrip("/")
+    return path == prefix or path.startswith(prefix + "/")
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/exchange.py
@@ -0,0 +1,260 @@
+"""One HTTP exchange with an endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import enum
+import types
+from collections.abc import AsyncIterator, Mapping
+
+import aiohttp
+import multidict
+import yarl
+
+from yuccapitch.catalogue import model
+from yuccapitch.gateway import bodies
+
+SHED_HEADER = "Yuccapitch-Endpoint-Shed"
+LOAD_HEADER = "Yuccapitch-Load"
+DEADLINE_HEADER = "Request-Timeout-Ms"
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTION_S = 15.0
+"""Idle age after which a pooled connection is closed: it may have gone silent."""
+SILENCE_TIMEOUT_S = 30.0
+"""Time without a byte from an endpoint after which an exchange is given up."""
+WHOLE_ANSWER_BYTES = 256 * 1024
+"""Answers up to this size are read whole before the caller gets any of them."""
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class Sent(enum.Enum):
+    """How much of a request may have reached the endpoint."""
+
+    NOTHING = "nothing"
+    PART = "part"
+    ALL = "all"
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """An endpoint's answer; the body is whole, or its rest is still to be read."""
+
+    status: int
+    headers: multidict.CIMultiDict[str]
+    body: bytes
+    rest: aiohttp.StreamReader | None
+    length: int | None
+
+
+@dataclasses.dataclass(frozen=True)
+class ShedAnswer:
+    """The endpoint says that it did not run the request."""
+
+    headers: multidict.CIMultiDict[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class NoAnswer:
+    """The exchange ended without a whole answer."""
+
+    sent: Sent
+    reason: str
+    body_fault: bodies.BodyFault | None = None
+    is_timeout: bool = False
+
+
+Result = Answer | ShedAnswer | NoAnswer
+
+
+@dataclasses.dataclass(frozen=True)
+class Target:
+    """What is asked of an endpoint."""
+
+    endpoint: model.Endpoint
+    method: str
+    path_and_query: str
+    headers: Mapping[str, str]
+    is_repeatable: bool
+    """Whether a second run does no harm, so that a pooled connection will do."""
+
+
+class Exchanges:
+    """Connections to endpoints, under each endpoint's connection limit."""
+
+    def __init__(self) -> None:
+        self._exit_stack = contextlib.AsyncExitStack()
+        self._pooled: aiohttp.ClientSession
+        self._fresh: aiohttp.ClientSession
+
+    async def start(self, connections_per_endpoint: int) -> None:
+        """Open the sessions."""
+        self._pooled = await self._open(connections_per_endpoint, is_pooled=True)
+        self._fresh = await self._open(connections_per_endpoint, is_pooled=False)
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._exit_stack.aclose()
+
+    @contextlib.asynccontextmanager
+    async def exchange(
+        self, target: Target, body: bodies.Body, timeout_s: float
+    ) -> AsyncIterator[Result]:
+        """Send a request and hold the connection while its answer is used.
+
+        Leaving the context before the answer was read to its end closes the
+        connection, which cancels the endpoint's work and never lets a late
+        answer reach another request.
+        """
+        progress = _Progress()
+        response: aiohttp.ClientResponse | None = None
+        try:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    response = await self._send(target, body, timeout_s, progress)
+                    outcome = await _receive(response)
+            except _FAILURES as error:
+                outcome = _no_answer(error, progress, body)
+            yield outcome
+        finally:
+            if response is not None:
+                # Has no effect once the answer was read to its end.
+                response.close()
+
+    async def _send(
+        self,
+        target: Target,
+        body: bodies.Body,
+        timeout_s: float,
+        progress: _Progress,
+    ) -> aiohttp.ClientResponse:
+        session = self._pooled if target.is_repeatable else self._fresh
+        endpoint = target.endpoint
+        base = f"http://{endpoint.host}:{endpoint.port}"
+        headers = forwarded_headers(target.headers)
+        headers[DEADLINE_HEADER] = str(max(1, int(timeout_s * 1000)))
+        data: bytes | AsyncIterator[bytes] | None = None
+        if body.is_whole:
+            data = body.head or None
+            body.all_sent = True
+        else:
+            data = body.chunks()
+            if body.request.content_length is not None:
+                headers["Content-Length"] = str(body.request.content_length)
+        return await session.request(
+            target.method,
+            yarl.URL(base + target.path_and_query, encoded=True),
+            headers=headers,
+            data=data,
+            allow_redirects=False,
+            skip_auto_headers=("User-Agent", "Accept", "Content-Type"),
+            trace_request_ctx=progress,
+        )
+
+    async def _open(self, limit: int, is_pooled: bool) -> aiohttp.ClientSession:
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(_mark_sent)
+        trace.on_connection_reuseconn.append(_mark_reused)
+        if is_pooled:
+            connector = aiohttp.TCPConnector(
+                limit=0, limit_per_host=limit, keepalive_timeout=IDLE_CONNECTION_S
+            )
+        else:
+            connector = aiohttp.TCPConnector(
+                limit=0, limit_per_host=limit, force_close=True
+            )
+        session = aiohttp.ClientSession(
+            connector=connector,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            timeout=aiohttp.ClientTimeout(
+                total=None,
+                sock_connect=CONNECT_TIMEOUT_S,
+                sock_read=SILENCE_TIMEOUT_S,
+            ),
+            trace_configs=[trace],
+            read_bufsize=bodies.CHUNK_BYTES,
+        )
+        return await self._exit_stack.enter_async_context(session)
+
+
+def forwarded_headers(headers: Mapping[str, str]) -> multidict.CIMultiDict[str]:
+    """Return the headers that pass through, without those of one connection."""
+    named = headers.get("Connection", "").lower().split(",")
+    dropped = _HOP_BY_HOP | {name.strip() for name in named}
+    passed = multidict.CIMultiDict[str]()
+    for name, value in headers.items():
+        if name.lower() not in dropped:
+            passed.add(name, value)
+    return passed
+
+
+@dataclasses.dataclass
+class _Progress:
+    headers_sent: bool = False
+    is_reused: bool = False
+
+
+_FAILURES = (aiohttp.ClientError, OSError, TimeoutError, bodies.BodyError)
+
+
+async def _mark_sent(
+    session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    params: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    context.trace_request_ctx.headers_sent = True
+
+
+async def _mark_reused(
+    session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    params: aiohttp.TraceConnectionReuseconnParams,
+) -> None:
+    context.trace_request_ctx.is_reused = True
+
+
+async def _receive(response: aiohttp.ClientResponse) -> Result:
+    headers = multidict.CIMultiDict(response.headers)
+    if response.status == 503 and response.headers.get(SHED_HEADER) == "1":
+        await response.read()
+        return ShedAnswer(headers)
+    length = response.content_length
+    taken = bytearray()
+    while len(taken) < WHOLE_ANSWER_BYTES:
+        chunk = await response.content.readany()
+        if not chunk:
+            return Answer(response.status, headers, bytes(taken), None, len(taken))
+        taken += chunk
+    return Answer(response.status, headers, bytes(taken), response.content, length)
+
+
+def _no_answer(
+    error: BaseException, progress: _Progress, body: bodies.Body
+) -> NoAnswer:
+    sent = Sent.NOTHING
+    if progress.headers_sent:
+        sent = Sent.ALL if body.all_sent else Sent.PART
+    cause: BaseException | None = error
+    while cause is not None and not isinstance(cause, bodies.BodyError):
+        cause = cause.__cause__ or cause.__context__
+    body_fault = cause.fault if isinstance(cause, bodies.BodyError) else None
+    reason = type(error).__name__
+    return NoAnswer(sent, reason, body_fault, isinstance(error, TimeoutError))
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/incoming.py
@@ -0,0 +1,134 @@
+"""Reads a caller's request: its route, deadline, key and body, or what is wrong."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import result
+from aiohttp import web
+
+from yuccapitch.catalogue import ids, model
+from yuccapitch.gateway import config_view, outcomes
+from yuccapitch.steering import claim_keys
+
+KEY_HEADER = "Idempotency-Key"
+ATTEMPT_HEADER = "Idempotency-Attempt"
+TIMEOUT_HEADER = "Request-Timeout-Ms"
+MAX_TIMEOUT_MS = 24 * 3600 * 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Incoming:
+    """A well-formed request of a caller."""
+
+    route_id: ids.RouteId
+    route: model.Route
+    path_and_query: str
+    deadline: float
+    """When the caller stops waiting, on the instance's clock."""
+    key: claim_keys.Key | None
+    attempt: int
+    content_length: int | None
+
+
+Parsed = result.Result[Incoming, outcomes.Failure]
+
+
+def parse(
+    request: web.Request, view: config_view.ConfigView, now: float, wall_now: float
+) -> Parsed:
+    """Return what the request asks for, or the failure that names its fault."""
+    service = ids.ServiceId(request.match_info["service"])
+    if service not in view.declaration.services_by_id:
+        return _fault(404, "unknown-service", f"no service {service!r} is declared")
+    path = "/" + request.match_info["path"]
+    named = view.find_route(service, request.method, path)
+    if named is None:
+        return _no_route(view, service, request.method, path)
+    limits = named.route.limits
+    length = request.content_length
+    if length is not None and length > limits.body_bytes:
+        message = f"the body has {length} bytes; the route takes {limits.body_bytes}"
+        return _fault(413, "body-too-large", message)
+    timeout = _parse_number(request, TIMEOUT_HEADER, MAX_TIMEOUT_MS)
+    if isinstance(timeout, result.Err):
+        return timeout
+    attempt = claim_keys.parse_attempt(request.headers.get(ATTEMPT_HEADER))
+    if isinstance(attempt, result.Err):
+        return _fault(400, "malformed-header", attempt.err_value.fault.value)
+    timeout_ms = min(timeout.ok_value or limits.deadline_ms, limits.deadline_ms)
+    key = _parse_key(request, view, named.route, wall_now)
+    if isinstance(key, result.Err):
+        return key
+    path_and_query = request.rel_url.raw_path_qs.removeprefix(f"/s/{service}")
+    incoming = Incoming(
+        route_id=named.route_id,
+        route=named.route,
+        path_and_query=path_and_query or "/",
+        deadline=now + timeout_ms / 1000,
+        key=key.ok_value,
+        attempt=attempt.ok_value,
+        content_length=length,
+    )
+    return result.Ok(incoming)
+
+
+def _no_route(
+    view: config_view.ConfigView, service: ids.ServiceId, method: str, path: str
+) -> result.Err[outcomes.Failure]:
+    methods = view.methods_of(service, path)
+    if not methods:
+        return _fault(404, "unknown-route", f"no route of {service!r} covers {path!r}")
+    allowed = ", ".join(sorted(methods))
+    return _fault(
+        405, "wrong-method", f"{method} is not taken at {path!r}; use {allowed}"
+    )
+
+
+def _parse_number(
+    request: web.Request, header: str, most: int
+) -> result.Result[int | None, outcomes.Failure]:
+    text = request.headers.get(header)
+    if text is None:
+        return result.Ok(None)
+    is_number = text.isascii() and text.isdigit() and len(text) <= len(str(most))
+    if not is_number or not 0 < int(text) <= most:
+        message = f"{header} must be a whole number from 1 to {most}, not {text!r}"
+        return _fault(400, "malformed-header", message)
+    return result.Ok(int(text))
+
+
+def _parse_key(
+    request: web.Request,
+    view: config_view.ConfigView,
+    route: model.Route,
+    wall_now: float,
+) -> result.Result[claim_keys.Key | None, outcomes.Failure]:
+    if route.request_class is model.RequestClass.READ_ONLY:
+        return result.Ok(None)
+    text = request.headers.get(KEY_HEADER)
+    if text is None:
+        message = (
+            f"a {route.request_class.value} request needs {KEY_HEADER}:"
+            " <region>.<unix_ms>.<random>; GET /v1/entries gives the first two parts"
+        )
+        return _fault(400, "key-missing", message)
+    parsed = claim_keys.parse(text, wall_now)
+    match parsed:
+        case result.Ok(key) if key.region_id in view.declaration.regions_by_id:
+            return result.Ok(key)
+        case result.Ok(key):
+            message = f"{KEY_HEADER} names {key.region_id!r}, which is no region"
+            return _fault(400, "malformed-key", message)
+        case result.Err(claim_keys.ExpiredKey(age_s)):
+            message = f"the key is {age_s:.0f} s old; whether it ran is not known"
+            return result.Err(
+                outcomes.Failure(410, "key-expired", message, outcomes.Outcome.UNKNOWN)
+            )
+        case result.Err(claim_keys.MalformedKey(fault)):
+            return _fault(400, "malformed-key", f"{KEY_HEADER}: {fault.value}")
+    raise AssertionError(parsed)
+
+
+def _fault(status: int, code: str, message: str) -> result.Err[outcomes.Failure]:
+    return result.Err(outcomes.Failure(status, code, message))
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/outcomes.py
@@ -0,0 +1,49 @@
+"""What a caller is told of its request: outcome, status and error body."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import json
+import math
+
+from aiohttp import web
+
+OUTCOME_HEADER = "Yuccapitch-Outcome"
+VERSION_HEADER = "Yuccapitch-Config-Version"
+
+
+class Outcome(enum.Enum):
+    """What a caller may conclude of its request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True)
+class Failure:
+    """A request that ends without an endpoint's whole answer."""
+
+    status: int
+    code: str
+    message: str
+    outcome: Outcome = Outcome.NOT_RUN
+    retry_after_s: float | None = None
+
+
+def failure_response(failure: Failure, version: int) -> web.Response:
+    """Return the answer that tells a caller of a failure."""
+    headers = {
+        OUTCOME_HEADER: failure.outcome.value,
+        VERSION_HEADER: str(version),
+    }
+    if failure.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(failure.retry_after_s)))
+    body = json.dumps({"error": failure.code, "message": failure.message})
+    return web.Response(
+        status=failure.status,
+        text=body,
+        content_type="application/json",
+        headers=headers,
+    )
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -0,0 +1,128 @@
+"""One running instance: its roles, its servers and its orderly stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+
+import result
+
+from yuccapitch.control import lease_client, operator_api
+from yuccapitch.gateway import app, metrics as gateway_metrics
+from yuccapitch.node import control_role, entry_role, http_server, settings_table
+from yuccapitch.protocol import events, inner_tls, link, peers as inner_peers
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+async def run(settings: settings_table.Settings) -> int:
+    """Run one instance and return its exit code."""
+    return await Daemon(settings).run()
+
+
+class Daemon:
+    """Runs the roles of one instance until a signal asks it to stop."""
+
+    def __init__(self, settings: settings_table.Settings) -> None:
+        self._settings = settings
+        self._clock = time.monotonic
+        self._rng = random.Random(settings.seed)
+        self._stop = asyncio.Event()
+        self._entry: entry_role.EntryRole | None = None
+
+    async def run(self) -> int:
+        """Serve until stopped and return the exit code."""
+        async with contextlib.AsyncExitStack() as stack:
+            started = await self._start(stack)
+            if isinstance(started, result.Err):
+                events.event("process.failed", reason=started.err_value)
+                return EXIT_FAILED
+            await self._stop.wait()
+            events.event("process.stopping")
+        events.event("process.stopped")
+        return EXIT_OK
+
+    async def _start(
+        self, stack: contextlib.AsyncExitStack
+    ) -> result.Result[None, str]:
+        settings = self._settings
+        tls = _open_tls(settings)
+        if isinstance(tls, result.Err):
+            return tls
+        timing = link.LinkTiming(settings.heartbeat_interval_s, settings.link_timeout_s)
+        links = inner_peers.Peers(settings.instance_id, timing, tls.ok_value)
+        inner = await links.start(settings.inner_host, settings.inner_port)
+        stack.push_async_callback(links.aclose)
+        for peer in settings.control_peers:
+            address = inner_peers.Address(peer.host, peer.inner_port)
+            links.set_address(peer.instance_id, address)
+        links.set_address(settings.instance_id, inner)
+        metrics = gateway_metrics.Metrics()
+        stack.callback(metrics.close)
+        application = app.build(metrics, self._not_ready_reason)
+        if settings.runs_control:
+            control = await control_role.start(
+                settings, links, self._clock, self._rng, stack
+            )
+            if isinstance(control, result.Err):
+                return result.Err(str(control.err_value))
+            routes = operator_api.OperatorApi(control.ok_value).routes()
+            application.router.add_routes(routes)
+        http = http_server.HttpServer(
+            settings.http_host, settings.http_port, settings.max_header_bytes
+        )
+        if settings.runs_entry:
+            own = lease_client.Self(
+                instance_id=settings.instance_id,
+                incarnation=time.time_ns(),
+                failure_domain=settings.failure_domain,
+                http=http.address,
+                inner=inner,
+            )
+            self._entry = await entry_role.start(
+                settings,
+                links,
+                own,
+                application,
+                metrics,
+                self._clock,
+                self._rng,
+                stack,
+            )
+        await http.serve(application, stack)
+        self._handle_signals()
+        events.event(
+            "process.started",
+            role=settings.role.value,
+            http=f"{http.address.host}:{http.address.port}",
+            inner=f"{inner.host}:{inner.port}",
+        )
+        return result.Ok(None)
+
+    def _not_ready_reason(self) -> str | None:
+        return None if self._entry is None else self._entry.not_ready_reason()
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            # Setting the event again has no effect: a second signal cuts off nothing.
+            loop.add_signal_handler(number, self._stop.set)
+
+
+def _open_tls(
+    settings: settings_table.Settings,
+) -> result.Result[inner_tls.InnerTls | None, str]:
+    if settings.tls_cert is None:
+        return result.Ok(None)
+    assert settings.tls_key is not None and settings.tls_trust_dir is not None
+    opened = inner_tls.InnerTls.open(
+        settings.tls_cert, settings.tls_key, settings.tls_trust_dir
+    )
+    if isinstance(opened, result.Err):
+        reason = f"--tls-cert, --tls-key, --tls-trust-dir: {opened.err_value}"
+        return result.Err(reason)
+    return result.Ok(opened.ok_value)
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/http_server.py
@@ -0,0 +1,41 @@
+"""The HTTP port of an instance."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+from aiohttp import web
+
+from yuccapitch.protocol import peers as inner_peers
+
+BACKLOG = 512
+
+
+class HttpServer:
+    """A bound port, so that its address is known before it serves."""
+
+    def __init__(self, host: str, port: int, max_header_bytes: int) -> None:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._socket = socket.create_server(
+            (host, port), family=family, backlog=BACKLOG
+        )
+        bound = self._socket.getsockname()
+        self.address = inner_peers.Address(bound[0], bound[1])
+        self._max_header_bytes = max_header_bytes
+
+    async def serve(
+        self, application: web.Application, stack: contextlib.AsyncExitStack
+    ) -> None:
+        """Serve until the stack is closed, which waits for no request."""
+        runner = web.AppRunner(
+            application,
+            access_log=None,
+            max_line_size=self._max_header_bytes,
+            max_field_size=self._max_header_bytes,
+            handler_cancellation=True,
+        )
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        site = web.SockSite(runner, self._socket)
+        await site.start()
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/main.py
@@ -0,0 +1,20 @@
+"""The yuccapitchd program."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+
+from yuccapitch.node import daemon, logs, settings
+from yuccapitch.protocol import events
+
+
+def run() -> None:
+    """Read the settings, serve until stopped, and exit."""
+    own_settings = settings.load(sys.argv[1:], os.environ)
+    with logs.write_to(sys.stderr, own_settings.instance_id, own_settings.log_level):
+        for name in settings.unknown_variables(os.environ):
+            events.event("settings.unknown-variable", variable=name)
+        code = asyncio.run(daemon.run(own_settings))
+    sys.exit(code)
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -100,6 +100,11 @@
 declare("change.repeated", "A resent change was given its first outcome again.")
 declare("change.in-force", "A version is in force on every entry instance.")
 declare("entry.lease-granted", "The instance holds a configuration lease.")
+declare(
+    "entry.lease-refused",
+    "A control instance granted no lease; another is asked.",
+    Level.DEBUG,
+)
 declare("entry.lease-renewed", "A configuration lease was renewed.", Level.DEBUG)
 declare(
     "entry.lease-lapsed",
--- a/packages/protocol/src/yuccapitch/protocol/node_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/node_messages.py
@@ -31,6 +31,8 @@
     inner_port: int
     failure_domain: str
     in_flight: int
+    live_sequence: int
+    """Last list of live instances that the sender has; 0 for none."""
     shares: lease_messages.ShareRenewal | None
 
 
@@ -47,7 +49,6 @@
     inner_port: int
     failure_domain: str
     is_stopping: bool
-    in_flight: int
 
 
 @registry.message(4)
@@ -61,16 +62,20 @@
     declaration: bytes | None
     """The declaration of the version, if the holder does not act on it yet."""
     holder_lists: bytes | None
-    live_instances: tuple[LiveInstance, ...]
+    live_sequence: int
+    live_instances: tuple[LiveInstance, ...] | None
+    """The live instances, if the holder's list is an older one."""
     shares: lease_messages.ShareAnswer | None
 
 
 @registry.message(5)
 @dataclasses.dataclass(frozen=True)
-class NotLeader:
-    """The control instance does not lead, or cannot confirm that it does."""
+class LeaseRefusal:
+    """The control instance grants no lease."""
 
     leader_id: str
+    """The instance to ask instead, empty if unknown."""
+    reason: str
 
 
 @registry.message(6)
--- a/packages/protocol/src/yuccapitch/protocol/slot_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/slot_messages.py
@@ -4,7 +4,10 @@
 
 import dataclasses
 
+from yuccapitch.protocol import registry
 
+
+@registry.message(60)
 @dataclasses.dataclass(frozen=True)
 class SlotAsk:
     """A borrower asks the owner of a pool for one slot."""
@@ -21,6 +24,7 @@
     """Endpoints just seen to shed by an earlier attempt."""
 
 
+@registry.message(61)
 @dataclasses.dataclass(frozen=True)
 class SlotGrant:
     """The owner lends a slot; the borrower dispatches to the endpoint itself."""
@@ -34,6 +38,7 @@
     counts it from when it sent its ask."""
 
 
+@registry.message(62)
 @dataclasses.dataclass(frozen=True)
 class SlotRefusal:
     """The owner gives no slot; the request has not been sent anywhere."""
@@ -43,6 +48,7 @@
     retry_after_ms: int
 
 
+@registry.message(63)
 @dataclasses.dataclass(frozen=True)
 class SlotCancel:
     """A borrower withdraws an ask that may still wait in the owner's queue."""
@@ -50,6 +56,7 @@
     request_id: str
 
 
+@registry.message(64)
 @dataclasses.dataclass(frozen=True)
 class SlotRecall:
     """The owner wants a lent slot back: cancel the exchange and ask again."""
@@ -59,6 +66,7 @@
     number: int
 
 
+@registry.message(65)
 @dataclasses.dataclass(frozen=True)
 class SlotRelease:
     """A borrower gives a slot back and tells how the exchange went."""
@@ -70,6 +78,7 @@
     service_us: int
 
 
+@registry.message(66)
 @dataclasses.dataclass(frozen=True)
 class HeldSlot:
     """A slot in use when an endpoint changes its owner."""
@@ -78,6 +87,7 @@
     remaining_ms: int
 
 
+@registry.message(67)
 @dataclasses.dataclass(frozen=True)
 class SlotHandover:
     """A former owner, which gives no more slots, tells its successor what is held."""
@@ -88,6 +98,7 @@
     held: tuple[HeldSlot, ...]
 
 
+@registry.message(68)
 @dataclasses.dataclass(frozen=True)
 class PoolLoad:
     """An owner's free and waiting counts of one pool."""
@@ -101,6 +112,7 @@
     sequence: int
 
 
+@registry.message(69)
 @dataclasses.dataclass(frozen=True)
 class PoolLoads:
     """An owner's counts of all its pools, sent to the entries of its region."""
