--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -7,9 +7,8 @@
 import subprocess
 
 import pytest
-import yaml
 
-from yuccapitch.catalogue import model
+from yuccapitch.catalogue import loading, model
 from yuccapitch.node import settings
 
 EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
@@ -19,7 +18,7 @@
 
 def declaration(name: str) -> model.Declaration:
     text = (EXAMPLES / f"{name}.yaml").read_text()
-    return model.Declaration.model_validate(yaml.safe_load(text))
+    return loading.load_yaml(text).unwrap()
 
 
 def settings_of(instance: str) -> settings.Settings:
@@ -84,22 +83,14 @@
 
 
 @pytest.mark.parametrize("name", ["quickstart", *(f"local/{d}" for d in DEPLOYMENTS)])
-def test_declaration_is_consistent(name: str) -> None:
+def test_declaration_fits_its_slots(name: str) -> None:
     declared = declaration(name)
     slots_by_region: collections.Counter[str] = collections.Counter()
     for endpoint in declared.endpoints_by_id.values():
-        assert endpoint.service in declared.services_by_id
-        assert endpoint.owner in declared.owners_by_id
         domain = declared.failure_domains_by_id[endpoint.failure_domain]
         slots_by_region[domain.region] += endpoint.slots
     for region_id, region in declared.regions_by_id.items():
         assert region.capacity == slots_by_region[region_id]
-    for instance in declared.instances_by_id.values():
-        assert instance.failure_domain in declared.failure_domains_by_id
-    for entry in (*declared.routes_by_id.values(), *declared.shifts_by_id.values()):
-        assert entry.service in declared.services_by_id
-    owners = {route.owner for route in declared.routes_by_id.values()}
-    assert owners <= declared.owners_by_id.keys()
     assert set(declared.turns.order) == declared.owners_by_id.keys()
 
 
