--- a/bench/steering/designs.py
+++ b/bench/steering/designs.py
@@ -30,6 +30,9 @@
     classes: bool = True
     recall: bool = True
     overflow: bool = True
+    deadlines: bool = True
+    doubt: bool = True
+    budget: bool = True
 
 
 class Unshared:
@@ -44,7 +47,9 @@
         self.rng = random.Random(world.rng.random())
         self.remote = 0
         self.baseline = spec.kind == "baseline"
-        self.budgets_by_entry = {e: retry.RetryBudget() for e in world.entries}
+        self.budgets_by_entry = {
+            e: retry.RetryBudget(0.1 if spec.budget else 10.0) for e in world.entries
+        }
         self.sheds_by_entry = {e: retry.ShedMemory() for e in world.entries}
         self.own_by_pair: dict[tuple, int] = {}
         self.reports_by_id: dict[ids.EndpointId, int] = {}
@@ -96,7 +101,7 @@
                 open_attempt[0] = False
             if end == "answered":
                 self.world.finish(request, to_client_s)
-            elif end == "shed":
+            elif end in ("shed", "failed"):
                 self._retry(entry, request, endpoint, number, to_client_s)
 
         def time_out() -> None:
--- a/bench/steering/scenarios.py
+++ b/bench/steering/scenarios.py
@@ -97,6 +97,11 @@
     world.endpoints[0].slow_factor = 4.0
 
 
+def broken(world: world_module.World, design: object) -> None:
+    """Let one endpoint fail each request at once."""
+    world.endpoints[0].broken = True
+
+
 def cold(world: world_module.World, design: object) -> None:
     """Empty the cache of one endpoint."""
     world.endpoints[0].cold_left = world_module.COLD_REQUESTS
--- a/bench/steering/slot_designs.py
+++ b/bench/steering/slot_designs.py
@@ -13,16 +13,19 @@
     owners,
     pool,
     pool_choice,
+    retry,
     slots,
 )
 
 COUNT_INTERVAL_S = 0.1
 TICK_S = 0.02
+NEVER_S = 60.0
 PEER_LOSS_S = 1.0
 SERVICE = ids.ServiceId("service")
 ENDS_BY_WORD = {
     "answered": health.ExchangeEnd.ANSWERED,
     "shed": health.ExchangeEnd.SHED,
+    "failed": health.ExchangeEnd.FAILED,
     "expired": health.ExchangeEnd.TIMED_OUT,
 }
 
@@ -45,6 +48,7 @@
         self.views: dict[tuple, pool_choice.PoolView] = {}
         self.open_asks: dict[tuple, int] = {}
         self.requests_by_id: dict[str, tuple] = {}
+        self.budgets_by_id = {e.instance_id: retry.RetryBudget() for e in world.entries}
         self.known_dead: set[ids.InstanceId] = set()
         self._assign(())
         world.after(0.0, self._count)
@@ -98,6 +102,7 @@
         entry: world_module.Entry,
         request: world_module.Request,
         to_client_s: float,
+        avoided: frozenset[ids.EndpointId] = frozenset(),
     ) -> None:
         if not entry.alive:
             return
@@ -108,6 +113,8 @@
         if view is None:
             return
         request.attempts += 1
+        if request.attempts == 1:
+            self.budgets_by_id[entry.instance_id].record_first_attempt()
         request_id = f"{request.number}.{request.attempts}"
         owner_region = self.world.entries_by_id[view.owner].place.region
         lend = self.spec.remote == "lend" or (
@@ -120,10 +127,11 @@
             holder,
             patience if self.spec.classes else model.Patience.IMPATIENT,
             patience.value,
-            request.deadline - to_client_s,
+            request.deadline - to_client_s if self.spec.deadlines else now + NEVER_S,
             self.spec.recall
             and request.attempts == 1
             and patience is model.Patience.PATIENT,
+            avoided,
         )
         self.remote += view.distance_s > 0
         self.requests_by_id[request_id] = (entry, request, to_client_s, view.owner)
@@ -224,12 +232,32 @@
             self._close(ask.request_id)
             if word == "cancelled" and entry.alive:
                 self._arrive(entry, request, to_client_s)
+            if word == "failed" and entry.alive:
+                self._retry(entry, request, to_client_s, hold.endpoint_id)
             if word == "answered" and entry.alive:
                 back = self._between(holder.instance_id, entry.instance_id)
                 self.world.finish(request, to_client_s + back)
 
         self.world.send_to_endpoint(holder, endpoint, request, reply, hold.work_ends_by)
 
+    def _retry(
+        self,
+        entry: world_module.Entry,
+        request: world_module.Request,
+        to_client_s: float,
+        endpoint_id: ids.EndpointId,
+    ) -> None:
+        attempt = retry.Attempt(
+            request.attempts,
+            model.RequestClass.READ_ONLY,
+            retry.AttemptEnd.BROKEN,
+            request.deadline,
+            self.world.setting.impatient_s,
+        )
+        budget = self.budgets_by_id[entry.instance_id]
+        if retry.decide_retry(attempt, budget, 1, self.world.now).is_ok():
+            self._arrive(entry, request, to_client_s, frozenset({endpoint_id}))
+
     def _released(
         self,
         owner: ids.InstanceId,
@@ -325,7 +353,7 @@
             lease_until=float("inf"),
             longest_deadline_s=self.world.setting.patient_deadline_s,
         )
-        view = health.HealthView()
+        view = health.HealthView(3 if self.spec.doubt else 10**9)
         return pool.SlotPool(table, view, random.Random(self.rng.random()))
 
     def _owners_by_endpoint(self) -> dict[ids.EndpointId, ids.InstanceId | None]:
--- a/bench/steering/world.py
+++ b/bench/steering/world.py
@@ -185,6 +185,7 @@
         self.cold_left = 0
         self.alive = True
         self.false_reports = False
+        self.broken = False
         self.running = 0
         self.passes = 0
         self.most_in_flight = 0
@@ -207,6 +208,9 @@
         """Take a request in, or shed it."""
         if not self.alive:
             return
+        if self.broken:
+            answer("failed")
+            return
         if self.in_flight >= self.slots:
             self.passes += 1
         if len(self._queue) >= self.queue_limit:
--- a/bench/steering_experiment.py
+++ b/bench/steering_experiment.py
@@ -30,6 +30,9 @@
     designs.Spec("domain/forward/no-classes", remote="forward", classes=False),
     designs.Spec("domain/forward/no-recall", remote="forward", recall=False),
     designs.Spec("domain/forward/no-overflow", remote="forward", overflow=False),
+    designs.Spec("domain/forward/no-deadlines", remote="forward", deadlines=False),
+    designs.Spec("domain/forward/no-doubt", remote="forward", doubt=False),
+    designs.Spec("power-of-two/no-budget", "unshared", "power-of-two", budget=False),
     designs.Spec("domain/forward/lease 1 s", remote="forward", lease_s=1.0),
     designs.Spec("domain/forward/proven", remote="forward", lease_s=0.2),
 )
@@ -42,6 +45,7 @@
     scenarios.Scenario("reports 5 s late", report_delay_s=5.0),
     scenarios.Scenario("false reports", fault=scenarios.false_reports),
     scenarios.Scenario("slow endpoint", fault=scenarios.slow),
+    scenarios.Scenario("broken endpoint", fault=scenarios.broken, fault_at=3.0),
     scenarios.Scenario("cold endpoint", fault=scenarios.cold, fault_at=3.0),
     scenarios.Scenario("lost entry", fault=scenarios.lost_entry, fault_at=3.0),
     scenarios.Scenario("lost region 50%", 0.5, fault=scenarios.lost_region, fault_at=3),
--- a/packages/steering/src/yuccapitch/steering/health.py
+++ b/packages/steering/src/yuccapitch/steering/health.py
@@ -52,7 +52,8 @@
 class HealthView:
     """Measurements of the endpoints that one instance sends to."""
 
-    def __init__(self) -> None:
+    def __init__(self, doubt_after: int = DOUBT_AFTER_FAILURES) -> None:
+        self.doubt_after = doubt_after
         self._records_by_id: dict[ids.EndpointId, _Record] = {}
         self._typical_s_by_route: dict[str, float] = {}
 
@@ -67,12 +68,12 @@
         """Record an own exchange, or one that a borrower reports on release."""
         record = self._record(endpoint_id)
         if end is ExchangeEnd.FAILED:
-            record.fail(now)
+            record.fail(now, self.doubt_after)
             return
         if end is ExchangeEnd.SHED:
             return
         if end is ExchangeEnd.TIMED_OUT:
-            record.fail(now)
+            record.fail(now, self.doubt_after)
         else:
             record.succeed()
         typical_s = self._typical_s_by_route.setdefault(route, service_s)
@@ -99,7 +100,7 @@
         if now - record.exchanged_at < FRESH_S and not record.failures:
             return
         if not answered:
-            record.fail(now)
+            record.fail(now, self.doubt_after)
             return
         record.succeed()
         record.probed_at = now
@@ -182,9 +183,9 @@
     failures: int = 0
     doubtful_until: float = float("-inf")
 
-    def fail(self, now: float) -> None:
+    def fail(self, now: float, doubt_after: int) -> None:
         self.failures += 1
-        excess = self.failures - DOUBT_AFTER_FAILURES
+        excess = self.failures - doubt_after
         if excess >= 0:
             self.doubtful_until = now + min(MAX_DOUBT_S, DOUBT_S * 2.0**excess)
 
