--- a/packages/consensus/tests/simulation.py
+++ b/packages/consensus/tests/simulation.py
@@ -152,6 +152,27 @@
                     node.core.tick(node.local_s(self.now))
                     self.flush(node)
 
+    def tick(self, instance_id):
+        """Let one instance stand for election if it may."""
+        node = self.nodes[instance_id]
+        node.core._state.election_deadline_s = node.local_s(self.now)
+        node.core.tick(node.local_s(self.now))
+        self.flush(node)
+
+    def exchange(self, *instance_ids, times=1):
+        """Deliver what is under way between these instances and lose the rest."""
+        for _ in range(times):
+            due, self.in_flight = self.in_flight, []
+            for item in due:
+                if item[1] in instance_ids and item[2] in instance_ids:
+                    self._deliver(*item[1:])
+
+    def elect(self, instance_id, *electors):
+        """Make one instance lead by the votes of the others named."""
+        self.in_flight = []
+        self.tick(instance_id)
+        self.exchange(instance_id, *electors, times=4)
+
     def heal(self):
         """End all faults."""
         self.max_delay_s, self.loss, self.duplication = 0.02, 0.0, 0.0
@@ -313,12 +334,15 @@
             key=lambda item: item[0],
         )
         self.in_flight = [item for item in self.in_flight if item[0] > self.now]
-        for _, sender_id, receiver_id, message in due:
-            node = self.nodes[receiver_id]
-            if node.core is None or (sender_id, receiver_id) in self.cuts:
-                continue
-            node.core.receive(sender_id, message, node.local_s(self.now))
-            self.flush(node)
+        for item in due:
+            self._deliver(*item[1:])
+
+    def _deliver(self, sender_id, receiver_id, message):
+        node = self.nodes[receiver_id]
+        if node.core is None or (sender_id, receiver_id) in self.cuts:
+            return
+        node.core.receive(sender_id, message, node.local_s(self.now))
+        self.flush(node)
 
 
 def _sets_members(entry):
--- /dev/null
+++ b/packages/consensus/tests/test_core_machine.py
@@ -0,0 +1,155 @@
+"""State machine over several cores: kills, lost disks, cuts, delays, skewed clocks."""
+
+from __future__ import annotations
+
+import contextlib
+from unittest import mock
+
+import hypothesis
+import pytest
+from hypothesis import stateful, strategies
+
+from packages.consensus.tests import simulation
+from yuccapitch.consensus import election
+
+SETTLING_TIME_S = 60.0
+CLOCK_RATES = strategies.floats(0.95, 1.05)
+INSTANCES = strategies.integers(0, 4).map("c{}".format)
+SETTINGS = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=60,
+    deadline=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+class CoreMachine(stateful.RuleBasedStateMachine):
+    """Every action of the world checks what must always hold."""
+
+    faults = simulation.Faults()
+
+    @stateful.initialize(
+        size=strategies.sampled_from([3, 5]),
+        seed=strategies.integers(0, 2**32),
+        rates=strategies.lists(CLOCK_RATES, min_size=5, max_size=5),
+    )
+    def form(self, size, seed, rates):
+        self.world = simulation.World(size, seed, rates, self.faults)
+        self.world.run(3.0)
+
+    def _has(self, instance_id):
+        return instance_id in self.world.nodes
+
+    @stateful.rule(duration_s=strategies.sampled_from([0.05, 0.3, 1.0, 3.0]))
+    def run(self, duration_s):
+        self.world.run(duration_s)
+
+    @stateful.rule(count=strategies.integers(1, 5))
+    def propose(self, count):
+        for _ in range(count):
+            for instance_id in self.world.leaders():
+                self.world.propose(instance_id)
+
+    @stateful.rule()
+    def read(self):
+        for instance_id in self.world.leaders():
+            self.world.read(instance_id)
+
+    @stateful.rule(instance_id=INSTANCES)
+    def kill(self, instance_id):
+        if self._has(instance_id):
+            self.world.kill(instance_id)
+
+    @stateful.rule()
+    def kill_leader(self):
+        for instance_id in self.world.leaders():
+            self.world.kill(instance_id)
+
+    @stateful.rule(instance_id=INSTANCES)
+    def crash_before_sync(self, instance_id):
+        if self._has(instance_id):
+            self.world.nodes[instance_id].crashes_in_next_flush = True
+
+    @stateful.rule(instance_id=INSTANCES)
+    def lose_disk(self, instance_id):
+        if self._has(instance_id) and self.world.can_lose_disk(instance_id):
+            self.world.lose_disk(instance_id)
+            self.world.start(instance_id)
+
+    @stateful.rule()
+    def restart_all(self):
+        for instance_id, node in self.world.nodes.items():
+            if node.core is None:
+                self.world.start(instance_id)
+
+    @stateful.rule(sender=INSTANCES, receiver=INSTANCES)
+    def cut_one_way(self, sender, receiver):
+        self.world.cuts.add((sender, receiver))
+
+    @stateful.rule()
+    def isolate_leader(self):
+        for instance_id in self.world.leaders():
+            for other in self.world.nodes:
+                self.world.cuts |= {(instance_id, other), (other, instance_id)}
+
+    @stateful.rule()
+    def end_cuts(self):
+        self.world.cuts.clear()
+
+    @stateful.rule(
+        max_delay_s=strategies.sampled_from([0.02, 0.2, 1.0, 3.0]),
+        loss=strategies.sampled_from([0.0, 0.1, 0.3]),
+        duplication=strategies.sampled_from([0.0, 0.3]),
+    )
+    def change_network(self, max_delay_s, loss, duplication):
+        self.world.max_delay_s = max_delay_s
+        self.world.loss, self.world.duplication = loss, duplication
+
+    def teardown(self):
+        """Once the faults end, everything acknowledged is everywhere."""
+        if not hasattr(self, "world"):
+            return
+        self.world.heal()
+        end_s = self.world.now + SETTLING_TIME_S
+        while not self.world.is_settled() and self.world.now < end_s:
+            self.world.run(1.0)
+        assert self.world.is_settled(), "the group did not settle"
+
+
+TestCoreMachine = CoreMachine.TestCase
+TestCoreMachine.settings = SETTINGS
+
+
+class KeepsIdentity(CoreMachine):
+    """Comes back under the old identity after its disk was lost."""
+
+    faults = simulation.Faults(keeps_identity_of_lost_disk=True)
+
+
+def vote_again(state, message):
+    return message.term == state.term and election._is_up_to_date(state, message)
+
+
+NO_PATCH = contextlib.nullcontext()
+VARIANTS = {
+    "keeps-identity": (KeepsIdentity, NO_PATCH),
+    "votes-twice": (CoreMachine, mock.patch.object(election, "_may_grant", vote_again)),
+    "votes-for-shorter-log": (
+        CoreMachine,
+        mock.patch.object(election, "_is_up_to_date", lambda state, message: True),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", VARIANTS)
+def test_core_machine_finds_broken_variant(name):
+    machine, patch = VARIANTS[name]
+    settings = hypothesis.settings(
+        SETTINGS,
+        max_examples=500,
+        derandomize=True,
+        database=None,
+        phases=[hypothesis.Phase.generate],
+    )
+    with patch, pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(machine, settings=settings)
