--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,23 @@
+from __future__ import annotations
+
+import contextlib
+import pathlib
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+
+from tests import processes
+
+
+@pytest.fixture
+async def cluster(tmp_path: pathlib.Path) -> AsyncIterator[processes.Cluster]:
+    """A deployment without processes; those added are killed at the end."""
+    async with contextlib.AsyncExitStack() as stack:
+        timeout = aiohttp.ClientTimeout(total=20)
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(timeout=timeout)
+        )
+        deployment = processes.Cluster(tmp_path, session)
+        stack.callback(deployment.close)
+        yield deployment
