Give each pool of slots one owner under leases of the control leader

A new leader waits for its predecessor's leases, adopts what owners report, and moves a pool only after its owner stopped or lapsed.

--- a/packages/control/src/yuccapitch/control/lease_client.py
+++ b/packages/control/src/yuccapitch/control/lease_client.py
@@ -19,7 +19,9 @@
     link,
     node_messages,
     peers as inner_peers,
+    slot_messages,
 )
+from yuccapitch.steering import owners
 
 RETRY_DELAY_S = 0.1
 
@@ -32,9 +34,10 @@
     declaration: model.Declaration | None
     holder_lists: tuple[holders.HolderList, ...]
     live_by_id: dict[ids.InstanceId, node_messages.LiveInstance]
+    owners_by_pool: dict[owners.Pool, ids.InstanceId]
 
 
-EMPTY = Configuration(ids.Version(0), None, (), {})
+EMPTY = Configuration(ids.Version(0), None, (), {}, {})
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,6 +51,15 @@
     inner: inner_peers.Address
 
 
+@dataclasses.dataclass(frozen=True)
+class PoolGrants:
+    """The pools that this instance owns under a grant."""
+
+    term: int
+    grants: tuple[slot_messages.PoolGrant, ...]
+    lease_until: float
+
+
 class LeaseClient:
     """Keeps the lease and hands out each new configuration."""
 
@@ -68,7 +80,9 @@
         self._rng = rng
         self._leader_id = self._control_ids[0]
         self._live_sequence = 0
-        self._live_term = 0
+        self._sequence = 0
+        self._applied_grant = 0
+        self._term = 0
         self._wake = asyncio.Event()
         self._subject: subject.BehaviorSubject[Configuration]
         self._subject = subject.BehaviorSubject(EMPTY)
@@ -80,6 +94,9 @@
         self.share_renewal = lambda now: None
         self.share_answer: Callable[[lease_messages.ShareAnswer, float], bool]
         self.share_answer = lambda answer, now: False
+        self.pool_reports: Callable[[float], tuple[slot_messages.PoolReport, ...]]
+        self.pool_reports = lambda now: ()
+        self.pool_grants: Callable[[PoolGrants], bool] = lambda grants: False
         links.handle(node_messages.VersionNotice, self._on_notice)
 
     @property
@@ -133,6 +150,7 @@
 
     def _request(self, now: float) -> node_messages.LeaseRequest:
         own = self._own
+        self._sequence += 1
         return node_messages.LeaseRequest(
             instance_id=own.instance_id,
             incarnation=own.incarnation,
@@ -146,6 +164,10 @@
             in_flight=self.in_flight(),
             live_sequence=self._live_sequence,
             shares=self.share_renewal(now),
+            sequence=self._sequence,
+            applied_term=self._term,
+            applied_grant=self._applied_grant,
+            pools=self.pool_reports(now),
         )
 
     def _apply(self, grant: node_messages.LeaseGrant, sent_at: float) -> None:
@@ -153,6 +175,14 @@
         if grant.version < current.version:
             # A leader that is confirmed holds every accepted version.
             raise AssertionError(f"granted {grant.version} after {current.version}")
+        if grant.term < self._term:
+            return
+        if grant.term > self._term:
+            self._term = grant.term
+            self._applied_grant = 0
+        if grant.number <= self._applied_grant:
+            return
+        self._applied_grant = grant.number
         changed = grant.version > current.version or grant.live_instances is not None
         if grant.version > current.version:
             assert grant.declaration is not None and grant.holder_lists is not None
@@ -166,7 +196,11 @@
             live_by_id = {
                 ids.InstanceId(live.instance_id): live for live in grant.live_instances
             }
-            current = dataclasses.replace(current, live_by_id=live_by_id)
+            current = dataclasses.replace(
+                current,
+                live_by_id=live_by_id,
+                owners_by_pool=_owners_by_pool(grant.pool_owners or ()),
+            )
             self._live_sequence = grant.live_sequence
         if changed:
             is_new_version = current.version > self.configuration.version
@@ -177,6 +211,9 @@
         self.lease_until = max(self.lease_until, sent_at + grant.duration_s)
         if grant.shares is not None and self.share_answer(grant.shares, sent_at):
             self.wake()
+        grants = PoolGrants(grant.term, grant.pools, self.lease_until)
+        if self.pool_grants(grants):
+            self.wake()
 
     def _take(self, configuration: Configuration) -> None:
         self.configuration = configuration
@@ -200,3 +237,14 @@
     def _on_notice(self, peer_id: str, notice: node_messages.VersionNotice) -> None:
         if notice.version > self.configuration.version:
             self.wake()
+
+
+def _owners_by_pool(
+    messages: Sequence[slot_messages.PoolOwner],
+) -> dict[owners.Pool, ids.InstanceId]:
+    return {
+        owners.Pool(
+            ids.ServiceId(message.service), ids.FailureDomainId(message.failure_domain)
+        ): ids.InstanceId(message.instance_id)
+        for message in messages
+    }
--- a/packages/control/src/yuccapitch/control/leases.py
+++ b/packages/control/src/yuccapitch/control/leases.py
@@ -15,9 +15,10 @@
     model,
     state as catalogue_state,
 )
-from yuccapitch.protocol import node_messages
-from yuccapitch.steering import ledger, resources
+from yuccapitch.protocol import node_messages, slot_messages
+from yuccapitch.steering import ledger, owners, pool_ownership, resources
 
+TERM_FACTOR = 2**32
 _HOLDER_LISTS = pydantic.TypeAdapter(tuple[holder_lists.HolderList, ...])
 
 
@@ -26,6 +27,7 @@
     live: node_messages.LiveInstance
     version: ids.Version
     """Last version that the holder acknowledged."""
+    sequence: int
     lapses_at_by_version: dict[ids.Version, float]
     """When the last lease granted on each unacknowledged version lapses."""
 
@@ -34,6 +36,13 @@
         """When the last lease that was granted lapses."""
         return max(self.lapses_at_by_version.values())
 
+    def is_after(self, request: node_messages.LeaseRequest) -> bool:
+        """Whether a later request than this one was answered."""
+        return (self.live.incarnation, self.sequence) >= (
+            request.incarnation,
+            request.sequence,
+        )
+
     def may_act_below(self, version: ids.Version, now: float) -> bool:
         """Whether the holder may act on an older version than the given one."""
         return self.version < version and any(
@@ -70,13 +79,20 @@
         self._settles_at = now + lease_duration_s * ledger.CLOCK_MARGIN**2
         self._holders_by_id: dict[ids.InstanceId, _Holder] = {}
         self._live_sequence = 1
+        self._grant_number = 0
+        self._owners_by_pool: dict[owners.Pool, ids.InstanceId] = {}
         self._ledger = ledger.Ledger(
             term, self._resources_by_id(), now, lease_duration_s
         )
+        self._ownership = pool_ownership.PoolOwnership(
+            now, lease_duration_s, is_first_term=state.version == 0
+        )
+        self._ownership.declare(self._regions_by_pool(), now)
 
-    def declare(self) -> None:
-        """Take the limits of a newly accepted version."""
+    def declare(self, now: float) -> None:
+        """Take the limits and pools of a newly accepted version."""
         self._ledger.declare(self._resources_by_id())
+        self._ownership.declare(self._regions_by_pool(), now)
         self._live_sequence += 1
 
     def renew(
@@ -87,10 +103,15 @@
         if not self._is_declared(instance_id):
             reason = f"the catalogue declares no entry instance {instance_id!r}"
             return result.Err(Refused(reason))
+        known = self._holders_by_id.get(instance_id)
+        if known is not None and known.is_after(request):
+            return result.Err(Refused("a later request has overtaken this one"))
         self._forget_lapsed(now)
         self._record(instance_id, request, now)
+        self._grant_number += 1
+        pools = self._renew_pools(request, now)
         is_current = request.version == self._state.version
-        has_live = request.live_sequence == self._live_sequence
+        has_live = request.live_sequence == self._list_id()
         shares = None
         if request.shares is not None:
             renewed = self._ledger.renew(request.shares, now)
@@ -101,9 +122,12 @@
             duration_s=self._lease_duration_s,
             declaration=None if is_current else self._declaration_bytes(),
             holder_lists=None if is_current else self._holder_list_bytes(),
-            live_sequence=self._live_sequence,
+            live_sequence=self._list_id(),
             live_instances=None if has_live else self._live_instances(),
             shares=shares,
+            number=self._grant_number,
+            pools=pools,
+            pool_owners=None if has_live else self._pool_owners(),
         )
         return result.Ok(grant)
 
@@ -170,7 +194,10 @@
         }
         lapses_at_by_version[self._state.version] = lapses_at
         self._holders_by_id[instance_id] = _Holder(
-            live, ids.Version(request.version), lapses_at_by_version
+            live,
+            ids.Version(request.version),
+            request.sequence,
+            lapses_at_by_version,
         )
 
     def _forget_lapsed(self, now: float) -> None:
@@ -180,8 +207,66 @@
             if holder.lapses_at <= now
         ]
         for instance_id in lapsed:
-            del self._holders_by_id[instance_id]
+            live = self._holders_by_id.pop(instance_id).live
+            key = pool_ownership.OwnerKey(instance_id, live.incarnation)
+            self._ownership.leave(key)
+            self._live_sequence += 1
+
+    def _renew_pools(
+        self, request: node_messages.LeaseRequest, now: float
+    ) -> tuple[slot_messages.PoolGrant, ...]:
+        key = pool_ownership.OwnerKey(
+            ids.InstanceId(request.instance_id), request.incarnation
+        )
+        self._ownership.forget_lapsed(now)
+        released = {
+            _pool(report): report.held
+            for report in request.pools
+            if not report.is_owned
+        }
+        owned = [_pool(report) for report in request.pools if report.is_owned]
+        is_current = request.applied_term == self.term
+        applied_grant = request.applied_grant if is_current else 0
+        self._ownership.report(key, owned, released, applied_grant, now)
+        place = self._place(request.failure_domain)
+        if request.is_stopping or place is None:
+            self._ownership.leave(key)
+        else:
+            self._ownership.join(key, place)
+        grants = self._ownership.grant(key, self._grant_number, now)
+        owners_by_pool = self._ownership.owners_by_pool()
+        if owners_by_pool != self._owners_by_pool:
+            self._owners_by_pool = owners_by_pool
             self._live_sequence += 1
+        return grants
+
+    def _place(self, failure_domain: str) -> owners.Place | None:
+        if self._state.declaration is None:
+            return None
+        domain_id = ids.FailureDomainId(failure_domain)
+        domain = self._state.declaration.failure_domains_by_id.get(domain_id)
+        return None if domain is None else owners.Place(domain.region, domain_id)
+
+    def _regions_by_pool(self) -> dict[owners.Pool, ids.RegionId]:
+        declaration = self._state.declaration
+        if declaration is None:
+            return {}
+        return {
+            owners.Pool(endpoint.service, endpoint.failure_domain): (
+                declaration.failure_domains_by_id[endpoint.failure_domain].region
+            )
+            for endpoint in declaration.endpoints_by_id.values()
+        }
+
+    def _pool_owners(self) -> tuple[slot_messages.PoolOwner, ...]:
+        return tuple(
+            slot_messages.PoolOwner(pool.service, pool.failure_domain, owner)
+            for pool, owner in sorted(self._owners_by_pool.items())
+        )
+
+    def _list_id(self) -> int:
+        # Unique over terms, so that a list of an earlier leader is never kept.
+        return self.term * TERM_FACTOR + self._live_sequence
 
     def _live_instances(self) -> tuple[node_messages.LiveInstance, ...]:
         return tuple(holder.live for _, holder in sorted(self._holders_by_id.items()))
@@ -212,6 +297,12 @@
         return _HOLDER_LISTS.dump_json(self._state.holder_lists)
 
 
+def _pool(report: slot_messages.PoolReport) -> owners.Pool:
+    return owners.Pool(
+        ids.ServiceId(report.service), ids.FailureDomainId(report.failure_domain)
+    )
+
+
 def parse_holder_lists(data: bytes) -> tuple[holder_lists.HolderList, ...]:
     """Return the holder lists that a grant carries."""
     return _HOLDER_LISTS.validate_json(data)
--- a/packages/control/src/yuccapitch/control/service.py
+++ b/packages/control/src/yuccapitch/control/service.py
@@ -146,7 +146,7 @@
         events.event("entry.version-applied", version=self._state.version)
         if self._lease_term is None:
             return
-        self._lease_term.declare()
+        self._lease_term.declare(self._clock())
         notice = node_messages.VersionNotice(self._state.version)
         for instance_id in self._lease_term.live_ids(self._clock()):
             self._links.send(instance_id, notice)
--- a/packages/protocol/src/yuccapitch/protocol/node_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/node_messages.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from yuccapitch.protocol import lease_messages, registry
+from yuccapitch.protocol import lease_messages, registry, slot_messages
 
 
 @registry.message(1)
@@ -34,6 +34,11 @@
     live_sequence: int
     """Last list of live instances that the sender has; 0 for none."""
     shares: lease_messages.ShareRenewal | None
+    sequence: int
+    applied_term: int
+    applied_grant: int
+    """Term and number of the last grant that the sender applied; 0 for none."""
+    pools: tuple[slot_messages.PoolReport, ...]
 
 
 @registry.message(3)
@@ -66,6 +71,11 @@
     live_instances: tuple[LiveInstance, ...] | None
     """The live instances, if the holder's list is an older one."""
     shares: lease_messages.ShareAnswer | None
+    number: int
+    """Rises with each grant to an instance in a term."""
+    pools: tuple[slot_messages.PoolGrant, ...]
+    pool_owners: tuple[slot_messages.PoolOwner, ...] | None
+    """Owners of all pools, sent with the live instances."""
 
 
 @registry.message(5)
--- a/packages/protocol/src/yuccapitch/protocol/slot_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/slot_messages.py
@@ -119,3 +119,39 @@
 
     instance: str
     pools: tuple[PoolLoad, ...]
+
+
+@registry.message(80)
+@dataclasses.dataclass(frozen=True)
+class PoolGrant:
+    """A pool that an instance owns while its lease lasts."""
+
+    service: str
+    failure_domain: str
+    number: int
+    """Number of the grant that first named the pool."""
+    lapsed_ms_ago: int | None
+    """Since when the lease of an owner that did not hand over has lapsed."""
+    held: tuple[HeldSlot, ...]
+    """Slots in use when the former owner handed over."""
+
+
+@registry.message(81)
+@dataclasses.dataclass(frozen=True)
+class PoolReport:
+    """A pool that an instance owns, or that it has just given up."""
+
+    service: str
+    failure_domain: str
+    is_owned: bool
+    held: tuple[HeldSlot, ...]
+
+
+@registry.message(82)
+@dataclasses.dataclass(frozen=True)
+class PoolOwner:
+    """Which instance owns a pool."""
+
+    service: str
+    failure_domain: str
+    instance_id: str
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/pool_ownership.py
@@ -0,0 +1,213 @@
+"""The control leader's record of which entry instance owns which pool of slots.
+
+A pool has one owner at a time: it goes to another instance only after the former
+owner acknowledged that it stopped, or after its lease has lapsed.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Mapping, Sequence
+
+from yuccapitch.catalogue import ids
+from yuccapitch.protocol import slot_messages
+from yuccapitch.steering import ledger, owners
+
+ADOPTED = 0
+"""Grant number of pools that an earlier leader gave and their owner reported."""
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class OwnerKey:
+    """One run of one entry instance."""
+
+    instance_id: ids.InstanceId
+    incarnation: int
+
+
+@dataclasses.dataclass
+class _Ownership:
+    key: OwnerKey
+    lapses_at: float
+    granted_in: int
+    """Number of the first grant that named the pool; ADOPTED if reported."""
+    omitted_in: int | None = None
+    """Number of the first grant that no longer did."""
+    taken_over_at: float | None = None
+    """When the lease of an owner that did not hand over must have lapsed."""
+    held: tuple[slot_messages.HeldSlot, ...] = ()
+
+    def has_stopped(self, applied_grant: int) -> bool:
+        """Whether an owner that no longer reports the pool saw it taken away."""
+        return self.omitted_in is not None and applied_grant >= self.omitted_in
+
+
+@dataclasses.dataclass(frozen=True)
+class _Vacancy:
+    """A pool without an owner."""
+
+    available_at: float
+    taken_over_at: float | None
+    held: tuple[slot_messages.HeldSlot, ...] = ()
+    released_at: float = 0.0
+
+
+class PoolOwnership:
+    """Ownership of pools in one term of the leader."""
+
+    def __init__(
+        self, now: float, lease_duration_s: float, is_first_term: bool
+    ) -> None:
+        self._is_first_term = is_first_term
+        self._wanted_by_pool: dict[owners.Pool, OwnerKey] | None = None
+        self._lease_duration_s = lease_duration_s
+        # Owners under an earlier leader are known once they report, and have
+        # lapsed by this time if they do not.
+        self._settles_at = now + lease_duration_s * ledger.CLOCK_MARGIN**2
+        self._regions_by_pool: dict[owners.Pool, ids.RegionId] = {}
+        self._ownerships_by_pool: dict[owners.Pool, _Ownership] = {}
+        self._vacancies_by_pool: dict[owners.Pool, _Vacancy] = {}
+        self._places_by_key: dict[OwnerKey, owners.Place] = {}
+
+    def declare(
+        self, regions_by_pool: Mapping[owners.Pool, ids.RegionId], now: float
+    ) -> None:
+        """Take the pools of an accepted declaration."""
+        self._wanted_by_pool = None
+        self._regions_by_pool = dict(regions_by_pool)
+        for pool in regions_by_pool:
+            if pool not in self._ownerships_by_pool:
+                self._vacancies_by_pool.setdefault(pool, self._new_vacancy(now))
+
+    def join(self, key: OwnerKey, place: owners.Place) -> None:
+        """Let an instance own pools."""
+        if self._places_by_key.get(key) != place:
+            self._places_by_key[key] = place
+            self._wanted_by_pool = None
+
+    def leave(self, key: OwnerKey) -> None:
+        """Give the instance no further pools and take those it has."""
+        if self._places_by_key.pop(key, None) is not None:
+            self._wanted_by_pool = None
+
+    def forget_lapsed(self, now: float) -> None:
+        """Vacate the pools of owners whose lease has lapsed."""
+        for pool, ownership in list(self._ownerships_by_pool.items()):
+            if ownership.lapses_at <= now:
+                del self._ownerships_by_pool[pool]
+                self._vacancies_by_pool[pool] = _Vacancy(now, ownership.lapses_at)
+
+    def report(
+        self,
+        key: OwnerKey,
+        owned: Iterable[owners.Pool],
+        released: Mapping[owners.Pool, tuple[slot_messages.HeldSlot, ...]],
+        applied_grant: int,
+        now: float,
+    ) -> None:
+        """Take an instance's statement of what it owns."""
+        reported = set(owned)
+        for pool in reported:
+            if pool not in self._ownerships_by_pool and now < self._settles_at:
+                self._vacancies_by_pool.pop(pool, None)
+                self._ownerships_by_pool[pool] = _Ownership(
+                    key, now + self._lease_s(), ADOPTED
+                )
+        for pool, ownership in list(self._ownerships_by_pool.items()):
+            if ownership.key != key or pool in reported:
+                continue
+            if ownership.granted_in == ADOPTED:
+                # The report that it was adopted from was late.
+                del self._ownerships_by_pool[pool]
+                self._vacancies_by_pool[pool] = _Vacancy(
+                    ownership.lapses_at, ownership.lapses_at
+                )
+            elif ownership.has_stopped(applied_grant):
+                del self._ownerships_by_pool[pool]
+                self._vacancies_by_pool[pool] = _Vacancy(
+                    now, None, released.get(pool, ()), now
+                )
+
+    def grant(
+        self, key: OwnerKey, number: int, now: float
+    ) -> tuple[slot_messages.PoolGrant, ...]:
+        """Return the pools that the instance owns until its lease lapses."""
+        wanted = self._wanted_owners()
+        for pool, vacancy in list(self._vacancies_by_pool.items()):
+            is_wanted = wanted.get(pool) == key and pool in self._regions_by_pool
+            if is_wanted and now >= vacancy.available_at:
+                del self._vacancies_by_pool[pool]
+                self._ownerships_by_pool[pool] = _Ownership(
+                    key,
+                    now + self._lease_s(),
+                    number,
+                    taken_over_at=vacancy.taken_over_at,
+                    held=_aged(vacancy.held, now - vacancy.released_at),
+                )
+        grants = []
+        for pool, ownership in sorted(self._ownerships_by_pool.items()):
+            if ownership.key != key:
+                continue
+            if wanted.get(pool) != key or ownership.omitted_in is not None:
+                ownership.omitted_in = ownership.omitted_in or number
+                continue
+            ownership.lapses_at = now + self._lease_s()
+            grants.append(_message(pool, ownership, now))
+        return tuple(grants)
+
+    def owners_by_pool(self) -> dict[owners.Pool, ids.InstanceId]:
+        """Return the present owner of each pool that has one."""
+        return {
+            pool: ownership.key.instance_id
+            for pool, ownership in self._ownerships_by_pool.items()
+            if ownership.omitted_in is None
+        }
+
+    def _new_vacancy(self, now: float) -> _Vacancy:
+        if self._is_first_term:
+            return _Vacancy(now, None)
+        # An owner under an earlier leader may be unknown until this time.
+        return _Vacancy(max(now, self._settles_at), self._settles_at)
+
+    def _wanted_owners(self) -> dict[owners.Pool, OwnerKey]:
+        if self._wanted_by_pool is None:
+            self._wanted_by_pool = self._assign()
+        return self._wanted_by_pool
+
+    def _assign(self) -> dict[owners.Pool, OwnerKey]:
+        keys_by_id = {key.instance_id: key for key in sorted(self._places_by_key)}
+        places_by_id = {
+            instance_id: self._places_by_key[key]
+            for instance_id, key in keys_by_id.items()
+        }
+        assigned = owners.assign_pools(self._regions_by_pool, places_by_id)
+        return {pool: keys_by_id[owner] for pool, owner in assigned.items()}
+
+    def _lease_s(self) -> float:
+        return self._lease_duration_s * ledger.CLOCK_MARGIN
+
+
+def _aged(
+    held: Sequence[slot_messages.HeldSlot], age_s: float
+) -> tuple[slot_messages.HeldSlot, ...]:
+    age_ms = int(age_s * 1000)
+    return tuple(
+        dataclasses.replace(slot, remaining_ms=slot.remaining_ms - age_ms)
+        for slot in held
+        if slot.remaining_ms > age_ms
+    )
+
+
+def _message(
+    pool: owners.Pool, ownership: _Ownership, now: float
+) -> slot_messages.PoolGrant:
+    lapsed_ms_ago = None
+    if ownership.taken_over_at is not None:
+        lapsed_ms_ago = int((now - ownership.taken_over_at) * 1000)
+    return slot_messages.PoolGrant(
+        pool.service,
+        pool.failure_domain,
+        ownership.granted_in,
+        lapsed_ms_ago,
+        ownership.held,
+    )
