--- a/packages/protocol/src/yuccapitch/protocol/slot_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/slot_messages.py
@@ -6,104 +6,53 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class SlotAsk:
-    """A borrower asks the owner of a pool for one slot."""
+class PoolLoad:
+    """An owner's counts of one pool: a service's endpoints in a failure domain."""
 
-    request_id: str
     service: str
     failure_domain: str
-    patience: str
-    recallable: bool
-    route: str
-    remaining_ms: int
-    """Time left when the borrower sent this; it counts its own deadline from then."""
-    avoided_endpoints: tuple[str, ...]
-    """Endpoints just seen to shed by an earlier attempt."""
-
-
-@dataclasses.dataclass(frozen=True)
-class SlotGrant:
-    """The owner lends a slot; the borrower dispatches to the endpoint itself."""
-
-    request_id: str
-    endpoint: str
     term: int
-    number: int
-    granted_ms: int
-    """Of the remaining time asked for, how much the work may use; the borrower
-    counts it from when it sent its ask."""
-
-
-@dataclasses.dataclass(frozen=True)
-class SlotRefusal:
-    """The owner gives no slot; the request has not been sent anywhere."""
-
-    request_id: str
-    reason: str
-    retry_after_ms: int
-
-
-@dataclasses.dataclass(frozen=True)
-class SlotCancel:
-    """A borrower withdraws an ask that may still wait in the owner's queue."""
-
-    request_id: str
-
-
-@dataclasses.dataclass(frozen=True)
-class SlotRecall:
-    """The owner wants a lent slot back: cancel the exchange and ask again."""
-
-    request_id: str
-    term: int
-    number: int
+    slots: int
+    free: int
+    waiting_impatient: int
+    waiting_patient: int
 
 
 @dataclasses.dataclass(frozen=True)
-class SlotRelease:
-    """A borrower gives a slot back and tells how the exchange went."""
+class PoolLoads:
+    """An owner's counts of all its pools, for the entry instances of all regions."""
 
-    request_id: str
-    term: int
-    number: int
-    end: str
-    service_us: int
+    instance: str
+    sequence: int
+    pools: tuple[PoolLoad, ...]
 
 
 @dataclasses.dataclass(frozen=True)
-class HeldSlot:
-    """A slot in use when an endpoint changes its owner."""
+class SlotsInUse:
+    """Slots of an endpoint that requests of the former owner may still occupy."""
 
     endpoint: str
+    slots: int
     remaining_ms: int
+    """Time left when the message was sent; counting it from arrival is safe."""
 
 
 @dataclasses.dataclass(frozen=True)
 class SlotHandover:
-    """A former owner, which gives no more slots, tells its successor what is held."""
+    """A former owner, which gives no more slots, tells its successor what is used."""
 
+    instance: str
     service: str
     failure_domain: str
     term: int
-    held: tuple[HeldSlot, ...]
+    in_use: tuple[SlotsInUse, ...]
 
 
 @dataclasses.dataclass(frozen=True)
-class PoolLoad:
-    """An owner's free and waiting counts of one pool."""
+class SlotHandoverReply:
+    """The successor has taken the hand-over in and gives slots from now on."""
 
+    instance: str
     service: str
     failure_domain: str
-    slots: int
-    free: int
-    waiting_impatient: int
-    waiting_patient: int
-    sequence: int
-
-
-@dataclasses.dataclass(frozen=True)
-class PoolLoads:
-    """An owner's counts of all its pools, sent to the entries of its region."""
-
-    instance: str
-    pools: tuple[PoolLoad, ...]
+    term: int
