Claim keys at their holders over inner links

The entry votes as a holder and claims at other holders by the pure code of the steering package. A claim of a holder costs one inner round trip: its own vote is counted at once, and the first majority decides without the slowest holder. Claims and voids need the configuration lease, because without it lists that decide about the key may be missing. Lists without holders are left out: nobody can have been granted a claim under them.

--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/claim_service.py
@@ -0,0 +1,272 @@
+"""The entry's claims of keys: votes as a holder, claims at other holders."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import itertools
+from collections.abc import Callable, Mapping, Sequence
+
+import result
+
+from yuccapitch.catalogue import holders as catalogue_holders, ids, model
+from yuccapitch.gateway import claim_members
+from yuccapitch.protocol import claim_messages, node_messages, peers as inner_peers
+from yuccapitch.steering import claim_attempt, claim_keys, claim_placement, claims
+
+VOTE_TIMEOUT_S = 1.0
+
+Message = claim_messages.Claim | claim_messages.Void | claim_messages.Done
+Ask = Callable[[claim_attempt.Send, "asyncio.Queue[claim_messages.ClaimReply]"], None]
+VoidOutcome = claim_attempt.Voided | claim_attempt.Undecided
+
+
+class Dispatch:
+    """The right to send a request to one endpoint at a time."""
+
+    def __init__(self, run: _Run) -> None:
+        self._run = run
+
+    async def prove_not_run(self) -> VoidOutcome:
+        """Void the attempt: no byte of it was sent, or every endpoint shed it."""
+        decision = await self._run.decide(self._run.prove_not_run())
+        if isinstance(decision, claim_attempt.Voided):
+            return decision
+        return claim_attempt.Undecided()
+
+    def done(self, status: int, content_type: str, body: bytes | None) -> None:
+        """Tell the holders the answer, which they replay to duplicates."""
+        if body is not None and len(body) > claims.MAX_BODY_BYTES:
+            body = None
+        self._run.done(claim_messages.ClaimAnswer(status, content_type, body))
+
+
+Claimed = (
+    Dispatch
+    | claim_attempt.AlreadyDispatched
+    | claim_attempt.Voided
+    | claim_attempt.Undecided
+)
+Voiding = (
+    claim_attempt.AlreadyDispatched | claim_attempt.Voided | claim_attempt.Undecided
+)
+
+
+class Claims:
+    """Claims keys at their holders and votes on the claims of others."""
+
+    def __init__(
+        self,
+        own_id: ids.InstanceId,
+        incarnation: int,
+        links: inner_peers.Peers,
+        is_leased: Callable[[], bool],
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self._own_id = own_id
+        self._incarnation = incarnation
+        self._links = links
+        self._is_leased = is_leased
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._holder = claims.ClaimHolder(own_id, wall_clock())
+        self._member_lists: tuple[claim_placement.MemberList, ...] = ()
+        self._declaration: model.Declaration | None = None
+        self._live_by_id: Mapping[ids.InstanceId, node_messages.LiveInstance] = {}
+        self._seen_live: set[ids.InstanceId] = set()
+        self._numbers = itertools.count(1)
+        self._tasks: set[asyncio.Task[None]] = set()
+        for message_type in (
+            claim_messages.Claim,
+            claim_messages.Void,
+            claim_messages.Done,
+        ):
+            links.handle(message_type, lambda _peer_id, message: self._vote(message))
+
+    def configure(
+        self,
+        declaration: model.Declaration | None,
+        holder_lists: Sequence[catalogue_holders.HolderList],
+        live_by_id: Mapping[ids.InstanceId, node_messages.LiveInstance],
+    ) -> None:
+        """Take the holders of a configuration that came into force here."""
+        self._declaration = declaration
+        self._member_lists = claim_members.member_lists(holder_lists)
+        self._live_by_id = live_by_id
+        self._seen_live.update(live_by_id)
+        # Replaced holders hold no lease, so that no grant tells their address.
+        for item in holder_lists:
+            for holder in item.holders:
+                if holder.instance_id not in {*self._seen_live, self._own_id}:
+                    address = inner_peers.Address(holder.host, holder.inner_port)
+                    self._links.set_address(holder.instance_id, address)
+
+    async def claim(
+        self, key: claim_keys.Key, attempt: int, deadline: float
+    ) -> Claimed:
+        """Claim an attempt of a key, or learn why it may not be dispatched.
+
+        While another claimant may have dispatched the key, the call waits for
+        that claimant's answer until the deadline nears.
+        """
+        # The rest of the time is left to void the attempt.
+        left_s = deadline - self._clock()
+        claim_until = deadline - min(claim_attempt.VOID_TIMEOUT_S, left_s / 2)
+        run = self._run(key, attempt, claim_until)
+        if run is None:
+            return claim_attempt.Undecided()
+        decision = await run.decide(run.start())
+        if isinstance(decision, claim_attempt.Dispatch):
+            return Dispatch(run)
+        return decision
+
+    async def void(self, key: claim_keys.Key, attempt: int) -> Voiding:
+        """Void an attempt that is refused here before any claim."""
+        run = self._run(key, attempt, self._clock())
+        if run is None:
+            return claim_attempt.Undecided()
+        decision = await run.decide(run.start_void())
+        assert not isinstance(decision, claim_attempt.Dispatch), "a void never grants"
+        return decision
+
+    def home_region(self, region: ids.RegionId) -> ids.RegionId:
+        """Return the region that new keys of a region's clients should name."""
+        if self._declaration is None:
+            return region
+        delay_ms_by_region = {
+            link.target: link.delay_ms
+            for link in self._declaration.links_by_id.values()
+            if link.source == region
+        }
+        return claim_placement.choose_home_region(
+            region, self._live_by_region(self._declaration), delay_ms_by_region
+        )
+
+    async def aclose(self) -> None:
+        """Give up the messages that are still out."""
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _live_by_region(
+        self, declaration: model.Declaration
+    ) -> collections.Counter[ids.RegionId]:
+        domains = declaration.failure_domains_by_id
+        instances = declaration.instances_by_id
+        return collections.Counter(
+            domains[instances[instance_id].failure_domain].region
+            for instance_id, live in self._live_by_id.items()
+            if instance_id in instances and not live.is_stopping
+        )
+
+    def _run(
+        self, key: claim_keys.Key, attempt: int, claim_until: float
+    ) -> _Run | None:
+        # Without a lease, lists that decide about the key may be missing here.
+        if not self._is_leased():
+            return None
+        kept = claim_placement.prune_lists(self._member_lists, self._wall_clock())
+        # Nobody can have been granted a claim under a list without holders.
+        lists = [listed for listed in claim_placement.holder_lists(key, kept) if listed]
+        if not lists:
+            return None
+        claimant = f"{self._own_id}/{self._incarnation}/{next(self._numbers)}"
+        core = claim_attempt.ClaimAttempt(
+            key.text, attempt, claimant, lists, claim_until
+        )
+        return _Run(core, claim_until, self._ask, self._clock)
+
+    def _ask(
+        self,
+        send: claim_attempt.Send,
+        replies: asyncio.Queue[claim_messages.ClaimReply],
+    ) -> None:
+        if send.holder_id == self._own_id:
+            replies.put_nowait(self._vote(send.message))
+            return
+        is_done = isinstance(send.message, claim_messages.Done)
+        if is_done and self._links.send(send.holder_id, send.message):
+            return
+        # Votes that come after the decision are not awaited, but the message
+        # still reaches its holder, so that later duplicates find the record.
+        task = asyncio.create_task(self._request(send, replies))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _request(
+        self,
+        send: claim_attempt.Send,
+        replies: asyncio.Queue[claim_messages.ClaimReply],
+    ) -> None:
+        reply = await self._links.request(send.holder_id, send.message, VOTE_TIMEOUT_S)
+        match reply:
+            case result.Ok(claim_messages.ClaimReply() as vote):
+                # A vote counts for the holder that was asked, whatever it claims.
+                if vote.holder_id == send.holder_id:
+                    replies.put_nowait(vote)
+
+    def _vote(self, message: Message) -> claim_messages.ClaimReply:
+        now = self._wall_clock()
+        match message:
+            case claim_messages.Claim():
+                return self._holder.on_claim(message, now)
+            case claim_messages.Void():
+                return self._holder.on_void(message, now)
+            case claim_messages.Done():
+                return self._holder.on_done(message, now)
+
+
+class _Run:
+    """Drives one attempt by votes and time; votes may come between decisions."""
+
+    def __init__(
+        self,
+        attempt: claim_attempt.ClaimAttempt,
+        claim_until: float,
+        ask: Ask,
+        clock: Callable[[], float],
+    ) -> None:
+        self._attempt = attempt
+        self._claim_until = claim_until
+        self._ask = ask
+        self._clock = clock
+        self._replies: asyncio.Queue[claim_messages.ClaimReply] = asyncio.Queue()
+
+    def start(self) -> claim_attempt.Step:
+        """Begin to claim."""
+        return self._attempt.start(self._clock())
+
+    def start_void(self) -> claim_attempt.Step:
+        """Begin to void without a claim."""
+        return self._attempt.start_void(self._clock())
+
+    def prove_not_run(self) -> claim_attempt.Step:
+        """Begin to void after the dispatch."""
+        return self._attempt.prove_not_run(self._clock())
+
+    def done(self, answer: claim_messages.ClaimAnswer) -> None:
+        """Tell every holder the answer."""
+        for send in self._attempt.done(answer).sends:
+            self._ask(send, self._replies)
+
+    async def decide(self, step: claim_attempt.Step) -> claim_attempt.Decision:
+        """Send and count until the first majority decides or time is up."""
+        while True:
+            for send in step.sends:
+                self._ask(send, self._replies)
+            if step.decision is not None:
+                return step.decision
+            step = await self._next_step()
+
+    async def _next_step(self) -> claim_attempt.Step:
+        wake_at = self._attempt.next_tick_at
+        if self._attempt.phase is claim_attempt.Phase.CLAIMING:
+            wake_at = min(wake_at, self._claim_until)
+        try:
+            async with asyncio.timeout(max(0.0, wake_at - self._clock())):
+                reply = await self._replies.get()
+        except TimeoutError:
+            return self._attempt.tick(self._clock())
+        return self._attempt.on_reply(reply, self._clock())
--- /dev/null
+++ b/packages/gateway/tests/test_claim_service.py
@@ -0,0 +1,328 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+
+from yuccapitch.catalogue import holders as catalogue_holders, ids, model
+from yuccapitch.gateway import claim_members, claim_service
+from yuccapitch.protocol import claim_messages, link, node_messages, peers
+from yuccapitch.steering import claim_attempt, claim_keys, claim_placement
+
+STARTED_AT = 1000.0
+LONG_S = 20.0
+TIMING = link.LinkTiming(heartbeat_interval_s=0.05, timeout_s=2.0)
+EAST = ids.RegionId("east")
+WEST = ids.RegionId("west")
+DOMAINS_BY_ID = {"a": "east-1", "b": "east-2", "c": "east-1", "w": "west-1"}
+NUMBERS = itertools.count(1)
+
+
+class Cluster:
+    """Four instances in one process, joined by loopback links."""
+
+    def __init__(self) -> None:
+        self.wall_s = STARTED_AT
+        self.is_leased = True
+        self.links_by_id: dict[str, peers.Peers] = {}
+        self.addresses_by_id: dict[str, peers.Address] = {}
+        self.claims_by_id: dict[str, claim_service.Claims] = {}
+        self.lists: tuple[catalogue_holders.HolderList, ...] = ()
+
+    async def start(self, stack: contextlib.AsyncExitStack) -> None:
+        for instance in DOMAINS_BY_ID:
+            links = peers.Peers(instance, TIMING)
+            stack.push_async_callback(links.aclose)
+            self.links_by_id[instance] = links
+            self.addresses_by_id[instance] = await links.start("127.0.0.1", 0)
+        self.lists = (
+            self.holder_list(EAST, "a", "b", "c"),
+            self.holder_list(WEST, "w"),
+        )
+        for instance in DOMAINS_BY_ID:
+            self.restart(instance)
+            stack.push_async_callback(self.claims_by_id[instance].aclose)
+        self.wall_s += 100.0
+
+    def holder_list(
+        self, region: ids.RegionId, *instances: str, since_s: float = 0.0
+    ) -> catalogue_holders.HolderList:
+        holders = tuple(
+            catalogue_holders.Holder(
+                instance_id=ids.InstanceId(instance),
+                failure_domain=ids.FailureDomainId(DOMAINS_BY_ID[instance]),
+                host=self.addresses_by_id[instance].host,
+                inner_port=self.addresses_by_id[instance].port,
+            )
+            for instance in instances
+        )
+        return catalogue_holders.HolderList(
+            region=region,
+            version=ids.Version(1),
+            since_ms=int(since_s),
+            holders=holders,
+        )
+
+    def restart(self, instance: str) -> None:
+        """Replace the instance's claims, as a start of its process does."""
+        restarted = claim_service.Claims(
+            ids.InstanceId(instance),
+            next(NUMBERS),
+            self.links_by_id[instance],
+            lambda: self.is_leased,
+            time.monotonic,
+            lambda: self.wall_s,
+        )
+        restarted.configure(None, self.lists, {})
+        self.claims_by_id[instance] = restarted
+
+    def take_lists(self, *lists: catalogue_holders.HolderList) -> None:
+        self.lists = lists
+        for service in self.claims_by_id.values():
+            service.configure(None, lists, {})
+
+    def key(self) -> claim_keys.Key:
+        text = f"east.{int(self.wall_s * 1000)}.{next(NUMBERS):016d}"
+        return claim_keys.parse(text, self.wall_s).unwrap()
+
+    def holders(self, key: claim_keys.Key) -> tuple[ids.InstanceId, ...]:
+        (listed,) = claim_placement.holder_lists(
+            key, claim_members.member_lists(self.lists)
+        )
+        return listed
+
+    async def claim(
+        self,
+        instance: str,
+        key: claim_keys.Key,
+        attempt: int = 1,
+        left_s: float = LONG_S,
+    ) -> claim_service.Claimed:
+        deadline = time.monotonic() + left_s
+        return await self.claims_by_id[instance].claim(key, attempt, deadline)
+
+
+@pytest.fixture
+async def cluster() -> AsyncIterator[Cluster]:
+    async with contextlib.AsyncExitStack() as stack:
+        started = Cluster()
+        await started.start(stack)
+        yield started
+
+
+async def dispatched(
+    cluster: Cluster, instance: str, key: claim_keys.Key, attempt: int = 1
+) -> claim_service.Dispatch:
+    claimed = await cluster.claim(instance, key, attempt)
+    assert isinstance(claimed, claim_service.Dispatch)
+    return claimed
+
+
+async def test_claims_duplicate_gets_the_answer(cluster: Cluster) -> None:
+    key = cluster.key()
+    dispatch = await dispatched(cluster, "a", key)
+    duplicate = asyncio.create_task(cluster.claim("b", key))
+    await asyncio.sleep(0)
+    dispatch.done(201, "text/plain", b"kept")
+    answer = claim_messages.ClaimAnswer(201, "text/plain", b"kept")
+    state = claim_messages.RecordState.DONE
+    assert await duplicate == claim_attempt.AlreadyDispatched(state, answer)
+    assert await cluster.claim("w", key, 2) == await duplicate
+
+
+async def test_claims_concurrent_duplicates_dispatch_once(cluster: Cluster) -> None:
+    for _ in range(5):
+        key = cluster.key()
+        claimed = await asyncio.gather(
+            *(cluster.claim(instance, key, left_s=0.5) for instance in DOMAINS_BY_ID)
+        )
+        kinds = [isinstance(item, claim_service.Dispatch) for item in claimed]
+        assert sum(kinds) <= 1
+        assert claim_attempt.Voided() not in claimed or not any(kinds)
+
+
+async def test_claims_answer_too_long_to_keep_is_replayed_without_it(
+    cluster: Cluster,
+) -> None:
+    key = cluster.key()
+    (await dispatched(cluster, "a", key)).done(200, "image/png", b"x" * 100_000)
+    replayed = await cluster.claim("a", key)
+    assert isinstance(replayed, claim_attempt.AlreadyDispatched)
+    assert replayed.answer == claim_messages.ClaimAnswer(200, "image/png", None)
+
+
+async def test_claims_void_refuses_the_attempt_but_not_the_next(
+    cluster: Cluster,
+) -> None:
+    key = cluster.key()
+    assert await cluster.claims_by_id["b"].void(key, 1) == claim_attempt.Voided()
+    assert await cluster.claim("a", key) == claim_attempt.Voided()
+    await dispatched(cluster, "a", key, 2)
+
+
+async def test_claims_void_of_dispatched_attempt_is_refused(cluster: Cluster) -> None:
+    key = cluster.key()
+    await dispatched(cluster, "a", key)
+    voided = await cluster.claims_by_id["b"].void(key, 1)
+    state = claim_messages.RecordState.CLAIMED
+    assert voided == claim_attempt.AlreadyDispatched(state, None)
+
+
+async def test_claims_proof_frees_the_next_attempt(cluster: Cluster) -> None:
+    key = cluster.key()
+    dispatch = await dispatched(cluster, "a", key)
+    assert await dispatch.prove_not_run() == claim_attempt.Voided()
+    assert await cluster.claim("b", key) == claim_attempt.Voided()
+    await dispatched(cluster, "b", key, 2)
+
+
+async def test_claims_slowest_holder_is_not_awaited(cluster: Cluster) -> None:
+    key = cluster.key()
+    holders = cluster.holders(key)
+    claimant = holders[0]
+
+    async def never(peer_id: str, message: claim_messages.Claim) -> None:
+        await asyncio.Event().wait()
+
+    cluster.links_by_id[holders[2]].handle(claim_messages.Claim, never)
+    asked: list[str] = []
+    request = cluster.links_by_id[claimant].request
+
+    async def counted(peer_id: str, message: object, timeout_s: float) -> object:
+        asked.append(peer_id)
+        return await request(peer_id, message, timeout_s)
+
+    cluster.links_by_id[claimant].request = counted  # type: ignore[method-assign]
+    await dispatched(cluster, claimant, key)
+    assert sorted(asked) == sorted(holders[1:])
+
+
+async def test_claims_restarted_holders_abstain_for_older_keys(
+    cluster: Cluster,
+) -> None:
+    key = cluster.key()
+    await dispatched(cluster, "a", key)
+    for holder in cluster.holders(key):
+        cluster.restart(holder)
+    claimed = await cluster.claim("b", key, left_s=0.2)
+    assert claimed == claim_attempt.Undecided()
+    cluster.wall_s += 10.0
+    await dispatched(cluster, "b", cluster.key())
+
+
+async def test_claims_one_restarted_holder_keeps_the_refusal(cluster: Cluster) -> None:
+    key = cluster.key()
+    holders = cluster.holders(key)
+    await dispatched(cluster, holders[0], key)
+    cluster.restart(holders[0])
+    claimed = await cluster.claim(holders[1], key, left_s=0.2)
+    state = claim_messages.RecordState.CLAIMED
+    assert claimed == claim_attempt.AlreadyDispatched(state, None)
+
+
+async def test_claims_changed_members_need_both_majorities(cluster: Cluster) -> None:
+    replaced = cluster.holder_list(EAST, "a", "b").model_copy(
+        update={"replaced_ms": int(cluster.wall_s * 1000)}
+    )
+    current = cluster.holder_list(EAST, "c", "w").model_copy(
+        update={"since_ms": int(cluster.wall_s * 1000)}
+    )
+    cluster.take_lists(replaced, current)
+    await dispatched(cluster, "c", cluster.key())
+    await cluster.links_by_id["a"].aclose()
+    claimed = await cluster.claim("c", cluster.key(), left_s=0.2)
+    assert claimed == claim_attempt.Undecided()
+    # The replaced list no longer decides about later keys.
+    cluster.wall_s += claim_placement.LIST_OVERLAP_S + 1.0
+    await dispatched(cluster, "c", cluster.key())
+
+
+async def test_claims_killed_claimant_leaves_the_outcome_unknown(
+    cluster: Cluster,
+) -> None:
+    key = cluster.key()
+    await dispatched(cluster, "a", key)
+    await cluster.links_by_id["a"].aclose()
+    claimed = await cluster.claim("b", key, left_s=0.2)
+    state = claim_messages.RecordState.CLAIMED
+    assert claimed == claim_attempt.AlreadyDispatched(state, None)
+
+
+async def test_claims_without_lease_decide_nothing(cluster: Cluster) -> None:
+    cluster.is_leased = False
+    assert await cluster.claim("a", cluster.key()) == claim_attempt.Undecided()
+    voided = await cluster.claims_by_id["a"].void(cluster.key(), 1)
+    assert voided == claim_attempt.Undecided()
+
+
+async def test_claims_home_region_moves_where_holders_live(cluster: Cluster) -> None:
+    declaration = model.Declaration.model_validate(
+        {
+            "owners": {"north": {}},
+            "turns": {"first_month": "2026-01", "order": ["north"]},
+            "regions": {"east": {"capacity": 1}, "west": {"capacity": 1}},
+            "failure_domains": {
+                domain: {"region": domain.split("-")[0]}
+                for domain in DOMAINS_BY_ID.values()
+            },
+            "instances": {
+                instance: {
+                    "failure_domain": domain,
+                    "host": "127.0.0.1",
+                    "http_port": 1,
+                    "inner_port": 2,
+                }
+                for instance, domain in DOMAINS_BY_ID.items()
+            },
+            "default_region": "east",
+        }
+    )
+    claims = cluster.claims_by_id["a"]
+    live = {ids.InstanceId(name): live_instance(name) for name in "abw"}
+    claims.configure(declaration, cluster.lists, live)
+    assert claims.home_region(WEST) == EAST
+    del live[ids.InstanceId("b")]
+    claims.configure(declaration, cluster.lists, live)
+    assert claims.home_region(WEST) == WEST
+
+
+def live_instance(name: str) -> node_messages.LiveInstance:
+    return node_messages.LiveInstance(
+        name, 1, "127.0.0.1", 1, "127.0.0.1", 2, DOMAINS_BY_ID[name], False
+    )
+
+
+def test_member_lists_span_every_change_of_a_region() -> None:
+    def holder_list(
+        region: str, instance: str, since_ms: int, replaced_ms: int | None
+    ) -> catalogue_holders.HolderList:
+        holder = catalogue_holders.Holder(
+            instance_id=ids.InstanceId(instance),
+            failure_domain=ids.FailureDomainId(f"{region}-1"),
+            host="127.0.0.1",
+            inner_port=2,
+        )
+        return catalogue_holders.HolderList(
+            region=ids.RegionId(region),
+            version=ids.Version(1),
+            since_ms=since_ms,
+            replaced_ms=replaced_ms,
+            holders=(holder,),
+        )
+
+    spans = claim_members.member_lists(
+        (
+            holder_list("east", "a", 1000, 3000),
+            holder_list("west", "w", 1000, None),
+            holder_list("east", "b", 3000, None),
+        )
+    )
+    listed = [
+        ({member.instance_id for member in span.members}, span.superseded_at)
+        for span in spans
+    ]
+    assert listed == [({"a", "w"}, 3.0), ({"b", "w"}, None)]
