--- a/packages/control/src/yuccapitch/control/leases.py
+++ b/packages/control/src/yuccapitch/control/leases.py
@@ -82,7 +82,11 @@
         self._grant_number = 0
         self._owners_by_pool: dict[owners.Pool, ids.InstanceId] = {}
         self._ledger = ledger.Ledger(
-            term, self._resources_by_id(), now, lease_duration_s
+            term,
+            self._resources_by_id(),
+            now,
+            lease_duration_s,
+            is_first_term=state.version == 0,
         )
         self._ownership = pool_ownership.PoolOwnership(
             now, lease_duration_s, is_first_term=state.version == 0
--- /dev/null
+++ b/packages/gateway/tests/test_share_service.py
@@ -0,0 +1,309 @@
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from tests import catalogue_sample
+from yuccapitch.catalogue import ids, model, state as catalogue_state
+from yuccapitch.control import leases
+from yuccapitch.gateway import admissions, share_service, share_use
+from yuccapitch.protocol import node_messages
+from yuccapitch.steering import ramp, resources, shifts
+
+NORTH = ids.RegionId("north")
+SOUTH = ids.RegionId("south")
+BIRCH = ids.OwnerId("birch")
+CAPACITY = 50
+REGION = resources.region_resource_id(NORTH)
+SHIFT = resources.shift_resource_id(ids.ShiftId("s"))
+LINK = resources.link_resource_id(ids.LinkId("n-s"))
+STATES = {
+    NORTH: shifts.RegionState(frozenset({ids.OwnerId("amber")}), True),
+    SOUTH: shifts.RegionState(frozenset({BIRCH}), True),
+}
+HOME_ONLY = {NORTH: STATES[NORTH]}
+NORTH_LOST = {**STATES, NORTH: shifts.RegionState(frozenset(), True)}
+NAMES = ("e1", "e2", "e3")
+
+
+def sample(**sections: object) -> model.Declaration:
+    (instance,) = catalogue_sample.plain()["instances"].values()
+    instances = {
+        name: {**instance, "http_port": 8000 + n, "inner_port": 8100 + n}
+        for n, name in enumerate(NAMES)
+    }
+    return catalogue_sample.declaration(instances=instances, **sections)
+
+
+class Cluster:
+    """A leader's term and three entries on one clock."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.declaration = sample()
+        self.state = catalogue_state.CatalogueState()
+        self.term = leases.LeaseTerm(1, self.state, self.now, 4.0)
+        change = catalogue_sample.change("first", 0, self.declaration, owner="birch")
+        self.state.apply(1, catalogue_sample.command(change))
+        self.term.declare(self.now)
+        self.sequence = 0
+        self.wakes: list[str] = []
+        self.shares_by_name = {name: self.start(name) for name in NAMES}
+
+    def start(self, name: str) -> share_service.Shares:
+        shares = share_service.Shares(
+            name, 1, NORTH, lambda: self.wakes.append(name), lambda: self.now
+        )
+        shares.declare(self.declaration, self.now)
+        return shares
+
+    def renew(self, name: str) -> int:
+        """Renew until nothing asks for another renewal; return how many it took."""
+        shares = self.shares_by_name[name]
+        for count in range(1, 5):
+            self.sequence += 1
+            request = node_messages.LeaseRequest(
+                instance_id=name,
+                incarnation=1,
+                version=1,
+                is_stopping=False,
+                http_host="127.0.0.1",
+                http_port=1,
+                inner_host="127.0.0.1",
+                inner_port=2,
+                failure_domain="n1",
+                in_flight=0,
+                live_sequence=0,
+                shares=shares.renewal(self.now),
+                sequence=self.sequence,
+                applied_term=0,
+                applied_grant=0,
+                pools=(),
+            )
+            answer = self.term.renew(request, self.now).unwrap().shares
+            assert answer is not None
+            if not shares.on_answer(answer, self.now):
+                return count
+        raise AssertionError("renewals do not come to rest")
+
+    def admit(
+        self,
+        name: str,
+        patience: model.Patience = model.Patience.IMPATIENT,
+        states: dict[ids.RegionId, shifts.RegionState] = HOME_ONLY,
+        body_bytes: int = 0,
+    ) -> admissions.Admitted | admissions.NotRun:
+        wanted = admissions.Wanted(ids.ServiceId("bins"), NORTH, patience, body_bytes)
+        return self.shares_by_name[name].admit(wanted, states, self.now, 0.5)
+
+    def fill(self, name: str, **kinds: Any) -> list[admissions.Admitted]:
+        admitted = []
+        while isinstance(item := self.admit(name, **kinds), admissions.Admitted):
+            admitted.append(item)
+        return admitted
+
+
+@pytest.fixture
+def cluster() -> Cluster:
+    return Cluster()
+
+
+def test_shares_arrive_with_the_first_renewal(cluster: Cluster) -> None:
+    # The first answer tells the leader's term, and the entry renews at once.
+    assert cluster.renew("e1") == 2
+    shares = cluster.shares_by_name["e1"]
+    assert shares.share(REGION, cluster.now) == CAPACITY
+    assert shares.share(SHIFT, cluster.now) == 10
+    assert shares.share(LINK, cluster.now) > admissions.CHUNK_BYTES
+
+
+def test_shares_joining_entry_is_served_by_the_second_renewal(
+    cluster: Cluster,
+) -> None:
+    cluster.renew("e1")
+    cluster.renew("e2")
+    assert cluster.shares_by_name["e2"].share(REGION, cluster.now) == 0
+    assert isinstance(cluster.admit("e2"), admissions.NotRun)
+    assert cluster.wakes == ["e2"]
+    cluster.now += 1.0
+    cluster.renew("e1")
+    cluster.renew("e2")
+    assert isinstance(cluster.admit("e2"), admissions.Admitted)
+
+
+def test_shares_refused_without_a_share_wakes_once_for_its_demand(
+    cluster: Cluster,
+) -> None:
+    refused = [cluster.admit("e1") for _ in range(20)]
+    assert all(isinstance(item, admissions.NotRun) for item in refused)
+    assert cluster.wakes == ["e1"]
+    cluster.renew("e1")
+    assert isinstance(cluster.admit("e1"), admissions.Admitted)
+
+
+def test_shares_unused_move_to_the_busy_entry(cluster: Cluster) -> None:
+    for _ in range(4):
+        for name in NAMES:
+            cluster.renew(name)
+        cluster.now += 1.0
+    idle_share = cluster.shares_by_name["e1"].share(REGION, cluster.now)
+    assert CAPACITY // 3 <= idle_share <= CAPACITY // 3 + 1
+    held: list[admissions.Admitted] = []
+    for _ in range(3):
+        for _ in range(CAPACITY):
+            item = cluster.admit("e1")
+            if isinstance(item, admissions.Admitted):
+                held.append(item)
+        for name in NAMES:
+            cluster.renew(name)
+        cluster.now += 1.0
+    # The two idle entries keep one standing unit each.
+    assert len(held) == CAPACITY - 2
+
+
+def test_shares_never_pass_the_capacity_of_the_region(cluster: Cluster) -> None:
+    draw = random.Random(5)
+    held: dict[str, list[admissions.Admitted]] = {name: [] for name in NAMES}
+    most = 0
+    for _ in range(300):
+        cluster.now += 0.1
+        name = draw.choice(NAMES)
+        if draw.random() < 0.3:
+            cluster.renew(name)
+        if draw.random() < 0.5:
+            held[name] += cluster.fill(name)
+        while held[name] and draw.random() < 0.9:
+            held[name].pop().release()
+        in_use = [
+            shares.in_use(REGION, cluster.now)
+            for shares in cluster.shares_by_name.values()
+        ]
+        assert sum(in_use) <= CAPACITY
+        most = max(most, sum(in_use))
+    assert most > CAPACITY * 0.8
+
+
+def test_shares_patient_work_leaves_the_reserve(cluster: Cluster) -> None:
+    cluster.renew("e1")
+    patient = cluster.fill("e1", patience=model.Patience.PATIENT)
+    reserve = round(CAPACITY * share_service.IMPATIENT_RESERVE)
+    assert len(patient) == CAPACITY - reserve
+    assert len(cluster.fill("e1")) == reserve
+
+
+def test_shares_patient_request_runs_after_long_refusal(cluster: Cluster) -> None:
+    cluster.renew("e1")
+    impatient = cluster.fill("e1")
+    patience = model.Patience.PATIENT
+    assert isinstance(cluster.admit("e1", patience), admissions.NotRun)
+    cluster.now += share_use.PATIENT_WAIT_S
+    cluster.renew("e1")
+    impatient.pop().release()
+    assert len(cluster.fill("e1", patience=patience)) == 1
+
+
+def test_shares_release_twice_frees_once(cluster: Cluster) -> None:
+    cluster.renew("e1")
+    first, *_ = cluster.fill("e1")
+    first.release()
+    first.release()
+    assert len(cluster.fill("e1")) == 1
+
+
+def test_shares_lapsed_admit_nothing(cluster: Cluster) -> None:
+    cluster.renew("e1")
+    cluster.now += 4.0
+    assert isinstance(cluster.admit("e1"), admissions.NotRun)
+
+
+def test_shares_changed_capacity_counts_what_is_in_flight(cluster: Cluster) -> None:
+    cluster.renew("e1")
+    held = cluster.fill("e1")
+    regions = {"north": {"capacity": 10}, "south": {"capacity": 10}}
+    cluster.shares_by_name["e1"].declare(sample(regions=regions), cluster.now)
+    assert cluster.shares_by_name["e1"].in_use(REGION, cluster.now) == len(held)
+    for item in held:
+        item.release()
+    assert cluster.shares_by_name["e1"].in_use(REGION, cluster.now) == 0
+
+
+def test_shares_lost_home_goes_by_shift_on_a_ramp(cluster: Cluster) -> None:
+    cluster.renew("e1")
+    shifted = cluster.fill("e1", states=NORTH_LOST)
+    assert len(shifted) == max(1, int(10 * ramp.RAMP_FLOOR))
+    assert (shifted[0].region, shifted[0].endpoint_owner) == (SOUTH, BIRCH)
+    used = cluster.shares_by_name["e1"].in_use(
+        resources.region_resource_id(SOUTH), cluster.now
+    )
+    assert used == len(shifted)
+
+
+def test_shares_shifted_never_pass_the_cap(cluster: Cluster) -> None:
+    times = []
+    for step in range(700):
+        cluster.now += 0.1
+        for number, name in enumerate(NAMES):
+            if step % 10 == 3 * number:
+                cluster.renew(name)
+            for admitted in cluster.fill(name, states=NORTH_LOST):
+                times.append(cluster.now)
+                admitted.release()
+    for start in times:
+        assert sum(start <= now < start + 1.0 for now in times) <= 10
+    late = [now for now in times if now > cluster.now - 20.0]
+    assert len(late) > 100
+
+
+def test_shares_full_home_overflows_by_shift(cluster: Cluster) -> None:
+    cluster.renew("e1")
+    cluster.fill("e1")
+    overflow = cluster.admit("e1", states=STATES)
+    assert isinstance(overflow, admissions.Admitted)
+    assert overflow.region == SOUTH
+
+
+def test_shares_refused_shift_takes_nothing(cluster: Cluster) -> None:
+    cluster.renew("e1")
+    cluster.fill("e1", states=NORTH_LOST)
+    refused = cluster.admit("e1", states=NORTH_LOST)
+    assert isinstance(refused, admissions.NotRun)
+    assert refused.code == "no-region-cap"
+    south = resources.region_resource_id(SOUTH)
+    assert cluster.shares_by_name["e1"].in_use(south, cluster.now) == 1
+
+
+def test_shares_without_shift_or_home_says_so(cluster: Cluster) -> None:
+    states = {NORTH: NORTH_LOST[NORTH]}
+    refused = cluster.admit("e1", states=states)
+    assert isinstance(refused, admissions.NotRun)
+    assert refused.code == "no-region-no-shift"
+
+
+async def test_pacer_waits_for_the_links_share(cluster: Cluster) -> None:
+    cluster.renew("e1")
+    admitted = cluster.admit("e1", states=NORTH_LOST, body_bytes=10_000_000)
+    assert isinstance(admitted, admissions.Admitted) and admitted.pacer is not None
+    share = cluster.shares_by_name["e1"].share(LINK, cluster.now)
+    taken = 0
+    # What the window holds passes at once; a wait would never end on this clock.
+    while taken + admissions.CHUNK_BYTES <= share:
+        await admitted.pacer.wait(admissions.CHUNK_BYTES)
+        taken += admissions.CHUNK_BYTES
+    assert share - taken < admissions.CHUNK_BYTES
+
+
+async def test_pacer_takes_the_prepaid_bytes_first() -> None:
+    asked: list[tuple[int, bool]] = []
+    grants = iter([0, 5, 5])
+
+    def take(units: int, is_repeated: bool) -> int:
+        asked.append((units, is_repeated))
+        return next(grants)
+
+    pacer = admissions.Pacer(take, prepaid_bytes=4)
+    await pacer.wait(4)
+    assert asked == []
+    await pacer.wait(10)
+    assert asked == [(10, False), (10, True), (5, False)]
--- a/packages/steering/src/yuccapitch/steering/ledger.py
+++ b/packages/steering/src/yuccapitch/steering/ledger.py
@@ -92,8 +92,10 @@
         resources_by_id: Mapping[resources.ResourceId, resources.Resource],
         now: float,
         lease_duration_s: float = LEASE_DURATION_S,
+        is_first_term: bool = False,
     ) -> None:
         self.epoch = epoch
+        self._is_first_term = is_first_term
         self.lease_duration_s = lease_duration_s
         self._resources_by_id = dict(resources_by_id)
         self._started_at = now
@@ -264,6 +266,9 @@
                 del self._holders_by_key[key]
 
     def _is_recovering(self, resource: resources.Resource, now: float) -> bool:
+        if self._is_first_term:
+            # No earlier leader had any limit to grant shares of.
+            return False
         recovery_s = (self.lease_duration_s + resource.linger_s) * CLOCK_MARGIN**2
         return now < self._started_at + recovery_s
 
