--- a/packages/control/src/yuccapitch/control/leases.py
+++ b/packages/control/src/yuccapitch/control/leases.py
@@ -233,10 +233,10 @@
         applied_grant = request.applied_grant if is_current else 0
         self._ownership.report(key, owned, released, applied_grant, now)
         place = self._place(request.failure_domain)
-        if request.is_stopping or place is None:
+        if place is None:
             self._ownership.leave(key)
         else:
-            self._ownership.join(key, place)
+            self._ownership.join(key, place, request.is_stopping)
         grants = self._ownership.grant(key, self._grant_number, now)
         owners_by_pool = self._ownership.owners_by_pool()
         if owners_by_pool != self._owners_by_pool:
--- a/packages/gateway/src/yuccapitch/gateway/bodies.py
+++ b/packages/gateway/src/yuccapitch/gateway/bodies.py
@@ -10,7 +10,7 @@
 import result
 from aiohttp import web
 
-from yuccapitch.gateway import outcomes
+from yuccapitch.gateway import admissions, outcomes
 
 BUFFERED_BYTES = 256 * 1024
 """Bodies up to this size are read whole before an endpoint is chosen."""
@@ -45,9 +45,16 @@
     is_whole: bool = False
     is_consumed: bool = False
     """Whether bytes beyond the head were taken from the caller."""
+    pacer: admissions.Pacer | None = None
+    """Holds back bytes that go to another region."""
     all_sent: bool = False
     """Whether the last byte was handed to the connection with an endpoint."""
 
+    @property
+    def length(self) -> int | None:
+        """The announced length, or that of a body which is whole."""
+        return len(self.head) if self.is_whole else self.request.content_length
+
     @property
     def can_resend(self) -> bool:
         """Whether the body can be sent from its start again."""
@@ -55,10 +62,12 @@
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body from its start; raise BodyError if it ends early."""
-        self.all_sent = self.is_whole
         if self.head:
+            await self._pace(self.head)
+            self.all_sent = self.is_whole
             yield self.head
         if self.is_whole:
+            self.all_sent = True
             return
         self.is_consumed = True
         taken = len(self.head)
@@ -66,11 +75,16 @@
             taken += len(chunk)
             if taken > self.most_bytes:
                 raise BodyError(BodyFault.TOO_LARGE)
+            await self._pace(chunk)
             # Set before the yield: once handed over, the last byte may arrive.
             self.all_sent = self._is_last(taken)
             yield chunk
         self.all_sent = True
 
+    async def _pace(self, chunk: bytes) -> None:
+        if self.pacer is not None:
+            await self.pacer.wait(len(chunk))
+
     def _is_last(self, taken: int) -> bool:
         return taken == self.request.content_length or self.request.content.at_eof()
 
--- a/packages/gateway/src/yuccapitch/gateway/config_view.py
+++ b/packages/gateway/src/yuccapitch/gateway/config_view.py
@@ -8,7 +8,11 @@
 import result
 
 from yuccapitch.catalogue import ids, model
-from yuccapitch.steering import lookup_table
+from yuccapitch.steering import lookup_table, owners
+
+DOMAIN_DELAY_S = 0.0005
+REGION_DELAY_S = 0.004
+UNKNOWN_DELAY_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,11 +57,46 @@
             for method in named.route.methods
         )
 
+    def pool_endpoints(self, pool: owners.Pool) -> dict[ids.EndpointId, model.Endpoint]:
+        """Return the endpoints of a pool."""
+        return self._endpoints_by_pool.get(pool, {})
+
     def endpoints(
         self, service: ids.ServiceId, region: ids.RegionId
     ) -> dict[ids.EndpointId, model.Endpoint]:
         """Return the endpoints of a service in a region."""
-        return self._endpoints_by_place.get((service, region), {})
+        return {
+            endpoint_id: endpoint
+            for pool in self.pools_of(service)
+            if self.region_of_domain(pool.failure_domain) == region
+            for endpoint_id, endpoint in self.pool_endpoints(pool).items()
+        }
+
+    def pools_of(self, service: ids.ServiceId) -> tuple[owners.Pool, ...]:
+        """Return the pools of a service."""
+        return tuple(
+            pool for pool in self._endpoints_by_pool if pool.service == service
+        )
+
+    def longest_deadline_s(self, service: ids.ServiceId) -> float:
+        """Return the longest deadline of a service's routes."""
+        deadlines_ms = [
+            named.route.limits.deadline_ms
+            for named in self._routes_by_service.get(service, ())
+        ]
+        return max(deadlines_ms, default=0) / 1000
+
+    def delay_s(self, a: ids.FailureDomainId, b: ids.FailureDomainId) -> float:
+        """Return the one-way delay between two failure domains."""
+        if a == b:
+            return DOMAIN_DELAY_S
+        source, target = self.region_of_domain(a), self.region_of_domain(b)
+        if source == target:
+            return REGION_DELAY_S
+        for link in self.declaration.links_by_id.values():
+            if (link.source, link.target) == (source, target):
+                return link.delay_ms / 1000
+        return UNKNOWN_DELAY_S
 
     def regions_by_distance(self, home: ids.RegionId) -> tuple[ids.RegionId, ...]:
         """Return all regions, the home first, then by the delay of the links."""
@@ -92,17 +131,14 @@
         }
 
     @functools.cached_property
-    def _endpoints_by_place(
+    def _endpoints_by_pool(
         self,
-    ) -> dict[tuple[ids.ServiceId, ids.RegionId], dict[ids.EndpointId, model.Endpoint]]:
-        endpoints_by_place: dict[
-            tuple[ids.ServiceId, ids.RegionId], dict[ids.EndpointId, model.Endpoint]
-        ] = {}
+    ) -> dict[owners.Pool, dict[ids.EndpointId, model.Endpoint]]:
+        endpoints_by_pool: dict[owners.Pool, dict[ids.EndpointId, model.Endpoint]] = {}
         for endpoint_id, endpoint in self.declaration.endpoints_by_id.items():
-            region = self.region_of_domain(endpoint.failure_domain)
-            place = (endpoint.service, region)
-            endpoints_by_place.setdefault(place, {})[endpoint_id] = endpoint
-        return endpoints_by_place
+            pool = owners.Pool(endpoint.service, endpoint.failure_domain)
+            endpoints_by_pool.setdefault(pool, {})[endpoint_id] = endpoint
+        return endpoints_by_pool
 
 
 def _covers(route: model.Route, path: str) -> bool:
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/endpoint_watch.py
@@ -0,0 +1,251 @@
+"""What is heard of endpoints: reports on answers, probes, the platform's lists."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import aiohttp
+import result
+
+from yuccapitch.catalogue import ids, model
+from yuccapitch.gateway import config_view, exchange, load_report
+from yuccapitch.protocol import events
+from yuccapitch.steering import health, leaving, probes
+
+TICK_INTERVAL_S = 0.1
+PROBE_TIMEOUT_S = 1.0
+PLATFORM_INTERVAL_S = 1.0
+PLATFORM_TIMEOUT_S = 2.0
+MAX_PLATFORM_BYTES = 4 * 1024 * 1024
+
+
+@dataclasses.dataclass
+class _Heard:
+    heard_at: float | None = None
+    probed_at: float | None = None
+    is_leaving: bool = False
+
+
+class EndpointWatch:
+    """Keeps the signs of life and of leaving of all endpoints.
+
+    A statement was made between the begin and the end of its exchange. One that
+    the endpoint drains counts from the end and one that it serves from the begin,
+    so that no older sign of life undoes a drain.
+    """
+
+    def __init__(
+        self,
+        health_view: health.HealthView,
+        owned_endpoints: Callable[[], set[ids.EndpointId]],
+        on_leaving: Callable[[], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._health_view = health_view
+        self._owned_endpoints = owned_endpoints
+        self._on_leaving = on_leaving
+        self._clock = clock
+        self._signs = leaving.LeavingSigns()
+        self._heard_by_id: dict[ids.EndpointId, _Heard] = {}
+        self._view: config_view.ConfigView | None = None
+        self._session: aiohttp.ClientSession
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._platform_read_at: dict[str, float] = {}
+
+    def configure(self, view: config_view.ConfigView) -> None:
+        """Take the drains of a configuration."""
+        self._view = view
+        for endpoint_id, endpoint in view.declaration.endpoints_by_id.items():
+            sign = leaving.OperatorSign(
+                endpoint_id, view.version, _is_drained(view, endpoint_id, endpoint)
+            )
+            self._signs.hear_operator(sign)
+            self._note_leaving(endpoint_id)
+
+    def is_leaving(self, endpoint_id: ids.EndpointId) -> bool:
+        """Return whether the endpoint gets no new work."""
+        return self._signs.is_leaving(endpoint_id)
+
+    def hear_answer(
+        self, endpoint_id: ids.EndpointId, headers: Mapping[str, str], began_at: float
+    ) -> None:
+        """Take the load report on an endpoint's answer."""
+        heard = self._heard(endpoint_id)
+        heard.heard_at = self._clock()
+        text = headers.get(exchange.LOAD_HEADER)
+        if text is None:
+            return
+        parsed = load_report.parse(text)
+        if isinstance(parsed, result.Err):
+            events.event(
+                "endpoint.report-invalid", endpoint=endpoint_id, report=text[:100]
+            )
+            return
+        self._take_report(endpoint_id, parsed.ok_value, began_at)
+
+    async def run(self) -> None:
+        """Probe owned endpoints and read the platform's lists until cancelled."""
+        async with contextlib.AsyncExitStack() as stack:
+            timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
+            self._session = await stack.enter_async_context(
+                aiohttp.ClientSession(
+                    timeout=timeout, cookie_jar=aiohttp.DummyCookieJar()
+                )
+            )
+            stack.callback(self._cancel_tasks)
+            while True:
+                await asyncio.sleep(TICK_INTERVAL_S)
+                self._start_probes()
+                self._start_platform_reads()
+
+    def _take_report(
+        self,
+        endpoint_id: ids.EndpointId,
+        report: load_report.Report,
+        began_at: float,
+    ) -> None:
+        self._health_view.observe_report(
+            health.LoadReport(endpoint_id, report.in_flight, began_at)
+        )
+        is_draining = report.state is load_report.State.DRAINING
+        made_at = self._clock() if is_draining else began_at
+        sign = leaving.EndpointSign(
+            endpoint_id, report.started_ms, int(made_at * 1_000_000), is_draining
+        )
+        if self._signs.hear_endpoint(sign):
+            self._health_view.forget(endpoint_id)
+        self._note_leaving(endpoint_id)
+
+    def _note_leaving(self, endpoint_id: ids.EndpointId) -> None:
+        heard = self._heard(endpoint_id)
+        sources = self._signs.leaving_sources(endpoint_id)
+        if bool(sources) == heard.is_leaving:
+            return
+        heard.is_leaving = bool(sources)
+        if heard.is_leaving:
+            names = ",".join(sorted(source.value for source in sources))
+            events.event("endpoint.leaving", endpoint=endpoint_id, sources=names)
+        else:
+            events.event("endpoint.up", endpoint=endpoint_id)
+        self._on_leaving()
+
+    def _start_probes(self) -> None:
+        if self._view is None:
+            return
+        now = self._clock()
+        for endpoint_id in probes.due_probes(self._targets(now), now):
+            self._heard(endpoint_id).probed_at = now
+            endpoint = self._view.declaration.endpoints_by_id[endpoint_id]
+            service = self._view.declaration.services_by_id[endpoint.service]
+            assert service.probe_path is not None
+            url = f"http://{endpoint.host}:{endpoint.port}{service.probe_path}"
+            self._spawn(self._probe(endpoint_id, url))
+
+    def _targets(self, now: float) -> list[probes.ProbeTarget]:
+        assert self._view is not None
+        targets = []
+        for endpoint_id in self._owned_endpoints():
+            endpoint = self._view.declaration.endpoints_by_id.get(endpoint_id)
+            if endpoint is None:
+                continue
+            service = self._view.declaration.services_by_id[endpoint.service]
+            if service.probe_path is None:
+                continue
+            heard = self._heard(endpoint_id)
+            standing = self._health_view.standing(endpoint_id, now)
+            targets.append(
+                probes.ProbeTarget(
+                    endpoint_id,
+                    service.probe_interval_s,
+                    heard.heard_at,
+                    heard.probed_at,
+                    standing.doubtful or heard.is_leaving,
+                )
+            )
+        return targets
+
+    async def _probe(self, endpoint_id: ids.EndpointId, url: str) -> None:
+        began_at = self._clock()
+        body: Any = None
+        with contextlib.suppress(
+            aiohttp.ClientError, OSError, TimeoutError, ValueError
+        ):
+            async with self._session.get(url, allow_redirects=False) as response:
+                if response.status == 200:
+                    body = await response.json(content_type=None)
+        answered = body is not None
+        self._health_view.observe_probe(endpoint_id, answered, self._clock())
+        if not answered:
+            return
+        self._heard(endpoint_id).heard_at = self._clock()
+        parsed = load_report.from_json(body)
+        if isinstance(parsed, result.Ok):
+            self._take_report(endpoint_id, parsed.ok_value, began_at)
+
+    def _start_platform_reads(self) -> None:
+        if self._view is None:
+            return
+        now = self._clock()
+        urls = {
+            service.platform_list_url
+            for service in self._view.declaration.services_by_id.values()
+            if service.platform_list_url is not None
+        }
+        for url in urls:
+            if now >= self._platform_read_at.get(url, 0.0) + PLATFORM_INTERVAL_S:
+                self._platform_read_at[url] = now
+                self._spawn(self._read_platform(url))
+
+    async def _read_platform(self, url: str) -> None:
+        try:
+            async with self._session.get(url, allow_redirects=False) as response:
+                text = await response.content.read(MAX_PLATFORM_BYTES)
+            listed = load_report.parse_platform_list(text)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            events.event("platform.list-failed", url=url, reason=repr(error))
+            return
+        if isinstance(listed, result.Err):
+            events.event("platform.list-failed", url=url, reason=listed.err_value)
+            return
+        for item in listed.ok_value.instances:
+            endpoint_id = ids.EndpointId(item.id)
+            sign = leaving.PlatformSign(
+                endpoint_id,
+                listed.ok_value.as_of_unix_ms / 1000,
+                item.state is load_report.PlatformState.LEAVING,
+            )
+            self._signs.hear_platform(sign)
+            self._note_leaving(endpoint_id)
+
+    def _heard(self, endpoint_id: ids.EndpointId) -> _Heard:
+        return self._heard_by_id.setdefault(endpoint_id, _Heard())
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _cancel_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+
+def _is_drained(
+    view: config_view.ConfigView,
+    endpoint_id: ids.EndpointId,
+    endpoint: model.Endpoint,
+) -> bool:
+    region = view.region_of_domain(endpoint.failure_domain)
+    covered = {
+        (model.DrainKind.ENDPOINT, endpoint_id),
+        (model.DrainKind.FAILURE_DOMAIN, endpoint.failure_domain),
+        (model.DrainKind.REGION, region),
+    }
+    return any(
+        (drain.kind, drain.target) in covered
+        for drain in view.declaration.drains_by_id.values()
+    )
--- a/packages/gateway/src/yuccapitch/gateway/exchange.py
+++ b/packages/gateway/src/yuccapitch/gateway/exchange.py
@@ -13,7 +13,6 @@
 import multidict
 import yarl
 
-from yuccapitch.catalogue import model
 from yuccapitch.gateway import bodies
 
 SHED_HEADER = "Yuccapitch-Endpoint-Shed"
@@ -86,9 +85,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Target:
-    """What is asked of an endpoint."""
+    """What is asked of an endpoint, or of the owner of its pool."""
 
-    endpoint: model.Endpoint
+    host: str
+    port: int
     method: str
     path_and_query: str
     headers: Mapping[str, str]
@@ -146,18 +146,18 @@
         progress: _Progress,
     ) -> aiohttp.ClientResponse:
         session = self._pooled if target.is_repeatable else self._fresh
-        endpoint = target.endpoint
-        base = f"http://{endpoint.host}:{endpoint.port}"
+        base = f"http://{target.host}:{target.port}"
         headers = forwarded_headers(target.headers)
         headers[DEADLINE_HEADER] = str(max(1, int(timeout_s * 1000)))
         data: bytes | AsyncIterator[bytes] | None = None
-        if body.is_whole:
+        if body.is_whole and body.pacer is None:
             data = body.head or None
             body.all_sent = True
         else:
             data = body.chunks()
-            if body.request.content_length is not None:
-                headers["Content-Length"] = str(body.request.content_length)
+            length = body.length
+            if length is not None:
+                headers["Content-Length"] = str(length)
         return await session.request(
             target.method,
             yarl.URL(base + target.path_and_query, encoded=True),
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/forwarding.py
@@ -0,0 +1,81 @@
+"""Requests passed on to the instance that owns the pool of slots they use.
+
+A forwarded request carries the owner's token, which instances learn over inner
+links only, so that no caller can pass for one.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import hmac
+import secrets
+from collections.abc import Mapping
+
+import multidict
+from aiohttp import web
+
+from yuccapitch.catalogue import ids
+
+TOKEN_HEADER = "Yuccapitch-Forward-Token"
+DOMAIN_HEADER = "Yuccapitch-Forward-Domain"
+OWNER_HEADER = "Yuccapitch-Forward-Owner"
+TOKEN_BYTES = 16
+
+_HEADERS = (TOKEN_HEADER, DOMAIN_HEADER, OWNER_HEADER)
+
+
+@dataclasses.dataclass(frozen=True)
+class Forward:
+    """What the owner of a pool is told with a request."""
+
+    failure_domain: ids.FailureDomainId
+    endpoint_owner: ids.OwnerId | None
+    """The owner whose endpoints alone may take the request, if any."""
+
+
+class ForwardTokens:
+    """The own token and those of the other instances."""
+
+    def __init__(self) -> None:
+        self.own = secrets.token_hex(TOKEN_BYTES)
+        self._tokens_by_id: dict[ids.InstanceId, str] = {}
+
+    def learn(self, instance_id: ids.InstanceId, token: str) -> None:
+        """Take another instance's token."""
+        self._tokens_by_id[instance_id] = token
+
+    def knows(self, instance_id: ids.InstanceId) -> bool:
+        """Whether requests can be forwarded to the instance."""
+        return instance_id in self._tokens_by_id
+
+    def headers(
+        self, instance_id: ids.InstanceId, forward: Forward, given: Mapping[str, str]
+    ) -> multidict.CIMultiDict[str]:
+        """Return a caller's headers with those of the forward."""
+        headers = multidict.CIMultiDict(given)
+        for name in _HEADERS:
+            headers.popall(name, None)
+        headers[TOKEN_HEADER] = self._tokens_by_id[instance_id]
+        headers[DOMAIN_HEADER] = forward.failure_domain
+        if forward.endpoint_owner is not None:
+            headers[OWNER_HEADER] = forward.endpoint_owner
+        return headers
+
+    def read(self, request: web.Request) -> Forward | None:
+        """Return what a request says as a forwarded one, or None if it is none."""
+        token = request.headers.get(TOKEN_HEADER, "")
+        if not hmac.compare_digest(token.encode(), self.own.encode()):
+            return None
+        owner = request.headers.get(OWNER_HEADER)
+        return Forward(
+            ids.FailureDomainId(request.headers.get(DOMAIN_HEADER, "")),
+            None if owner is None else ids.OwnerId(owner),
+        )
+
+
+def without_forward_headers(headers: Mapping[str, str]) -> multidict.CIMultiDict[str]:
+    """Return the headers that an endpoint gets."""
+    kept = multidict.CIMultiDict(headers)
+    for name in _HEADERS:
+        kept.popall(name, None)
+    return kept
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/jobs.py
@@ -0,0 +1,53 @@
+"""A request on its way through an instance, and how its way may end."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+from aiohttp import web
+
+from yuccapitch.catalogue import ids
+from yuccapitch.gateway import bodies, config_view, exchange, incoming, outcomes
+from yuccapitch.steering import retry
+
+
+@dataclasses.dataclass
+class Job:
+    """A request that was admitted, with what its attempts need."""
+
+    request: web.Request
+    wanted: incoming.Incoming
+    view: config_view.ConfigView
+    body: bodies.Body
+    region: ids.RegionId
+    """The region that serves it."""
+    endpoint_owner: ids.OwnerId | None
+    on_answer: Callable[[exchange.Answer], None] = lambda answer: None
+    """Called with an answer before the caller gets any of it."""
+
+    def allows(self, endpoint_id: ids.EndpointId) -> bool:
+        """Whether the request may go to the endpoint."""
+        if self.endpoint_owner is None:
+            return True
+        endpoint = self.view.declaration.endpoints_by_id.get(endpoint_id)
+        return endpoint is not None and endpoint.owner == self.endpoint_owner
+
+
+@dataclasses.dataclass(frozen=True)
+class Delivered:
+    """The caller got an endpoint's answer."""
+
+    response: web.StreamResponse
+
+
+@dataclasses.dataclass(frozen=True)
+class Failed:
+    """An attempt without an answer, and whether another may be made."""
+
+    failure: outcomes.Failure
+    end: retry.AttemptEnd | None
+    """None if another attempt has no use."""
+
+
+End = Delivered | Failed
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/load_report.py
@@ -0,0 +1,76 @@
+"""Reads endpoints' load reports and the platform's lists of instances."""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import pydantic
+import result
+
+MAX_REPORT_CHARS = 500
+
+
+class State(enum.Enum):
+    """What an endpoint says of itself."""
+
+    SERVING = "serving"
+    COLD = "cold"
+    DRAINING = "draining"
+
+
+class Report(pydantic.BaseModel):
+    """An endpoint's load report; unknown fields are ignored."""
+
+    model_config = pydantic.ConfigDict(frozen=True)
+
+    in_flight: int = pydantic.Field(default=0, ge=0)
+    slots: int = pydantic.Field(default=0, ge=0)
+    state: State = State.SERVING
+    started_ms: int = pydantic.Field(default=0, ge=0, lt=2**53)
+    """Unix time at which the endpoint's process started, if it says so."""
+
+
+class PlatformState(enum.Enum):
+    """What the platform says of an instance."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class PlatformInstance(pydantic.BaseModel):
+    """One line of the platform's list."""
+
+    id: str
+    state: PlatformState
+
+
+class PlatformList(pydantic.BaseModel):
+    """The platform's list of instances at one time."""
+
+    as_of_unix_ms: int
+    instances: tuple[PlatformInstance, ...]
+
+
+def parse(text: str) -> result.Result[Report, str]:
+    """Return the report in a `Yuccapitch-Load` header."""
+    if len(text) > MAX_REPORT_CHARS:
+        return result.Err("the report is too long")
+    pairs = [part.partition("=") for part in text.split(";") if part.strip()]
+    return from_json({name.strip(): value.strip() for name, _, value in pairs})
+
+
+def from_json(body: Any) -> result.Result[Report, str]:
+    """Return the report in a probe's answer."""
+    try:
+        return result.Ok(Report.model_validate(body))
+    except pydantic.ValidationError as error:
+        return result.Err(str(error.errors(include_url=False)[0]["msg"]))
+
+
+def parse_platform_list(text: bytes) -> result.Result[PlatformList, str]:
+    """Return the platform's list."""
+    try:
+        return result.Ok(PlatformList.model_validate_json(text))
+    except pydantic.ValidationError as error:
+        return result.Err(str(error.errors(include_url=False)[0]["msg"]))
--- a/packages/gateway/src/yuccapitch/gateway/outcomes.py
+++ b/packages/gateway/src/yuccapitch/gateway/outcomes.py
@@ -47,3 +47,17 @@
         content_type="application/json",
         headers=headers,
     )
+
+
+def as_unknown(failure: Failure) -> Failure:
+    """Return the failure of a request that may have run."""
+    return dataclasses.replace(failure, outcome=Outcome.UNKNOWN, retry_after_s=None)
+
+
+def code_of(body: bytes) -> str:
+    """Return the code in the body of a failure's answer."""
+    try:
+        code = json.loads(body)["error"]
+    except (ValueError, KeyError, TypeError):
+        return "no-answer"
+    return code if isinstance(code, str) else "no-answer"
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/pool_service.py
@@ -0,0 +1,369 @@
+"""The pools of slots that this instance owns, and what it knows of the others."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import random
+from collections.abc import Callable, Iterable
+
+import result
+
+from yuccapitch.catalogue import ids
+from yuccapitch.control import lease_client
+from yuccapitch.gateway import config_view
+from yuccapitch.protocol import slot_messages
+from yuccapitch.steering import (
+    health,
+    owners,
+    pool as pool_module,
+    pool_directory,
+    pool_ownership,
+    queue,
+    slots,
+)
+
+TICK_INTERVAL_S = 0.1
+RELEASED_REPORT_S = 10.0
+"""How long the slots still held in a pool that was given up are reported."""
+UNKNOWN_DELAY_S = 0.1
+
+
+@dataclasses.dataclass
+class Slot:
+    """A slot that a request holds until it is released."""
+
+    endpoint_id: ids.EndpointId
+    term: int
+    number: int
+    deadline: float
+    recall: Callable[[], object] | None = None
+    """Called when impatient work needs the slot back."""
+
+
+Acquired = result.Result[Slot, pool_module.Refused]
+
+
+@dataclasses.dataclass(frozen=True)
+class OwnerLoad:
+    """The slots of a service that an instance owns, and how full they are."""
+
+    slots: int
+    used_part: float
+    counted_at: float
+
+
+NO_LOAD = OwnerLoad(0, 0.0, float("-inf"))
+
+
+@dataclasses.dataclass(frozen=True)
+class _Held:
+    endpoint_id: ids.EndpointId
+    until: float
+
+
+class PoolService:
+    """Gives slots of owned pools, and counts for the choice among all pools."""
+
+    def __init__(
+        self,
+        instance_id: ids.InstanceId,
+        health_view: health.HealthView,
+        is_closed: Callable[[ids.EndpointId], bool],
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._instance_id = instance_id
+        self._health_view = health_view
+        self._is_closed = is_closed
+        self._clock = clock
+        self._rng = rng
+        self._view: config_view.ConfigView | None = None
+        self._regions: frozenset[ids.RegionId] = frozenset()
+        self._terms = itertools.count(1)
+        self._lease_until = float("-inf")
+        self._pools: dict[owners.Pool, pool_module.SlotPool] = {}
+        self._released_by_pool: dict[owners.Pool, tuple[tuple[_Held, ...], float]] = {}
+        self._futures_by_request_id: dict[str, asyncio.Future[Acquired]] = {}
+        self._slots_by_request_id: dict[str, Slot] = {}
+        self.directory = pool_directory.PoolDirectory(instance_id)
+
+    @property
+    def own_pools(self) -> dict[owners.Pool, pool_module.SlotPool]:
+        """The pools that this instance owns."""
+        return self._pools
+
+    def configure(
+        self,
+        view: config_view.ConfigView,
+        configuration: lease_client.Configuration,
+        now: float,
+    ) -> None:
+        """Take a configuration or a change of the pools' owners."""
+        self._view = view
+        self._regions = frozenset(view.declaration.regions_by_id)
+        for pool, own in self._pools.items():
+            self._update_endpoints(pool, own, now)
+        known = [
+            pool_directory.KnownPool(
+                pool,
+                view.region_of_domain(pool.failure_domain),
+                owner,
+                sum(endpoint.slots for endpoint in view.pool_endpoints(pool).values()),
+                self._distance_s(pool, owner),
+            )
+            for pool, owner in configuration.owners_by_pool.items()
+            if view.pool_endpoints(pool)
+        ]
+        self.directory.set_pools(known, now)
+
+    def take_grants(self, granted: lease_client.PoolGrants) -> bool:
+        """Own the granted pools and give up the others; true to report at once."""
+        now = self._clock()
+        self._lease_until = max(self._lease_until, granted.lease_until)
+        grants_by_pool = {
+            owners.Pool(
+                ids.ServiceId(grant.service), ids.FailureDomainId(grant.failure_domain)
+            ): grant
+            for grant in granted.grants
+        }
+        given_up = [pool for pool in self._pools if pool not in grants_by_pool]
+        for pool in given_up:
+            self._give_up(pool, now)
+        for pool, grant in grants_by_pool.items():
+            if pool in self._pools:
+                self._pools[pool].table.renew(granted.lease_until)
+            elif grant.number != pool_ownership.ADOPTED:
+                self._own(pool, grant, granted.lease_until, now)
+        return bool(given_up)
+
+    def reports(self, now: float) -> tuple[slot_messages.PoolReport, ...]:
+        """Return what this instance owns and what it has just given up."""
+        if now >= self._lease_until:
+            # A successor may own them by now; it counts on nothing from here.
+            for pool in list(self._pools):
+                self._give_up(pool, now)
+            self._released_by_pool.clear()
+        owned = [
+            slot_messages.PoolReport(pool.service, pool.failure_domain, True, ())
+            for pool in self._pools
+        ]
+        for pool, (held, until) in list(self._released_by_pool.items()):
+            if now >= until:
+                del self._released_by_pool[pool]
+                continue
+            remaining = tuple(
+                slot_messages.HeldSlot(
+                    item.endpoint_id, int((item.until - now) * 1000) + 1
+                )
+                for item in held
+                if item.until > now
+            )
+            owned.append(
+                slot_messages.PoolReport(
+                    pool.service, pool.failure_domain, False, remaining
+                )
+            )
+        return tuple(owned)
+
+    async def acquire(self, pool: owners.Pool, ask: pool_module.Ask) -> Acquired:
+        """Wait for a slot of an owned pool, or for its refusal."""
+        own = self._pools.get(pool)
+        if own is None:
+            return result.Err(_not_owned(ask))
+        future: asyncio.Future[Acquired] = asyncio.get_running_loop().create_future()
+        self._futures_by_request_id[ask.request_id] = future
+        self._carry_out(own.ask(ask, self._clock()))
+        try:
+            return await future
+        finally:
+            self._futures_by_request_id.pop(ask.request_id, None)
+            if future.cancelled():
+                self._carry_out(own.cancel(ask.request_id, self._clock()))
+
+    def release(
+        self,
+        pool: owners.Pool,
+        request_id: str,
+        end: health.ExchangeEnd | None,
+        service_s: float,
+    ) -> None:
+        """Give a slot back and tell how the exchange went."""
+        slot = self._slots_by_request_id.pop(request_id, None)
+        own = self._pools.get(pool)
+        if slot is None or own is None:
+            return
+        self._carry_out(
+            own.release(slot.term, slot.number, end, service_s, self._clock())
+        )
+
+    def tick(self) -> None:
+        """Do what the passing of time calls for."""
+        now = self._clock()
+        for own in self._pools.values():
+            own.close_endpoints(
+                endpoint_id
+                for endpoint_id in own.table.endpoint_ids
+                if self._is_closed(endpoint_id)
+            )
+            self._carry_out(own.tick(now))
+
+    def loads(self, sequence: int, forward_token: str) -> slot_messages.PoolLoads:
+        """Return the counts that the other entry instances are told."""
+        now = self._clock()
+        pools = []
+        for pool, own in self._pools.items():
+            counts = pool_directory.count_pool(own, sequence, now)
+            pools.append(
+                slot_messages.PoolLoad(
+                    pool.service,
+                    pool.failure_domain,
+                    counts.term,
+                    counts.slots,
+                    counts.free,
+                    counts.waiting_impatient,
+                    counts.waiting_patient,
+                )
+            )
+        return slot_messages.PoolLoads(
+            self._instance_id, sequence, forward_token, tuple(pools)
+        )
+
+    def loads_by_owner(
+        self, service: ids.ServiceId, now: float
+    ) -> dict[ids.InstanceId, OwnerLoad]:
+        """Return what each owner of the service's pools last told."""
+        loads_by_owner: dict[ids.InstanceId, OwnerLoad] = {}
+        for view in self.directory.views(service, self._regions, self._pools, now):
+            known = loads_by_owner.get(view.owner, NO_LOAD)
+            total = known.slots + view.slots
+            used = known.slots * known.used_part + view.slots - view.free
+            loads_by_owner[view.owner] = OwnerLoad(
+                total, used / total if total else 0.0, view.counted_at
+            )
+        return loads_by_owner
+
+    def hear(self, loads: slot_messages.PoolLoads) -> None:
+        """Take the counts of another instance."""
+        counts_by_pool = {
+            owners.Pool(
+                ids.ServiceId(load.service), ids.FailureDomainId(load.failure_domain)
+            ): pool_directory.PoolCounts(
+                loads.sequence,
+                load.term,
+                load.slots,
+                load.free,
+                load.waiting_impatient,
+                load.waiting_patient,
+            )
+            for load in loads.pools
+        }
+        owner = ids.InstanceId(loads.instance)
+        self.directory.hear(owner, counts_by_pool, self._clock())
+
+    def _own(
+        self,
+        pool: owners.Pool,
+        grant: slot_messages.PoolGrant,
+        lease_until: float,
+        now: float,
+    ) -> None:
+        assert self._view is not None
+        table = slots.SlotTable(
+            term=next(self._terms),
+            lease_until=lease_until,
+            longest_deadline_s=self._view.longest_deadline_s(pool.service),
+        )
+        own = pool_module.SlotPool(table, self._health_view, self._rng)
+        self._pools[pool] = own
+        self._released_by_pool.pop(pool, None)
+        self._update_endpoints(pool, own, now)
+        self._quarantine(pool, own, grant, now)
+
+    def _quarantine(
+        self,
+        pool: owners.Pool,
+        own: pool_module.SlotPool,
+        grant: slot_messages.PoolGrant,
+        now: float,
+    ) -> None:
+        assert self._view is not None
+        for held in grant.held:
+            quarantine = slots.Quarantine(1, now + held.remaining_ms / 1000)
+            endpoint_id = ids.EndpointId(held.endpoint)
+            own.table.add_endpoint(
+                endpoint_id, own.table.slots(endpoint_id), (quarantine,)
+            )
+        if grant.lapsed_ms_ago is None:
+            return
+        for endpoint_id in own.table.endpoint_ids:
+            quarantines = slots.take_over_quarantines(
+                own.table.slots(endpoint_id),
+                patient_slots=0,
+                lease_end=now - grant.lapsed_ms_ago / 1000,
+                impatient_deadline_s=self._view.longest_deadline_s(pool.service),
+                longest_deadline_s=self._view.longest_deadline_s(pool.service),
+            )
+            own.table.add_endpoint(
+                endpoint_id, own.table.slots(endpoint_id), quarantines
+            )
+
+    def _update_endpoints(
+        self, pool: owners.Pool, own: pool_module.SlotPool, now: float
+    ) -> None:
+        assert self._view is not None
+        endpoints_by_id = self._view.pool_endpoints(pool)
+        for endpoint_id in set(own.table.endpoint_ids) - set(endpoints_by_id):
+            own.table.remove_endpoint(endpoint_id, now)
+        for endpoint_id, endpoint in endpoints_by_id.items():
+            own.table.add_endpoint(endpoint_id, endpoint.slots)
+
+    def _give_up(self, pool: owners.Pool, now: float) -> None:
+        own = self._pools.pop(pool)
+        held = []
+        for endpoint_id in own.table.endpoint_ids:
+            for quarantine in own.table.remove_endpoint(endpoint_id, now):
+                held += [_Held(endpoint_id, quarantine.until)] * quarantine.slots
+        self._released_by_pool[pool] = (tuple(held), now + RELEASED_REPORT_S)
+        # Those that wait for a slot are refused, so that they ask elsewhere.
+        for ask in own.take_waiting():
+            self._settle(ask.request_id, result.Err(_not_owned(ask)))
+
+    def _carry_out(self, decisions: Iterable[pool_module.Decision]) -> None:
+        for decision in decisions:
+            request_id = decision.ask.request_id
+            match decision:
+                case pool_module.Granted(_, hold):
+                    slot = Slot(
+                        hold.endpoint_id, hold.term, hold.number, hold.work_ends_by
+                    )
+                    self._slots_by_request_id[request_id] = slot
+                    self._settle(request_id, result.Ok(slot))
+                case pool_module.Refused():
+                    self._settle(request_id, result.Err(decision))
+                case pool_module.Recalled():
+                    held = self._slots_by_request_id.get(request_id)
+                    if held is not None and held.recall is not None:
+                        held.recall()
+
+    def _settle(self, request_id: str, acquired: Acquired) -> None:
+        future = self._futures_by_request_id.pop(request_id, None)
+        if future is not None and not future.done():
+            future.set_result(acquired)
+
+    def _distance_s(self, pool: owners.Pool, owner: ids.InstanceId) -> float:
+        assert self._view is not None
+        if owner == self._instance_id:
+            return 0.0
+        own = self._view.declaration.instances_by_id.get(self._instance_id)
+        other = self._view.declaration.instances_by_id.get(owner)
+        if own is None or other is None:
+            return UNKNOWN_DELAY_S
+        return self._view.delay_s(own.failure_domain, other.failure_domain)
+
+
+def _not_owned(ask: pool_module.Ask) -> pool_module.Refused:
+    return pool_module.Refused(
+        ask, queue.ShedReason.POOL_MOVED, pool_module.MIN_RETRY_AFTER_S
+    )
--- a/packages/gateway/src/yuccapitch/gateway/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/request_path.py
@@ -1,4 +1,4 @@
-"""The way of one request: admission, endpoint, exchange, answer."""
+"""The way of one request: its faults, admission, claim, attempts and answer."""
 
 from __future__ import annotations
 
@@ -10,21 +10,33 @@
 import result
 from aiohttp import web
 
-from yuccapitch.catalogue import ids, model
+from yuccapitch.catalogue import ids
 from yuccapitch.gateway import (
+    admissions,
     bodies,
+    claim_service,
     config_view,
+    dispatcher,
     exchange,
+    forwarding,
     incoming,
+    jobs,
     metrics as gateway_metrics,
     outcomes,
+    region_states,
+    share_service,
 )
+from yuccapitch.protocol import events
+from yuccapitch.steering import claim_attempt, owners
+
+REPLAYED_HEADER = "Yuccapitch-Replayed"
 
 
 @dataclasses.dataclass
 class GatewayState:
     """What the request path knows of its instance."""
 
+    region: ids.RegionId | None = None
     view: config_view.ConfigView | None = None
     lease_until: Callable[[], float] = lambda: float("-inf")
     takes_new_work: bool = True
@@ -37,14 +49,22 @@
     def __init__(
         self,
         state: GatewayState,
-        exchanges: exchange.Exchanges,
+        shares: Callable[[], share_service.Shares | None],
+        claims: claim_service.Claims,
+        dispatch: dispatcher.Dispatcher,
+        tokens: forwarding.ForwardTokens,
+        takes_work: Callable[[ids.EndpointId], bool],
         metrics: gateway_metrics.Metrics,
         max_in_flight: int,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self._state = state
-        self._exchanges = exchanges
+        self._shares = shares
+        self._claims = claims
+        self._dispatch = dispatch
+        self._tokens = tokens
+        self._takes_work = takes_work
         self._metrics = metrics
         self._max_in_flight = max_in_flight
         self._clock = clock
@@ -59,31 +79,124 @@
             self._state.in_flight -= 1
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
-        now = self._clock()
-        refusal = self._refusal(now)
-        if refusal is not None:
-            return self._fail(refusal)
+        began_at = self._clock()
         view = self._state.view
-        assert view is not None
-        parsed = incoming.parse(request, view, now, time.time())
+        if view is None:
+            return self._fail(_no_lease(request))
+        parsed = incoming.parse(request, view, began_at, time.time())
         if isinstance(parsed, result.Err):
             return self._fail(parsed.err_value)
-        opened = await bodies.open_body(
-            request, parsed.ok_value.route.limits.body_bytes
+        wanted = parsed.ok_value
+        forward = self._tokens.read(request)
+        if forward is not None:
+            return await self._serve_forwarded(request, wanted, view, forward)
+        response = await self._serve_caller(request, wanted, view)
+        self._metrics.record_request(
+            wanted.route.service,
+            wanted.route.request_class.value,
+            wanted.route.limits.patience.value,
+            response.headers.get(outcomes.OUTCOME_HEADER, ""),
+            self._clock() - began_at,
         )
+        return response
+
+    async def _serve_caller(
+        self,
+        request: web.Request,
+        wanted: incoming.Incoming,
+        view: config_view.ConfigView,
+    ) -> web.StreamResponse:
+        refusal = self._refusal(self._clock())
+        if refusal is not None:
+            return await self._refuse(wanted, refusal)
+        opened = await bodies.open_body(request, wanted.route.limits.body_bytes)
+        if isinstance(opened, result.Err):
+            return await self._refuse(wanted, opened.err_value)
+        admitted = self._admit(wanted, view)
+        if isinstance(admitted, admissions.NotRun):
+            failure = outcomes.Failure(
+                503,
+                admitted.code,
+                admitted.message,
+                retry_after_s=admitted.retry_after_s,
+            )
+            return await self._refuse(wanted, failure)
+        job = jobs.Job(
+            request,
+            wanted,
+            view,
+            opened.ok_value,
+            admitted.region,
+            admitted.endpoint_owner,
+        )
+        job.body.pacer = admitted.pacer
+        try:
+            if wanted.key is None:
+                return self._respond(await self._dispatch.run(job))
+            return await self._run_claimed(job)
+        finally:
+            admitted.release()
+
+    async def _serve_forwarded(
+        self,
+        request: web.Request,
+        wanted: incoming.Incoming,
+        view: config_view.ConfigView,
+        forward: forwarding.Forward,
+    ) -> web.StreamResponse:
+        refusal = self._refusal(self._clock())
+        if refusal is not None:
+            return self._fail(refusal)
+        opened = await bodies.open_body(request, wanted.route.limits.body_bytes)
         if isinstance(opened, result.Err):
             return self._fail(opened.err_value)
-        return await self._dispatch(request, parsed.ok_value, view, opened.ok_value)
+        domain = view.declaration.failure_domains_by_id.get(forward.failure_domain)
+        if domain is None:
+            message = f"{forward.failure_domain!r} is no failure domain"
+            return self._fail(outcomes.Failure(503, "unknown-pool", message))
+        job = jobs.Job(
+            request,
+            wanted,
+            view,
+            opened.ok_value,
+            domain.region,
+            forward.endpoint_owner,
+        )
+        pool = owners.Pool(wanted.route.service, forward.failure_domain)
+        return self._respond(await self._dispatch.run_in_pool(job, pool))
+
+    async def _run_claimed(self, job: jobs.Job) -> web.StreamResponse:
+        wanted = job.wanted
+        assert wanted.key is not None
+        claimed = await self._claims.claim(wanted.key, wanted.attempt, wanted.deadline)
+        match claimed:
+            case claim_service.Dispatch():
+                job.on_answer = lambda answer: _tell_answer(claimed, answer)
+                ended = await self._dispatch.run(job)
+                return await self._respond_claimed(ended, claimed)
+            case claim_attempt.AlreadyDispatched():
+                return self._replay(claimed)
+            case claim_attempt.Voided():
+                return self._fail(_voided(wanted))
+            case claim_attempt.Undecided():
+                return self._fail(_undecided())
+
+    async def _respond_claimed(
+        self, ended: jobs.End, claimed: claim_service.Dispatch
+    ) -> web.StreamResponse:
+        if isinstance(ended, jobs.Delivered):
+            return ended.response
+        if ended.failure.outcome is outcomes.Outcome.NOT_RUN:
+            voided = await claimed.prove_not_run()
+            if not isinstance(voided, claim_attempt.Voided):
+                return self._fail(outcomes.as_unknown(ended.failure))
+        return self._fail(ended.failure)
 
     def _refusal(self, now: float) -> outcomes.Failure | None:
         if not self._state.takes_new_work:
-            return outcomes.Failure(
-                503,
-                "stopping",
-                "the instance is stopping; use another",
-                retry_after_s=1,
-            )
-        if self._state.view is None or now >= self._state.lease_until():
+            message = "the instance is stopping; use another"
+            return outcomes.Failure(503, "stopping", message, retry_after_s=1)
+        if now >= self._state.lease_until():
             message = "the instance holds no configuration lease; use another"
             return outcomes.Failure(503, "no-lease", message, retry_after_s=1)
         if self._state.in_flight > self._max_in_flight:
@@ -91,81 +204,105 @@
             return outcomes.Failure(503, "overloaded", message, retry_after_s=1)
         return None
 
-    async def _dispatch(
-        self,
-        request: web.Request,
-        wanted: incoming.Incoming,
-        view: config_view.ConfigView,
-        body: bodies.Body,
+    def _admit(
+        self, wanted: incoming.Incoming, view: config_view.ConfigView
+    ) -> admissions.Admitted | admissions.NotRun:
+        shares = self._shares()
+        service = wanted.route.service
+        if shares is None or self._state.region is None:
+            message = "the catalogue does not declare this instance"
+            return admissions.NotRun(1.0, "not-declared", message)
+        return shares.admit(
+            admissions.Wanted(
+                service,
+                self._state.region,
+                wanted.route.limits.patience,
+                wanted.content_length or 0,
+            ),
+            region_states.region_states(view, service, self._takes_work),
+            self._clock(),
+            self._rng.random(),
+        )
+
+    async def _refuse(
+        self, wanted: incoming.Incoming, failure: outcomes.Failure
     ) -> web.StreamResponse:
-        endpoint = self._choose(wanted, view)
-        if endpoint is None:
-            message = f"no endpoint of {wanted.route.service!r} takes work"
+        """Refuse a request that was not sent; its key may have run elsewhere."""
+        if wanted.key is None:
+            return self._fail(failure)
+        voided = await self._claims.void(wanted.key, wanted.attempt)
+        match voided:
+            case claim_attempt.Voided():
+                return self._fail(failure)
+            case claim_attempt.AlreadyDispatched():
+                return self._replay(voided)
+            case claim_attempt.Undecided():
+                return self._fail(outcomes.as_unknown(failure))
+
+    def _replay(self, earlier: claim_attempt.AlreadyDispatched) -> web.Response:
+        answer = earlier.answer
+        if answer is None or answer.body is None:
+            message = "the key was sent to an endpoint before; its answer is not kept"
             return self._fail(
-                outcomes.Failure(503, "no-endpoint", message, retry_after_s=1)
+                outcomes.Failure(
+                    409, "already-dispatched", message, outcomes.Outcome.UNKNOWN
+                )
             )
-        target = exchange.Target(
-            endpoint,
-            request.method,
-            wanted.path_and_query,
-            request.headers,
-            wanted.route.request_class is model.RequestClass.READ_ONLY,
-        )
-        timeout_s = wanted.deadline - self._clock()
-        async with self._exchanges.exchange(target, body, timeout_s) as outcome:
-            match outcome:
-                case exchange.Answer():
-                    return await self._answer(request, outcome, view.version)
-                case exchange.ShedAnswer():
-                    message = "the endpoint has no room"
-                    return self._fail(
-                        outcomes.Failure(503, "shed", message, retry_after_s=1)
-                    )
-                case exchange.NoAnswer():
-                    return self._fail(_failure_of(outcome, wanted))
-
-    def _choose(
-        self, wanted: incoming.Incoming, view: config_view.ConfigView
-    ) -> model.Endpoint | None:
-        endpoints = [
-            endpoint
-            for endpoint in view.declaration.endpoints_by_id.values()
-            if endpoint.service == wanted.route.service
-        ]
-        return self._rng.choice(endpoints) if endpoints else None
-
-    async def _answer(
-        self, request: web.Request, answer: exchange.Answer, version: ids.Version
-    ) -> web.StreamResponse:
-        headers = exchange.forwarded_headers(answer.headers)
-        headers[outcomes.OUTCOME_HEADER] = outcomes.Outcome.ANSWERED.value
-        headers[outcomes.VERSION_HEADER] = str(version)
-        if answer.rest is None:
-            return web.Response(status=answer.status, body=answer.body, headers=headers)
-        response = web.StreamResponse(status=answer.status, headers=headers)
-        response.content_length = answer.length
-        await response.prepare(request)
-        await response.write(answer.body)
-        # A failure here aborts the caller's connection: the answer's length or
-        # its missing last chunk shows the caller that it is not whole.
-        while chunk := await answer.rest.readany():
-            await response.write(chunk)
-        await response.write_eof()
-        return response
+        headers = {
+            outcomes.OUTCOME_HEADER: outcomes.Outcome.ANSWERED.value,
+            outcomes.VERSION_HEADER: str(self._version()),
+            REPLAYED_HEADER: "1",
+        }
+        if answer.content_type:
+            headers["Content-Type"] = answer.content_type
+        return web.Response(status=answer.status, body=answer.body, headers=headers)
+
+    def _respond(self, ended: jobs.End) -> web.StreamResponse:
+        if isinstance(ended, jobs.Delivered):
+            return ended.response
+        return self._fail(ended.failure)
 
     def _fail(self, failure: outcomes.Failure) -> web.Response:
-        version = 0 if self._state.view is None else self._state.view.version
-        return outcomes.failure_response(failure, version)
-
-
-def _failure_of(
-    ended: exchange.NoAnswer, wanted: incoming.Incoming
-) -> outcomes.Failure:
-    if ended.body_fault is not None:
-        return bodies.failure_of(ended.body_fault)
-    outcome = outcomes.Outcome.UNKNOWN
-    if ended.sent is exchange.Sent.NOTHING:
-        outcome = outcomes.Outcome.NOT_RUN
-    status = 504 if ended.is_timeout else 502
-    message = f"the endpoint gave no whole answer ({ended.reason})"
-    return outcomes.Failure(status, "no-answer", message, outcome)
+        events.event(
+            (
+                "request.refused"
+                if failure.outcome is outcomes.Outcome.NOT_RUN
+                else "request.failed"
+            ),
+            code=failure.code,
+            status=failure.status,
+        )
+        return outcomes.failure_response(failure, self._version())
+
+    def _version(self) -> int:
+        return 0 if self._state.view is None else self._state.view.version
+
+
+def _tell_answer(claimed: claim_service.Dispatch, answer: exchange.Answer) -> None:
+    # An answer that is still arriving is not kept for duplicates.
+    body = answer.body if answer.rest is None else None
+    claimed.done(answer.status, answer.headers.get("Content-Type", ""), body)
+
+
+def _no_lease(request: web.Request) -> outcomes.Failure:
+    outcome = outcomes.Outcome.NOT_RUN
+    if incoming.KEY_HEADER in request.headers:
+        # Without a configuration nothing can be found out about the key.
+        outcome = outcomes.Outcome.UNKNOWN
+    message = "the instance holds no configuration lease; use another"
+    return outcomes.Failure(503, "no-lease", message, outcome, retry_after_s=1)
+
+
+def _voided(wanted: incoming.Incoming) -> outcomes.Failure:
+    message = (
+        f"attempt {wanted.attempt} of the key was refused before and never runs; to"
+        f" try again, send {incoming.ATTEMPT_HEADER}: {wanted.attempt + 1}"
+    )
+    return outcomes.Failure(409, "attempt-void", message)
+
+
+def _undecided() -> outcomes.Failure:
+    message = "too few holders of the key's claim answered; send the key again"
+    return outcomes.Failure(
+        503, "claim-undecided", message, outcomes.Outcome.UNKNOWN, retry_after_s=1
+    )
--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -43,6 +43,8 @@
                 return EXIT_FAILED
             await self._stop.wait()
             events.event("process.stopping")
+            if self._entry is not None:
+                await self._entry.drain()
         events.event("process.stopped")
         return EXIT_OK
 
@@ -83,16 +85,10 @@
                 http=http.address,
                 inner=inner,
             )
-            self._entry = await entry_role.start(
-                settings,
-                links,
-                own,
-                application,
-                metrics,
-                self._clock,
-                self._rng,
-                stack,
+            parts = entry_role.Parts(
+                settings, links, own, metrics, self._clock, self._rng
             )
+            self._entry = await entry_role.start(parts, application, stack)
         await http.serve(application, stack)
         self._handle_signals()
         events.event(
--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -1,149 +1,300 @@
-"""Wires the entry role: the configuration lease, look-ups and the request path."""
+"""Wires the entry role: the lease, look-ups, pools, limits and the request path."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import random
 import time
 from collections.abc import Callable
 
 from aiohttp import web
 
-from yuccapitch.catalogue import ids, model
+from yuccapitch.catalogue import ids
 from yuccapitch.control import lease_client
 from yuccapitch.gateway import (
+    claim_service,
     config_view,
+    dispatcher,
+    endpoint_watch,
     exchange,
+    forwarding,
     lookup,
     metrics as gateway_metrics,
+    pool_service,
     request_path,
+    share_service,
 )
-from yuccapitch.node import settings_table
-from yuccapitch.protocol import peers as inner_peers
-from yuccapitch.steering import entry_choice
+from yuccapitch.node import entry_views, settings_table
+from yuccapitch.protocol import events, peers as inner_peers, slot_messages
+from yuccapitch.steering import entry_choice, health
 
-CONNECTIONS_PER_ENDPOINT = 100
+CONNECTIONS_PER_ENDPOINT = 64
+LOADS_INTERVAL_S = 0.25
+"""Time between counts to the instances of the own region."""
+FAR_LOADS_EVERY = 4
+"""Of so many counts, one goes to the instances of other regions as well."""
+DRAIN_POLL_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """What the entry role is built from."""
+
+    settings: settings_table.Settings
+    links: inner_peers.Peers
+    own: lease_client.Self
+    metrics: gateway_metrics.Metrics
+    clock: Callable[[], float]
+    rng: random.Random
 
 
-@dataclasses.dataclass
 class EntryRole:
     """The running entry role of one instance."""
 
-    lease: lease_client.LeaseClient
-    state: request_path.GatewayState
-    clock: Callable[[], float]
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        settings, own = parts.settings, parts.own
+        self._instance_id = ids.InstanceId(own.instance_id)
+        control_ids = [peer.instance_id for peer in settings.control_peers]
+        self.lease = lease_client.LeaseClient(
+            own,
+            control_ids or [settings.instance_id],
+            parts.links,
+            settings.renew_interval_s,
+            parts.clock,
+            parts.rng,
+        )
+        self.state = request_path.GatewayState(
+            lease_until=lambda: self.lease.lease_until
+        )
+        self._health_view = health.HealthView()
+        self._watch = endpoint_watch.EndpointWatch(
+            self._health_view, self._owned_endpoints, self._on_leaving, parts.clock
+        )
+        self._pools = pool_service.PoolService(
+            self._instance_id,
+            self._health_view,
+            self._watch.is_leaving,
+            parts.clock,
+            parts.rng,
+        )
+        self._tokens = forwarding.ForwardTokens()
+        self._claims = claim_service.Claims(
+            self._instance_id,
+            own.incarnation,
+            parts.links,
+            lambda: self.lease.is_leased(parts.clock()),
+            parts.clock,
+            time.time,
+        )
+        self._shares: share_service.Shares | None = None
+        self._exchanges = exchange.Exchanges()
+        self._load_sequence = itertools.count(1)
+
+    async def start(
+        self, application: web.Application, stack: contextlib.AsyncExitStack
+    ) -> None:
+        """Add the callers' paths to the application and begin to hold the lease."""
+        await self._exchanges.start(CONNECTIONS_PER_ENDPOINT)
+        stack.push_async_callback(self._exchanges.aclose)
+        stack.push_async_callback(self._claims.aclose)
+        self.lease.in_flight = lambda: self.state.in_flight
+        self.lease.pool_reports = self._pools.reports
+        self.lease.pool_grants = self._pools.take_grants
+        subscription = self.lease.configurations.subscribe(on_next=self._configure)
+        stack.callback(subscription.dispose)
+        self._parts.links.handle(slot_messages.PoolLoads, self._on_loads)
+        application.router.add_get("/v1/entries", self._lookup_handler().handle)
+        # The request path exists once the shares do: with the first configuration.
+        application.router.add_route("*", "/s/{service}{path:/.*|}", self._handle)
+        self._path: request_path.RequestPath | None = None
+        for coroutine in (
+            self.lease.run(),
+            self._watch.run(),
+            self._run_pools(),
+            self._send_loads(),
+        ):
+            stack.push_async_callback(_cancel, asyncio.create_task(coroutine))
 
     def not_ready_reason(self) -> str | None:
         """Return why the instance takes no new work, or None if it does."""
-        if not self.state.takes_new_work:
+        if not self.state.takes_new_work or self.lease.is_stopping:
             return "stopping"
-        if not self.lease.is_leased(self.clock()):
+        if not self.lease.is_leased(self._parts.clock()):
             return "no configuration lease"
+        if self._shares is None or not self._pools.directory.is_known:
+            return "no owners of pools are known"
         return None
 
+    async def drain(self) -> None:
+        """Leave the answers, outlast cached ones, then finish what is in flight."""
+        began_at = self._parts.clock()
+        events.event("entry.drain-started", in_flight=self.state.in_flight)
+        self.lease.is_stopping = True
+        self.lease.wake()
+        await asyncio.sleep(self._cached_answers_s())
+        self.state.takes_new_work = False
+        while self.state.in_flight:
+            await asyncio.sleep(DRAIN_POLL_S)
+        duration_s = self._parts.clock() - began_at
+        self._parts.metrics.record_drain("instance", duration_s)
+        events.event("entry.drain-finished", duration_s=round(duration_s, 3))
 
-async def start(
-    settings: settings_table.Settings,
-    links: inner_peers.Peers,
-    own: lease_client.Self,
-    application: web.Application,
-    metrics: gateway_metrics.Metrics,
-    clock: Callable[[], float],
-    rng: random.Random,
-    stack: contextlib.AsyncExitStack,
-) -> EntryRole:
-    """Add the callers' paths to the application and begin to hold the lease."""
-    control_ids = [peer.instance_id for peer in settings.control_peers]
-    lease = lease_client.LeaseClient(
-        own,
-        control_ids or [settings.instance_id],
-        links,
-        settings.renew_interval_s,
-        clock,
-        rng,
-    )
-    state = request_path.GatewayState(lease_until=lambda: lease.lease_until)
-    lease.in_flight = lambda: state.in_flight
-    subscription = lease.configurations.subscribe(
-        on_next=lambda configuration: _take(state, configuration)
-    )
-    stack.callback(subscription.dispose)
-    exchanges = exchange.Exchanges()
-    await exchanges.start(CONNECTIONS_PER_ENDPOINT)
-    stack.push_async_callback(exchanges.aclose)
-    role = EntryRole(lease, state, clock)
-    path = request_path.RequestPath(
-        state, exchanges, metrics, settings.max_in_flight, clock, rng
-    )
-    lookups = lookup.LookupHandler(
-        lambda: state.view,
-        lambda: lease.is_leased(clock()),
-        lambda service: _entry_views(lease.configuration, clock()),
-        lambda instance_id: _address(lease.configuration, instance_id),
-        lambda region: region,
-        clock,
-        time.time,
-    )
-    application.router.add_get("/v1/entries", lookups.handle)
-    application.router.add_route("*", "/s/{service}{path:/.*|}", path.handle)
-    task = asyncio.create_task(lease.run())
-    stack.push_async_callback(_cancel, task)
-    return role
+    def _cached_answers_s(self) -> float:
+        view = self.state.view
+        if view is None:
+            return 0.0
+        services = view.declaration.services_by_id.values()
+        ttl_s = max((service.answer_ttl_s for service in services), default=0.0)
+        settings = self._parts.settings
+        # The others stop naming this instance once they renewed their leases.
+        return settings.renew_interval_s * 2 + ttl_s + settings.drain_linger_s
 
+    async def _handle(self, request: web.Request) -> web.StreamResponse:
+        if self._path is None:
+            self._path = self._request_path()
+        return await self._path.handle(request)
 
-def _take(
-    state: request_path.GatewayState, configuration: lease_client.Configuration
-) -> None:
-    if configuration.declaration is None:
-        return
-    if state.view is None or state.view.version != configuration.version:
-        state.view = config_view.ConfigView(
-            configuration.version, configuration.declaration
+    def _request_path(self) -> request_path.RequestPath:
+        parts = self._parts
+        dispatch = dispatcher.Dispatcher(
+            self._instance_id,
+            self._pools,
+            self._watch,
+            self._health_view,
+            self._exchanges,
+            self._tokens,
+            self._address,
+            parts.clock,
+            parts.rng,
+        )
+        return request_path.RequestPath(
+            self.state,
+            lambda: self._shares,
+            self._claims,
+            dispatch,
+            self._tokens,
+            lambda endpoint_id: not self._watch.is_leaving(endpoint_id),
+            parts.metrics,
+            parts.settings.max_in_flight,
+            parts.clock,
+            parts.rng,
+        )
+
+    def _lookup_handler(self) -> lookup.LookupHandler:
+        clock = self._parts.clock
+        return lookup.LookupHandler(
+            lambda: self.state.view,
+            lambda: self.lease.is_leased(clock()),
+            self._entry_views,
+            lambda instance_id: self._address(instance_id) or ("", 0),
+            self._claims.home_region,
+            clock,
+            time.time,
         )
 
+    def _configure(self, configuration: lease_client.Configuration) -> None:
+        declaration = configuration.declaration
+        if declaration is None:
+            return
+        now = self._parts.clock()
+        view = self.state.view
+        if view is None or view.version != configuration.version:
+            view = config_view.ConfigView(configuration.version, declaration)
+            self.state.view = view
+            instance = declaration.instances_by_id.get(self._instance_id)
+            if instance is not None:
+                self.state.region = view.region_of_domain(instance.failure_domain)
+                self._declare_shares(view, now)
+            self._watch.configure(view)
+        self._pools.configure(view, configuration, now)
+        self._claims.configure(
+            declaration, configuration.holder_lists, configuration.live_by_id
+        )
 
-def _entry_views(
-    configuration: lease_client.Configuration, now: float
-) -> list[entry_choice.EntryView]:
-    declaration = configuration.declaration
-    if declaration is None:
-        return []
-    views = []
-    for instance_id, instance in declaration.instances_by_id.items():
-        if model.Role.ENTRY not in instance.roles:
-            continue
-        views.append(
-            entry_choice.EntryView(
-                instance_id,
-                declaration.failure_domains_by_id[instance.failure_domain].region,
-                instance.failure_domain,
-                _entry_state(configuration, instance_id),
-                owned_slots=1,
-                load=0.0,
-                reported_at=now,
+    def _declare_shares(self, view: config_view.ConfigView, now: float) -> None:
+        assert self.state.region is not None
+        if self._shares is None:
+            self._shares = share_service.Shares(
+                self._instance_id,
+                self._parts.own.incarnation,
+                self.state.region,
+                self.lease.wake,
+                self._parts.clock,
+                self._parts.settings.lease_duration_s,
             )
+            self.lease.share_renewal = self._shares.renewal
+            self.lease.share_answer = self._shares.on_answer
+        self._shares.declare(view.declaration, now)
+
+    def _entry_views(self, service: ids.ServiceId) -> list[entry_choice.EntryView]:
+        if self.state.view is None:
+            return []
+        return entry_views.entry_views(
+            self.state.view,
+            self.lease.configuration,
+            service,
+            self._pools,
+            self._parts.clock(),
         )
-    return views
 
+    def _owned_endpoints(self) -> set[ids.EndpointId]:
+        return {
+            endpoint_id
+            for own in self._pools.own_pools.values()
+            for endpoint_id in own.table.endpoint_ids
+        }
+
+    def _on_leaving(self) -> None:
+        self._pools.tick()
+
+    def _address(self, instance_id: ids.InstanceId) -> tuple[str, int] | None:
+        live = self.lease.configuration.live_by_id.get(instance_id)
+        return None if live is None else (live.http_host, live.http_port)
 
-def _entry_state(
-    configuration: lease_client.Configuration, instance_id: ids.InstanceId
-) -> entry_choice.EntryState:
-    live = configuration.live_by_id.get(instance_id)
-    if live is None:
-        return entry_choice.EntryState.DEAD
-    if live.is_stopping:
-        return entry_choice.EntryState.STOPPING
-    return entry_choice.EntryState.SERVING
+    def _on_loads(self, peer_id: str, loads: slot_messages.PoolLoads) -> None:
+        if loads.instance == peer_id:
+            self._tokens.learn(ids.InstanceId(peer_id), loads.forward_token)
+            self._pools.hear(loads)
 
+    async def _run_pools(self) -> None:
+        while True:
+            await asyncio.sleep(pool_service.TICK_INTERVAL_S)
+            self._pools.tick()
 
-def _address(
-    configuration: lease_client.Configuration, instance_id: ids.InstanceId
-) -> tuple[str, int]:
-    live = configuration.live_by_id[instance_id]
-    return live.http_host, live.http_port
+    async def _send_loads(self) -> None:
+        while True:
+            sequence = next(self._load_sequence)
+            message = self._pools.loads(sequence, self._tokens.own)
+            for peer_id in self._peers_to_tell(sequence % FAR_LOADS_EVERY == 0):
+                self._parts.links.send(peer_id, message)
+            await asyncio.sleep(LOADS_INTERVAL_S)
+
+    def _peers_to_tell(self, with_far: bool) -> list[ids.InstanceId]:
+        view = self.state.view
+        if view is None:
+            return []
+        peers = []
+        for instance_id in self.lease.configuration.live_by_id:
+            instance = view.declaration.instances_by_id.get(instance_id)
+            if instance is None or instance_id == self._instance_id:
+                continue
+            region = view.region_of_domain(instance.failure_domain)
+            if with_far or region == self.state.region:
+                peers.append(instance_id)
+        return peers
+
+
+async def start(
+    parts: Parts, application: web.Application, stack: contextlib.AsyncExitStack
+) -> EntryRole:
+    """Start the entry role."""
+    role = EntryRole(parts)
+    await role.start(application, stack)
+    return role
 
 
 async def _cancel(task: asyncio.Task[None]) -> None:
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/entry_views.py
@@ -0,0 +1,55 @@
+"""The entry instances as a look-up's decision sees them."""
+
+from __future__ import annotations
+
+from yuccapitch.catalogue import ids, model
+from yuccapitch.control import lease_client
+from yuccapitch.gateway import config_view, pool_service
+from yuccapitch.steering import entry_choice
+
+
+def entry_views(
+    view: config_view.ConfigView,
+    configuration: lease_client.Configuration,
+    service: ids.ServiceId,
+    pools: pool_service.PoolService,
+    now: float,
+) -> list[entry_choice.EntryView]:
+    """Return every declared entry instance with its state and load."""
+    drained = {
+        drain.target
+        for drain in view.declaration.drains_by_id.values()
+        if drain.kind is model.DrainKind.INSTANCE
+    }
+    loads_by_owner = pools.loads_by_owner(service, now)
+    views = []
+    for instance_id, instance in view.declaration.instances_by_id.items():
+        if model.Role.ENTRY not in instance.roles:
+            continue
+        load = loads_by_owner.get(instance_id, pool_service.NO_LOAD)
+        state = _state(configuration, instance_id, instance_id in drained)
+        views.append(
+            entry_choice.EntryView(
+                instance_id,
+                view.region_of_domain(instance.failure_domain),
+                instance.failure_domain,
+                state,
+                load.slots,
+                load.used_part,
+                load.counted_at,
+            )
+        )
+    return views
+
+
+def _state(
+    configuration: lease_client.Configuration,
+    instance_id: ids.InstanceId,
+    is_drained: bool,
+) -> entry_choice.EntryState:
+    live = configuration.live_by_id.get(instance_id)
+    if live is None:
+        return entry_choice.EntryState.DEAD
+    if live.is_stopping or is_drained:
+        return entry_choice.EntryState.STOPPING
+    return entry_choice.EntryState.SERVING
--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -136,6 +136,14 @@
             del self._asks_by_id[request_id]
         return tuple(self._start(now))
 
+    def take_waiting(self) -> tuple[Ask, ...]:
+        """Empty the queue of a pool that is given up."""
+        asks = tuple(self._asks_by_id.values())
+        self._asks_by_id.clear()
+        for ask in asks:
+            self._queue.remove(ask.request_id)
+        return asks
+
     def tick(self, now: float) -> tuple[Decision, ...]:
         """Do what the passing of time calls for; to be called some times a second."""
         self._count_slots(now)
--- a/packages/steering/src/yuccapitch/steering/pool_directory.py
+++ b/packages/steering/src/yuccapitch/steering/pool_directory.py
@@ -44,6 +44,11 @@
         self._heard_at_by_owner: dict[ids.InstanceId, float] = {}
         self._sent: collections.Counter[owners.Pool] = collections.Counter()
 
+    @property
+    def is_known(self) -> bool:
+        """Whether any pool has a known owner."""
+        return bool(self._pools)
+
     def set_pools(self, pools: Collection[KnownPool], now: float) -> None:
         """Set the pools and their owners; counts of a former owner are dropped."""
         for known in pools:
--- a/packages/steering/src/yuccapitch/steering/pool_ownership.py
+++ b/packages/steering/src/yuccapitch/steering/pool_ownership.py
@@ -68,6 +68,7 @@
         self._ownerships_by_pool: dict[owners.Pool, _Ownership] = {}
         self._vacancies_by_pool: dict[owners.Pool, _Vacancy] = {}
         self._places_by_key: dict[OwnerKey, owners.Place] = {}
+        self._stopping: set[OwnerKey] = set()
 
     def declare(
         self, regions_by_pool: Mapping[owners.Pool, ids.RegionId], now: float
@@ -79,14 +80,22 @@
             if pool not in self._ownerships_by_pool:
                 self._vacancies_by_pool.setdefault(pool, self._new_vacancy(now))
 
-    def join(self, key: OwnerKey, place: owners.Place) -> None:
-        """Let an instance own pools."""
-        if self._places_by_key.get(key) != place:
-            self._places_by_key[key] = place
-            self._wanted_by_pool = None
+    def join(
+        self, key: OwnerKey, place: owners.Place, is_stopping: bool = False
+    ) -> None:
+        """Let an instance own pools; a stopping one only if there is no other."""
+        was_stopping = key in self._stopping
+        if self._places_by_key.get(key) == place and was_stopping == is_stopping:
+            return
+        self._places_by_key[key] = place
+        self._stopping.discard(key)
+        if is_stopping:
+            self._stopping.add(key)
+        self._wanted_by_pool = None
 
     def leave(self, key: OwnerKey) -> None:
         """Give the instance no further pools and take those it has."""
+        self._stopping.discard(key)
         if self._places_by_key.pop(key, None) is not None:
             self._wanted_by_pool = None
 
@@ -175,7 +184,12 @@
         return self._wanted_by_pool
 
     def _assign(self) -> dict[owners.Pool, OwnerKey]:
-        keys_by_id = {key.instance_id: key for key in sorted(self._places_by_key)}
+        keys = sorted(self._places_by_key)
+        staying = [key for key in keys if key not in self._stopping]
+        return self._assign_among(keys) | self._assign_among(staying)
+
+    def _assign_among(self, keys: Sequence[OwnerKey]) -> dict[owners.Pool, OwnerKey]:
+        keys_by_id = {key.instance_id: key for key in keys}
         places_by_id = {
             instance_id: self._places_by_key[key]
             for instance_id, key in keys_by_id.items()
--- a/packages/steering/src/yuccapitch/steering/queue.py
+++ b/packages/steering/src/yuccapitch/steering/queue.py
@@ -26,6 +26,8 @@
     QUEUE_FULL = "queue-full"
     EXPIRED = "expired"
     EVICTED = "evicted-by-impatient-work"
+    POOL_MOVED = "pool-moved"
+    """The pool has another owner now."""
 
 
 @dataclasses.dataclass(frozen=True)
