--- /dev/null
+++ b/tests/callers.py
@@ -0,0 +1,109 @@
+"""Callers that send requests to entry processes and keep a history."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+import random
+import time
+
+import aiohttp
+
+from tests import processes
+from tests.fakes import endpoint as fake_endpoint
+
+ANSWER_BYTES = 20_000
+UPLOAD_BYTES = 300_000
+
+
+@dataclasses.dataclass
+class Event:
+    """One attempt of a caller and how it ended."""
+
+    request_id: str
+    kind: str
+    key: str | None
+    entry: str
+    began_at: float
+    ended_at: float = 0.0
+    outcome: str = "lost"
+    """An outcome header, lost if the connection broke before a whole answer, or refused."""
+    status: int = 0
+    is_whole: bool = False
+    code: str = ""
+
+
+class Caller:
+    """Sends requests of one kind, one after the other."""
+
+    def __init__(
+        self,
+        name: str,
+        kind: str,
+        cluster: processes.Cluster,
+        region: str,
+        rng: random.Random,
+        history: list[Event],
+    ) -> None:
+        self.name = name
+        self.kind = kind
+        self.cluster = cluster
+        self.region = region
+        self.rng = rng
+        self.history = history
+        self.count = 0
+
+    async def run(self, until: float, pause_s: float = 0.02) -> None:
+        """Send requests until the time has come."""
+        while time.monotonic() < until:
+            await self.once()
+            await asyncio.sleep(pause_s * self.rng.uniform(0.5, 1.5))
+
+    async def once(self) -> None:
+        """Send one request, and resend its key elsewhere if its end is open."""
+        self.count += 1
+        request_id = f"{self.name}-{self.count}"
+        key = None
+        if self.kind != "read":
+            stamp = int(time.time() * 1000)
+            key = f"{self.region}.{stamp}.{self.rng.getrandbits(96):024x}"
+        first, second = self.rng.sample(self.cluster.of_role("entry"), 2)
+        event = await self._send(request_id, key, first)
+        if event.outcome in ("lost", "unknown"):
+            await self._send(request_id, key, second)
+
+    async def _send(
+        self, request_id: str, key: str | None, entry: processes.Process
+    ) -> Event:
+        event = Event(request_id, self.kind, key, entry.instance_id, time.monotonic())
+        self.history.append(event)
+        headers = {"Request-Id": request_id, "Request-Timeout-Ms": "4000"}
+        if key is not None:
+            headers["Idempotency-Key"] = key
+        method, path, body = {
+            "read": ("GET", f"/designs?bytes={ANSWER_BYTES}", None),
+            "order": ("POST", f"/orders?bytes={ANSWER_BYTES}", b"order"),
+            "upload": ("PUT", "/uploads?bytes=100", self._upload(request_id)),
+        }[self.kind]
+        try:
+            async with self.cluster.session.request(
+                method, f"{entry.url}/s/shop{path}", headers=headers, data=body
+            ) as response:
+                answer = await response.read()
+                event.outcome = response.headers.get("Yuccapitch-Outcome", "missing")
+                event.status = response.status
+                size = 100 if self.kind == "upload" else ANSWER_BYTES
+                event.is_whole = answer == fake_endpoint.answer_body(request_id, size)
+                if event.outcome != "answered":
+                    event.code = answer.decode(errors="replace")[:200]
+        except aiohttp.ClientConnectorError:
+            event.outcome = "refused"
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            event.outcome = "lost"
+        event.ended_at = time.monotonic()
+        return event
+
+    def _upload(self, request_id: str) -> bytes:
+        block = hashlib.sha256(request_id.encode()).digest()
+        return (block * (UPLOAD_BYTES // len(block) + 1))[:UPLOAD_BYTES]
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+import collections
+import contextlib
+import random
+import signal
+import time
+
 import pytest
 
-from tests import declarations, processes
-from tests.fakes import endpoint as fake_endpoint
+from tests import callers, declarations, history as history_checks, processes
+from tests.fakes import behaviour, endpoint as fake_endpoint
 
 pytestmark = pytest.mark.processes
 
@@ -34,3 +41,58 @@
             body = await response.read()
         assert response.headers["Yuccapitch-Outcome"] == "answered"
         assert body == fake_endpoint.answer_body("r-1", 500_000)
+
+
+async def test_whole_path_survives_a_kill_and_a_stop_under_load(
+    cluster: processes.Cluster,
+) -> None:
+    cluster.add(
+        {"control-1": "domain-1"},
+        {"entry-1": "domain-1", "entry-2": "domain-2", "entry-3": "domain-2"},
+    )
+    cluster.start()
+    rng = random.Random(20261204)
+    history: list[callers.Event] = []
+    async with contextlib.AsyncExitStack() as stack:
+        fakes = [
+            fake_endpoint.FakeEndpoint(
+                f"shop-{number}", behaviour.Behaviour(mean_s=0.05), seed=number
+            )
+            for number in (1, 2, 3)
+        ]
+        ports = {
+            fake.endpoint_id: await stack.enter_async_context(
+                fake_endpoint.running(fake)
+            )
+            for fake in fakes
+        }
+        declaration = declarations.small(cluster.instances(), ports)
+        await cluster.apply(declaration)
+        await cluster.until_ready(*cluster.of_role("entry"))
+        until = time.monotonic() + 12
+        load = [
+            asyncio.create_task(
+                callers.Caller(
+                    f"{kind}-{number}-{index}", kind, cluster, "east", rng, history
+                ).run(until)
+            )
+            for index, kind in enumerate(("read", "read", "order", "upload"))
+            for number in range(2)
+        ]
+        await asyncio.sleep(2)
+        killed = cluster.processes_by_id["entry-1"]
+        killed.kill()
+        await asyncio.sleep(2)
+        killed.start()
+        stopped = cluster.processes_by_id["entry-2"]
+        stopped.signal(signal.SIGTERM)
+        await asyncio.sleep(0.5)
+        stopped.signal(signal.SIGTERM)
+        assert await stopped.wait(30) == 0
+        await asyncio.gather(*load)
+    assert history_checks.faults(history, fakes) == []
+    cut_off = [e for e in history if e.entry == "entry-2" and e.outcome == "lost"]
+    assert cut_off == []
+    counts = collections.Counter((e.kind, e.outcome) for e in history)
+    print(counts, collections.Counter((e.kind, e.code) for e in history))
+    assert all(counts[kind, "answered"] > 20 for kind in ("read", "order", "upload"))
