Apply catalogue changes with one digest and without parsing known client blocks

Cause: each change took the declaration's digest four times, parsed every client block with ipaddress and copied the list of remembered change ids.

--- a/packages/catalogue/src/yuccapitch/catalogue/changes.py
+++ b/packages/catalogue/src/yuccapitch/catalogue/changes.py
@@ -28,12 +28,12 @@
     signature: str = pydantic.Field(default="", max_length=128)
     reason: str = pydantic.Field(default="", max_length=MAX_REASON_CHARS)
 
-    def signed_content(self) -> signing.SignedContent:
-        """Return what the signature covers."""
+    def signed_content(self, digest: str | None = None) -> signing.SignedContent:
+        """Return what the signature covers; a digest known already is not retaken."""
         return signing.SignedContent(
             change_id=self.change_id,
             base_version=self.base_version,
-            declaration_digest=loading.digest(self.declaration),
+            declaration_digest=digest or loading.digest(self.declaration),
             reason=self.reason,
             owner=self.owner,
             public_key=self.public_key,
--- a/packages/catalogue/src/yuccapitch/catalogue/checking.py
+++ b/packages/catalogue/src/yuccapitch/catalogue/checking.py
@@ -28,9 +28,15 @@
         return f"{self.path}: {self.message}"
 
 
-def check(declaration: model.Declaration) -> tuple[Fault, ...]:
-    """Return every fault that the registered checks find."""
-    return tuple(fault for run in checks_by_name.values() for fault in run(declaration))
+def check(
+    declaration: model.Declaration, accepted: model.Declaration | None = None
+) -> tuple[Fault, ...]:
+    """Return every fault; client blocks that an accepted version has are not parsed."""
+    faults = [fault for run in checks_by_name.values() for fault in run(declaration)]
+    blocks = declaration.regions_by_client_block
+    if accepted is None or accepted.regions_by_client_block.keys() != blocks.keys():
+        faults.extend(_check_blocks(blocks))
+    return tuple(faults)
 
 
 def _register(function: Check) -> Check:
@@ -212,17 +218,23 @@
 
 @_register
 def _client_blocks(declaration: model.Declaration) -> Iterator[Fault]:
-    spans: list[tuple[int, int, int, str]] = []
     for block, region in declaration.regions_by_client_block.items():
-        path = f"client_blocks.{block}"
-        yield from _known(path, region, declaration.regions_by_id, "regions")
+        if region not in declaration.regions_by_id:
+            path = f"client_blocks.{block}"
+            yield from _known(path, region, declaration.regions_by_id, "regions")
+
+
+def _check_blocks(blocks: Iterable[str]) -> Iterator[Fault]:
+    spans: list[tuple[int, int, int, str]] = []
+    for block in blocks:
         try:
             network = ipaddress.ip_network(block)
         except ValueError as error:
-            yield Fault(path, f"not a CIDR block: {error}")
+            yield Fault(f"client_blocks.{block}", f"not a CIDR block: {error}")
             continue
         first = int(network.network_address)
-        spans.append((network.version, first, -network.num_addresses, block))
+        size = 1 << (network.max_prefixlen - network.prefixlen)
+        spans.append((network.version, first, -size, block))
     spans.sort()
     # Two CIDR blocks either nest or are apart, so one pass in address order suffices.
     outer: tuple[int, int, str] | None = None
--- a/packages/catalogue/src/yuccapitch/catalogue/state.py
+++ b/packages/catalogue/src/yuccapitch/catalogue/state.py
@@ -99,7 +99,8 @@
         """
         if change.change_id in self._first_outcomes_by_id:
             return result.Ok(None)
-        faults = self._authenticate(change, self._allow_unsigned)
+        content = change.signed_content()
+        faults = self._authenticate(change, content, self._allow_unsigned)
         return result.Err(changes.Refused.of(faults)) if faults else result.Ok(None)
 
     def command(self, change: changes.Change, now_ms: int) -> bytes:
@@ -127,7 +128,9 @@
         self.time_ms = max(self.time_ms, parsed.time_ms)
         self._forget_old_outcomes()
         change = parsed.change
-        fingerprint = _fingerprint(change)
+        canonical = loading.canonical_bytes(change.declaration)
+        content = change.signed_content(hashlib.sha256(canonical).hexdigest())
+        fingerprint = _fingerprint(content, change.signature)
         first = self._first_outcomes_by_id.get(change.change_id)
         if first is not None:
             if first.fingerprint == fingerprint:
@@ -138,19 +141,22 @@
             message = "too many changes in a day; wait until the oldest is forgotten"
             return changes.Refused.of((checking.Fault("change_id", message),))
         previous = self.declaration
-        outcome = self._decide(change, parsed.unsigned_allowed)
+        outcome = self._decide(change, content, parsed.unsigned_allowed)
         if isinstance(outcome, changes.Accepted):
-            self._accept(change, outcome.version)
+            self._accept(change, outcome.version, content, canonical)
         self._first_outcomes_by_id[change.change_id] = stored.FirstOutcome(
             fingerprint=fingerprint, time_ms=self.time_ms, outcome=outcome
         )
-        self._record(change, previous, outcome)
+        self._record(change, content, previous, outcome)
         return outcome
 
     def _decide(
-        self, change: changes.Change, unsigned_allowed: bool
+        self,
+        change: changes.Change,
+        content: signing.SignedContent,
+        unsigned_allowed: bool,
     ) -> changes.Accepted | changes.Conflict | changes.Refused:
-        faults = self._authenticate(change, unsigned_allowed)
+        faults = self._authenticate(change, content, unsigned_allowed)
         if not faults and change.base_version > self.version:
             message = f"version {change.base_version} does not exist yet; get the"
             message += f" current version {self.version} and base the change on it"
@@ -159,7 +165,7 @@
             return changes.Refused.of(faults)
         if change.base_version < self.version:
             return self._conflict(change)
-        faults = checking.check(change.declaration)
+        faults = checking.check(change.declaration, self.declaration)
         if not faults and self.declaration is not None:
             faults = authority.check_authority(
                 self.declaration, change.declaration, change.owner, self.time_ms
@@ -169,7 +175,10 @@
         return changes.Accepted(version=ids.Version(self.version + 1))
 
     def _authenticate(
-        self, change: changes.Change, unsigned_allowed: bool
+        self,
+        change: changes.Change,
+        content: signing.SignedContent,
+        unsigned_allowed: bool,
     ) -> tuple[checking.Fault, ...]:
         # The first declaration brings the keys that later ones are checked with.
         known = change.declaration if self.declaration is None else self.declaration
@@ -184,7 +193,7 @@
         if change.public_key not in owner.public_keys:
             message = f"the key is not declared for {change.owner!r}"
             return (checking.Fault("public_key", message),)
-        if not signing.verify(change.signed_content(), change.signature):
+        if not signing.verify(content, change.signature):
             return (checking.Fault("signature", "does not match the change"),)
         return ()
 
@@ -205,10 +214,16 @@
             differences=changes.summarize(items),
         )
 
-    def _accept(self, change: changes.Change, version: ids.Version) -> None:
+    def _accept(
+        self,
+        change: changes.Change,
+        version: ids.Version,
+        content: signing.SignedContent,
+        canonical: bytes,
+    ) -> None:
         self.version = version
         self.declaration = change.declaration
-        self.digest = loading.digest(change.declaration)
+        self.digest = content.declaration_digest
         self.holder_lists = holders.update_lists(
             self.holder_lists, change.declaration, version, self.time_ms
         )
@@ -221,14 +236,14 @@
             digest=self.digest,
             index=self.applied_index,
         )
-        packed = zlib.compress(loading.canonical_bytes(change.declaration))
-        self._packed_by_version[version] = packed
+        self._packed_by_version[version] = zlib.compress(canonical)
         _drop_oldest(self._versions, MAX_VERSION_RECORDS)
         _drop_oldest(self._packed_by_version, self._max_kept_versions)
 
     def _record(
         self,
         change: changes.Change,
+        content: signing.SignedContent,
         previous: model.Declaration | None,
         outcome: changes.Accepted | changes.Conflict | changes.Refused,
     ) -> None:
@@ -247,7 +262,7 @@
             base_version=change.base_version,
             version=outcome.version if isinstance(outcome, changes.Accepted) else None,
             outcome=outcome.outcome,
-            declaration_digest=loading.digest(change.declaration),
+            declaration_digest=content.declaration_digest,
             summary=summary,
             reason=change.reason,
             signature=change.signature,
@@ -257,10 +272,12 @@
 
     def _forget_old_outcomes(self) -> None:
         # First outcomes stand in log order and state time never runs back.
-        for change_id, first in list(self._first_outcomes_by_id.items()):
-            if self.time_ms - first.time_ms <= OUTCOME_KEPT_MS:
+        while self._first_outcomes_by_id:
+            oldest = next(iter(self._first_outcomes_by_id))
+            age_ms = self.time_ms - self._first_outcomes_by_id[oldest].time_ms
+            if age_ms <= OUTCOME_KEPT_MS:
                 break
-            del self._first_outcomes_by_id[change_id]
+            del self._first_outcomes_by_id[oldest]
 
     # Snapshots.
 
@@ -308,9 +325,8 @@
             self.digest = hashlib.sha256(text).hexdigest()
 
 
-def _fingerprint(change: changes.Change) -> str:
-    content = change.signed_content().to_bytes() + change.signature.encode()
-    return hashlib.sha256(content).hexdigest()
+def _fingerprint(content: signing.SignedContent, signature: str) -> str:
+    return hashlib.sha256(content.to_bytes() + signature.encode()).hexdigest()
 
 
 def _drop_oldest(records: dict[ids.Version, Kept], limit: int) -> None:
--- a/packages/control/src/yuccapitch/control/operator_api.py
+++ b/packages/control/src/yuccapitch/control/operator_api.py
@@ -108,7 +108,7 @@
         plan = parsed.ok_value
         state = self._backend.state
         time_ms = max(int(self._now() * MS_PER_S), state.time_ms)
-        faults = checking.check(plan.declaration)
+        faults = checking.check(plan.declaration, state.declaration)
         in_turn = None
         if state.declaration is not None:
             in_turn = authority.owner_in_turn(state.declaration.turns, time_ms)
