Make keys for inner links, follow the leader's address and return exit codes from the module

python -m yuccapitch.cli always ended with 0: its module left the code of run() unused; the new test failed on it first. The status names the leader by instance id, so the client takes its address from the members. Look-up errors show their message.

--- a/packages/catalogue/src/yuccapitch/catalogue/api.py
+++ b/packages/catalogue/src/yuccapitch/catalogue/api.py
@@ -106,6 +106,7 @@
 
     instance_id: ids.InstanceId
     address: str = ""
+    """HTTP address, `http://host:port`; empty where it is not known."""
     voter: bool = True
     match_index: int | None = None
 
@@ -115,10 +116,17 @@
 
     instance_id: ids.InstanceId
     consensus_role: str
-    leader: str | None
+    leader: ids.InstanceId | None
     term: int
     version: ids.Version
     digest: str
     members: tuple[MemberStatus, ...] = ()
     holders: tuple[HolderStatus, ...] = ()
     in_force: InForceBody | None = None
+
+    def leader_address(self) -> str | None:
+        """Return the leader's HTTP address, if it is known."""
+        for member in self.members:
+            if member.instance_id == self.leader and member.address:
+                return member.address
+        return None
--- a/packages/cli/src/yuccapitch/cli/__main__.py
+++ b/packages/cli/src/yuccapitch/cli/__main__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+
 from yuccapitch.cli import main
 
-main.run()
+sys.exit(main.run())
--- a/packages/cli/src/yuccapitch/cli/client.py
+++ b/packages/cli/src/yuccapitch/cli/client.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import json
 import ssl
 from collections.abc import AsyncIterator, Mapping, Sequence
 from typing import TypeVar
@@ -122,8 +123,9 @@
         status = await self.get("/v1/status", api.StatusBody, query)
         if isinstance(status, result.Ok):
             body = status.ok_value
-            if body.in_force is None and body.leader is not None:
-                self._prefer(body.leader)
+            leader = body.leader_address()
+            if body.in_force is None and leader is not None:
+                self._prefer(leader)
                 again = await self.get("/v1/status", api.StatusBody, query)
                 return again if again.is_ok() else status
         return status
@@ -266,11 +268,19 @@
         )
         return api.ErrorBody(
             error=code,
-            message=f"answered with status {answer.status}",
-            next_step="check that the address is a yuccapitchd HTTP address",
+            message=_foreign_message(answer),
+            next_step="check the arguments and that the server is a yuccapitchd",
         )
 
 
+def _foreign_message(answer: _Answer) -> str:
+    """Return the message of an answer to callers, or the bare status."""
+    try:
+        return str(json.loads(answer.body)["message"])
+    except (ValueError, TypeError, KeyError):
+        return f"answered with status {answer.status}"
+
+
 def _request_error(error: api.ErrorBody) -> reports.CommandError:
     exit_code = (
         exit_codes.ExitCode.USAGE
--- a/packages/cli/src/yuccapitch/cli/commands/keys.py
+++ b/packages/cli/src/yuccapitch/cli/commands/keys.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import os
+import time
 from typing import ClassVar
 
 import result
 from cleo import helpers
 from cleo.io.inputs import argument as cleo_argument, option as cleo_option
 
-from yuccapitch.catalogue import signing
-from yuccapitch.cli import exit_codes, reports
+from yuccapitch.catalogue import checking, signing
+from yuccapitch.cli import reports
 from yuccapitch.cli.commands import base
+from yuccapitch.protocol import inner_tls
 
 PRIVATE_MODE = 0o600
 PUBLIC_MODE = 0o644
@@ -19,10 +21,10 @@
 
 @base.register
 class KeyNewCommand(base.BaseCommand):
-    """Makes an operator's key pair."""
+    """Makes an operator's key pair, or an instance's key and certificate."""
 
     name = "key new"
-    description = "Make an operator's key: FILE (private) and FILE.pub."
+    description = "Make an operator's key: FILE (private) and FILE.pub (public)."
     arguments: ClassVar[list[cleo_argument.Argument]] = [
         helpers.argument("file", "File for the private key.")
     ]
@@ -30,27 +32,19 @@
         *base.BaseCommand.options,
         helpers.option(
             "inner",
-            description="Make an instance's key for the inner links instead.",
+            description="Instance to make an inner key FILE and FILE.pem for instead.",
             flag=False,
         ),
     ]
 
     def run_command(self) -> base.Outcome:
         """Write both files, never over existing ones."""
-        if self.option("inner"):
-            return result.Err(
-                reports.CommandError(
-                    exit_codes.ExitCode.FAILED,
-                    "keys for the inner links cannot be made by this version",
-                    "make the instance's key and certificate with another tool",
-                )
-            )
         path = self.argument("file")
-        private_key = signing.generate_private_key()
-        public_key = signing.public_key_of(private_key)
+        instance_id = self.option("inner")
         try:
-            _write_new(path, private_key, PRIVATE_MODE)
-            _write_new(f"{path}.pub", public_key, PUBLIC_MODE)
+            if instance_id:
+                return _new_inner(path, instance_id)
+            return _new_operator(path)
         except FileExistsError as error:
             return result.Err(
                 reports.usage_error(
@@ -60,17 +54,40 @@
             )
         except OSError as error:
             return result.Err(reports.usage_error(f"cannot write the key: {error}"))
-        text = (
-            f"wrote {path} and {path}.pub\npublic key: {public_key}\n"
-            "next: add the public key to your owner's public_keys in the declaration"
-        )
-        data = {"private_key_file": path, "public_key": public_key}
-        return result.Ok(reports.Report(text, data))
+
+
+def _new_operator(path: str) -> base.Outcome:
+    private_key = signing.generate_private_key()
+    public_key = signing.public_key_of(private_key)
+    _write_new(path, f"{private_key}\n", PRIVATE_MODE)
+    _write_new(f"{path}.pub", f"{public_key}\n", PUBLIC_MODE)
+    text = (
+        f"wrote {path} and {path}.pub\npublic key: {public_key}\n"
+        "next: add the public key to your owner's public_keys in the declaration"
+    )
+    data = {"private_key_file": path, "public_key": public_key}
+    return result.Ok(reports.Report(text, data))
+
+
+def _new_inner(path: str, instance_id: str) -> base.Outcome:
+    if not checking.ID_PATTERN.match(instance_id):
+        return result.Err(reports.usage_error(f"{instance_id!r} is not an instance id"))
+    identity = inner_tls.create_identity(instance_id, time.time())
+    certificate = f"{path}.pem"
+    _write_new(path, identity.key_pem.decode("ascii"), PRIVATE_MODE)
+    _write_new(certificate, identity.certificate_pem.decode("ascii"), PUBLIC_MODE)
+    text = (
+        f"wrote {path} and {certificate} of instance {instance_id}\n"
+        f"next: start it with --tls-key {path} --tls-cert {certificate}, and copy"
+        f" {certificate} into its peers' --tls-trust-dir"
+    )
+    data = {"private_key_file": path, "certificate_file": certificate}
+    return result.Ok(reports.Report(text, data))
 
 
 def _write_new(path: str, text: str, mode: int) -> None:
     descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, mode)
     with os.fdopen(descriptor, "w", encoding="ascii") as file:
-        file.write(f"{text}\n")
+        file.write(text)
         file.flush()
         os.fsync(descriptor)
--- a/packages/cli/src/yuccapitch/cli/commands/operations.py
+++ b/packages/cli/src/yuccapitch/cli/commands/operations.py
@@ -90,7 +90,7 @@
     try:
         data = json.loads(body)
         entries = data["entries"]
-        columns = sorted({key for entry in entries for key in entry})
+        columns = list(dict.fromkeys(key for entry in entries for key in entry))
         rows = [[entry.get(column, "") for column in columns] for entry in entries]
     except (ValueError, TypeError, KeyError, AttributeError):
         return result.Err(
--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -4,7 +4,9 @@
 import contextlib
 import json
 import pathlib
+import runpy
 import socket
+import sys
 import threading
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -17,6 +19,7 @@
 from yuccapitch.catalogue import ids, signing, state
 from yuccapitch.cli import exit_codes, main
 from yuccapitch.control import operator_api
+from yuccapitch.protocol import inner_tls
 
 NOW_S = catalogue_sample.DECEMBER_MS / 1000
 Run = Callable[..., tuple[int, str, str]]
@@ -296,6 +299,23 @@
     assert run("key", "new", str(path))[0] == exit_codes.ExitCode.USAGE
 
 
+def test_key_new_inner_is_a_trusted_identity(run: Run, tmp_path: pathlib.Path) -> None:
+    key = tmp_path / "e1"
+    assert run("key", "new", str(key), "--inner", "e1")[0] == 0
+    assert key.stat().st_mode & 0o777 == 0o600
+    opened = inner_tls.InnerTls.open(tmp_path / "e1.pem", key, tmp_path)
+    assert opened.unwrap().trusted_ids() == {"e1"}
+    code = run("key", "new", str(tmp_path / "x"), "--inner", "a b")[0]
+    assert code == exit_codes.ExitCode.USAGE
+
+
+def test_module_exits_with_the_commands_code(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sys, "argv", ["yuccapitch", "plan"])
+    with pytest.raises(SystemExit) as raised:
+        runpy.run_module("yuccapitch.cli", run_name="__main__")
+    assert raised.value.code == exit_codes.ExitCode.USAGE
+
+
 @pytest.mark.parametrize(
     "line", ["nothing", "get --nothing", "plan", "get --timeout x"]
 )
--- a/tests/memory_backend.py
+++ b/tests/memory_backend.py
@@ -65,13 +65,14 @@
 
     def status(self) -> api.StatusBody:
         """Return a status of one member."""
-        instance = ids.InstanceId("memory")
+        instance = ids.InstanceId("follower" if self.leader else "leader")
+        leader = ids.InstanceId("leader")
         return api.StatusBody(
             instance_id=instance,
-            consensus_role="follower" if self.leader else "leader",
-            leader=self.leader,
+            consensus_role=instance,
+            leader=leader,
             term=1,
             version=self._state.version,
             digest=self._state.digest,
-            members=(api.MemberStatus(instance_id=instance),),
+            members=(api.MemberStatus(instance_id=leader, address=self.leader or ""),),
         )
