--- a/packages/catalogue/src/yuccapitch/catalogue/audit.py
+++ b/packages/catalogue/src/yuccapitch/catalogue/audit.py
@@ -162,7 +162,9 @@
     if not record.signature:
         # A refused change without a signature proves nothing and harms nothing.
         if record.outcome == "accepted" and not keys.unsigned_allowed:
-            yield AuditFinding(record.sequence, "it is not signed")
+            yield AuditFinding(
+                record.sequence, "it is not signed; --allow-unsigned accepts that"
+            )
         return
     trusted = keys.keys_by_owner.get(record.owner)
     if trusted is not None and record.public_key not in trusted:
--- a/packages/catalogue/tests/test_audit.py
+++ b/packages/catalogue/tests/test_audit.py
@@ -85,3 +85,15 @@
     other = audit.TrustedKeys({ids.OwnerId("amber"): frozenset({"00" * 32})})
     found = audit.verify_export(lines, other)
     assert {item.sequence for item in found} == set(range(1, RECORDS))
+
+
+def test_verify_unsigned_record_needs_consent() -> None:
+    machine = state.CatalogueState(allow_unsigned=True)
+    declared = catalogue_sample.declaration(owners={"amber": {}, "birch": {}})
+    signed = catalogue_sample.change("first", 0, declared)
+    unsigned = signed.model_copy(update={"public_key": "", "signature": ""})
+    machine.apply(1, machine.command(unsigned, 0))
+    trail = [line.decode() for line in machine.audit_lines()]
+    assert [item.sequence for item in audit.verify_export(trail, KEYS)] == [1]
+    lenient = audit.TrustedKeys(KEYS.keys_by_owner, unsigned_allowed=True)
+    assert audit.verify_export(trail, lenient) == ()
