--- a/bench/claims.py
+++ b/bench/claims.py
@@ -2,7 +2,7 @@
 
 Holders and claimants are the real code; delays, losses and disk times are drawn
 from a seeded random source. The log is modelled by its messages and its syncs.
-Run: python -m bench.claims [--orders N] [--seed N]
+Run: python -m bench.claims [--orders N] [--seed N] [--slopes]
 """
 
 from __future__ import annotations
@@ -12,6 +12,8 @@
 import heapq
 import itertools
 import random
+import time
+import tracemalloc
 from collections.abc import Callable, Sequence
 
 import numpy
@@ -214,6 +216,32 @@
         resent_s += RESEND_S
 
 
+def print_slopes() -> None:
+    """Memory and processor time of one holder by the number of records."""
+    print("records  bytes/record  us/claim")
+    for records in (20_000, 40_000, 80_000):
+        claims_sent = [
+            claim_messages.Claim(
+                f"r1.{int((START_S + number / 1000) * 1000)}.{number:016d}",
+                1,
+                f"r1-a-1.{number:016d}",
+            )
+            for number in range(records)
+        ]
+        holder = claims.ClaimHolder("h", START_S - 100)
+        started_at = time.process_time()
+        for message in claims_sent:
+            holder.on_claim(message, START_S + records / 1000)
+        elapsed_s = time.process_time() - started_at
+        tracemalloc.start()
+        holder = claims.ClaimHolder("h", START_S - 100)
+        for message in claims_sent:
+            holder.on_claim(message, START_S + records / 1000)
+        size, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        print(f"{records:7} {size / records:13.0f} {elapsed_s / records * 1e6:9.1f}")
+
+
 def summary(outcomes: Sequence[Outcome]) -> tuple[float, float, float]:
     """Share dispatched, and p50 and p99 of those in ms."""
     latencies = [each.latency_ms for each in outcomes if each.dispatched]
@@ -232,7 +260,11 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--orders", type=int, default=ORDERS)
     parser.add_argument("--seed", type=int, default=SEED)
+    parser.add_argument("--slopes", action="store_true")
     arguments = parser.parse_args()
+    if arguments.slopes:
+        print_slopes()
+        return
     print(f"orders {arguments.orders}, seed {arguments.seed}; times in model ms")
     for between_ms in (3.0, 5.0):
         print(f"\n{between_ms:g} ms between domains, {REGION_DELAY_MS:g} ms regions")
--- /dev/null
+++ b/bench/shares.py
@@ -0,0 +1,184 @@
+"""How fast leased shares follow demand, faults and lowered limits.
+
+Ledger and holders are the real code; delays are fixed and time is the model's.
+Run: python -m bench.shares [--holders N]
+"""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import heapq
+import itertools
+from collections.abc import Callable
+
+from yuccapitch.protocol import lease_messages
+from yuccapitch.steering import ledger, resources, share_holder
+
+HOLDERS = 11
+LIMIT = 1100
+RENEWAL_INTERVAL_S = 1.0
+ONE_WAY_DELAY_S = 0.055
+SETTLED_S = 40.0
+SAMPLE_INTERVAL_S = 0.05
+MOVED_PART = 0.9
+RESOURCE_ID = resources.ResourceId("region:r1")
+
+
+@dataclasses.dataclass
+class Model:
+    """Holders that renew with a grantor over links with a delay."""
+
+    holders_by_id: dict[str, share_holder.ShareHolder]
+    demand_by_id: dict[str, int]
+    grantor: ledger.Ledger
+    cut_off: set[str] = dataclasses.field(default_factory=set)
+    now: float = 0.0
+    _events: list[tuple[float, int, Callable[[], None]]] = dataclasses.field(
+        default_factory=list
+    )
+    _order: itertools.count[int] = dataclasses.field(default_factory=itertools.count)
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Schedules an action."""
+        heapq.heappush(self._events, (self.now + delay_s, next(self._order), action))
+
+    def run_until(self, time_s: float) -> None:
+        """Runs all that is due up to a time."""
+        while self._events and self._events[0][0] <= time_s:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = time_s
+
+    def time_until(self, condition: Callable[[], bool], limit_s: float = 60.0) -> float:
+        """Model time until a condition holds."""
+        started_at = self.now
+        while not condition() and self.now < started_at + limit_s:
+            self.run_until(self.now + SAMPLE_INTERVAL_S)
+        return self.now - started_at
+
+    def renew_periodically(self, holder_id: str) -> None:
+        """Renews now and after each interval."""
+        self.renew(holder_id)
+        self.after(RENEWAL_INTERVAL_S, lambda: self.renew_periodically(holder_id))
+
+    def renew(self, holder_id: str) -> None:
+        """Sends a renewal to the present grantor."""
+        if holder_id in self.cut_off:
+            return
+        usage = share_holder.Usage(self.demand_by_id[holder_id])
+        renewal = self.holders_by_id[holder_id].renewal({RESOURCE_ID: usage}, self.now)
+        self.after(ONE_WAY_DELAY_S, lambda: self._answer(renewal))
+
+    def share(self, holder_id: str) -> int:
+        """Units that a holder may use now."""
+        return self.holders_by_id[holder_id].share(RESOURCE_ID, self.now)
+
+    def total(self) -> int:
+        """Units that all holders may use now."""
+        return sum(self.share(holder_id) for holder_id in self.holders_by_id)
+
+    def _answer(self, renewal: lease_messages.ShareRenewal) -> None:
+        answered = self.grantor.renew(renewal, self.now)
+        if answered.is_ok():
+            answer = answered.unwrap()
+            self.after(ONE_WAY_DELAY_S, lambda: self._apply(answer))
+
+    def _apply(self, answer: lease_messages.ShareAnswer) -> None:
+        if answer.holder_id in self.cut_off:
+            return
+        applied = self.holders_by_id[answer.holder_id].apply(answer, self.now)
+        if applied.is_ok() and applied.unwrap() is not share_holder.Applied.SHARES:
+            self.renew(answer.holder_id)
+
+
+def declared(limit: int = LIMIT) -> dict[resources.ResourceId, resources.Resource]:
+    """One region's capacity."""
+    kind = resources.LimiterKind.CONCURRENCY
+    return {RESOURCE_ID: resources.Resource(RESOURCE_ID, kind, limit)}
+
+
+def settled_model(holders: int) -> Model:
+    """A model with even demand, past its recovery."""
+    holder_ids = [f"e{number:02}" for number in range(holders)]
+    model = Model(
+        {each: share_holder.ShareHolder(each, 1) for each in holder_ids},
+        dict.fromkeys(holder_ids, LIMIT // holders),
+        ledger.Ledger(1, declared(), 0.0),
+    )
+    for number, holder_id in enumerate(holder_ids):
+        model.after(
+            RENEWAL_INTERVAL_S * number / holders,
+            lambda holder_id=holder_id: model.renew_periodically(holder_id),
+        )
+    model.run_until(SETTLED_S)
+    return model
+
+
+def demand_moves(holders: int) -> float:
+    """All demand moves to one holder."""
+    model = settled_model(holders)
+    for holder_id in model.demand_by_id:
+        model.demand_by_id[holder_id] = 0
+    model.demand_by_id["e00"] = LIMIT
+    return model.time_until(lambda: model.share("e00") >= LIMIT * MOVED_PART)
+
+
+def holder_cut_off(holders: int) -> float:
+    """A holder with a share is cut off; the others could use all of it."""
+    model = settled_model(holders)
+    for holder_id in model.demand_by_id:
+        model.demand_by_id[holder_id] = LIMIT
+    model.cut_off.add("e00")
+    return model.time_until(lambda: model.share("e00") == 0 and model.total() == LIMIT)
+
+
+def limit_lowered(holders: int) -> float:
+    """A change halves the limit."""
+    model = settled_model(holders)
+    model.grantor.declare(declared(LIMIT // 2))
+    return model.time_until(
+        lambda: model.grantor.limit_in_force(RESOURCE_ID, model.now).in_force
+        == LIMIT // 2
+    )
+
+
+def leader_changes(holders: int) -> tuple[float, float]:
+    """A new leader takes over: least total in its recovery, and time to move demand."""
+    model = settled_model(holders)
+    model.grantor = ledger.Ledger(2, declared(), model.now)
+    least = LIMIT
+
+    def watch() -> bool:
+        nonlocal least
+        least = min(least, model.total())
+        return False
+
+    model.time_until(watch, limit_s=10.0)
+    model = settled_model(holders)
+    model.grantor = ledger.Ledger(2, declared(), model.now)
+    for holder_id in model.demand_by_id:
+        model.demand_by_id[holder_id] = 0
+    model.demand_by_id["e00"] = LIMIT
+    moved_s = model.time_until(lambda: model.share("e00") >= LIMIT * MOVED_PART)
+    return least / LIMIT, moved_s
+
+
+def main() -> None:
+    """Prints each case."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--holders", type=int, default=HOLDERS)
+    holders = parser.parse_args().holders
+    least, moved_s = leader_changes(holders)
+    print(f"{holders} holders, renewal {RENEWAL_INTERVAL_S:g} s, model seconds")
+    print(f"even split, part of the limit usable by one holder: {1 / holders:.2f}")
+    print(f"all demand moves to one holder, {MOVED_PART:.0%} follows in: ", end="")
+    print(f"{demand_moves(holders):.2f}")
+    print(f"holder cut off, its share in use elsewhere: {holder_cut_off(holders):.2f}")
+    print(f"limit halved, in force: {limit_lowered(holders):.2f}")
+    print(f"leader change, even demand, least part of the limit usable: {least:.2f}")
+    print(f"leader change as all demand moves, followed in: {moved_s:.2f}")
+
+
+if __name__ == "__main__":
+    main()
