--- a/bench/shares.py
+++ b/bench/shares.py
@@ -1,7 +1,7 @@
 """How fast leased shares follow demand, faults and lowered limits.
 
 Ledger and holders are the real code; delays are fixed and time is the model's.
-Run: python -m bench.shares [--holders N]
+Run: python -m bench.shares [--holders N] [--slopes]
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import dataclasses
 import heapq
 import itertools
+import time
 from collections.abc import Callable
 
 from yuccapitch.protocol import lease_messages
@@ -164,11 +165,44 @@
     return least / LIMIT, moved_s
 
 
+def print_slopes() -> None:
+    """Processor time of one renewal by holders and resources, and its fit."""
+    print("holders resources  us/renewal")
+    for holders, count in itertools.product((11, 44, 176), (1, 4, 16)):
+        print(f"{holders:7} {count:9} {_renewal_us(holders, count):11.0f}")
+
+
+def _renewal_us(holders: int, count: int) -> float:
+    kind = resources.LimiterKind.CONCURRENCY
+    limits = [resources.ResourceId(f"region:{number}") for number in range(count)]
+    grantor = ledger.Ledger(
+        1, {each: resources.Resource(each, kind, LIMIT) for each in limits}, 0.0
+    )
+    usage = {each: share_holder.Usage(10) for each in limits}
+    shares = [share_holder.ShareHolder(f"e{number}", 1) for number in range(holders)]
+    elapsed_s = 0.0
+    rounds = 4
+    for number in range(rounds + 2):
+        now = SETTLED_S + number
+        started_at = time.process_time()
+        for holder in shares:
+            renewal = holder.renewal(usage, now)
+            holder.apply(grantor.renew(renewal, now).unwrap(), now)
+        if number >= 2:
+            elapsed_s += time.process_time() - started_at
+    return elapsed_s / (rounds * holders) * 1e6
+
+
 def main() -> None:
     """Prints each case."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--holders", type=int, default=HOLDERS)
-    holders = parser.parse_args().holders
+    parser.add_argument("--slopes", action="store_true")
+    arguments = parser.parse_args()
+    if arguments.slopes:
+        print_slopes()
+        return
+    holders = arguments.holders
     least, moved_s = leader_changes(holders)
     print(f"{holders} holders, renewal {RENEWAL_INTERVAL_S:g} s, model seconds")
     print(f"even split, part of the limit usable by one holder: {1 / holders:.2f}")
--- a/packages/steering/tests/test_ledger_machine.py
+++ b/packages/steering/tests/test_ledger_machine.py
@@ -260,6 +260,12 @@
         return holder
 
 
+class UnconfirmedLedger(ledger.Ledger):
+    """Answers without a quorum's word that its term is still the latest."""
+
+    answers_after_replacement = True
+
+
 class WindowlessLedger(ledger.Ledger):
     """Moves a rate share before the old holder's window has passed."""
 
@@ -318,6 +324,22 @@
     machine.exchange(1, demand=12, lost=False)
 
 
+def replaced_leader(machine: LedgerMachine) -> None:
+    """A holder still follows the former leader as the rest follow the new one."""
+    give_all_to_first(machine)
+    former, former_clock = machine.ledger, machine.clock
+    machine.change_leader()
+    for seconds in (0.3, 2.5, 2.5, 2.5):
+        machine.exchange(0, demand=12, lost=False)
+        machine.advance(seconds)
+    machine.renew(1, demand=12)
+    if getattr(former, "answers_after_replacement", False):
+        now = former_clock.read(machine.true_time)
+        answer = former.renew(machine.renewals.pop(), now).unwrap()
+        holder = machine.holders[1]
+        holder.shares.apply(answer, holder.clock.read(machine.true_time))
+
+
 def late_report(machine: LedgerMachine) -> None:
     """A report sent before a reduction reaches the next leader."""
     give_all_to_first(machine)
@@ -397,6 +419,7 @@
 SCENARIOS = [
     (lost_reduction, ForgetfulLedger, share_holder.ShareHolder),
     (new_leader_sees_one, HastyLedger, share_holder.ShareHolder),
+    (replaced_leader, UnconfirmedLedger, share_holder.ShareHolder),
     (late_report, CredulousLedger, share_holder.ShareHolder),
     (late_renewal, TrustingLedger, share_holder.ShareHolder),
     (moved_rate, WindowlessLedger, share_holder.ShareHolder),
--- a/packages/steering/tests/test_limits.py
+++ b/packages/steering/tests/test_limits.py
@@ -89,6 +89,28 @@
             return
 
 
+def test_demand_estimate_peak_decays() -> None:
+    demand = share_holder.DemandEstimate(half_life_s=2.0)
+    demand.observe(8, 10.0)
+    demand.observe(1, 12.0)
+    assert demand.value(14.0) == 2.0
+
+
+def test_resources_by_id_lists_every_shared_limit() -> None:
+    link = model.Link(source=HOME, target=TARGET, mbit_per_s=280, delay_ms=55)
+    declaration = model.Declaration.model_construct(
+        regions_by_id={HOME: model.Region(capacity=7)},
+        shifts_by_id=shift(),
+        links_by_id={ids.LinkId("l"): link},
+        routes_by_id={},
+    )
+    limits_by_id = {
+        resource_id: resource.limit
+        for resource_id, resource in resources.resources_by_id(declaration).items()
+    }
+    assert limits_by_id == {"region:home": 7, "shift:shift": 1, "link:l": 8_750_000}
+
+
 def test_fair_shares_small_demands_first() -> None:
     shares = fair_shares.fair_shares(10, {"a": 2, "b": 9, "c": 9})
     assert shares == {"a": 2, "b": 4, "c": 4}
