Keep counted shares up to date instead of summing them for each grant

Cause: each grant walked every lease of every holder several times for each resource. What is left is the sort of the fair division for each resource.

--- a/packages/steering/src/yuccapitch/steering/ledger.py
+++ b/packages/steering/src/yuccapitch/steering/ledger.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
-from collections.abc import Mapping
+import typing
+from collections.abc import Iterable, Mapping
 
 import result
 
@@ -16,8 +18,7 @@
 """Factor between two clocks that both run within the bound."""
 
 
-@dataclasses.dataclass(frozen=True, order=True)
-class HolderKey:
+class HolderKey(typing.NamedTuple):
     """One run of one holder's process."""
 
     holder_id: str
@@ -57,8 +58,7 @@
     shares_by_resource: dict[resources.ResourceId, int]
 
 
-@dataclasses.dataclass(frozen=True)
-class _PastUse:
+class _Use(typing.NamedTuple):
     resource_id: resources.ResourceId
     share: int
     ends_at: float
@@ -68,15 +68,16 @@
 class _Holder:
     renewal_seq: int
     leases: list[_Lease] = dataclasses.field(default_factory=list)
-    past_uses: list[_PastUse] = dataclasses.field(default_factory=list)
+    past_uses: list[_Use] = dataclasses.field(default_factory=list)
     demand_by_resource: dict[resources.ResourceId, int] = dataclasses.field(
         default_factory=dict
     )
-
-    @property
-    def lapses_at(self) -> float:
-        """When the last lease that was sent lapses."""
-        return max((lease.lapses_at for lease in self.leases), default=0.0)
+    counted_by_resource: dict[resources.ResourceId, int] = dataclasses.field(
+        default_factory=dict
+    )
+    recount_at: float = 0.0
+    """When the first of its leases or past uses ends."""
+    lapses_at: float = 0.0
 
 
 class Ledger:
@@ -99,12 +100,17 @@
         self._started_at = now
         self._grant_seq = 0
         self._holders_by_key: dict[HolderKey, _Holder] = {}
+        self._counted_by_resource: collections.Counter[resources.ResourceId] = (
+            collections.Counter()
+        )
 
     def declare(
         self, resources_by_id: Mapping[resources.ResourceId, resources.Resource]
     ) -> None:
         """Takes the limits of a newly accepted declaration."""
         self._resources_by_id = dict(resources_by_id)
+        for holder in self._holders_by_key.values():
+            holder.recount_at = 0.0
 
     def renew(
         self, renewal: lease_messages.ShareRenewal, now: float
@@ -116,7 +122,7 @@
             # The shares it reports may have shrunk since; only a report made
             # after the holder stopped listening to earlier terms is final.
             return result.Ok(self._answer(renewal, 0, ()))
-        self._forget_lapsed(now)
+        self._recount_ended(now)
         key = HolderKey(renewal.holder_id, renewal.incarnation)
         holder = self._holders_by_key.get(key)
         if holder is None:
@@ -130,26 +136,22 @@
             resources.ResourceId(report.resource_id): report.demand
             for report in renewal.reports
         }
-        return result.Ok(self._grant(key, holder, renewal, now))
+        self._recount(holder, now)
+        answer = self._grant(key, holder, renewal, now)
+        self._recount(holder, now)
+        return result.Ok(answer)
 
     def limit_in_force(
         self, resource_id: resources.ResourceId, now: float
     ) -> LimitInForce:
         """Reports how far a limit has come into force."""
-        resource = self._resources_by_id[resource_id]
-        counted = self.counted(resource_id, now)
-        return LimitInForce(
-            declared=resource.limit,
-            in_force=max(resource.limit, counted),
-            settled=not self._is_recovering(resource, now),
-        )
+        self._recount_ended(now)
+        return self._limit_in_force(self._resources_by_id[resource_id], now)
 
     def counted(self, resource_id: resources.ResourceId, now: float) -> int:
         """Sums the units that any holder may be using."""
-        return sum(
-            self._counted_of(holder, resource_id, now)
-            for holder in self._holders_by_key.values()
-        )
+        self._recount_ended(now)
+        return self._counted_by_resource[resource_id]
 
     def _admit(
         self, key: HolderKey, renewal: lease_messages.ShareRenewal, now: float
@@ -181,7 +183,7 @@
                 window_s = self._window_s(resource_id)
                 if window_s > 0 and share > 0:
                     ends_at = now + window_s * CLOCK_MARGIN**2
-                    holder.past_uses.append(_PastUse(resource_id, share, ends_at))
+                    holder.past_uses.append(_Use(resource_id, share, ends_at))
         for lease in holder.leases:
             if lease.grant_seq == renewal.grant_seq:
                 # Work in flight can exceed a reduced share until it ends.
@@ -206,7 +208,7 @@
             shares_by_resource[resource_id] = share
             limit = 0
             if resource is not None:
-                limit = self.limit_in_force(resource_id, now).in_force
+                limit = self._limit_in_force(resource, now).in_force
             grants.append(lease_messages.ShareGrant(resource_id, share, limit))
         holder.leases.append(
             _Lease(self._grant_seq, self._lapse_time(now), shares_by_resource)
@@ -215,8 +217,8 @@
 
     def _share(self, key: HolderKey, resource: resources.Resource, now: float) -> int:
         resource_id = resource.resource_id
-        own = self._counted_of(self._holders_by_key[key], resource_id, now)
-        total = self.counted(resource_id, now)
+        own = self._holders_by_key[key].counted_by_resource.get(resource_id, 0)
+        total = self._counted_by_resource[resource_id]
         if self._is_recovering(resource, now) and total <= resource.limit:
             return own
         target = self._targets_by_holder(resource, now).get(key, 0)
@@ -236,37 +238,56 @@
         }
         return fair_shares.fair_shares(resource.limit, demand_by_holder)
 
-    def _counted_of(
-        self, holder: _Holder, resource_id: resources.ResourceId, now: float
-    ) -> int:
-        linger_s = self._linger_s(resource_id) * CLOCK_MARGIN
-        leased = [
-            lease.shares_by_resource.get(resource_id, 0)
-            for lease in holder.leases
-            if now < lease.lapses_at + linger_s
-        ]
-        past = [
-            use.share
-            for use in holder.past_uses
-            if use.resource_id == resource_id and now < use.ends_at
-        ]
-        return max(leased + past, default=0)
-
-    def _forget_lapsed(self, now: float) -> None:
-        linger_s = max(
-            (resource.linger_s for resource in self._resources_by_id.values()),
-            default=0.0,
+    def _limit_in_force(self, resource: resources.Resource, now: float) -> LimitInForce:
+        return LimitInForce(
+            declared=resource.limit,
+            in_force=max(
+                resource.limit, self._counted_by_resource[resource.resource_id]
+            ),
+            settled=not self._is_recovering(resource, now),
         )
-        for key, holder in list(self._holders_by_key.items()):
-            holder.past_uses = [use for use in holder.past_uses if use.ends_at > now]
-            holder.leases = [
-                lease
-                for lease in holder.leases
-                if lease.lapses_at + linger_s * CLOCK_MARGIN > now
-            ]
+
+    def _recount_ended(self, now: float) -> None:
+        ended = [
+            key
+            for key, holder in self._holders_by_key.items()
+            if holder.recount_at <= now
+        ]
+        for key in ended:
+            holder = self._holders_by_key[key]
+            self._recount(holder, now)
             if not holder.leases and not holder.past_uses:
                 del self._holders_by_key[key]
 
+    def _recount(self, holder: _Holder, now: float) -> None:
+        uses = [use for use in holder.past_uses if use.ends_at > now]
+        holder.past_uses = list(uses)
+        live_leases = []
+        for lease in holder.leases:
+            live = [use for use in self._leased_uses(lease) if use.ends_at > now]
+            if live or lease.lapses_at > now:
+                live_leases.append(lease)
+            uses.extend(live)
+        holder.leases = live_leases
+        holder.lapses_at = max((lease.lapses_at for lease in live_leases), default=0.0)
+        ends = [use.ends_at for use in uses]
+        ends += [lease.lapses_at for lease in live_leases if lease.lapses_at > now]
+        holder.recount_at = min(ends, default=now)
+        self._counted_by_resource.subtract(holder.counted_by_resource)
+        holder.counted_by_resource = _largest(uses)
+        self._counted_by_resource.update(holder.counted_by_resource)
+
+    def _leased_uses(self, lease: _Lease) -> list[_Use]:
+        return [
+            _Use(
+                resource_id,
+                share,
+                lease.lapses_at + self._linger_s(resource_id) * CLOCK_MARGIN,
+            )
+            for resource_id, share in lease.shares_by_resource.items()
+            if share > 0
+        ]
+
     def _is_recovering(self, resource: resources.Resource, now: float) -> bool:
         recovery_s = (self.lease_duration_s + resource.linger_s) * CLOCK_MARGIN**2
         return now < self._started_at + recovery_s
@@ -301,3 +322,11 @@
             grant_seq=grant_seq,
             grants=grants,
         )
+
+
+def _largest(uses: Iterable[_Use]) -> dict[resources.ResourceId, int]:
+    largest: dict[resources.ResourceId, int] = {}
+    for use in uses:
+        if use.share > largest.get(use.resource_id, 0):
+            largest[use.resource_id] = use.share
+    return largest
