Let a chunk above a link's usable part go alone

Cause: after a back-off to the floor, a chunk larger than the usable part of the window was refused until the part had grown back; a test of 600 of 1,000 bytes failed.

--- a/packages/steering/src/yuccapitch/steering/limiters.py
+++ b/packages/steering/src/yuccapitch/steering/limiters.py
@@ -187,9 +187,10 @@
 
     def admit(self, share: int, units: int, now: float) -> Admission:
         """Admits a chunk while the usable part of the window has room."""
-        usable = int(share * self.fraction(now))
-        if units > usable:
+        if units > share:
             return self._refuse(NO_SHARE_RETRY_AFTER_S)
+        # A chunk above the usable part goes alone, or it would never go.
+        usable = max(units, int(share * self.fraction(now)))
         wait_s = self._window.wait_s(usable, units, now)
         if wait_s > 0:
             return self._refuse(wait_s)
--- a/packages/steering/tests/test_limits.py
+++ b/packages/steering/tests/test_limits.py
@@ -189,6 +189,31 @@
     assert limiter.fraction(60.0) == 1.0
 
 
+def test_bytes_limiter_any_window_within_share() -> None:
+    draw = random.Random(2)
+    resource = resources.Resource(ID, KINDS.BYTES, 1000, window_s=0.25)
+    limiter = limiters.limiter_for(resource)
+    admitted = []
+    for now in sorted(draw.uniform(0, 10) for _ in range(2000)):
+        units = draw.randint(1, 200)
+        if limiter.admit(1000, units, now).is_ok():
+            admitted.append((now, units))
+    assert sum(units for _, units in admitted) > 20_000
+    for start, _ in admitted:
+        window = [units for now, units in admitted if start <= now < start + 0.25]
+        assert sum(window) <= 1000
+
+
+def test_bytes_limiter_chunk_above_usable_part_goes_alone() -> None:
+    resource = resources.Resource(ID, KINDS.BYTES, 1000, window_s=0.25)
+    limiter = limiters.BytesLimiter(resource)
+    for number in range(10):
+        limiter.observe(limiters.LinkSignal(0.05, 0.1, 0.1), float(number) / 2)
+    assert limiter.admit(1000, 600, 5.0).is_ok()
+    assert limiter.admit(1000, 600, 5.1).is_err()
+    assert limiter.admit(1000, 1001, 9.0).is_err()
+
+
 def test_admit_all_gives_back_on_refusal() -> None:
     capacity = limiters.limiter_for(resources.Resource(ID, KINDS.CONCURRENCY, 1))
     rate = limiters.limiter_for(resources.Resource(ID, KINDS.RATE, 1, window_s=1.0))
