--- a/packages/gateway/tests/test_share_service.py
+++ b/packages/gateway/tests/test_share_service.py
@@ -189,7 +189,7 @@
     cluster.renew("e1")
     patient = cluster.fill("e1", patience=model.Patience.PATIENT)
     reserve = round(CAPACITY * share_service.IMPATIENT_RESERVE)
-    assert len(patient) == CAPACITY - reserve
+    assert 0 < len(patient) == CAPACITY - reserve < CAPACITY
     assert len(cluster.fill("e1")) == reserve
 
 
