Complete admissions that their leader or an older identity left open

Found by reading, each shown by a test that failed first: a joiner that had received entries from a leader whose term was lost never asked again; a learner stayed one when its leader died before promoting it; a lost learner's open admission kept its successor out, then took its place in turn; an instance that the settings do not list was admitted.

--- a/packages/consensus/src/yuccapitch/consensus/admission.py
+++ b/packages/consensus/src/yuccapitch/consensus/admission.py
@@ -42,15 +42,14 @@
     def __init__(self, group: Group) -> None:
         """Work on behalf of this replica."""
         self._group = group
-        self._tasks_by_instance_id: dict[str, asyncio.Task[object]] = {}
+        self._tasks_by_identity: dict[str, asyncio.Task[object]] = {}
 
     def request(self, instance_id: str, identity: str) -> None:
         """Start to admit an identity that asked for it, unless one is on its way."""
-        task = self._tasks_by_instance_id.get(instance_id)
-        if task is None or task.done():
-            self._tasks_by_instance_id[instance_id] = asyncio.create_task(
-                self.add(instance_id, identity)
-            )
+        if identity not in self._tasks_by_identity:
+            task = asyncio.create_task(self.add(instance_id, identity))
+            self._tasks_by_identity[identity] = task
+            task.add_done_callback(lambda _: self._tasks_by_identity.pop(identity))
 
     async def add(
         self, instance_id: str, identity: str
@@ -78,7 +77,7 @@
 
     async def aclose(self) -> None:
         """Cancel the changes on their way."""
-        for task in self._tasks_by_instance_id.values():
+        for task in list(self._tasks_by_identity.values()):
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
@@ -88,6 +87,7 @@
     ) -> result.Result[None, leadership.ChangeError]:
         """Try until the change is committed or this replica no longer leads."""
         term = self._group.core.term
+        was_appended = False
         while True:
             own_core = self._group.core
             if own_core.term != term:
@@ -98,8 +98,12 @@
             is_settled = own_core.log.membership_index <= own_core.commit_index
             if wanted == own_core.members and is_settled:
                 return result.Ok(None)
+            if was_appended and wanted != own_core.members:
+                return result.Err(leadership.ChangeError.SUPERSEDED)
             outcome = self._group.change_members(wanted)
             if isinstance(outcome, result.Err):
                 if outcome.err_value not in _TRANSIENT:
                     return outcome
+            else:
+                was_appended = True
             await asyncio.sleep(RETRY_INTERVAL_S)
--- a/packages/consensus/src/yuccapitch/consensus/core.py
+++ b/packages/consensus/src/yuccapitch/consensus/core.py
@@ -89,6 +89,11 @@
         """The identity stored with this replica's disk."""
         return self._state.identity
 
+    @property
+    def peer_ids(self) -> tuple[str, ...]:
+        """The other instances that the settings list."""
+        return self._state.peer_ids
+
     @property
     def term(self) -> int:
         """The current term."""
--- a/packages/consensus/src/yuccapitch/consensus/election.py
+++ b/packages/consensus/src/yuccapitch/consensus/election.py
@@ -11,7 +11,7 @@
     if state.role is effects.Role.LEADER or now < state.election_deadline_s:
         return
     core_state.reset_election_deadline(state, now)
-    if not state.is_formed:
+    if joining.should_ask(state):
         joining.ask(state)
     if _may_stand(state):
         _start_pre_vote(state, now)
--- a/packages/consensus/src/yuccapitch/consensus/joining.py
+++ b/packages/consensus/src/yuccapitch/consensus/joining.py
@@ -8,6 +8,15 @@
 _NONCE_BITS = 62
 
 
+def should_ask(state: core_state.State) -> bool:
+    """Tell whether this replica was never admitted, as far as its log tells.
+
+    A log does not prove admission: the leader that sent it may have lost its term
+    before the entry that admits this replica was committed. A removed one does not ask.
+    """
+    return not state.log.names_voter(state.identity)
+
+
 def ask(state: core_state.State) -> None:
     """Ask every other instance, of which the leader will answer."""
     for peer_id in state.peer_ids:
@@ -40,7 +49,7 @@
     state: core_state.State, peer_id: str, message: messages.JoinChallenge, now: float
 ) -> None:
     """Answer a challenge while still not admitted."""
-    if not state.is_formed:
+    if should_ask(state):
         _send_request(state, peer_id, message.nonce)
 
 
--- a/packages/consensus/src/yuccapitch/consensus/replica.py
+++ b/packages/consensus/src/yuccapitch/consensus/replica.py
@@ -261,14 +261,22 @@
                 if token in self._barriers_by_token:
                     self._barriers_by_token[token].index = index
                 self._release_barriers()
+            case effects.RoleChanged(effects.Role.LEADER):
+                self._admit_learners()
             case effects.RoleChanged():
-                if effect.role is not effects.Role.LEADER:
-                    self._fail_pending()
+                self._fail_pending()
             case effects.JoinRequested(instance_id, identity):
-                self._admission.request(instance_id, identity)
+                if instance_id in self._core.peer_ids:
+                    self._admission.request(instance_id, identity)
         if self._on_event and not isinstance(effect, effects.Send):
             self._on_event(effect)
 
+    def _admit_learners(self) -> None:
+        # The leader that admitted them may be gone before they were promoted.
+        for member in self._core.members.members:
+            if not member.is_voter:
+                self._admission.request(member.instance_id, member.identity)
+
     def _apply(self, entry: messages.LogEntry) -> None:
         outcome: object = None
         if entry.kind == messages.EntryKind.COMMAND:
--- /dev/null
+++ b/packages/consensus/tests/test_core.py
@@ -0,0 +1,115 @@
+"""Tests of single rules of the core, over the simulated group."""
+
+from __future__ import annotations
+
+import pytest
+import result
+
+from packages.consensus.tests import simulation
+from yuccapitch.consensus import effects, leadership, membership
+from yuccapitch.protocol import consensus_messages as messages
+
+
+@pytest.fixture
+def world():
+    made = simulation.World(3)
+    made.run(3.0)
+    return made
+
+
+@pytest.fixture
+def leader_id(world):
+    (found,) = world.leaders()
+    return found
+
+
+def receive(world, instance_id, peer_id, message):
+    """Return what one instance answers to a message."""
+    node = world.nodes[instance_id]
+    node.core.receive(peer_id, message, node.local_s(world.now))
+    taken = node.core.take_effects(node.local_s(world.now))
+    return [e.message for e in taken if isinstance(e, effects.Send)]
+
+
+def test_core_candidate_not_member_is_refused(world, leader_id):
+    identity = world.nodes[leader_id].disk.identity
+    request = messages.VoteRequest(9, "stranger", identity, 0, 0)
+    (reply,) = receive(world, leader_id, "c9", request)
+    assert isinstance(reply, messages.Refusal)
+    assert reply.reason == messages.RefusalReason.NOT_A_MEMBER
+
+
+def test_core_reply_of_lost_identity_is_refused(world, leader_id):
+    core = world.nodes[leader_id].core
+    reply = messages.AppendReply(core.term, "lost", core.identity, True, 99, 1)
+    (answer,) = receive(world, leader_id, "c1", reply)
+    assert answer.reason == messages.RefusalReason.NOT_A_MEMBER
+    assert core.commit_index < 99
+
+
+def test_core_message_for_lost_identity_is_refused(world, leader_id):
+    request = messages.VoteRequest(9, "any", "lost", 50, 8)
+    (reply,) = receive(world, leader_id, "c1", request)
+    assert reply.reason == messages.RefusalReason.WRONG_RECIPIENT
+
+
+def test_core_cut_leader_stands_down(world, leader_id):
+    for other in world.nodes:
+        world.cuts |= {(other, leader_id)}
+    world.run(simulation.TIMING.max_election_timeout_s + 0.5)
+    assert world.nodes[leader_id].core.role is not effects.Role.LEADER
+
+
+def test_core_removed_leader_stands_down_once_committed(world, leader_id):
+    core = world.nodes[leader_id].core
+    assert core.change_members(core.members.without(leader_id)).is_ok()
+    world.run(5.0)
+    (new_id,) = world.leaders()
+    assert new_id != leader_id
+
+
+def test_core_second_change_waits_for_the_first(world, leader_id):
+    core = world.nodes[leader_id].core
+    members = core.members
+    core.change_members(members.with_learner("c3", "c3-1"))
+    outcome = core.change_members(members)
+    assert outcome == result.Err(leadership.ChangeError.CHANGE_PENDING)
+
+
+def test_core_learner_that_never_answered_is_not_promoted(world, leader_id):
+    core = world.nodes[leader_id].core
+    core.change_members(core.members.with_learner("c3", "c3-1"))
+    world.nodes["c3"] = simulation.Node("c3", None, 1.0, 0.0)
+    world.run(1.0)
+    outcome = core.change_members(core.members.with_voter("c3-1"))
+    assert outcome == result.Err(leadership.ChangeError.NOT_CAUGHT_UP)
+
+
+def test_core_two_voters_cannot_change_at_once(world, leader_id):
+    core = world.nodes[leader_id].core
+    wanted = membership.Membership(core.members.members[:1])
+    outcome = core.change_members(wanted)
+    assert outcome == result.Err(leadership.ChangeError.TOO_MANY_VOTERS)
+
+
+def test_core_join_lost_with_the_leader_is_asked_again():
+    world = simulation.World(5)
+    world.run(3.0)
+    (leader_id,) = world.leaders()
+    joiner_id, *others = (i for i in world.nodes if i != leader_id)
+    world.lose_disk(joiner_id)
+    world.start(joiner_id)
+    world.in_flight = []
+    world.tick(joiner_id)
+    # Request, challenge and answer, then the first entries, which no other member gets.
+    world.exchange(leader_id, joiner_id, times=3)
+    world.flush(world.nodes[leader_id])
+    world.exchange(leader_id, joiner_id, times=3)
+    assert world.nodes[joiner_id].core.log.last_index > 0
+    world.kill(leader_id)
+    world.now += 3.0
+    world.elect(others[0], *others[1:])
+    world.run(3.0)
+    world.start(leader_id)
+    world.run(20.0)
+    assert world.is_settled()
--- a/packages/consensus/tests/test_replica.py
+++ b/packages/consensus/tests/test_replica.py
@@ -186,3 +186,42 @@
     with pytest.raises(OSError):
         await broken.wait_stopped()
     await single.stop("c0")
+
+
+async def test_replica_new_leader_completes_admission(group):
+    await group.propose(b"a")
+    leader = await group.leader()
+    lost_id, other_id = (i for i in group.instance_ids if i != leader.leader_id)
+    await group.stop(lost_id)
+    # As if the leader that admitted it had died before it made it a voter.
+    identity = f"{lost_id}-second"
+    leader.change_members(leader.core.members.with_learner(lost_id, identity))
+    await group.propose(b"b")
+    first_id = leader.leader_id
+    await group.stop(first_id)
+    await group.start(first_id)
+    await group.start(lost_id, identity=identity)
+    new_leader = await group.leader()
+    await wait_until(lambda: identity in new_leader.core.members.voters())
+
+
+async def test_replica_admits_identity_while_older_one_is_awaited(group):
+    await group.propose(b"a")
+    leader = await group.leader()
+    lost_id = next(i for i in group.instance_ids if i != leader.leader_id)
+    await group.stop(lost_id)
+    awaited = asyncio.create_task(leader.add_member(lost_id, f"{lost_id}-second"))
+    await wait_until(lambda: leader.core.members.find(f"{lost_id}-second"))
+    await group.start(lost_id, identity=f"{lost_id}-third")
+    await wait_until(lambda: f"{lost_id}-third" in leader.core.members.voters())
+    assert (await awaited).is_err()
+
+
+async def test_replica_unlisted_instance_is_not_admitted(group):
+    await group.propose(b"a")
+    leader = await group.leader()
+    reported = []
+    leader._on_event = reported.append
+    await group.start("stranger")
+    await wait_until(lambda: any(type(e).__name__ == "JoinRequested" for e in reported))
+    assert leader.core.members.find_instance("stranger") is None
