Count a reply only in the term of its request; retry elections sooner

Ruled out: the retry change of this commit, which only made the schedule likelier (the fault is in the reply's fields). Replies now repeat the term of the request; the test sends such a late heartbeat and failed before.

After a split vote a candidate now waits 0.25 to 1 s instead of 1 to 2 s.

--- a/packages/consensus/src/yuccapitch/consensus/election.py
+++ b/packages/consensus/src/yuccapitch/consensus/election.py
@@ -10,7 +10,7 @@
     """Stand for election, or ask to be admitted, once the deadline has passed."""
     if state.role is effects.Role.LEADER or now < state.election_deadline_s:
         return
-    core_state.reset_election_deadline(state, now)
+    _set_retry_deadline(state, now)
     if joining.should_ask(state):
         joining.ask(state)
     if _may_stand(state):
@@ -90,6 +90,15 @@
     return state.identity in state.log.members.voters()
 
 
+def _set_retry_deadline(state: core_state.State, now: float) -> None:
+    # The leader has been silent for the whole timeout already, so that after a split
+    # vote only the random part matters.
+    timing = state.timing
+    state.election_deadline_s = now + state.random_source.uniform(
+        timing.heartbeat_interval_s, timing.min_election_timeout_s
+    )
+
+
 def _start_pre_vote(state: core_state.State, now: float) -> None:
     core_state.set_role(state, effects.Role.PRE_CANDIDATE, None, None)
     _ask_for_votes(state, messages.PreVoteRequest, state.term + 1)
@@ -100,7 +109,7 @@
 def _start_vote(state: core_state.State, now: float) -> None:
     core_state.set_term(state, state.term + 1, state.identity)
     core_state.set_role(state, effects.Role.CANDIDATE, None, None)
-    core_state.reset_election_deadline(state, now)
+    _set_retry_deadline(state, now)
     _ask_for_votes(state, messages.VoteRequest, state.term)
     if _has_won(state):
         leadership.start(state, now)
--- a/packages/consensus/src/yuccapitch/consensus/leadership.py
+++ b/packages/consensus/src/yuccapitch/consensus/leadership.py
@@ -191,7 +191,7 @@
         core_state.become_follower(state, message.term, now)
         return None
     leading = state.leadership
-    if leading is None or message.term != state.term:
+    if leading is None or message.request_term != state.term:
         return None
     member = state.log.members.find(message.sender)
     if member is None:
--- a/packages/consensus/tests/test_core.py
+++ b/packages/consensus/tests/test_core.py
@@ -41,7 +41,9 @@
 
 def test_core_reply_of_lost_identity_is_refused(world, leader_id):
     core = world.nodes[leader_id].core
-    reply = messages.AppendReply(core.term, "lost", core.identity, True, 99, 1)
+    reply = messages.AppendReply(
+        core.term, "lost", core.identity, core.term, True, 99, 1
+    )
     (answer,) = receive(world, leader_id, "c1", reply)
     assert answer.reason == messages.RefusalReason.NOT_A_MEMBER
     assert core.commit_index < 99
@@ -113,3 +115,24 @@
     world.start(leader_id)
     world.run(20.0)
     assert world.is_settled()
+
+
+def test_core_answer_to_older_term_confirms_no_round(world, leader_id):
+    other_id = next(i for i in world.nodes if i != leader_id)
+    core, other = world.nodes[leader_id].core, world.nodes[other_id].core
+    world.now += 0.1
+    world.read(leader_id)
+    until_s = core.leadership_confirmed_until()
+    late = messages.AppendRequest(
+        term=core.term - 1,
+        sender=core.identity,
+        recipient=other.identity,
+        previous_index=0,
+        previous_term=0,
+        entries=(),
+        commit_index=0,
+        round_number=core._state.leadership.round_number,
+    )
+    for reply in receive(world, other_id, leader_id, late):
+        receive(world, leader_id, other_id, reply)
+    assert core.leadership_confirmed_until() == until_s
--- a/packages/protocol/src/yuccapitch/protocol/consensus_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/consensus_messages.py
@@ -93,11 +93,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class AppendReply:
-    """Tells how far the logs match, or after which index to try again."""
+    """Tells how far the logs match, or after which index to try again.
+
+    ``request_term`` and ``round_number`` repeat those of the request: the term of a
+    replica that answers late may be one in which the same leader was elected again.
+    """
 
     term: int
     sender: str
     recipient: str
+    request_term: int
     success: bool
     match_index: int
     round_number: int
@@ -126,6 +131,7 @@
     term: int
     sender: str
     recipient: str
+    request_term: int
     last_index: int
     next_offset: int
     installed: bool
