--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -1,12 +1,13 @@
 """Measures the replicated log: three replicas on disk, in one process, with fsync on.
 
-Run with: python -m bench.consensus [--data-dir DIR] [--changes N]
+Run with: python -m bench.consensus [--data-dir DIR] [--changes N] [--takeovers N]
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import functools
 import os
 import pathlib
 import random
@@ -75,6 +76,21 @@
         for each in self._replicas_by_id.values():
             await each.aclose()
 
+    async def replace_leader(self) -> float:
+        """Stop the leader without notice; return the seconds until another leads."""
+        instance_id = next(i for i, r in self._replicas_by_id.items() if r.is_leader)
+        stopped = self._replicas_by_id.pop(instance_id)
+        started_s = time.perf_counter()
+        await stopped.aclose()
+        while not any(
+            r.leadership_confirmed_until > float("-inf")
+            for r in self._replicas_by_id.values()
+        ):
+            await asyncio.sleep(0.01)
+        duration_s = time.perf_counter() - started_s
+        await self._start_replica(instance_id)
+        return duration_s
+
     async def _start_replica(self, instance_id: str) -> None:
         loop = asyncio.get_running_loop()
         storage = disk.DiskStorage(self._folder / instance_id, lambda: instance_id)
@@ -136,6 +152,19 @@
     _print_recovery(folder / "control-0", "from a snapshot and the log behind it")
 
 
+async def measure_takeover(folder: pathlib.Path, takeovers: int) -> None:
+    """Print how long the group has no confirmed leader after one stops."""
+    group = Group(folder)
+    await group.start()
+    durations_s = []
+    for _ in range(takeovers):
+        await asyncio.sleep(0.5)
+        durations_s.append(await group.replace_leader())
+    await group.aclose()
+    median_s, longest_s = statistics.median(durations_s), max(durations_s)
+    print(f"takeovers: {takeovers}, p50 {median_s:.2f} s, longest {longest_s:.2f} s")
+
+
 async def _propose_all(
     leader: replica.Replica, changes: int, callers: int
 ) -> list[float]:
@@ -184,14 +213,15 @@
         "--data-dir", default=None, help="folder on the disk to measure"
     )
     parser.add_argument("--changes", type=int, default=2000)
+    parser.add_argument("--takeovers", type=int, default=10)
     options = parser.parse_args()
-    for measure in ("acceptance", "recovery"):
+    for measure in (
+        functools.partial(measure_acceptance, changes=options.changes),
+        measure_recovery,
+        functools.partial(measure_takeover, takeovers=options.takeovers),
+    ):
         with tempfile.TemporaryDirectory(dir=options.data_dir) as name:
-            folder = pathlib.Path(name)
-            if measure == "acceptance":
-                asyncio.run(measure_acceptance(folder, options.changes))
-            else:
-                asyncio.run(measure_recovery(folder))
+            asyncio.run(measure(pathlib.Path(name)))
 
 
 if __name__ == "__main__":
