--- a/packages/consensus/src/yuccapitch/consensus/core.py
+++ b/packages/consensus/src/yuccapitch/consensus/core.py
@@ -48,7 +48,7 @@
 
 
 class Core:
-    """One replica. Each method returns nothing; ``take_effects`` hands out effects."""
+    """One replica: takes events, and hands out effects by ``take_effects``."""
 
     def __init__(
         self,
