--- a/packages/consensus/src/yuccapitch/consensus/core.py
+++ b/packages/consensus/src/yuccapitch/consensus/core.py
@@ -48,7 +48,7 @@
 
 
 class Core:
-    """One replica. Each method returns nothing; ``take_effects`` hands out effects."""
+    """One replica: takes events, and hands out effects by ``take_effects``."""
 
     def __init__(
         self,
@@ -89,6 +89,11 @@
         """The identity stored with this replica's disk."""
         return self._state.identity
 
+    @property
+    def peer_ids(self) -> tuple[str, ...]:
+        """The other instances that the settings list."""
+        return self._state.peer_ids
+
     @property
     def term(self) -> int:
         """The current term."""
