--- a/packages/node/src/yuccapitch/node/control_role.py
+++ b/packages/node/src/yuccapitch/node/control_role.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import random
 import secrets
 from collections.abc import Callable
@@ -30,13 +31,21 @@
 LOG_FOLDER = "log"
 
 
+@dataclasses.dataclass(frozen=True)
+class ControlRole:
+    """The running control role of one instance."""
+
+    control: service.ControlService
+    replica: consensus_replica.Replica
+
+
 async def start(
     settings: settings_table.Settings,
     links: inner_peers.Peers,
     clock: Callable[[], float],
     rng: random.Random,
     stack: contextlib.AsyncExitStack,
-) -> result.Result[service.ControlService, consensus_storage.StorageError]:
+) -> result.Result[ControlRole, consensus_storage.StorageError]:
     """Recover the log from the data folder and take part in the group."""
     storage = disk.DiskStorage(
         settings.data_dir / LOG_FOLDER, lambda: secrets.token_hex(IDENTITY_BYTES)
@@ -75,7 +84,7 @@
         links.handle(message_type, replica.receive)
     await replica.start()
     stack.push_async_callback(replica.aclose)
-    return result.Ok(control)
+    return result.Ok(ControlRole(control, replica))
 
 
 class _HttpAddresses:
--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -12,7 +12,7 @@
 
 from yuccapitch.control import lease_client, operator_api
 from yuccapitch.gateway import app, metrics as gateway_metrics
-from yuccapitch.node import control_role, entry_role, http_server, settings_table
+from yuccapitch.node import control_role, entry_role, http_server, settings_table, tasks
 from yuccapitch.protocol import events, inner_tls, link, peers as inner_peers
 
 EXIT_OK = 0
@@ -32,6 +32,7 @@
         self._clock = time.monotonic
         self._rng = random.Random(settings.seed)
         self._stop = asyncio.Event()
+        self._broken: str | None = None
         self._entry: entry_role.EntryRole | None = None
         self._http: http_server.HttpServer
 
@@ -43,6 +44,9 @@
                 events.event("process.failed", reason=started.err_value)
                 return EXIT_FAILED
             await self._stop.wait()
+            if self._broken is not None:
+                events.event("process.failed", reason=self._broken)
+                return EXIT_FAILED
             events.event("process.stopping")
             if self._entry is not None:
                 await self._entry.drain()
@@ -74,8 +78,10 @@
             )
             if isinstance(control, result.Err):
                 return result.Err(str(control.err_value))
-            routes = operator_api.OperatorApi(control.ok_value).routes()
+            routes = operator_api.OperatorApi(control.ok_value.control).routes()
             application.router.add_routes(routes)
+            watch = asyncio.create_task(self._watch_replica(control.ok_value))
+            stack.push_async_callback(tasks.cancel, watch)
         http = http_server.HttpServer(
             settings.http_host, settings.http_port, settings.max_header_bytes
         )
@@ -102,6 +108,14 @@
         )
         return result.Ok(None)
 
+    async def _watch_replica(self, role: control_role.ControlRole) -> None:
+        try:
+            await role.replica.wait_stopped()
+        except Exception as error:
+            # What the disk holds is not known any more; only a restart reads it.
+            self._broken = repr(error)
+            self._stop.set()
+
     def _not_ready_reason(self) -> str | None:
         return None if self._entry is None else self._entry.not_ready_reason()
 
--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -27,7 +27,7 @@
     request_path,
     share_service,
 )
-from yuccapitch.node import entry_views, settings_table
+from yuccapitch.node import entry_views, settings_table, tasks
 from yuccapitch.protocol import events, peers as inner_peers, slot_messages
 from yuccapitch.steering import entry_choice, health, resources
 
@@ -118,7 +118,7 @@
             self._run_pools(),
             self._send_loads(),
         ):
-            stack.push_async_callback(_cancel, asyncio.create_task(coroutine))
+            stack.push_async_callback(tasks.cancel, asyncio.create_task(coroutine))
 
     def not_ready_reason(self) -> str | None:
         """Return why the instance takes no new work, or None if it does."""
@@ -330,9 +330,3 @@
     role = EntryRole(parts)
     await role.start(application, stack)
     return role
-
-
-async def _cancel(task: asyncio.Task[None]) -> None:
-    task.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await task
