Keep every byte of a body that is read in two parts

Cause: the head loop left its iterator in the middle of a sliced chunk, and the slices not yet taken were lost, so that uploads above 256 KiB stalled until their deadline. Ruled out: forwarding, pacing. The upload test failed before.

--- a/packages/gateway/src/yuccapitch/gateway/bodies.py
+++ b/packages/gateway/src/yuccapitch/gateway/bodies.py
@@ -135,5 +135,4 @@
             raise BodyError(BodyFault.CUT_OFF) from None
         if not chunk:
             return
-        for start in range(0, len(chunk), CHUNK_BYTES):
-            yield chunk[start : start + CHUNK_BYTES]
+        yield chunk
