Be ready only once votes on new keys are given; avoid owners whose link broke

Cause: holders abstain for keys from before their start and two seconds after, so that orders right after a start were undecided (traced in the history test: every undecided claim fell into the first 0.6 s).

--- a/packages/gateway/src/yuccapitch/gateway/claim_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/claim_service.py
@@ -71,6 +71,7 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._holder = claims.ClaimHolder(own_id, wall_clock())
+        self._votes_from = wall_clock() + claim_keys.CLOCK_SKEW_S
         self._member_lists: tuple[claim_placement.MemberList, ...] = ()
         self._declaration: model.Declaration | None = None
         self._live_by_id: Mapping[ids.InstanceId, node_messages.LiveInstance] = {}
@@ -130,6 +131,11 @@
         assert not isinstance(decision, claim_attempt.Dispatch), "a void never grants"
         return decision
 
+    @property
+    def votes(self) -> bool:
+        """Whether this holder votes on new keys; it abstains on older ones."""
+        return self._wall_clock() >= self._votes_from
+
     def home_region(self, region: ids.RegionId) -> ids.RegionId:
         """Return the region that new keys of a region's clients should name."""
         if self._declaration is None:
--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -133,6 +133,8 @@
             return "no share of the region's capacity"
         if not all(map(self._can_reach, self._owners_in_region())):
             return "no counts from the owner of a pool"
+        if not self._claims.votes:
+            return "no votes on new keys yet"
         return None
 
     async def drain(self) -> None:
--- a/packages/steering/src/yuccapitch/steering/pool_choice.py
+++ b/packages/steering/src/yuccapitch/steering/pool_choice.py
@@ -49,8 +49,10 @@
     heard = [v for v in usable if v.distance_s <= 0 or now - v.heard_at < SILENT_S]
     if not usable:
         return None
+    # Where all are late, one whose link broke is still the worse bet.
+    linked = [view for view in usable if view.heard_at > float("-inf")]
     return min(
-        heard or usable,
+        heard or linked or usable,
         key=lambda v: (_expected_s(v, patience, service_s, now), v.pool),
     )
 
