Lower the requests in flight at an endpoint that sheds within its slots

Cause: an endpoint that accepts one request at a time and sheds the others ends each at once, so its free slots drew more work and spent the retry budget.

--- a/bench/steering/designs.py
+++ b/bench/steering/designs.py
@@ -33,6 +33,7 @@
     deadlines: bool = True
     doubt: bool = True
     budget: bool = True
+    shed_limits: bool = True
 
 
 class Unshared:
--- a/bench/steering/scenarios.py
+++ b/bench/steering/scenarios.py
@@ -103,6 +103,11 @@
     world.endpoints[0].broken = True
 
 
+def shedding(world: world_module.World, design: object) -> None:
+    """Let one endpoint accept one request at a time and shed the others."""
+    world.endpoints[0].shed_above = 1
+
+
 def cold(world: world_module.World, design: object) -> None:
     """Empty the cache of one endpoint."""
     world.endpoints[0].cold_left = world_module.COLD_REQUESTS
--- a/bench/steering/slot_designs.py
+++ b/bench/steering/slot_designs.py
@@ -5,7 +5,7 @@
 import dataclasses
 import random
 
-from bench.steering import designs, world as world_module
+from bench.steering import designs, grains, world as world_module
 from yuccapitch.catalogue import ids, model
 from yuccapitch.steering import (
     entry_choice,
@@ -22,6 +22,10 @@
 NEVER_S = 60.0
 PEER_LOSS_S = 1.0
 SERVICE = ids.ServiceId("service")
+RETRY_ENDS_BY_WORD = {
+    "failed": retry.AttemptEnd.BROKEN,
+    "shed": retry.AttemptEnd.SHED,
+}
 ENDS_BY_WORD = {
     "answered": health.ExchangeEnd.ANSWERED,
     "shed": health.ExchangeEnd.SHED,
@@ -232,8 +236,9 @@
             self._close(ask.request_id)
             if word == "cancelled" and entry.alive:
                 self._arrive(entry, request, to_client_s)
-            if word == "failed" and entry.alive:
-                self._retry(entry, request, to_client_s, hold.endpoint_id)
+            if word in ("failed", "shed") and entry.alive:
+                end = RETRY_ENDS_BY_WORD[word]
+                self._retry(entry, request, to_client_s, hold.endpoint_id, end)
             if word == "answered" and entry.alive:
                 back = self._between(holder.instance_id, entry.instance_id)
                 self.world.finish(request, to_client_s + back)
@@ -246,11 +251,12 @@
         request: world_module.Request,
         to_client_s: float,
         endpoint_id: ids.EndpointId,
+        end: retry.AttemptEnd,
     ) -> None:
         attempt = retry.Attempt(
             request.attempts,
             model.RequestClass.READ_ONLY,
-            retry.AttemptEnd.BROKEN,
+            end,
             request.deadline,
             self.world.setting.impatient_s,
         )
@@ -328,7 +334,7 @@
         self._assign(quarantines)
 
     def _assign(self, quarantines: tuple[slots.Quarantine, ...]) -> None:
-        wanted = self._owners_by_endpoint()
+        wanted = grains.GRAINS_BY_NAME[self.spec.grain](self.world)
         for endpoint in self.world.endpoints:
             endpoint_id = endpoint.endpoint_id
             owner = wanted[endpoint_id]
@@ -364,37 +370,7 @@
             longest_deadline_s=self.world.setting.patient_deadline_s,
         )
         view = health.HealthView(3 if self.spec.doubt else 10**9)
-        return pool.SlotPool(table, view, random.Random(self.rng.random()))
-
-    def _owners_by_endpoint(self) -> dict[ids.EndpointId, ids.InstanceId | None]:
-        alive = {e.instance_id: e.place for e in self.world.entries if e.alive}
-        if self.spec.grain == "domain":
-            regions = {
-                owners.Pool(SERVICE, e.place.failure_domain): e.place.region
-                for e in self.world.endpoints
-            }
-            assigned = owners.assign_pools(regions, alive)
-            return {
-                e.endpoint_id: assigned.get(
-                    owners.Pool(SERVICE, e.place.failure_domain)
-                )
-                for e in self.world.endpoints
-            }
-        wanted: dict[ids.EndpointId, ids.InstanceId | None] = {}
-        for endpoint in self.world.endpoints:
-            region = endpoint.place.region
-            local = [i for i, place in alive.items() if place.region == region]
-            if self.spec.grain == "split":
-                domain = endpoint.place.failure_domain
-                here = [i for i in local if alive[i].failure_domain == domain]
-                local = here or local
-                index = int(endpoint.endpoint_id[1:]) // 6
-                order = owners.ranked(domain, local)
-                wanted[endpoint.endpoint_id] = (
-                    order[index % len(order)] if order else None
-                )
-                continue
-            key = region if self.spec.grain == "region" else endpoint.endpoint_id
-            ranked = owners.ranked(key, local)
-            wanted[endpoint.endpoint_id] = ranked[0] if ranked else None
-        return wanted
+        made = pool.SlotPool(table, view, random.Random(self.rng.random()))
+        if not self.spec.shed_limits:
+            made.shed_limits.recovery_s = 1e-9
+        return made
--- a/bench/steering/world.py
+++ b/bench/steering/world.py
@@ -186,6 +186,7 @@
         self.alive = True
         self.false_reports = False
         self.broken = False
+        self.shed_above: int | None = None
         self.running = 0
         self.passes = 0
         self.most_in_flight = 0
@@ -211,6 +212,9 @@
         if self.broken:
             answer("failed")
             return
+        if self.shed_above is not None and self.in_flight >= self.shed_above:
+            answer("shed")
+            return
         if self.in_flight >= self.slots:
             self.passes += 1
         if len(self._queue) >= self.queue_limit:
--- a/packages/steering/src/yuccapitch/steering/health.py
+++ b/packages/steering/src/yuccapitch/steering/health.py
@@ -67,11 +67,10 @@
     ) -> None:
         """Record an own exchange, or one that a borrower reports on release."""
         record = self._record(endpoint_id)
-        if end is ExchangeEnd.FAILED:
+        if end in (ExchangeEnd.FAILED, ExchangeEnd.SHED):
+            # Either ends at once, so that its free slots would attract more work.
             record.fail(now, self.doubt_after)
             return
-        if end is ExchangeEnd.SHED:
-            return
         if end is ExchangeEnd.TIMED_OUT:
             record.fail(now, self.doubt_after)
         else:
--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -9,7 +9,7 @@
 import result
 
 from yuccapitch.catalogue import ids, model
-from yuccapitch.steering import endpoint_choice, health, queue, slots
+from yuccapitch.steering import endpoint_choice, health, queue, shed_limits, slots
 
 MIN_RETRY_AFTER_S = 0.1
 
@@ -71,6 +71,7 @@
         self.table = table
         self.view = view
         self.policy = policy
+        self.shed_limits = shed_limits.ShedLimits()
         self._rng = rng
         self._queue = queue.ClassQueue(0)
         self._closed_ids: frozenset[ids.EndpointId] = frozenset()
@@ -88,7 +89,7 @@
 
     def free(self, now: float) -> int:
         """Return the free slots of the endpoints that take new work."""
-        return sum(self.table.free(e, now) for e in self._open_ids())
+        return sum(self._free(e, now) for e in self._open_ids())
 
     def usable_slots(self) -> int:
         """Return the slots of the endpoints that take new work, as last counted."""
@@ -97,6 +98,8 @@
     def ask(self, ask: Ask, now: float) -> tuple[Decision, ...]:
         """Take in a request."""
         self._count_slots(now)
+        if ask.avoided.issuperset(self._open_ids()):
+            return (self._refused(ask, queue.ShedReason.NO_ENDPOINT),)
         waiting = queue.Waiting(
             ask.request_id,
             ask.patience,
@@ -128,6 +131,9 @@
                 self.view.observe_exchange(
                     hold.endpoint_id, end, ask.route, service_s, now
                 )
+            if end is health.ExchangeEnd.SHED:
+                held = self.table.held(hold.endpoint_id)
+                self.shed_limits.record(hold.endpoint_id, held, now)
         return tuple(self._start(now))
 
     def cancel(self, request_id: str, now: float) -> tuple[Decision, ...]:
@@ -147,6 +153,11 @@
     def _open_ids(self) -> list[ids.EndpointId]:
         return [e for e in self.table.endpoint_ids if e not in self._closed_ids]
 
+    def _free(self, endpoint_id: ids.EndpointId, now: float) -> int:
+        slots_ = self.table.slots(endpoint_id)
+        withheld = slots_ - self.shed_limits.limit(endpoint_id, slots_, now)
+        return max(0, self.table.free(endpoint_id, now) - withheld)
+
     def _count_slots(self, now: float) -> None:
         self._queue.slots = sum(
             self.table.usable_slots(endpoint_id, now)
@@ -176,7 +187,7 @@
         self, ask: Ask, waiting: queue.Waiting, now: float
     ) -> slots.Hold | None:
         endpoint_ids = self._open_ids()
-        free_by_id = {e: self.table.free(e, now) for e in endpoint_ids}
+        free_by_id = {e: self._free(e, now) for e in endpoint_ids}
         if not any(free > 0 for free in free_by_id.values()):
             return None
         standings_by_id = self.view.standings(endpoint_ids, now)
--- a/packages/steering/src/yuccapitch/steering/queue.py
+++ b/packages/steering/src/yuccapitch/steering/queue.py
@@ -25,6 +25,7 @@
     WAIT_PASSES_DEADLINE = "wait-passes-deadline"
     QUEUE_FULL = "queue-full"
     EXPIRED = "expired"
+    NO_ENDPOINT = "no-endpoint"
     EVICTED = "evicted-by-impatient-work"
 
 
--- a/packages/steering/src/yuccapitch/steering/slots.py
+++ b/packages/steering/src/yuccapitch/steering/slots.py
@@ -118,6 +118,11 @@
         endpoint = self._endpoints_by_id.get(endpoint_id)
         return 0 if endpoint is None else endpoint.slots
 
+    def held(self, endpoint_id: ids.EndpointId) -> int:
+        """Return how many slots of an owned endpoint are held."""
+        endpoint = self._endpoints_by_id.get(endpoint_id)
+        return 0 if endpoint is None else endpoint.held
+
     def usable_slots(self, endpoint_id: ids.EndpointId, now: float) -> int:
         """Return the slots of an owned endpoint that are not in quarantine."""
         endpoint = self._endpoints_by_id.get(endpoint_id)
