--- a/bench/steering/scenarios.py
+++ b/bench/steering/scenarios.py
@@ -84,7 +84,7 @@
         if entry.place.region == region:
             entry.alive = False
             if isinstance(design, slot_designs.Slotted):
-                design.known_dead.add(entry.instance_id)
+                design.lose_links(entry.instance_id)
 
 
 def dip(world: world_module.World, design: object) -> None:
--- a/bench/steering/slot_designs.py
+++ b/bench/steering/slot_designs.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
+from collections.abc import Callable
 
 from bench.steering import designs, grains, world as world_module
 from yuccapitch.catalogue import ids, model
@@ -13,6 +13,7 @@
     owners,
     pool,
     pool_choice,
+    pool_directory,
     retry,
     slots,
 )
@@ -49,11 +50,13 @@
         self.dispatches: dict[tuple, object] = {}
         self.pools_by_owner: dict[ids.InstanceId, pool.SlotPool] = {}
         self.owners_by_endpoint: dict[ids.EndpointId, ids.InstanceId] = {}
-        self.views: dict[tuple, pool_choice.PoolView] = {}
-        self.open_asks: dict[tuple, int] = {}
+        self.directories_by_id = {
+            e.instance_id: pool_directory.PoolDirectory(e.instance_id)
+            for e in world.entries
+        }
+        self.counts = 0
         self.requests_by_id: dict[str, tuple] = {}
         self.budgets_by_id = {e.instance_id: retry.RetryBudget() for e in world.entries}
-        self.known_dead: set[ids.InstanceId] = set()
         self._assign(())
         world.after(0.0, self._count)
         world.after(0.0, self._tick)
@@ -62,9 +65,14 @@
         """Let an entry instance die; its slots move when its lease has lapsed."""
         entry.alive = False
         now = self.world.now
-        self.world.after(PEER_LOSS_S, self.known_dead.add, entry.instance_id)
+        self.world.after(PEER_LOSS_S, self.lose_links, entry.instance_id)
         self.world.after(self.spec.lease_s, self._take_over, now + self.spec.lease_s)
 
+    def lose_links(self, instance_id: ids.InstanceId) -> None:
+        """Let every entry instance notice that links to one are gone."""
+        for directory in self.directories_by_id.values():
+            directory.lose(instance_id)
+
     def submit(self, request: world_module.Request) -> None:
         """Let a caller send its request to the entry a look-up named."""
         entry = self._entry(request)
@@ -138,43 +146,17 @@
             avoided,
         )
         self.remote += view.distance_s > 0
-        self.requests_by_id[request_id] = (entry, request, to_client_s, view.owner)
-        key = (entry.instance_id, view.owner)
-        self.open_asks[key] = self.open_asks.get(key, 0) + 1
+        self.requests_by_id[request_id] = (entry, request, to_client_s, view.pool)
+        self.directories_by_id[entry.instance_id].record_sent(view.pool)
         self.world.after(view.distance_s, self._asked, view.owner, ask)
 
-    def _views(self, entry: world_module.Entry) -> list[pool_choice.PoolView]:
-        views = []
-        for owner, owned in self.pools_by_owner.items():
-            if owner in self.known_dead:
-                continue
-            place = self.world.entries_by_id[owner].place
-            if place.region != entry.place.region and not self.spec.overflow:
-                continue
-            if owner == entry.instance_id:
-                views.append(self._own_view(owner, owned))
-                continue
-            known = self.views.get((entry.instance_id, owner))
-            if known is not None:
-                sent = self.open_asks.get((entry.instance_id, owner), 0)
-                views.append(dataclasses.replace(known, sent_since=sent))
-        return views
-
-    def _own_view(
-        self, owner: ids.InstanceId, owned: pool.SlotPool, distance_s: float = 0.0
-    ) -> pool_choice.PoolView:
-        place = self.world.entries_by_id[owner].place
-        return pool_choice.PoolView(
-            owners.Pool(SERVICE, ids.FailureDomainId(f"{place.failure_domain}{owner}")),
-            owner,
-            distance_s,
-            owned.usable_slots(),
-            owned.free(self.world.now),
-            owned.waiting(model.Patience.IMPATIENT),
-            owned.waiting(model.Patience.PATIENT),
-            self.world.now,
-            self.world.now,
-        )
+    def _views(self, entry: world_module.Entry) -> tuple[pool_choice.PoolView, ...]:
+        region = entry.place.region
+        regions = world_module.REGIONS if self.spec.overflow else (region,)
+        owner = entry.instance_id
+        own = {_pool(owner): p for o, p in self.pools_by_owner.items() if o == owner}
+        directory = self.directories_by_id[owner]
+        return directory.views(SERVICE, regions, own, self.world.now)
 
     def _asked(self, owner: ids.InstanceId, ask: pool.Ask) -> None:
         if not self.world.entries_by_id[owner].alive:
@@ -282,8 +264,8 @@
     def _close(self, request_id: str) -> None:
         known = self.requests_by_id.pop(request_id, None)
         if known is not None:
-            entry, _, _, owner = known
-            self.open_asks[(entry.instance_id, owner)] -= 1
+            entry, _, _, asked = known
+            self.directories_by_id[entry.instance_id].record_ended(asked)
 
     def _between(self, a: ids.InstanceId, b: ids.InstanceId) -> float:
         if a == b:
@@ -292,23 +274,27 @@
         return self.world.delay(entries_by_id[a].place, entries_by_id[b].place)
 
     def _count(self) -> None:
+        self.counts += 1
         for owner, owned in self.pools_by_owner.items():
-            owner_entry = self.world.entries_by_id[owner]
-            if not owner_entry.alive:
+            if not self.world.entries_by_id[owner].alive:
                 continue
-            for entry in self.world.entries:
-                if entry is owner_entry:
+            counts = pool_directory.count_pool(owned, self.counts, self.world.now)
+            for instance_id in self.directories_by_id:
+                if instance_id == owner:
                     continue
-                distance_s = self._between(owner, entry.instance_id)
-                view = self._own_view(owner, owned, distance_s)
-                key = (entry.instance_id, owner)
-                self.world.after(
-                    distance_s + self.count_delay_s, self._counted, key, view
-                )
+                late_s = self._between(owner, instance_id) + self.count_delay_s
+                call = self.directories_by_id[instance_id].hear
+                self.world.after(late_s, self._counted, call, owner, counts, late_s)
         self.world.after(COUNT_INTERVAL_S, self._count)
 
-    def _counted(self, key: tuple, view: pool_choice.PoolView) -> None:
-        self.views[key] = dataclasses.replace(view, heard_at=self.world.now)
+    def _counted(
+        self,
+        hear: Callable[..., None],
+        owner: ids.InstanceId,
+        counts: pool_directory.PoolCounts,
+        late_s: float,
+    ) -> None:
+        hear(owner, {_pool(owner): counts}, self.world.now, late_s)
 
     def _tick(self) -> None:
         for owner, owned in list(self.pools_by_owner.items()):
@@ -329,7 +315,6 @@
         for owner in list(self.pools_by_owner):
             if self.world.entries_by_id[owner].alive:
                 continue
-            self.known_dead.add(owner)
             del self.pools_by_owner[owner]
         self._assign(quarantines)
 
@@ -351,16 +336,21 @@
             )
         for owned in self.pools_by_owner.values():
             owned.tick(self.world.now)
-        self._expect_counts()
+        for entry in self.world.entries:
+            directory = self.directories_by_id[entry.instance_id]
+            directory.set_pools(self._known_pools(entry), self.world.now)
 
-    def _expect_counts(self) -> None:
-        # Owners and their slots are known from the catalogue before they report.
-        for owner, owned in self.pools_by_owner.items():
-            for entry in self.world.entries:
-                distance_s = self._between(owner, entry.instance_id)
-                view = self._own_view(owner, owned, distance_s)
-                view = dataclasses.replace(view, free=0, counted_at=float("-inf"))
-                self.views.setdefault((entry.instance_id, owner), view)
+    def _known_pools(self, entry: world_module.Entry) -> list[pool_directory.KnownPool]:
+        return [
+            pool_directory.KnownPool(
+                _pool(owner),
+                self.world.entries_by_id[owner].place.region,
+                owner,
+                owned.usable_slots(),
+                self._between(owner, entry.instance_id),
+            )
+            for owner, owned in self.pools_by_owner.items()
+        ]
 
     def _new_pool(self) -> pool.SlotPool:
         self.terms += 1
@@ -374,3 +364,7 @@
         if not self.spec.shed_limits:
             made.shed_limits.recovery_s = 1e-9
         return made
+
+
+def _pool(owner: ids.InstanceId) -> owners.Pool:
+    return owners.Pool(SERVICE, ids.FailureDomainId(owner))
