Expect the present service time when admitting requests to the queue

The slowdown that all endpoints shared was taken for the slowness of each, so the expected service time stayed at half its real value and the queue admitted requests that could not be served in time. The pool now multiplies by the ordinary slowness, and the margin after the wait is larger.

--- a/packages/steering/src/yuccapitch/steering/health.py
+++ b/packages/steering/src/yuccapitch/steering/health.py
@@ -17,6 +17,7 @@
 DOUBT_AFTER_FAILURES = 3
 DOUBT_S = 1.0
 MAX_DOUBT_S = 30.0
+MIN_SLOWNESS = 0.1
 DEFAULT_SERVICE_S = 0.02
 
 
@@ -114,6 +115,16 @@
         """Return the service time of a route's work at an ordinary endpoint."""
         return self._typical_s_by_route.get(route, DEFAULT_SERVICE_S)
 
+    def ordinary_slowness(
+        self, endpoint_ids: Iterable[ids.EndpointId], now: float
+    ) -> float:
+        """Return the slowness of an ordinary endpoint of a group.
+
+        It differs from 1 while all of them have become slower or faster together.
+        """
+        slownesses = [self.standing(e, now).slowness for e in endpoint_ids]
+        return max(MIN_SLOWNESS, statistics.median_low(slownesses or [1.0]))
+
     def standing(self, endpoint_id: ids.EndpointId, now: float) -> Standing:
         """Return what is believed of an endpoint, measurements aged."""
         record = self._record(endpoint_id)
@@ -155,7 +166,8 @@
                 endpoint_id: dataclasses.replace(standing, doubtful=False)
                 for endpoint_id, standing in standings_by_id.items()
             }
-        ordinary = max(0.1, statistics.median_low(s.slowness for s in standings))
+        slownesses = [standing.slowness for standing in standings]
+        ordinary = max(MIN_SLOWNESS, statistics.median_low(slownesses))
         if abs(ordinary - 1.0) < 0.05:
             return standings_by_id
         return {
--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -74,6 +74,7 @@
         self.shed_limits = shed_limits.ShedLimits()
         self._rng = rng
         self._queue = queue.ClassQueue(0)
+        self._ordinary_slowness = 1.0
         self._closed_ids: frozenset[ids.EndpointId] = frozenset()
         self._asks_by_id: dict[str, Ask] = {}
         self._started_by_number: dict[int, tuple[Ask, queue.Waiting]] = {}
@@ -104,7 +105,7 @@
             ask.request_id,
             ask.patience,
             ask.deadline,
-            self.view.typical_service_s(ask.route),
+            self._expected_service_s(ask),
             ask.recallable,
         )
         offered = self._queue.offer(waiting, now)
@@ -145,6 +146,7 @@
     def tick(self, now: float) -> tuple[Decision, ...]:
         """Do what the passing of time calls for; to be called some times a second."""
         self._count_slots(now)
+        self._ordinary_slowness = self.view.ordinary_slowness(self._open_ids(), now)
         for hold in self.table.reclaim(now):
             self._finish(hold)
         decisions: list[Decision] = self._sheds(self._queue.drop_expired(now))
@@ -153,6 +155,9 @@
     def _open_ids(self) -> list[ids.EndpointId]:
         return [e for e in self.table.endpoint_ids if e not in self._closed_ids]
 
+    def _expected_service_s(self, ask: Ask) -> float:
+        return self.view.typical_service_s(ask.route) * self._ordinary_slowness
+
     def _free(self, endpoint_id: ids.EndpointId, now: float) -> int:
         slots_ = self.table.slots(endpoint_id)
         withheld = slots_ - self.shed_limits.limit(endpoint_id, slots_, now)
@@ -240,6 +245,6 @@
 
     def _refused(self, ask: Ask, reason: queue.ShedReason) -> Refused:
         wait_s = self._queue.expected_wait_s(
-            ask.patience, self.view.typical_service_s(ask.route)
+            ask.patience, self._expected_service_s(ask)
         )
         return Refused(ask, reason, max(MIN_RETRY_AFTER_S, wait_s))
--- a/packages/steering/src/yuccapitch/steering/queue.py
+++ b/packages/steering/src/yuccapitch/steering/queue.py
@@ -14,8 +14,10 @@
 """Part of the slots that patient work may only borrow."""
 MIN_PATIENT_SHARE = 1 / 16
 """Part of the slots' time that waiting patient work gets in any case."""
-SERVICE_MARGIN = 2.0
+SERVICE_MARGIN = 4.0
 """Multiple of the expected service time that must be left after the wait."""
+MAX_MARGIN_PART = 0.5
+"""Largest part of the time left that this margin may take."""
 MAX_WAITING = 1024
 
 
@@ -95,7 +97,7 @@
             # Without a queue a request is always tried: a wrong expectation must
             # not shut out the requests that would correct it.
             wait_s = self.expected_wait_s(request.patience, request.expected_service_s)
-            wait_s += SERVICE_MARGIN * request.expected_service_s
+            wait_s += _margin_s(request, now)
         if now + wait_s >= request.deadline:
             return result.Err(Shed(request.request_id, ShedReason.WAIT_PASSES_DEADLINE))
         displaced: tuple[Shed, ...] = ()
@@ -186,3 +188,8 @@
         if self.patient_in_flight < self.slots - self.reserved:
             return True
         return request.recallable and self.patient_in_flight < self.slots
+
+
+def _margin_s(request: Waiting, now: float) -> float:
+    margin_s = SERVICE_MARGIN * request.expected_service_s
+    return min(margin_s, MAX_MARGIN_PART * (request.deadline - now))
--- a/packages/steering/tests/test_health.py
+++ b/packages/steering/tests/test_health.py
@@ -77,3 +77,15 @@
 def test_health_slow_one_of_two_stands_out() -> None:
     pair = ENDPOINTS[:2]
     assert _view().standings(pair, 1.0)[SLOW].slowness > 2.0
+
+
+def test_health_common_slowdown_is_no_fault_of_any_endpoint() -> None:
+    view = _view(slow_s=0.02)
+    for _ in range(40):
+        for endpoint_id in ENDPOINTS:
+            view.observe_exchange(
+                endpoint_id, health.ExchangeEnd.ANSWERED, "r", 0.04, 1.0
+            )
+    expected_s = view.typical_service_s("r") * view.ordinary_slowness(ENDPOINTS, 1.0)
+    assert 0.035 < expected_s < 0.045
+    assert all(s.slowness < 1.1 for s in view.standings(ENDPOINTS, 1.0).values())
