Finish requests whose slots the table reclaims between calls of the pool

Cause: asking the table for free slots reclaims expired holds, and the pool did not learn of those, so patient work seemed to run for ever and used up its part. Found by the pool's state machine once time passes without a tick (1 running, 0 held).

--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -84,12 +84,18 @@
         """Set the endpoints that get no new work (leaving, drained)."""
         self._closed_ids = frozenset(endpoint_ids)
 
+    @property
+    def running(self) -> int:
+        """Requests that were granted a slot and have not released it."""
+        return len(self._started_by_number)
+
     def waiting(self, patience: model.Patience) -> int:
         """Return how many requests of a class wait."""
         return self._queue.waiting(patience)
 
     def free(self, now: float) -> int:
         """Return the free slots of the endpoints that take new work."""
+        self._reclaim(now)
         return sum(self._free(e, now) for e in self._open_ids())
 
     def usable_slots(self) -> int:
@@ -98,6 +104,7 @@
 
     def ask(self, ask: Ask, now: float) -> tuple[Decision, ...]:
         """Take in a request."""
+        self._reclaim(now)
         self._count_slots(now)
         if ask.avoided.issuperset(self._open_ids()):
             return (self._refused(ask, queue.ShedReason.NO_ENDPOINT),)
@@ -125,6 +132,7 @@
         now: float,
     ) -> tuple[Decision, ...]:
         """Take back a slot; `end` is none if the exchange told nothing."""
+        self._reclaim(now)
         hold = self.table.release(term, number)
         if hold is not None:
             ask = self._finish(hold)
@@ -139,17 +147,20 @@
 
     def cancel(self, request_id: str, now: float) -> tuple[Decision, ...]:
         """Withdraw a request that may still be waiting."""
+        self._reclaim(now)
         if self._queue.remove(request_id):
             del self._asks_by_id[request_id]
         return tuple(self._start(now))
 
     def tick(self, now: float) -> tuple[Decision, ...]:
         """Do what the passing of time calls for; to be called some times a second."""
+        self._reclaim(now)
         self._count_slots(now)
         self._ordinary_slowness = self.view.ordinary_slowness(self._open_ids(), now)
-        for hold in self.table.reclaim(now):
-            self._finish(hold)
         decisions: list[Decision] = self._sheds(self._queue.drop_expired(now))
+        if not self._open_ids():
+            # Another pool may serve them; nothing here will.
+            decisions += self._sheds(self._queue.clear())
         return tuple(decisions + self._start(now))
 
     def _open_ids(self) -> list[ids.EndpointId]:
@@ -163,6 +174,11 @@
         withheld = slots_ - self.shed_limits.limit(endpoint_id, slots_, now)
         return max(0, self.table.free(endpoint_id, now) - withheld)
 
+    def _reclaim(self, now: float) -> None:
+        # The table would also reclaim by itself, but tells only its caller.
+        for hold in self.table.reclaim(now):
+            self._finish(hold)
+
     def _count_slots(self, now: float) -> None:
         self._queue.slots = sum(
             self.table.usable_slots(endpoint_id, now)
--- a/packages/steering/src/yuccapitch/steering/queue.py
+++ b/packages/steering/src/yuccapitch/steering/queue.py
@@ -121,6 +121,14 @@
                 dropped.append(Shed(request_id, ShedReason.EXPIRED))
         return tuple(dropped)
 
+    def clear(self) -> tuple[Shed, ...]:
+        """Remove every waiting request, as no endpoint takes new work."""
+        cleared = []
+        for waiting in self._waiting_by_patience.values():
+            cleared += [Shed(w, ShedReason.NO_ENDPOINT) for w in waiting]
+            waiting.clear()
+        return tuple(cleared)
+
     def remove(self, request_id: str) -> bool:
         """Remove a waiting request whose caller has left."""
         for waiting in self._waiting_by_patience.values():
--- a/packages/steering/tests/test_pool_machine.py
+++ b/packages/steering/tests/test_pool_machine.py
@@ -73,6 +73,11 @@
         self.now += step_s
         self._take(self.pool.tick(self.now))
 
+    @stateful.rule(step_s=strategies.sampled_from([0.01, 0.5, 2.0]))
+    def wait_without_tick(self, step_s: float) -> None:
+        """Let time pass while the pool is not called."""
+        self.now += step_s
+
     @stateful.rule(closed=strategies.sets(strategies.sampled_from(ENDPOINTS)))
     def close(self, closed: set[ids.EndpointId]) -> None:
         """Let endpoints leave or come back."""
@@ -87,6 +92,12 @@
             holds = [h for h in self.pool.table.holds if h.endpoint_id == endpoint_id]
             assert len(holds) <= 2
 
+    @stateful.invariant()
+    def counts_agree(self) -> None:
+        """What the pool believes to run is what holds slots."""
+        self.pool.free(self.now)
+        assert self.pool.running == len(self.pool.table.holds)
+
     def teardown(self) -> None:
         """In the end every ask has had its answer."""
         self.now += 100.0
