--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -84,6 +84,31 @@
         """Set the endpoints that get no new work (leaving, drained)."""
         self._closed_ids = frozenset(endpoint_ids)
 
+    def take_over(
+        self,
+        endpoint_id: ids.EndpointId,
+        slots_: int,
+        quarantines: tuple[slots.Quarantine, ...],
+        now: float,
+    ) -> tuple[Decision, ...]:
+        """Own an endpoint from now on, or change its number of slots."""
+        self.table.add_endpoint(endpoint_id, slots_, quarantines)
+        return self.tick(now)
+
+    def give_up(
+        self, endpoint_id: ids.EndpointId, now: float
+    ) -> tuple[slots.Quarantine, ...]:
+        """Stop owning an endpoint; return what its next owner must quarantine.
+
+        Requests in flight go on; their releases will have no effect here. The next
+        tick refuses what waits if no endpoint is left.
+        """
+        self._reclaim(now)
+        for hold in self.table.holds:
+            if hold.endpoint_id == endpoint_id:
+                self._finish(hold)
+        return self.table.remove_endpoint(endpoint_id, now)
+
     @property
     def running(self) -> int:
         """Requests that were granted a slot and have not released it."""
--- a/packages/steering/tests/test_shed_limits.py
+++ b/packages/steering/tests/test_pool.py
@@ -43,3 +43,15 @@
     (refused,) = _ask(_pool(), "a", frozenset({B1}))
     assert isinstance(refused, pool.Refused)
     assert refused.reason is queue.ShedReason.NO_ENDPOINT
+
+
+def test_pool_given_up_refuses_what_waits() -> None:
+    own = _pool()
+    for number in range(5):
+        _ask(own, str(number))
+    quarantines = own.give_up(B1, 0.0)
+    assert [q.slots for q in quarantines] == [1] * 4
+    (refused,) = own.tick(0.0)
+    assert refused.ask.request_id == "4" and own.running == 0
+    assert own.take_over(B1, 4, quarantines, 0.1) == ()
+    assert own.free(0.1) == 0 and own.free(quarantines[0].until) == 4
