Say unknown of a keyed request that is refused for another fault

Cause: a resend of a key with a malformed header, a wrong method or too long a body was told not-run, though an earlier arrival of the key may have run. Not-run stays only for keys that no holder ever accepts.

--- a/packages/gateway/src/yuccapitch/gateway/incoming.py
+++ b/packages/gateway/src/yuccapitch/gateway/incoming.py
@@ -38,6 +38,18 @@
     request: web.Request, view: config_view.ConfigView, now: float, wall_now: float
 ) -> Parsed:
     """Return what the request asks for, or the failure that names its fault."""
+    parsed = _parse(request, view, now, wall_now)
+    if isinstance(parsed, result.Ok) or KEY_HEADER not in request.headers:
+        return parsed
+    if _can_never_run(request.headers[KEY_HEADER], wall_now):
+        return parsed
+    # This arrival is not run, but an earlier one of the key may have been.
+    return result.Err(outcomes.as_unknown(parsed.err_value))
+
+
+def _parse(
+    request: web.Request, view: config_view.ConfigView, now: float, wall_now: float
+) -> Parsed:
     service = ids.ServiceId(request.match_info["service"])
     if service not in view.declaration.services_by_id:
         return _fault(404, "unknown-service", f"no service {service!r} is declared")
@@ -73,6 +85,17 @@
     return result.Ok(incoming)
 
 
+def _can_never_run(text: str, wall_now: float) -> bool:
+    parsed = claim_keys.parse(text, wall_now)
+    if isinstance(parsed, result.Ok):
+        return False
+    fault = parsed.err_value
+    # A key from the future is taken by an instance whose clock is ahead.
+    return isinstance(fault, claim_keys.MalformedKey) and (
+        fault.fault is not claim_keys.KeyFault.FUTURE
+    )
+
+
 def _no_route(
     view: config_view.ConfigView, service: ids.ServiceId, method: str, path: str
 ) -> result.Err[outcomes.Failure]:
