--- a/packages/gateway/tests/test_incoming.py
+++ b/packages/gateway/tests/test_incoming.py
@@ -20,7 +20,7 @@
         ids.Version(1), catalogue_sample.declaration(routes=sections)
     )
     request = test_utils.make_mocked_request(
-        "POST", "/s/bins/x", headers, match_info={"service": "bins", "path": "x"}
+        "POST", "/s/bins/x", headers, match_info={"service": "bins", "path": "/x"}
     )
     return incoming.parse(request, view, 0.0, WALL_S)
 
