Let a restored home region take work on a ramp; read gauges of shares

A service's home region that was lost for over 60 s took all its requests at once when it came back, with cold caches. It takes a growing part for 30 s now, the rest goes by shift while one has room. With the ramp switched off, the test of that name fails.

--- a/packages/gateway/src/yuccapitch/gateway/share_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/share_service.py
@@ -53,9 +53,8 @@
         self._declaration: model.Declaration | None = None
         self._uses_by_id: dict[resources.ResourceId, share_use.ResourceUse] = {}
         self._standing: frozenset[resources.ResourceId] = frozenset()
-        self._links_by_ends: dict[
-            tuple[ids.RegionId, ids.RegionId], resources.ResourceId
-        ] = {}
+        self._links_by_ends: share_use.LinksByEnds = {}
+        self._restored_ramps = ramp.RestoredRamps()
         self._woken_at = float("-inf")
         self._is_held = False
 
@@ -70,11 +69,8 @@
             else:
                 uses_by_id[resource_id] = use.declare(resource, now)
         self._uses_by_id = uses_by_id
-        self._links_by_ends = {
-            (link.source, link.target): resources.link_resource_id(link_id)
-            for link_id, link in sorted(declaration.links_by_id.items(), reverse=True)
-        }
-        self._standing = self._standing_ids(declaration)
+        self._links_by_ends = share_use.links_by_ends(declaration)
+        self._standing = share_use.standing_ids(declaration, self._own_region)
 
     def renewal(self, now: float) -> lease_messages.ShareRenewal | None:
         """Make the next renewal, to be sent at once."""
@@ -110,6 +106,20 @@
         use = self._uses_by_id.get(resource_id)
         return 0 if use is None else use.limiter.in_use(now)
 
+    def read_shares(self) -> list[tuple[tuple[str], float]]:
+        """Read the gauge of what is leased."""
+        now = self._clock()
+        return [((item,), self.share(item, now)) for item in self._uses_by_id]
+
+    def read_used(self) -> list[tuple[tuple[str], float]]:
+        """Read the gauge of what requests in flight use."""
+        now = self._clock()
+        return [
+            ((item,), use.limiter.in_use(now))
+            for item, use in self._uses_by_id.items()
+            if not use.limiter.is_windowed
+        ]
+
     def observe_link(
         self, target: ids.RegionId, signal: limiters.LinkSignal, now: float
     ) -> None:
@@ -142,14 +152,24 @@
             self._warm(shift_resource, now)
             return result.Ok(limiters.Admitted(shift_resource, 1))
 
+        states_by_region = self._with_own_room(states_by_region, wanted, now)
+        is_held_back = self._is_held_back(wanted, states_by_region, now)
+        if is_held_back:
+            home = states_by_region[wanted.home_region]
+            states_by_region[wanted.home_region] = dataclasses.replace(
+                home, has_capacity=False
+            )
         route = shifts.route(
             wanted.service,
             wanted.home_region,
             self._declaration.shifts_by_id,
-            self._with_own_room(states_by_region, wanted, now),
+            states_by_region,
             admit_shift,
             draw,
         )
+        if is_held_back and isinstance(route, shifts.NotRun):
+            # Work for cold endpoints is better than none.
+            return self._stay(wanted, now)
         match route:
             case shifts.GoByShift():
                 taken = taken_by_shift[route.shift_id]
@@ -159,6 +179,19 @@
             case shifts.StayHome():
                 return self._stay(wanted, now)
 
+    def _is_held_back(
+        self,
+        wanted: admissions.Wanted,
+        states_by_region: Mapping[ids.RegionId, shifts.RegionState],
+        now: float,
+    ) -> bool:
+        place = (wanted.service, wanted.home_region)
+        home = states_by_region.get(wanted.home_region)
+        if home is None or not home.is_usable:
+            self._restored_ramps.lose(place, now)
+            return False
+        return not self._restored_ramps.takes(place, now)
+
     def _stay(
         self, wanted: admissions.Wanted, now: float
     ) -> admissions.Admitted | admissions.NotRun:
@@ -321,16 +354,3 @@
         if not is_repeated:
             self._note([_Part(use, share, units)], False, now)
         return 0
-
-    def _standing_ids(
-        self, declaration: model.Declaration
-    ) -> frozenset[resources.ResourceId]:
-        standing = {resources.region_resource_id(self._own_region)}
-        for shift_id, shift in declaration.shifts_by_id.items():
-            if shift.source == self._own_region:
-                standing.add(resources.shift_resource_id(shift_id))
-                standing.add(resources.region_resource_id(shift.target))
-                link_id = self._links_by_ends.get((shift.source, shift.target))
-                if link_id is not None:
-                    standing.add(link_id)
-        return frozenset(standing)
--- a/packages/gateway/src/yuccapitch/gateway/share_use.py
+++ b/packages/gateway/src/yuccapitch/gateway/share_use.py
@@ -4,9 +4,12 @@
 
 import math
 
+from yuccapitch.catalogue import ids, model
 from yuccapitch.gateway import admissions
 from yuccapitch.steering import ledger, limiters, ramp, resources, share_holder
 
+LinksByEnds = dict[tuple[ids.RegionId, ids.RegionId], resources.ResourceId]
+
 DEMAND_HEADROOM = 1.25
 """Factor on the demand seen, so that a growing load finds its share waiting."""
 PATIENT_WAIT_S = 5.0
@@ -100,3 +103,27 @@
     def _standing_demand(self) -> int:
         most = self.resource.limit // STANDING_PARTS
         return min(STANDING_DEMAND_BY_KIND[self.resource.kind], most)
+
+
+def links_by_ends(declaration: model.Declaration) -> LinksByEnds:
+    """Return the link from each region to each other one that has one."""
+    # Of several links with the same ends the first by id counts.
+    return {
+        (link.source, link.target): resources.link_resource_id(link_id)
+        for link_id, link in sorted(declaration.links_by_id.items(), reverse=True)
+    }
+
+
+def standing_ids(
+    declaration: model.Declaration, region: ids.RegionId
+) -> frozenset[resources.ResourceId]:
+    """Return what a region's entries ask for while they are idle, too."""
+    links = links_by_ends(declaration)
+    standing = {resources.region_resource_id(region)}
+    for shift_id, shift in declaration.shifts_by_id.items():
+        if shift.source == region:
+            standing.add(resources.shift_resource_id(shift_id))
+            standing.add(resources.region_resource_id(shift.target))
+            if (shift.source, shift.target) in links:
+                standing.add(links[shift.source, shift.target])
+    return frozenset(standing)
--- a/packages/gateway/tests/test_share_service.py
+++ b/packages/gateway/tests/test_share_service.py
@@ -264,6 +264,43 @@
     assert overflow.region == SOUTH
 
 
+def test_shares_restored_home_takes_work_on_a_ramp(cluster: Cluster) -> None:
+    def serve(states: dict[ids.RegionId, shifts.RegionState]) -> ids.RegionId:
+        cluster.now += 1.5
+        cluster.renew("e1")
+        admitted = cluster.admit("e1", states=states)
+        assert isinstance(admitted, admissions.Admitted)
+        admitted.release()
+        return admitted.region
+
+    assert serve(STATES) == NORTH
+    for _ in range(10):
+        serve(NORTH_LOST)
+    assert [serve(STATES) for _ in range(5)] == [NORTH] * 5
+    for _ in range(int(ramp.COLD_AFTER_S)):
+        serve(NORTH_LOST)
+    regions = [serve(STATES) for _ in range(30)]
+    assert 0 < regions[:8].count(NORTH) < regions[8:16].count(NORTH)
+    assert regions[-5:] == [NORTH] * 5
+
+
+def test_shares_restored_home_without_shift_takes_all(cluster: Cluster) -> None:
+    cluster.renew("e1")
+    cluster.admit("e1", states={NORTH: NORTH_LOST[NORTH]})
+    cluster.now += ramp.COLD_AFTER_S + 1.0
+    cluster.renew("e1")
+    admitted = [cluster.admit("e1") for _ in range(5)]
+    assert all(isinstance(item, admissions.Admitted) for item in admitted)
+
+
+def test_shares_gauges_tell_leased_and_used(cluster: Cluster) -> None:
+    cluster.renew("e1")
+    cluster.admit("e1")
+    shares = cluster.shares_by_name["e1"]
+    assert ((REGION,), CAPACITY) in shares.read_shares()
+    assert ((REGION,), 1) in shares.read_used()
+
+
 def test_shares_refused_shift_takes_nothing(cluster: Cluster) -> None:
     cluster.renew("e1")
     cluster.fill("e1", states=NORTH_LOST)
--- a/packages/steering/src/yuccapitch/steering/ramp.py
+++ b/packages/steering/src/yuccapitch/steering/ramp.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import math
+from collections.abc import Hashable
 
 RAMP_FLOOR = 0.1
 RAMP_DURATION_S = 30.0
@@ -48,3 +49,44 @@
     """Units allowed of a full share; at least one, or the ramp could not start."""
     units = math.floor(full * fraction(warmth, now, floor, duration_s))
     return min(full, max(1, units))
+
+
+@dataclasses.dataclass
+class _Restored:
+    last_load_at: float
+    is_lost: bool = False
+    ramp_from: float | None = None
+    credit: float = 0.0
+
+
+class RestoredRamps:
+    """Ramps of places that came back after a loss with cold caches."""
+
+    def __init__(self) -> None:
+        self._restored_by_place: dict[Hashable, _Restored] = {}
+
+    def lose(self, place: Hashable, now: float) -> None:
+        """Note that a place cannot serve."""
+        restored = self._restored_by_place.setdefault(place, _Restored(now))
+        restored.is_lost = True
+
+    def takes(self, place: Hashable, now: float) -> bool:
+        """Whether a place that can serve should take the next request."""
+        restored = self._restored_by_place.setdefault(place, _Restored(now))
+        if restored.is_lost:
+            restored.is_lost = False
+            # A short loss leaves the caches warm.
+            if now - restored.last_load_at > COLD_AFTER_S:
+                restored.ramp_from = now
+        restored.last_load_at = now
+        if restored.ramp_from is None:
+            return True
+        part = fraction(Warmth(restored.ramp_from, now), now)
+        if part >= 1.0:
+            restored.ramp_from = None
+            return True
+        restored.credit += part
+        if restored.credit < 1.0:
+            return False
+        restored.credit -= 1.0
+        return True
