--- a/packages/gateway/tests/test_share_service.py
+++ b/packages/gateway/tests/test_share_service.py
@@ -69,6 +69,7 @@
                 incarnation=1,
                 version=1,
                 is_stopping=False,
+                is_ready=True,
                 http_host="127.0.0.1",
                 http_port=1,
                 inner_host="127.0.0.1",
