--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -9,7 +9,7 @@
 import result
 
 from yuccapitch.catalogue import ids, model
-from yuccapitch.steering import endpoint_choice, health, queue, slots
+from yuccapitch.steering import endpoint_choice, health, queue, shed_limits, slots
 
 MIN_RETRY_AFTER_S = 0.1
 
@@ -71,8 +71,10 @@
         self.table = table
         self.view = view
         self.policy = policy
+        self.shed_limits = shed_limits.ShedLimits()
         self._rng = rng
         self._queue = queue.ClassQueue(0)
+        self._ordinary_slowness = 1.0
         self._closed_ids: frozenset[ids.EndpointId] = frozenset()
         self._asks_by_id: dict[str, Ask] = {}
         self._started_by_number: dict[int, tuple[Ask, queue.Waiting]] = {}
@@ -82,13 +84,44 @@
         """Set the endpoints that get no new work (leaving, drained)."""
         self._closed_ids = frozenset(endpoint_ids)
 
+    def take_over(
+        self,
+        endpoint_id: ids.EndpointId,
+        slots_: int,
+        quarantines: tuple[slots.Quarantine, ...],
+        now: float,
+    ) -> tuple[Decision, ...]:
+        """Own an endpoint from now on, or change its number of slots."""
+        self.table.add_endpoint(endpoint_id, slots_, quarantines)
+        return self.tick(now)
+
+    def give_up(
+        self, endpoint_id: ids.EndpointId, now: float
+    ) -> tuple[slots.Quarantine, ...]:
+        """Stop owning an endpoint; return what its next owner must quarantine.
+
+        Requests in flight go on; their releases will have no effect here. The next
+        tick refuses what waits if no endpoint is left.
+        """
+        self._reclaim(now)
+        for hold in self.table.holds:
+            if hold.endpoint_id == endpoint_id:
+                self._finish(hold)
+        return self.table.remove_endpoint(endpoint_id, now)
+
+    @property
+    def running(self) -> int:
+        """Requests that were granted a slot and have not released it."""
+        return len(self._started_by_number)
+
     def waiting(self, patience: model.Patience) -> int:
         """Return how many requests of a class wait."""
         return self._queue.waiting(patience)
 
     def free(self, now: float) -> int:
         """Return the free slots of the endpoints that take new work."""
-        return sum(self.table.free(e, now) for e in self._open_ids())
+        self._reclaim(now)
+        return sum(self._free(e, now) for e in self._open_ids())
 
     def usable_slots(self) -> int:
         """Return the slots of the endpoints that take new work, as last counted."""
@@ -96,12 +129,15 @@
 
     def ask(self, ask: Ask, now: float) -> tuple[Decision, ...]:
         """Take in a request."""
+        self._reclaim(now)
         self._count_slots(now)
+        if ask.avoided.issuperset(self._open_ids()):
+            return (self._refused(ask, queue.ShedReason.NO_ENDPOINT),)
         waiting = queue.Waiting(
             ask.request_id,
             ask.patience,
             ask.deadline,
-            self.view.typical_service_s(ask.route),
+            self._expected_service_s(ask),
             ask.recallable,
         )
         offered = self._queue.offer(waiting, now)
@@ -121,6 +157,7 @@
         now: float,
     ) -> tuple[Decision, ...]:
         """Take back a slot; `end` is none if the exchange told nothing."""
+        self._reclaim(now)
         hold = self.table.release(term, number)
         if hold is not None:
             ask = self._finish(hold)
@@ -128,10 +165,14 @@
                 self.view.observe_exchange(
                     hold.endpoint_id, end, ask.route, service_s, now
                 )
+            if end is health.ExchangeEnd.SHED:
+                held = self.table.held(hold.endpoint_id)
+                self.shed_limits.record(hold.endpoint_id, held, now)
         return tuple(self._start(now))
 
     def cancel(self, request_id: str, now: float) -> tuple[Decision, ...]:
         """Withdraw a request that may still be waiting."""
+        self._reclaim(now)
         if self._queue.remove(request_id):
             del self._asks_by_id[request_id]
         return tuple(self._start(now))
@@ -146,15 +187,31 @@
 
     def tick(self, now: float) -> tuple[Decision, ...]:
         """Do what the passing of time calls for; to be called some times a second."""
+        self._reclaim(now)
         self._count_slots(now)
-        for hold in self.table.reclaim(now):
-            self._finish(hold)
+        self._ordinary_slowness = self.view.ordinary_slowness(self._open_ids(), now)
         decisions: list[Decision] = self._sheds(self._queue.drop_expired(now))
+        if not self._open_ids():
+            # Another pool may serve them; nothing here will.
+            decisions += self._sheds(self._queue.clear())
         return tuple(decisions + self._start(now))
 
     def _open_ids(self) -> list[ids.EndpointId]:
         return [e for e in self.table.endpoint_ids if e not in self._closed_ids]
 
+    def _expected_service_s(self, ask: Ask) -> float:
+        return self.view.typical_service_s(ask.route) * self._ordinary_slowness
+
+    def _free(self, endpoint_id: ids.EndpointId, now: float) -> int:
+        slots_ = self.table.slots(endpoint_id)
+        withheld = slots_ - self.shed_limits.limit(endpoint_id, slots_, now)
+        return max(0, self.table.free(endpoint_id, now) - withheld)
+
+    def _reclaim(self, now: float) -> None:
+        # The table would also reclaim by itself, but tells only its caller.
+        for hold in self.table.reclaim(now):
+            self._finish(hold)
+
     def _count_slots(self, now: float) -> None:
         self._queue.slots = sum(
             self.table.usable_slots(endpoint_id, now)
@@ -184,7 +241,7 @@
         self, ask: Ask, waiting: queue.Waiting, now: float
     ) -> slots.Hold | None:
         endpoint_ids = self._open_ids()
-        free_by_id = {e: self.table.free(e, now) for e in endpoint_ids}
+        free_by_id = {e: self._free(e, now) for e in endpoint_ids}
         if not any(free > 0 for free in free_by_id.values()):
             return None
         standings_by_id = self.view.standings(endpoint_ids, now)
@@ -237,6 +294,6 @@
 
     def _refused(self, ask: Ask, reason: queue.ShedReason) -> Refused:
         wait_s = self._queue.expected_wait_s(
-            ask.patience, self.view.typical_service_s(ask.route)
+            ask.patience, self._expected_service_s(ask)
         )
         return Refused(ask, reason, max(MIN_RETRY_AFTER_S, wait_s))
