--- a/packages/steering/src/yuccapitch/steering/queue.py
+++ b/packages/steering/src/yuccapitch/steering/queue.py
@@ -14,8 +14,10 @@
 """Part of the slots that patient work may only borrow."""
 MIN_PATIENT_SHARE = 1 / 16
 """Part of the slots' time that waiting patient work gets in any case."""
-SERVICE_MARGIN = 2.0
+SERVICE_MARGIN = 4.0
 """Multiple of the expected service time that must be left after the wait."""
+MAX_MARGIN_PART = 0.5
+"""Largest part of the time left that this margin may take."""
 MAX_WAITING = 1024
 
 
@@ -25,6 +27,7 @@
     WAIT_PASSES_DEADLINE = "wait-passes-deadline"
     QUEUE_FULL = "queue-full"
     EXPIRED = "expired"
+    NO_ENDPOINT = "no-endpoint"
     EVICTED = "evicted-by-impatient-work"
     POOL_MOVED = "pool-moved"
     """The pool has another owner now."""
@@ -96,7 +99,7 @@
             # Without a queue a request is always tried: a wrong expectation must
             # not shut out the requests that would correct it.
             wait_s = self.expected_wait_s(request.patience, request.expected_service_s)
-            wait_s += SERVICE_MARGIN * request.expected_service_s
+            wait_s += _margin_s(request, now)
         if now + wait_s >= request.deadline:
             return result.Err(Shed(request.request_id, ShedReason.WAIT_PASSES_DEADLINE))
         displaced: tuple[Shed, ...] = ()
@@ -120,6 +123,14 @@
                 dropped.append(Shed(request_id, ShedReason.EXPIRED))
         return tuple(dropped)
 
+    def clear(self) -> tuple[Shed, ...]:
+        """Remove every waiting request, as no endpoint takes new work."""
+        cleared = []
+        for waiting in self._waiting_by_patience.values():
+            cleared += [Shed(w, ShedReason.NO_ENDPOINT) for w in waiting]
+            waiting.clear()
+        return tuple(cleared)
+
     def remove(self, request_id: str) -> bool:
         """Remove a waiting request whose caller has left."""
         for waiting in self._waiting_by_patience.values():
@@ -187,3 +198,8 @@
         if self.patient_in_flight < self.slots - self.reserved:
             return True
         return request.recallable and self.patient_in_flight < self.slots
+
+
+def _margin_s(request: Waiting, now: float) -> float:
+    margin_s = SERVICE_MARGIN * request.expected_service_s
+    return min(margin_s, MAX_MARGIN_PART * (request.deadline - now))
