Quarantine every slot of a lost owner for the longest deadline

Cause: the shorter quarantine of reserved slots relied on patient work never holding more than its part of one endpoint, but the reserve is counted over the whole pool, so patient work may hold all slots of an endpoint. The state machine had kept to the false bound too; it no longer does.

--- a/bench/steering/slot_designs.py
+++ b/bench/steering/slot_designs.py
@@ -304,12 +304,9 @@
 
     def _take_over(self, lease_end: float) -> None:
         setting = self.world.setting
-        patient_slots = max(1, setting.slots - round(setting.slots * 0.25))
         quarantines = slots.take_over_quarantines(
             setting.slots,
-            patient_slots=patient_slots,
             lease_end=lease_end,
-            impatient_deadline_s=setting.impatient_deadline_s,
             longest_deadline_s=setting.patient_deadline_s,
         )
         for owner in list(self.pools_by_owner):
--- a/packages/steering/src/yuccapitch/steering/slots.py
+++ b/packages/steering/src/yuccapitch/steering/slots.py
@@ -187,22 +187,14 @@
 
 
 def take_over_quarantines(
-    slots: int,
-    *,
-    patient_slots: int,
-    lease_end: float,
-    impatient_deadline_s: float,
-    longest_deadline_s: float,
+    slots: int, *, lease_end: float, longest_deadline_s: float
 ) -> tuple[Quarantine, ...]:
     """Return the quarantines of an endpoint taken over after an owner's loss.
 
-    Patient work, which has the longest deadlines, never holds more than
-    `patient_slots` of an endpoint, so the others are free again sooner.
+    Any of its slots may hold work with the longest deadline of the service.
     """
-    impatient = slots - patient_slots
-    early = lease_end + impatient_deadline_s + RELEASE_GRACE_S
-    late = lease_end + longest_deadline_s + RELEASE_GRACE_S
-    return (Quarantine(impatient, early), Quarantine(patient_slots, late))
+    until = lease_end + longest_deadline_s + RELEASE_GRACE_S
+    return (Quarantine(slots, until),)
 
 
 def connection_share(connections: int, declared_instances: int) -> int:
--- a/packages/steering/tests/test_slots_machine.py
+++ b/packages/steering/tests/test_slots_machine.py
@@ -14,7 +14,6 @@
 
 ENDPOINT = ids.EndpointId("b1")
 SLOTS = 4
-PATIENT_SLOTS = 3
 LEASE_S = 4.0
 IMPATIENT_S = 0.5
 LONGEST_S = 5.0
@@ -50,10 +49,6 @@
     )
     def dispatch(self, patient: bool, travel_s: float, service_s: float) -> None:
         """Acquire a slot for the owner or a borrower and send the request."""
-        running = [w for w in self.works if w.hold.work_ends_by - self.now > 0]
-        patients = [w for w in running if w.hold.holder == "patient"]
-        if patient and len(patients) >= PATIENT_SLOTS:
-            return
         limit_s = LONGEST_S if patient else IMPATIENT_S
         holder = ids.InstanceId("patient" if patient else "impatient")
         got = self.table.acquire(ENDPOINT, holder, self.now + limit_s, self.now)
@@ -99,9 +94,7 @@
         self.table = self._table()
         quarantines = slots.take_over_quarantines(
             SLOTS,
-            patient_slots=PATIENT_SLOTS,
             lease_end=lease_end,
-            impatient_deadline_s=IMPATIENT_S,
             longest_deadline_s=LONGEST_S,
         )
         self.table.add_endpoint(ENDPOINT, SLOTS, quarantines if self.quarantine else ())
