--- a/packages/gateway/src/yuccapitch/gateway/pool_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/pool_service.py
@@ -10,7 +10,7 @@
 
 import result
 
-from yuccapitch.catalogue import ids
+from yuccapitch.catalogue import ids, model
 from yuccapitch.control import lease_client
 from yuccapitch.gateway import config_view
 from yuccapitch.protocol import slot_messages
@@ -24,7 +24,7 @@
     slots,
 )
 
-TICK_INTERVAL_S = 0.1
+TICK_INTERVAL_S = 0.05
 RELEASED_REPORT_S = 10.0
 """How long the slots still held in a pool that was given up are reported."""
 UNKNOWN_DELAY_S = 0.1
@@ -278,36 +278,32 @@
         own = pool_module.SlotPool(table, self._health_view, self._rng)
         self._pools[pool] = own
         self._released_by_pool.pop(pool, None)
-        self._update_endpoints(pool, own, now)
-        self._quarantine(pool, own, grant, now)
+        for endpoint_id, endpoint in self._view.pool_endpoints(pool).items():
+            quarantines = self._quarantines(pool, endpoint_id, endpoint, grant, now)
+            self._carry_out(
+                own.take_over(endpoint_id, endpoint.slots, quarantines, now)
+            )
 
-    def _quarantine(
+    def _quarantines(
         self,
         pool: owners.Pool,
-        own: pool_module.SlotPool,
+        endpoint_id: ids.EndpointId,
+        endpoint: model.Endpoint,
         grant: slot_messages.PoolGrant,
         now: float,
-    ) -> None:
+    ) -> tuple[slots.Quarantine, ...]:
         assert self._view is not None
-        for held in grant.held:
-            quarantine = slots.Quarantine(1, now + held.remaining_ms / 1000)
-            endpoint_id = ids.EndpointId(held.endpoint)
-            own.table.add_endpoint(
-                endpoint_id, own.table.slots(endpoint_id), (quarantine,)
-            )
-        if grant.lapsed_ms_ago is None:
-            return
-        for endpoint_id in own.table.endpoint_ids:
-            quarantines = slots.take_over_quarantines(
-                own.table.slots(endpoint_id),
-                patient_slots=0,
+        if grant.lapsed_ms_ago is not None:
+            return slots.take_over_quarantines(
+                endpoint.slots,
                 lease_end=now - grant.lapsed_ms_ago / 1000,
-                impatient_deadline_s=self._view.longest_deadline_s(pool.service),
                 longest_deadline_s=self._view.longest_deadline_s(pool.service),
             )
-            own.table.add_endpoint(
-                endpoint_id, own.table.slots(endpoint_id), quarantines
-            )
+        return tuple(
+            slots.Quarantine(1, now + held.remaining_ms / 1000)
+            for held in grant.held
+            if held.endpoint == endpoint_id
+        )
 
     def _update_endpoints(
         self, pool: owners.Pool, own: pool_module.SlotPool, now: float
@@ -315,15 +311,15 @@
         assert self._view is not None
         endpoints_by_id = self._view.pool_endpoints(pool)
         for endpoint_id in set(own.table.endpoint_ids) - set(endpoints_by_id):
-            own.table.remove_endpoint(endpoint_id, now)
+            own.give_up(endpoint_id, now)
         for endpoint_id, endpoint in endpoints_by_id.items():
-            own.table.add_endpoint(endpoint_id, endpoint.slots)
+            self._carry_out(own.take_over(endpoint_id, endpoint.slots, (), now))
 
     def _give_up(self, pool: owners.Pool, now: float) -> None:
         own = self._pools.pop(pool)
         held = []
         for endpoint_id in own.table.endpoint_ids:
-            for quarantine in own.table.remove_endpoint(endpoint_id, now):
+            for quarantine in own.give_up(endpoint_id, now):
                 held += [_Held(endpoint_id, quarantine.until)] * quarantine.slots
         self._released_by_pool[pool] = (tuple(held), now + RELEASED_REPORT_S)
         # Those that wait for a slot are refused, so that they ask elsewhere.
--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -32,9 +32,9 @@
 from yuccapitch.steering import entry_choice, health, resources
 
 CONNECTIONS_PER_ENDPOINT = 64
-LOADS_INTERVAL_S = 0.25
+LOADS_INTERVAL_S = 0.2
 """Time between counts to the instances of the own region."""
-FAR_LOADS_EVERY = 4
+FAR_LOADS_EVERY = 5
 """Of so many counts, one goes to the instances of other regions as well."""
 DRAIN_POLL_S = 0.05
 
--- a/packages/protocol/src/yuccapitch/protocol/peers.py
+++ b/packages/protocol/src/yuccapitch/protocol/peers.py
@@ -60,7 +60,7 @@
         """Listen for peers and return the address in use."""
         server = await asyncio.start_server(self._accept, host, port)
         await self._exit_stack.enter_async_context(_closing(server))
-        self._exit_stack.callback(self._close_links)
+        self._exit_stack.push_async_callback(self._close_links)
         bound = server.sockets[0].getsockname()
         return Address(bound[0], bound[1])
 
@@ -187,9 +187,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _close_links(self) -> None:
-        for task in [*self._connects_by_id.values(), *self._tasks]:
+    async def _close_links(self) -> None:
+        tasks = [*self._connects_by_id.values(), *self._tasks]
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 @contextlib.asynccontextmanager
