Leave each idle entry a unit of its region, however small

Cause: an entry without a unit of its region's capacity is not ready, so no look-up names it and its demand never shows; with less than 50 units an idle entry asked for none.

--- a/packages/gateway/src/yuccapitch/gateway/claim_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/claim_service.py
@@ -164,7 +164,7 @@
         return collections.Counter(
             domains[instances[instance_id].failure_domain].region
             for instance_id, live in self._live_by_id.items()
-            if instance_id in instances and not live.is_stopping
+            if instance_id in instances and live.is_ready and not live.is_stopping
         )
 
     def _run(
--- a/packages/gateway/src/yuccapitch/gateway/share_use.py
+++ b/packages/gateway/src/yuccapitch/gateway/share_use.py
@@ -22,7 +22,7 @@
 }
 """What an idle entry asks for, so that its first request is not refused."""
 STANDING_PARTS = 50
-"""An idle entry keeps at most one such part of a limit from busy ones."""
+"""An idle entry keeps at most one such part of a rate from busy ones."""
 
 
 class ResourceUse:
@@ -101,6 +101,10 @@
         return share_holder.Usage(self.reported_demand, in_use)
 
     def _standing_demand(self) -> int:
+        if not self.limiter.is_windowed:
+            # Without a unit of its region an entry is not ready, so that no
+            # caller is sent to it and its demand never shows.
+            return STANDING_DEMAND_BY_KIND[self.resource.kind]
         most = self.resource.limit // STANDING_PARTS
         return min(STANDING_DEMAND_BY_KIND[self.resource.kind], most)
 
--- a/packages/gateway/tests/test_claim_service.py
+++ b/packages/gateway/tests/test_claim_service.py
@@ -285,17 +285,40 @@
     live = {ids.InstanceId(name): live_instance(name) for name in "abw"}
     claims.configure(declaration, cluster.lists, live)
     assert claims.home_region(WEST) == EAST
-    del live[ids.InstanceId("b")]
+    live[ids.InstanceId("b")] = live_instance("b", is_ready=False)
     claims.configure(declaration, cluster.lists, live)
     assert claims.home_region(WEST) == WEST
 
 
-def live_instance(name: str) -> node_messages.LiveInstance:
+def live_instance(name: str, is_ready: bool = True) -> node_messages.LiveInstance:
     return node_messages.LiveInstance(
-        name, 1, "127.0.0.1", 1, "127.0.0.1", 2, DOMAINS_BY_ID[name], False, True
+        instance_id=name,
+        incarnation=1,
+        http_host="127.0.0.1",
+        http_port=1,
+        inner_host="127.0.0.1",
+        inner_port=2,
+        failure_domain=DOMAINS_BY_ID[name],
+        is_ready=is_ready,
+        is_stopping=False,
     )
 
 
+def test_claims_votes_once_new_keys_are_later_than_the_start() -> None:
+    wall_s = STARTED_AT
+    claims = claim_service.Claims(
+        ids.InstanceId("a"),
+        1,
+        peers.Peers("a", TIMING),
+        lambda: True,
+        time.monotonic,
+        lambda: wall_s,
+    )
+    assert not claims.votes
+    wall_s += claim_keys.CLOCK_SKEW_S
+    assert claims.votes
+
+
 def test_member_lists_span_every_change_of_a_region() -> None:
     def holder_list(
         region: str, instance: str, since_ms: int, replaced_ms: int | None
--- a/packages/gateway/tests/test_share_service.py
+++ b/packages/gateway/tests/test_share_service.py
@@ -164,6 +164,25 @@
     assert len(held) == CAPACITY - 2
 
 
+def test_shares_idle_entry_of_a_small_region_keeps_a_unit(cluster: Cluster) -> None:
+    regions = {"north": {"capacity": 10}, "south": {"capacity": 10}}
+    change = catalogue_sample.change("second", 1, sample(regions=regions), "birch")
+    cluster.state.apply(2, catalogue_sample.command(change))
+    cluster.term.declare(cluster.now)
+    for shares in cluster.shares_by_name.values():
+        shares.declare(sample(regions=regions), cluster.now)
+    for _ in range(4):
+        served = [cluster.admit("e1") for _ in range(20)]
+        for item in served:
+            if isinstance(item, admissions.Admitted):
+                item.release()
+        for name in NAMES:
+            cluster.renew(name)
+        cluster.now += 1.0
+    held = [s.share(REGION, cluster.now) for s in cluster.shares_by_name.values()]
+    assert held == [8, 1, 1]
+
+
 def test_shares_never_pass_the_capacity_of_the_region(cluster: Cluster) -> None:
     draw = random.Random(5)
     held: dict[str, list[admissions.Admitted]] = {name: [] for name in NAMES}
