--- a/packages/gateway/src/yuccapitch/gateway/pool_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/pool_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import random
@@ -244,6 +245,24 @@
             )
         return loads_by_owner
 
+    def headroom(self) -> list[tuple[tuple[str, ...], float]]:
+        """Return the free part of the slots of each region, as last told."""
+        if self._view is None:
+            return []
+        now = self._clock()
+        slots_by_region: collections.Counter[ids.RegionId] = collections.Counter()
+        free_by_region: collections.Counter[ids.RegionId] = collections.Counter()
+        for service in self._view.declaration.services_by_id:
+            for view in self.directory.views(service, self._regions, self._pools, now):
+                region = self._view.region_of_domain(view.pool.failure_domain)
+                slots_by_region[region] += view.slots
+                free_by_region[region] += view.free
+        return [
+            ((region,), free_by_region[region] / total)
+            for region, total in slots_by_region.items()
+            if total
+        ]
+
     def hear(self, loads: slot_messages.PoolLoads) -> None:
         """Take the counts of another instance."""
         counts_by_pool = {
