--- a/packages/gateway/src/yuccapitch/gateway/pool_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/pool_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import random
@@ -10,7 +11,7 @@
 
 import result
 
-from yuccapitch.catalogue import ids
+from yuccapitch.catalogue import ids, model
 from yuccapitch.control import lease_client
 from yuccapitch.gateway import config_view
 from yuccapitch.protocol import slot_messages
@@ -24,7 +25,7 @@
     slots,
 )
 
-TICK_INTERVAL_S = 0.1
+TICK_INTERVAL_S = 0.05
 RELEASED_REPORT_S = 10.0
 """How long the slots still held in a pool that was given up are reported."""
 UNKNOWN_DELAY_S = 0.1
@@ -244,6 +245,24 @@
             )
         return loads_by_owner
 
+    def headroom(self) -> list[tuple[tuple[str, ...], float]]:
+        """Return the free part of the slots of each region, as last told."""
+        if self._view is None:
+            return []
+        now = self._clock()
+        slots_by_region: collections.Counter[ids.RegionId] = collections.Counter()
+        free_by_region: collections.Counter[ids.RegionId] = collections.Counter()
+        for service in self._view.declaration.services_by_id:
+            for view in self.directory.views(service, self._regions, self._pools, now):
+                region = self._view.region_of_domain(view.pool.failure_domain)
+                slots_by_region[region] += view.slots
+                free_by_region[region] += view.free
+        return [
+            ((region,), free_by_region[region] / total)
+            for region, total in slots_by_region.items()
+            if total
+        ]
+
     def hear(self, loads: slot_messages.PoolLoads) -> None:
         """Take the counts of another instance."""
         counts_by_pool = {
@@ -278,36 +297,32 @@
         own = pool_module.SlotPool(table, self._health_view, self._rng)
         self._pools[pool] = own
         self._released_by_pool.pop(pool, None)
-        self._update_endpoints(pool, own, now)
-        self._quarantine(pool, own, grant, now)
+        for endpoint_id, endpoint in self._view.pool_endpoints(pool).items():
+            quarantines = self._quarantines(pool, endpoint_id, endpoint, grant, now)
+            self._carry_out(
+                own.take_over(endpoint_id, endpoint.slots, quarantines, now)
+            )
 
-    def _quarantine(
+    def _quarantines(
         self,
         pool: owners.Pool,
-        own: pool_module.SlotPool,
+        endpoint_id: ids.EndpointId,
+        endpoint: model.Endpoint,
         grant: slot_messages.PoolGrant,
         now: float,
-    ) -> None:
+    ) -> tuple[slots.Quarantine, ...]:
         assert self._view is not None
-        for held in grant.held:
-            quarantine = slots.Quarantine(1, now + held.remaining_ms / 1000)
-            endpoint_id = ids.EndpointId(held.endpoint)
-            own.table.add_endpoint(
-                endpoint_id, own.table.slots(endpoint_id), (quarantine,)
-            )
-        if grant.lapsed_ms_ago is None:
-            return
-        for endpoint_id in own.table.endpoint_ids:
-            quarantines = slots.take_over_quarantines(
-                own.table.slots(endpoint_id),
-                patient_slots=0,
+        if grant.lapsed_ms_ago is not None:
+            return slots.take_over_quarantines(
+                endpoint.slots,
                 lease_end=now - grant.lapsed_ms_ago / 1000,
-                impatient_deadline_s=self._view.longest_deadline_s(pool.service),
                 longest_deadline_s=self._view.longest_deadline_s(pool.service),
             )
-            own.table.add_endpoint(
-                endpoint_id, own.table.slots(endpoint_id), quarantines
-            )
+        return tuple(
+            slots.Quarantine(1, now + held.remaining_ms / 1000)
+            for held in grant.held
+            if held.endpoint == endpoint_id
+        )
 
     def _update_endpoints(
         self, pool: owners.Pool, own: pool_module.SlotPool, now: float
@@ -315,15 +330,15 @@
         assert self._view is not None
         endpoints_by_id = self._view.pool_endpoints(pool)
         for endpoint_id in set(own.table.endpoint_ids) - set(endpoints_by_id):
-            own.table.remove_endpoint(endpoint_id, now)
+            own.give_up(endpoint_id, now)
         for endpoint_id, endpoint in endpoints_by_id.items():
-            own.table.add_endpoint(endpoint_id, endpoint.slots)
+            self._carry_out(own.take_over(endpoint_id, endpoint.slots, (), now))
 
     def _give_up(self, pool: owners.Pool, now: float) -> None:
         own = self._pools.pop(pool)
         held = []
         for endpoint_id in own.table.endpoint_ids:
-            for quarantine in own.table.remove_endpoint(endpoint_id, now):
+            for quarantine in own.give_up(endpoint_id, now):
                 held += [_Held(endpoint_id, quarantine.until)] * quarantine.slots
         self._released_by_pool[pool] = (tuple(held), now + RELEASED_REPORT_S)
         # Those that wait for a slot are refused, so that they ask elsewhere.
