--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -33,7 +33,7 @@
 SEED = 20261204
 LEASE_DURATION_S = 4.0
 START_S = 1000.0
-ROUNDS = 3
+ROUNDS = 5
 SETTLING_ROUNDS = 8
 """Renewals until no pool moves any more."""
 REGIONS = 18
@@ -92,14 +92,15 @@
             holder.renew(term, now)
         now += 1
     full = holders[0].renew(term, now, live_sequence=0)
-    began = time.process_time()
+    rounds_s = []
     for _ in range(ROUNDS):
         now += 1
+        began = time.process_time()
         for holder in holders:
             holder.renew(term, now)
-    elapsed_s = time.process_time() - began
+        rounds_s.append(time.process_time() - began)
     return {
-        "renewal_us": elapsed_s / (ROUNDS * count) * 1e6,
+        "renewal_us": min(rounds_s) / count * 1e6,
         "live_list_grant_bytes": len(codec.encode(full)),
     }
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -24,6 +24,7 @@
 BLOCK = re.compile(r"```sh\n(.*?)```", re.DOTALL)
 INLINE = re.compile(r"`(yuccapitch [^`]+)`")
 COMMAND = re.compile(r"(?:^|\$\()(yuccapitch [^|)<>\n]+)", re.MULTILINE)
+TEST = re.compile(r"`(test_\w+(?:\.py)?)`")
 NOT_COMMANDS = {"yuccapitch change v1"}
 """The domain of signatures."""
 PLACEHOLDER = re.compile(r"^[A-Z][A-Z-]*$|^\[|^\.\.\.$")
@@ -66,6 +67,15 @@
     assert missing == []
 
 
+@pytest.mark.parametrize("page", PAGES, ids=page_id)
+def test_pages_name_existing_tests(page: pathlib.Path) -> None:
+    files = [*ROOT.glob("tests/test_*.py"), *ROOT.glob("packages/*/tests/test_*.py")]
+    known = {path.name for path in files} | {path.stem for path in files}
+    for path in files:
+        known.update(re.findall(r"def (test_\w+)", path.read_text()))
+    assert set(TEST.findall(page.read_text())) - known == set()
+
+
 @pytest.mark.parametrize("page", PAGES, ids=page_id)
 def test_pages_commands_parse(page: pathlib.Path) -> None:
     for line in commands_of(page.read_text()):
