--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,216 @@
+"""Bad input is answered by what was wrong with it, and the process stays up."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+
+from tests import embedded
+
+pytestmark = [pytest.mark.processes, pytest.mark.asyncio(loop_scope="module")]
+MODULE = {"scope": "module", "loop_scope": "module"}
+RSS_BOUND_MB = 256
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def deployment(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> AsyncIterator[embedded.Deployment]:
+    async with embedded.running(tmp_path_factory.mktemp("bad-input")) as running:
+        yield running
+        assert running.is_up()
+
+
+def key_of_age(age_s: float) -> str:
+    return f"east.{int((time.time() - age_s) * 1000)}.{'a' * 24}"
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "headers", "body", "status", "code", "outcome"),
+    [
+        ("GET", "nothing/x", {}, b"", 404, "unknown-service", "not-run"),
+        ("POST", "shop/x", {}, b"", 405, "wrong-method", "not-run"),
+        ("POST", "shop/orders", {}, b"x", 400, "key-missing", "not-run"),
+        ("POST", "shop/orders", {"Idempotency-Key": "x"}, b"", 400, "malformed-key", "not-run"),
+        ("GET", "shop/", {"Request-Timeout-Ms": "soon"}, b"", 400, "malformed-header", "not-run"),
+        ("GET", "shop/", {"Request-Timeout-Ms": "0"}, b"", 400, "malformed-header", "not-run"),
+        ("GET", "shop/", {"Request-Timeout-Ms": "9" * 400}, b"", 400, "malformed-header", "not-run"),
+        ("GET", "shop/", {"Idempotency-Attempt": "-1"}, b"", 400, "malformed-header", "not-run"),
+        ("GET", "shop/", {"Yuccapitch-Forward-Token": "x"}, b"", 503, "wrong-token", "not-run"),
+        ("GET", "shop/", {"Yuccapitch-Forward-Token": "é"}, b"", 503, "wrong-token", "not-run"),
+    ],
+)  # fmt: skip
+async def test_bad_input_is_named(
+    deployment: embedded.Deployment,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    body: bytes,
+    status: int,
+    code: str,
+    outcome: str,
+) -> None:
+    async with deployment.session.request(
+        method, deployment.url(path), headers=headers, data=body or None
+    ) as response:
+        answer = json.loads(await response.read())
+    assert (response.status, answer["error"]) == (status, code), answer
+    assert answer["message"]
+    assert response.headers["Yuccapitch-Outcome"] == outcome
+
+
+@pytest.mark.parametrize(
+    ("age_s", "status", "code"),
+    [(40 * 24 * 3600, 410, "key-expired"), (-3600, 400, "malformed-key")],
+)
+async def test_bad_input_key_of_another_time_is_named(
+    deployment: embedded.Deployment, age_s: float, status: int, code: str
+) -> None:
+    headers = {"Idempotency-Key": key_of_age(age_s)}
+    async with deployment.session.post(
+        deployment.url("shop/orders"), headers=headers, data=b"x"
+    ) as response:
+        answer = json.loads(await response.read())
+    assert (response.status, answer["error"]) == (status, code)
+    # Its clock or another instance's may have been another when it first came.
+    assert response.headers["Yuccapitch-Outcome"] == "unknown"
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"GET /nowhere HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+        b"DELETE /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+        b"GET /s/shop/ HTTP/1.1\r\nHost: x\r\nX-Long: " + b"y" * 40_000 + b"\r\n\r\n",
+        b"GET /s/shop/" + b"y" * 40_000 + b" HTTP/1.1\r\nHost: x\r\n\r\n",
+        b"GET /s/shop/ HTTP/1.1\r\nHost: x\r\nBad Name: y\r\n\r\n",
+        b"GET /s/shop/ HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n",
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03garbage\r\n\r\n",
+        b"GET /s/shop/ HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    ],
+    ids=["path", "method", "head", "line", "name", "length", "garbage", "smuggled"],
+)
+async def test_bad_input_to_the_server_is_named(
+    deployment: embedded.Deployment, request_bytes: bytes
+) -> None:
+    answer = await deployment.raw(request_bytes)
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 4") or head.startswith(b"HTTP/1.0 4"), answer
+    assert b"yuccapitch-outcome: not-run" in head.lower(), answer
+    assert json.loads(body)["error"] and json.loads(body)["message"]
+    assert b"Traceback" not in answer
+
+
+async def test_bad_input_many_headers_are_bounded(
+    deployment: embedded.Deployment,
+) -> None:
+    lines = b"".join(b"X-%d: %s\r\n" % (n, b"y" * 1000) for n in range(20_000))
+    before = deployment.rss_mb()
+    answer = await deployment.raw(b"GET /s/shop/ HTTP/1.1\r\nHost: x\r\n" + lines)
+    assert answer == b"" or answer.startswith(b"HTTP/1.1 4"), answer[:200]
+    assert deployment.rss_mb() - before < 16
+
+
+@pytest.mark.parametrize("announced", [True, False])
+async def test_bad_input_oversized_body_is_refused(
+    deployment: embedded.Deployment, announced: bool
+) -> None:
+    body = b"x" * 5_000_000
+    headers = {"Idempotency-Key": deployment.key()}
+    framing = b"Content-Length: 5000000" if announced else b"Transfer-Encoding: chunked"
+    head = b"POST /s/shop/orders HTTP/1.1\r\nHost: x\r\nIdempotency-Key: %s\r\n%s\r\n\r\n"
+    reader, writer = await deployment.connect()
+    writer.write(head % (headers["Idempotency-Key"].encode(), framing))
+    writer.write(body if announced else b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body))
+    answer = await reader.readuntil(b"\r\n\r\n")
+    assert answer.startswith(b"HTTP/1.1 413"), answer
+    writer.close()
+    assert "begin" not in deployment.steps(headers["Idempotency-Key"])
+
+
+async def test_bad_input_slow_senders_hold_little_memory(
+    deployment: embedded.Deployment,
+) -> None:
+    head = (
+        b"PUT /s/shop/uploads HTTP/1.1\r\nHost: x\r\nIdempotency-Key: %s\r\n"
+        b"Content-Length: 100000000\r\n\r\n"
+    )
+    writers = []
+    for _ in range(100):
+        _, writer = await deployment.connect()
+        writer.write(head % deployment.key().encode() + b"x" * 1_000_000)
+        writers.append(writer)
+    await asyncio.sleep(1)
+    assert deployment.rss_mb() < RSS_BOUND_MB
+    async with deployment.session.get(deployment.process.url + "/healthz") as response:
+        assert response.status == 200
+    for writer in writers:
+        writer.transport.abort()
+
+
+async def test_bad_input_on_the_inner_port_is_dropped(
+    deployment: embedded.Deployment,
+) -> None:
+    port = deployment.process.inner_port
+    before = deployment.rss_mb()
+    half_open = [await asyncio.open_connection("127.0.0.1", port) for _ in range(20)]
+    for garbage in (
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\xff" * 100_000,
+        b"\x7f\xff\xff\xff" + b"x" * 1_000_000,
+        b"\x00" * 1_000_000,
+    ):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(garbage)
+        async with asyncio.timeout(20):
+            try:
+                assert await reader.read() is not None
+            except ConnectionError:
+                pass
+        writer.close()
+    async with deployment.session.get(deployment.url("shop/")) as response:
+        assert response.status == 200
+    assert deployment.rss_mb() - before < 32
+    for _, writer in half_open:
+        writer.close()
+
+
+async def test_bad_input_head_that_never_ends_is_given_up(
+    deployment: embedded.Deployment,
+) -> None:
+    reader, writer = await deployment.connect()
+    writer.write(b"GET /s/shop/ HTTP/1.1\r\nHost: x\r\nX-Slow: ")
+    async with asyncio.timeout(60):
+        answer = await reader.read()
+    assert answer == b"" or b" 408 " in answer.splitlines()[0]
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    ("given", "got"),
+    [
+        ("/s/raw/a%2Fb?q=%20x&y=a+b", "/a%2Fb?q=%20x&y=a+b"),
+        ("/s/raw/a/../b/./c", "/a/../b/./c"),
+        ("/s/raw", "/"),
+        ("/s/raw?x=1", "/?x=1"),
+        ("/s/raw//two//slashes/", "//two//slashes/"),
+        ("/s/raw/%C3%A9%00", "/%C3%A9%00"),
+        ("/s/raw/a;b=c,d:@!$&'()*", "/a;b=c,d:@!$&'()*"),
+        ("/s/raw/?next=/s/raw/x?y", "/?next=/s/raw/x?y"),
+        ("/s/%72aw/x", "/x"),
+    ],
+)
+async def test_bad_input_path_and_query_reach_the_endpoint_unchanged(
+    deployment: embedded.Deployment, given: str, got: str
+) -> None:
+    request = f"GET {given} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    answer = await deployment.raw(request.encode())
+    assert answer.startswith(b"HTTP/1.1 200"), answer
+    assert deployment.scripted.heads[-1].split(b" ")[1] == got.encode()
