Answer the HTTP server's own errors with an outcome; bound slow and large heads

Cause: aiohttp answered unread heads, unknown paths and wrong methods by itself, without an outcome or a code; a head that never ended held its connection for an hour, its lines were bounded but not their sum, and a percent-encoded service name was passed on with the path. Bodies with Content-Encoding were decompressed on the way in, against their announced length.

--- a/packages/gateway/src/yuccapitch/gateway/app.py
+++ b/packages/gateway/src/yuccapitch/gateway/app.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
-from yuccapitch.gateway import metrics as gateway_metrics
+from yuccapitch.gateway import incoming, metrics as gateway_metrics, outcomes
 
-Handler = Callable[[web.Request], "web.StreamResponse"]
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 MAX_SMALL_BODY_BYTES = 256 * 1024 * 1024
 
 
@@ -16,7 +16,9 @@
     metrics: gateway_metrics.Metrics, is_ready: Callable[[], str | None]
 ) -> web.Application:
     """Return an application with the paths that every instance serves."""
-    application = web.Application(client_max_size=MAX_SMALL_BODY_BYTES)
+    application = web.Application(
+        client_max_size=MAX_SMALL_BODY_BYTES, middlewares=[_answer_unrouted]
+    )
 
     async def health(request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
@@ -35,3 +37,33 @@
     application.router.add_get("/readyz", ready)
     application.router.add_get("/metrics", metrics_page)
     return application
+
+
+@web.middleware
+async def _answer_unrouted(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except web.HTTPException as error:
+        return _unrouted_response(request, error)
+
+
+def _unrouted_response(
+    request: web.Request, error: web.HTTPException
+) -> web.StreamResponse:
+    code, message = "refused", error.reason
+    if isinstance(error, web.HTTPMethodNotAllowed):
+        allowed = ", ".join(sorted(error.allowed_methods))
+        code = "wrong-method"
+        message = f"{request.method} is not taken at {request.path!r}; use {allowed}"
+    elif isinstance(error, web.HTTPNotFound):
+        code = "unknown-path"
+        message = f"nothing is served at {request.path!r}; services are below /s/"
+    failure = outcomes.Failure(error.status, code, message)
+    if incoming.KEY_HEADER in request.headers:
+        failure = outcomes.as_unknown(failure)
+    response = outcomes.failure_response(failure, 0)
+    if "Allow" in error.headers:
+        response.headers["Allow"] = error.headers["Allow"]
+    return response
--- a/packages/gateway/src/yuccapitch/gateway/incoming.py
+++ b/packages/gateway/src/yuccapitch/gateway/incoming.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 
 import result
 from aiohttp import web
@@ -72,7 +73,10 @@
     key = _parse_key(request, view, named.route, wall_now)
     if isinstance(key, result.Err):
         return key
-    path_and_query = request.rel_url.raw_path_qs.removeprefix(f"/s/{service}")
+    # Cut by place, as the service's name may be sent percent-encoded.
+    raw = request.rel_url.raw_path_qs.removeprefix("/s/")
+    name = re.match("[^/?]*", raw)
+    path_and_query = raw[name.end() :] if name else raw
     incoming = Incoming(
         route_id=named.route_id,
         route=named.route,
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -0,0 +1,133 @@
+"""Callers' connections: unreadable and slow heads, and answers to errors."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from aiohttp import http_exceptions, web, web_protocol
+
+from yuccapitch.gateway import outcomes
+from yuccapitch.protocol import events
+
+HEAD_TIMEOUT_S = 10.0
+"""Time in which a head must be whole once its first bytes came."""
+MAX_MESSAGE_CHARS = 200
+HEAD_TIMED_OUT = outcomes.Failure(
+    408,
+    "head-timeout",
+    f"the request's head was not whole within {HEAD_TIMEOUT_S} s",
+    outcomes.Outcome.UNKNOWN,
+)
+
+
+class Runner(web.AppRunner):
+    """Runs an application on connections that answer every error alike."""
+
+    async def _make_server(self) -> web.Server:
+        made = await super()._make_server()
+        return _Server(
+            made.request_handler,
+            request_factory=made.request_factory,
+            handler_cancellation=made.handler_cancellation,
+            **made._kwargs,
+        )
+
+
+class _Server(web.Server):
+    def __call__(self) -> web.RequestHandler:
+        return Connection(self, loop=self._loop, **self._kwargs)
+
+
+class Connection(web_protocol.RequestHandler):
+    """One connection of a caller."""
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._head_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; those that end no head must do so in time."""
+        super().data_received(data)
+        if self._waiter is not None and not self._waiter.done():
+            self._take_part_of_head(len(data))
+        elif self._head_timer is not None:
+            self._forget_head()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection."""
+        self._forget_head()
+        super().connection_lost(exc)
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a head that cannot be read or a handler that failed."""
+        if request.writer.output_size > 0:
+            # The caller sees from the missing end that the answer is not whole.
+            events.event("request.cut-off", reason=repr(exc))
+            raise ConnectionError("the answer was begun and cannot be ended")
+        failure = _failure(status, exc)
+        events.event(
+            "request.failed",
+            code=failure.code,
+            status=failure.status,
+            reason=repr(exc)[:MAX_MESSAGE_CHARS],
+        )
+        response = outcomes.failure_response(failure, 0)
+        response.force_close()
+        return response
+
+    def _take_part_of_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > self.max_field_size:
+            self._end_head(_head_too_large(f"over {self.max_field_size} bytes"))
+        elif self._head_timer is None:
+            self._head_timer = self._loop.call_later(
+                HEAD_TIMEOUT_S, self._end_head, HEAD_TIMED_OUT
+            )
+
+    def _end_head(self, failure: outcomes.Failure) -> None:
+        self._forget_head()
+        if self.transport is None:
+            return
+        response = outcomes.failure_response(failure, 0)
+        assert isinstance(response.body, bytes)
+        lines = [f"HTTP/1.1 {failure.status} {failure.code}", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in response.headers.items()]
+        lines.append(f"Content-Length: {len(response.body)}")
+        self.transport.write("\r\n".join([*lines, "", ""]).encode() + response.body)
+        self.force_close()
+
+    def _forget_head(self) -> None:
+        self._head_bytes = 0
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+
+def _failure(status: int, exc: BaseException | None) -> outcomes.Failure:
+    # What cannot be read may hold a key, which may have run before.
+    if isinstance(exc, http_exceptions.LineTooLong):
+        return _head_too_large(_text_of(exc))
+    if isinstance(exc, http_exceptions.HttpProcessingError):
+        message = f"the request's head cannot be read: {_text_of(exc)}"
+        code = "malformed-request"
+    else:
+        code = "internal-error"
+        message = "the instance failed on this request; its log has the reason"
+    return outcomes.Failure(status, code, message, outcomes.Outcome.UNKNOWN)
+
+
+def _head_too_large(detail: str) -> outcomes.Failure:
+    message = f"the request's head is too large: {detail}"
+    return outcomes.Failure(431, "head-too-large", message, outcomes.Outcome.UNKNOWN)
+
+
+def _text_of(exc: http_exceptions.HttpProcessingError) -> str:
+    return " ".join(exc.message.split())[:MAX_MESSAGE_CHARS]
--- a/packages/node/src/yuccapitch/node/http_server.py
+++ b/packages/node/src/yuccapitch/node/http_server.py
@@ -8,9 +8,12 @@
 
 from aiohttp import web
 
+from yuccapitch.node import http_connection
 from yuccapitch.protocol import peers as inner_peers
 
 BACKLOG = 512
+KEEP_ALIVE_S = 75.0
+"""Time after which a connection without a request is closed."""
 LAST_REQUESTS_S = 0.2
 
 
@@ -30,9 +33,12 @@
         self, application: web.Application, stack: contextlib.AsyncExitStack
     ) -> None:
         """Serve until the stack is closed, which waits for no request."""
-        runner = web.AppRunner(
+        runner = http_connection.Runner(
             application,
             access_log=None,
+            # A body passes as it was sent, its encoding included.
+            auto_decompress=False,
+            keepalive_timeout=KEEP_ALIVE_S,
             max_line_size=self._max_header_bytes,
             max_field_size=self._max_header_bytes,
             handler_cancellation=True,
