--- a/packages/gateway/src/yuccapitch/gateway/config_view.py
+++ b/packages/gateway/src/yuccapitch/gateway/config_view.py
@@ -36,8 +36,11 @@
 
     def region_of_client(self, address: lookup_table.Address) -> ids.RegionId:
         """Return the home region of a client's address."""
-        found = self._lookup_table.region_of(address)
-        return self.declaration.default_region if found is None else found
+        return self.declared_region(address) or self.declaration.default_region
+
+    def declared_region(self, address: lookup_table.Address) -> ids.RegionId | None:
+        """Return the region of the block that covers an address, if any does."""
+        return self._lookup_table.region_of(address)
 
     def find_route(
         self, service: ids.ServiceId, method: str, path: str
--- a/packages/gateway/src/yuccapitch/gateway/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/request_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import random
 import time
@@ -27,7 +28,7 @@
     share_service,
 )
 from yuccapitch.protocol import events
-from yuccapitch.steering import claim_attempt, owners
+from yuccapitch.steering import claim_attempt, lookup_table, owners
 
 REPLAYED_HEADER = "Yuccapitch-Replayed"
 
@@ -69,15 +70,25 @@
         self._max_in_flight = max_in_flight
         self._clock = clock
         self._rng = rng
+        self._tasks: set[asyncio.Task[object]] = set()
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Answer one request, whole or with a failure that tells its outcome."""
         self._state.in_flight += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
         try:
             return await self._serve(request)
         finally:
+            self._tasks.discard(task)
             self._state.in_flight -= 1
 
+    def abort_all(self) -> None:
+        """Cut off what is in flight: its units of shared limits are given away."""
+        for task in self._tasks:
+            task.cancel()
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         began_at = self._clock()
         view = self._state.view
@@ -114,7 +125,7 @@
         opened = await bodies.open_body(request, wanted.route.limits.body_bytes)
         if isinstance(opened, result.Err):
             return await self._refuse(wanted, opened.err_value)
-        admitted = self._admit(wanted, view)
+        admitted = self._admit(request, wanted, view)
         if isinstance(admitted, admissions.NotRun):
             failure = outcomes.Failure(
                 503,
@@ -207,7 +218,10 @@
         return None
 
     def _admit(
-        self, wanted: incoming.Incoming, view: config_view.ConfigView
+        self,
+        request: web.Request,
+        wanted: incoming.Incoming,
+        view: config_view.ConfigView,
     ) -> admissions.Admitted | admissions.NotRun:
         shares = self._shares()
         service = wanted.route.service
@@ -217,7 +231,7 @@
         return shares.admit(
             admissions.Wanted(
                 service,
-                self._state.region,
+                _home_region(request, view, self._state.region),
                 wanted.route.limits.patience,
                 wanted.content_length or 0,
             ),
@@ -265,21 +279,26 @@
         return self._fail(ended.failure)
 
     def _fail(self, failure: outcomes.Failure) -> web.Response:
-        events.event(
-            (
-                "request.refused"
-                if failure.outcome is outcomes.Outcome.NOT_RUN
-                else "request.failed"
-            ),
-            code=failure.code,
-            status=failure.status,
-        )
+        if failure.outcome is outcomes.Outcome.NOT_RUN:
+            events.event("request.refused", code=failure.code, status=failure.status)
+        else:
+            events.event("request.failed", code=failure.code, status=failure.status)
         return outcomes.failure_response(failure, self._version())
 
     def _version(self) -> int:
         return 0 if self._state.view is None else self._state.view.version
 
 
+def _home_region(
+    request: web.Request, view: config_view.ConfigView, own_region: ids.RegionId
+) -> ids.RegionId:
+    # A client of another region that arrives here comes by a shift from there.
+    address = lookup_table.parse_address(request.remote or "")
+    if isinstance(address, result.Err):
+        return own_region
+    return view.declared_region(address.ok_value) or own_region
+
+
 def _tell_answer(claimed: claim_service.Dispatch, answer: exchange.Answer) -> None:
     # An answer that is still arriving is not kept for duplicates.
     body = answer.body if answer.rest is None else None
--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -22,6 +22,7 @@
     exchange,
     forwarding,
     lookup,
+    metric_table,
     metrics as gateway_metrics,
     pool_service,
     request_path,
@@ -32,9 +33,9 @@
 from yuccapitch.steering import entry_choice, health, resources
 
 CONNECTIONS_PER_ENDPOINT = 64
-LOADS_INTERVAL_S = 0.25
+LOADS_INTERVAL_S = 0.2
 """Time between counts to the instances of the own region."""
-FAR_LOADS_EVERY = 4
+FAR_LOADS_EVERY = 5
 """Of so many counts, one goes to the instances of other regions as well."""
 DRAIN_POLL_S = 0.05
 
@@ -112,6 +113,7 @@
         # The request path exists once the shares do: with the first configuration.
         application.router.add_route("*", "/s/{service}{path:/.*|}", self._handle)
         self._path: request_path.RequestPath | None = None
+        self._read_gauges()
         for coroutine in (
             self.lease.run(),
             self._watch.run(),
@@ -151,6 +153,18 @@
         self._parts.metrics.record_drain("instance", duration_s)
         events.event("entry.drain-finished", duration_s=round(duration_s, 3))
 
+    def _read_gauges(self) -> None:
+        metrics = self._parts.metrics
+        metrics.read_gauge(
+            metric_table.LIMIT_SHARE,
+            lambda: [] if self._shares is None else self._shares.read_shares(),
+        )
+        metrics.read_gauge(
+            metric_table.LIMIT_SHARE_USED,
+            lambda: [] if self._shares is None else self._shares.read_used(),
+        )
+        metrics.read_gauge(metric_table.REGION_HEADROOM, self._pools.headroom)
+
     def _owners_in_region(self) -> set[ids.InstanceId]:
         view = self.state.view
         assert view is not None
@@ -293,6 +307,13 @@
             await asyncio.sleep(pool_service.TICK_INTERVAL_S)
             self._pools.tick()
             self._tell_readiness()
+            self._abort_after_lapse()
+
+    def _abort_after_lapse(self) -> None:
+        # The leader counts this instance's work so long after its lease lapsed.
+        ends_at = self.lease.lease_until + resources.IN_FLIGHT_LINGER_S
+        if self._path is not None and self._parts.clock() >= ends_at:
+            self._path.abort_all()
 
     def _tell_readiness(self) -> None:
         is_ready = self.not_ready_reason() is None
