--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -12,7 +12,14 @@
 
 from yuccapitch.control import lease_client, operator_api
 from yuccapitch.gateway import app, metrics as gateway_metrics
-from yuccapitch.node import control_role, entry_role, http_server, settings_table, tasks
+from yuccapitch.node import (
+    control_role,
+    entry_role,
+    gauges,
+    http_server,
+    settings_table,
+    tasks,
+)
 from yuccapitch.protocol import events, inner_tls, link, peers as inner_peers
 
 EXIT_OK = 0
@@ -97,6 +104,7 @@
                 settings, links, own, metrics, self._clock, self._rng
             )
             self._entry = await entry_role.start(parts, application, stack)
+            gauges.read_lease(metrics, self._entry.lease, self._clock)
         await http.serve(application, stack)
         self._http = http
         self._handle_signals()
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/gauges.py
@@ -0,0 +1,29 @@
+"""Gauges that are read from an instance's parts at each scrape."""
+
+from __future__ import annotations
+
+import typing
+from collections.abc import Callable
+
+from yuccapitch.control import lease_client
+from yuccapitch.gateway import metric_table, metrics as gateway_metrics
+
+
+class Lease(typing.Protocol):
+    """What the gauges read of a configuration lease."""
+
+    configuration: lease_client.Configuration
+    lease_until: float
+
+
+def read_lease(
+    metrics: gateway_metrics.Metrics, lease: Lease, clock: Callable[[], float]
+) -> None:
+    """Give the gauges of the configuration's version and the lease's rest."""
+    metrics.read_gauge(
+        metric_table.CONFIG_VERSION, lambda: [((), lease.configuration.version)]
+    )
+    metrics.read_gauge(
+        metric_table.LEASE_REMAINING,
+        lambda: [((), max(0.0, lease.lease_until - clock()))],
+    )
--- /dev/null
+++ b/packages/node/tests/test_gauges.py
@@ -0,0 +1,29 @@
+from __future__ import annotations
+
+import dataclasses
+
+from yuccapitch.catalogue import ids
+from yuccapitch.control import lease_client
+from yuccapitch.gateway import metrics as gateway_metrics
+from yuccapitch.node import gauges
+
+
+@dataclasses.dataclass
+class FakeLease:
+    configuration: lease_client.Configuration = lease_client.EMPTY
+    lease_until: float = float("-inf")
+
+
+def test_lease_gauges_follow_the_lease() -> None:
+    metrics = gateway_metrics.Metrics()
+    lease = FakeLease()
+    gauges.read_lease(metrics, lease, lambda: 100.0)
+    assert b"yuccapitch_lease_remaining_seconds 0.0" in metrics.render()
+    lease.configuration = dataclasses.replace(
+        lease_client.EMPTY, version=ids.Version(7)
+    )
+    lease.lease_until = 103.5
+    page = metrics.render()
+    metrics.close()
+    assert b"yuccapitch_lease_remaining_seconds 3.5" in page
+    assert b"yuccapitch_config_version 7.0" in page
