Judge recovery by an answer to each kind instead of by counts

The former check wanted 20 answers of each kind within 12 s, which depends on the machine's speed. Now each kind must be answered again after the kill and the stop, with the same history checks.

--- a/packages/gateway/src/yuccapitch/gateway/dispatcher.py
+++ b/packages/gateway/src/yuccapitch/gateway/dispatcher.py
@@ -234,7 +234,9 @@
                 case exchange.ShedAnswer():
                     raise AssertionError("an owner never passes a shed answer on")
 
-    async def _forwarded_end(self, job: jobs.Job, answer: exchange.Answer) -> jobs.End:
+    async def _forwarded_end(
+        self, job: jobs.Job, answer: exchange.Answer, owner: ids.InstanceId
+    ) -> jobs.End:
         text = answer.headers.get(outcomes.OUTCOME_HEADER)
         if text == outcomes.Outcome.ANSWERED.value:
             return jobs.Delivered(await deliver(job, answer))
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -77,6 +77,11 @@
         if event.outcome in ("lost", "unknown"):
             await self._send(request_id, key, self.rng.choice(named))
 
+    async def is_answered(self) -> bool:
+        """Send one request and tell whether it was answered in the end."""
+        await self.once()
+        return self.history[-1].outcome == "answered"
+
     async def _named(self) -> list[processes.Process]:
         """Return the entries that a look-up names, cached for its ttl."""
         while time.monotonic() >= self._named_until:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -111,9 +111,12 @@
         stopped.signal(signal.SIGTERM)
         assert await stopped.wait(30) == 0
         await asyncio.gather(*load)
+        for kind in ("read", "order", "upload"):
+            caller = callers.Caller(
+                f"after-{kind}", kind, cluster, "east", rng, history
+            )
+            await cluster.until(f"a {kind} is answered again", caller.is_answered)
     assert history_checks.faults(history, fakes) == []
     cut_off = [e for e in history if e.entry == "entry-2" and e.outcome == "lost"]
     assert cut_off == []
-    counts = collections.Counter((e.kind, e.outcome) for e in history)
-    print(counts, collections.Counter((e.kind, e.code) for e in history))
-    assert all(counts[kind, "answered"] > 20 for kind in ("read", "order", "upload"))
+    print(collections.Counter((event.kind, event.outcome) for event in history))
