--- /dev/null
+++ b/tests/fakes/relay.py
@@ -0,0 +1,154 @@
+"""A TCP relay between two instances that can drop, stall or close what passes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+
+CHUNK_BYTES = 65_536
+
+
+class Mode(enum.Enum):
+    """What happens to bytes of one direction."""
+
+    PASS = "pass"
+    STALL = "stall"
+    """Keep them until the mode changes, as a network does that resends."""
+    DROP = "drop"
+    """Lose them silently; a connection that lost bytes closes once it passes again."""
+
+
+class Way:
+    """One direction of a relay."""
+
+    def __init__(self) -> None:
+        self._mode = Mode.PASS
+        self._changed = asyncio.Event()
+
+    def set_mode(self, mode: Mode) -> None:
+        """Treat bytes in another way from now on."""
+        self._mode = mode
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forward until the sender closes or bytes were lost on the way."""
+        has_lost = False
+        while data := await reader.read(CHUNK_BYTES):
+            while self._mode is Mode.STALL:
+                await self._changed.wait()
+            if self._mode is Mode.DROP:
+                has_lost = True
+            elif has_lost:
+                return
+            else:
+                writer.write(data)
+                await writer.drain()
+
+
+class Relay:
+    """Listens on a port of its own and forwards each connection to a target."""
+
+    def __init__(self, target_port: int) -> None:
+        self.forth = Way()
+        self.back = Way()
+        self.port = 0
+        self._target_port = target_port
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def close_connections(self) -> None:
+        """Close every connection; new ones are taken."""
+        for writer in list(self._writers):
+            writer.close()
+
+    async def aclose(self) -> None:
+        """Stop listening and close every connection."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            with contextlib.suppress(OSError):
+                await self._forward(reader, writer)
+        except asyncio.CancelledError:
+            return
+        finally:
+            writer.close()
+            self._tasks.discard(task)
+
+    async def _forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        far_reader, far_writer = await asyncio.open_connection(
+            "127.0.0.1", self._target_port
+        )
+        self._writers |= {writer, far_writer}
+        pumps = [
+            asyncio.create_task(self.forth.pump(reader, far_writer)),
+            asyncio.create_task(self.back.pump(far_reader, writer)),
+        ]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            await asyncio.gather(*pumps, return_exceptions=True)
+            self._writers -= {writer, far_writer}
+            far_writer.close()
+
+
+class Mesh:
+    """A relay for each ordered pair of instances."""
+
+    def __init__(self) -> None:
+        self._relays_by_pair: dict[tuple[str, str], Relay] = {}
+
+    async def add(self, source: str, target: str, target_port: int) -> int:
+        """Relay the connections that the source opens; return the port to use."""
+        relay = Relay(target_port)
+        await relay.start()
+        self._relays_by_pair[source, target] = relay
+        return relay.port
+
+    def set_mode(self, source: str, target: str, mode: Mode) -> None:
+        """Treat bytes from the source to the target in one way, on all connections."""
+        there = self._relays_by_pair.get((source, target))
+        if there is not None:
+            there.forth.set_mode(mode)
+        opposite = self._relays_by_pair.get((target, source))
+        if opposite is not None:
+            opposite.back.set_mode(mode)
+
+    def cut_off(self, instance_id: str, others: list[str], mode: Mode) -> None:
+        """Treat all bytes between an instance and others in one way."""
+        for other in others:
+            self.set_mode(instance_id, other, mode)
+            self.set_mode(other, instance_id, mode)
+
+    def heal(self) -> None:
+        """Let everything pass."""
+        for relay in self._relays_by_pair.values():
+            relay.forth.set_mode(Mode.PASS)
+            relay.back.set_mode(Mode.PASS)
+
+    async def aclose(self) -> None:
+        """Close every relay."""
+        for relay in self._relays_by_pair.values():
+            await relay.aclose()
--- /dev/null
+++ b/tests/operators.py
@@ -0,0 +1,199 @@
+"""Operators that change the catalogue over HTTP and keep a history of it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import copy
+import dataclasses
+import itertools
+import random
+import time
+from typing import Any
+
+import aiohttp
+
+from tests import processes, register_history
+
+ATTEMPT_TIMEOUT_S = 1.0
+PAUSE_S = 0.02
+MISDIRECTED_REQUEST = 421
+
+
+def numbered(declaration: dict[str, Any], value: int) -> dict[str, Any]:
+    """Return the declaration with a number by which a read tells the change."""
+    changed = copy.deepcopy(declaration)
+    changed["endpoints"]["shop-1"]["connections"] = value
+    return changed
+
+
+@dataclasses.dataclass
+class Workload:
+    """What the operators of one history share."""
+
+    cluster: processes.Cluster
+    declaration: dict[str, Any]
+    history: register_history.History = dataclasses.field(
+        default_factory=register_history.History
+    )
+    values: itertools.count[int] = dataclasses.field(
+        default_factory=lambda: itertools.count(100)
+    )
+    is_over: bool = False
+
+    def body(self, write: register_history.Write) -> dict[str, Any]:
+        """Return the change that a write sends."""
+        return {
+            "change_id": write.change_id,
+            "base_version": write.base_version,
+            "declaration": numbered(self.declaration, write.value),
+            "owner": "north",
+        }
+
+    def accepted(self) -> int:
+        """Return how many changes are known to be accepted."""
+        writes = self.history.writes
+        return len({w.change_id for w in writes if w.outcome == "accepted"})
+
+
+class Operator:
+    """Sends one change after the other, each until its outcome is known."""
+
+    def __init__(self, name: str, workload: Workload, rng: random.Random) -> None:
+        self.name = name
+        self._workload = workload
+        self._rng = rng
+        self._count = 0
+        self._url = self._any_url()
+        self._settled: list[register_history.Write] = []
+
+    async def run(self) -> None:
+        """Change the catalogue until the workload is over."""
+        while not self._workload.is_over:
+            read = await self.read()
+            if read is not None:
+                await self.change(read.version)
+            await asyncio.sleep(PAUSE_S * self._rng.random())
+
+    async def run_reads(self) -> None:
+        """Read from whichever instance answers until the workload is over."""
+        while not self._workload.is_over:
+            self._url = self._any_url()
+            await self.read()
+            await asyncio.sleep(PAUSE_S)
+
+    async def change(self, base_version: int) -> register_history.Write:
+        """Send a change through any instances until its outcome is known."""
+        self._count += 1
+        change_id = f"{self.name}-{self._count}"
+        value = next(self._workload.values)
+        while True:
+            write = await self.send(
+                register_history.Write(change_id, base_version, value, time.monotonic())
+            )
+            if write.outcome != "unknown":
+                break
+            await asyncio.sleep(PAUSE_S)
+        self._settled.append(write)
+        if self._rng.random() < 0.3:
+            earlier = self._rng.choice(self._settled)
+            await self.send(dataclasses.replace(earlier, began_at=time.monotonic()))
+        return write
+
+    async def send(self, write: register_history.Write) -> register_history.Write:
+        """Send a change once; some answers are lost on purpose."""
+        write.outcome, write.ended_at = "unknown", register_history.NEVER
+        self._workload.history.writes.append(write)
+        is_patient = self._rng.random() < 0.7
+        timeout_s = ATTEMPT_TIMEOUT_S if is_patient else 0.02 * self._rng.random()
+        answer = await self._request(
+            "POST", "/v1/catalogue/changes", timeout_s, json=self._workload.body(write)
+        )
+        if answer is not None and "outcome" in answer:
+            outcome = answer["outcome"]
+            write.outcome = outcome["outcome"]
+            write.version = outcome.get("version", outcome.get("current_version", 0))
+            write.winner = outcome.get("winning_change_id")
+            write.ended_at = time.monotonic()
+        return write
+
+    async def read(self) -> register_history.Read | None:
+        """Read the current version once."""
+        began_at = time.monotonic()
+        answer = await self._request("GET", "/v1/catalogue", ATTEMPT_TIMEOUT_S)
+        if answer is None or answer.get("declaration") is None:
+            return None
+        read = register_history.Read(
+            self.name,
+            answer["version"],
+            answer["declaration"]["endpoints"]["shop-1"]["connections"],
+            began_at,
+            time.monotonic(),
+        )
+        self._workload.history.reads.append(read)
+        return read
+
+    async def _request(
+        self, method: str, path: str, timeout_s: float, **options: Any
+    ) -> dict[str, Any] | None:
+        """Return the body of an answer; next time ask where it points to."""
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with self._workload.cluster.session.request(
+                method, self._url + path, timeout=timeout, **options
+            ) as response:
+                answer: dict[str, Any] = await response.json()
+                if response.status in (200, 409, 422):
+                    return answer
+                if response.status == MISDIRECTED_REQUEST:
+                    self._url = answer["leader"]
+                    return None
+        self._url = self._any_url()
+        return None
+
+    def _any_url(self) -> str:
+        controls = self._workload.cluster.of_role("control")
+        return self._rng.choice(controls).url
+
+
+async def records(
+    cluster: processes.Cluster, history: register_history.History
+) -> dict[int, register_history.Record]:
+    """Return each version as the present leader tells of it."""
+    values_by_change = {write.change_id: write.value for write in history.writes}
+    found: dict[int, register_history.Record] = {}
+
+    async def is_answered() -> bool:
+        for process in cluster.of_role("control"):
+            url = process.url + "/v1/catalogue/versions?limit=10000"
+            status, answer = await cluster.get(url)
+            if status == 200:
+                for version in answer["versions"]:
+                    change_id = version["change_id"]
+                    found[version["version"]] = register_history.Record(
+                        change_id, values_by_change[change_id]
+                    )
+                return True
+        return False
+
+    await cluster.until("a leader lists the versions", is_answered)
+    return found
+
+
+async def leader(cluster: processes.Cluster) -> processes.Process:
+    """Return the instance that answers reads as the leader."""
+    found: list[processes.Process] = []
+
+    async def is_found() -> bool:
+        for process in cluster.of_role("control"):
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                timeout = aiohttp.ClientTimeout(total=ATTEMPT_TIMEOUT_S)
+                url = process.url + "/v1/catalogue/versions?limit=1"
+                status, _ = await cluster.get(url, timeout=timeout)
+                if status == 200:
+                    found.append(process)
+                    return True
+        return False
+
+    await cluster.until("an instance leads", is_found)
+    return found[0]
