--- a/packages/catalogue/src/yuccapitch/catalogue/api.py
+++ b/packages/catalogue/src/yuccapitch/catalogue/api.py
@@ -107,6 +107,8 @@
     instance_id: ids.InstanceId
     address: str = ""
     """HTTP address, `http://host:port`; empty where it is not known."""
+    identity: str = ""
+    """Identity of its disk; a replaced disk comes back under a new one."""
     voter: bool = True
     match_index: int | None = None
 
--- a/packages/control/src/yuccapitch/control/service.py
+++ b/packages/control/src/yuccapitch/control/service.py
@@ -133,6 +133,7 @@
                 api.MemberStatus(
                     instance_id=ids.InstanceId(member.instance_id),
                     address=self._http_address(member.instance_id) or "",
+                    identity=member.identity,
                     voter=member.is_voter,
                 )
                 for member in core.members.members
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests import processes
+from tests.fakes import relay
 
 
 @pytest.fixture
@@ -21,3 +22,11 @@
         deployment = processes.Cluster(tmp_path, session)
         stack.callback(deployment.close)
         yield deployment
+
+
+@pytest.fixture
+async def mesh() -> AsyncIterator[relay.Mesh]:
+    """Relays between instances; closed at the end."""
+    relays = relay.Mesh()
+    yield relays
+    await relays.aclose()
--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -6,6 +6,8 @@
 import contextlib
 import enum
 
+from tests import processes
+
 CHUNK_BYTES = 65_536
 
 
@@ -120,6 +122,20 @@
     def __init__(self) -> None:
         self._relays_by_pair: dict[tuple[str, str], Relay] = {}
 
+    async def insert(self, cluster: processes.Cluster) -> None:
+        """Relay every connection towards a control process, before they start."""
+        controls = cluster.of_role("control")
+        for process in cluster.processes_by_id.values():
+            peers = []
+            for control in controls:
+                port = control.inner_port
+                if control is not process:
+                    port = await self.add(
+                        process.instance_id, control.instance_id, control.inner_port
+                    )
+                peers.append(f"{control.instance_id}=127.0.0.1:{port}")
+            process.control_peers = ",".join(peers)
+
     async def add(self, source: str, target: str, target_port: int) -> int:
         """Relay the connections that the source opens; return the port to use."""
         relay = Relay(target_port)
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -137,6 +137,11 @@
                 dict(extra or {}),
             )
 
+    def add_three_controls(self, entries: dict[str, str]) -> None:
+        """Add three control processes in two failure domains, and entries."""
+        controls = {f"control-{n}": f"domain-{1 + n % 2}" for n in (1, 2, 3)}
+        self.add(controls, entries)
+
     def start(self) -> None:
         """Start every process."""
         for process in self.processes_by_id.values():
--- a/tests/test_catalogue_history.py
+++ b/tests/test_catalogue_history.py
@@ -15,35 +15,10 @@
 
 pytestmark = pytest.mark.processes
 
-CONTROLS = {f"control-{n}": f"domain-{1 + n % 2}" for n in (1, 2, 3)}
+CONTROL_IDS = ("control-1", "control-2", "control-3")
 CHANGES_BETWEEN_FAULTS = 5
 
 
-@pytest.fixture
-async def mesh(cluster: processes.Cluster) -> AsyncIterator[relay.Mesh]:
-    """Three control processes and an entry, with relays towards control processes."""
-    cluster.add(CONTROLS, {"entry-1": "domain-1"})
-    async with contextlib.AsyncExitStack() as stack:
-        relays = relay.Mesh()
-        stack.push_async_callback(relays.aclose)
-        for process in cluster.processes_by_id.values():
-            peers = {
-                other.instance_id: (
-                    other.inner_port
-                    if other is process
-                    else await relays.add(
-                        process.instance_id, other.instance_id, other.inner_port
-                    )
-                )
-                for other in cluster.of_role("control")
-            }
-            process.control_peers = ",".join(
-                f"{name}=127.0.0.1:{port}" for name, port in peers.items()
-            )
-        cluster.start()
-        yield relays
-
-
 @contextlib.asynccontextmanager
 async def running(
     workload: operators.Workload, seed: int
@@ -105,7 +80,7 @@
 
 async def silence_leader(workload: operators.Workload, mesh: relay.Mesh) -> None:
     silent = await operators.leader(workload.cluster)
-    for other in CONTROLS:
+    for other in CONTROL_IDS:
         mesh.set_mode(silent.instance_id, other, relay.Mode.DROP)
     await until_more(workload)
     mesh.heal()
@@ -113,7 +88,7 @@
 
 async def deafen_leader(workload: operators.Workload, mesh: relay.Mesh) -> None:
     deaf = await operators.leader(workload.cluster)
-    for other in CONTROLS:
+    for other in CONTROL_IDS:
         mesh.set_mode(other, deaf.instance_id, relay.Mode.STALL)
     await until_more(workload)
     mesh.heal()
@@ -127,6 +102,9 @@
 async def test_history_is_that_of_one_register(
     cluster: processes.Cluster, mesh: relay.Mesh, faults: tuple[Fault, ...]
 ) -> None:
+    cluster.add_three_controls({"entry-1": "domain-1"})
+    await mesh.insert(cluster)
+    cluster.start()
     declaration = declarations.small(cluster.instances(), {"shop-1": 1})
     workload = operators.Workload(cluster, declaration)
     async with running(workload, seed=20261204):
--- /dev/null
+++ b/tests/test_catalogue_leases.py
@@ -0,0 +1,189 @@
+"""Leases of entries lapse before a later version is told to be in force."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import pytest
+
+from tests import (
+    declarations,
+    in_force_history,
+    operators,
+    processes,
+    register_history,
+)
+from tests.fakes import relay
+
+pytestmark = pytest.mark.processes
+
+POLL_S = 0.05
+POLLS_OF_A_CUT_LEADER = 20
+
+
+class Observer:
+    """Polls what entries act on and which versions are told to be in force."""
+
+    def __init__(self, cluster: processes.Cluster) -> None:
+        self._cluster = cluster
+        self.in_force: list[in_force_history.InForce] = []
+        self.acted: list[in_force_history.Acted] = []
+
+    @contextlib.asynccontextmanager
+    async def watching(self) -> AsyncIterator[None]:
+        """Poll every process while open."""
+        tasks = [
+            asyncio.create_task(self._watch_control(process))
+            for process in self._cluster.of_role("control")
+        ]
+        tasks += [
+            asyncio.create_task(self._watch_entry(process))
+            for process in self._cluster.of_role("entry")
+        ]
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def until_in_force(self, version: int) -> None:
+        """Wait until the version was told to be in force everywhere."""
+
+        async def is_told() -> bool:
+            return any(told.version >= version for told in self.in_force)
+
+        await self._cluster.until(f"version {version} is in force", is_told)
+
+    async def until_acted(self, entry: str, version: int) -> None:
+        """Wait until the entry acts on the version."""
+
+        async def has_acted() -> bool:
+            return any(a.entry == entry and a.version >= version for a in self.acted)
+
+        await self._cluster.until(f"{entry} acts on version {version}", has_acted)
+
+    async def _watch_control(self, process: processes.Process) -> None:
+        while True:
+            answer = await ask(self._cluster, process, "/v1/status")
+            in_force = (answer or {}).get("in_force")
+            if in_force and in_force["everywhere"]:
+                told = in_force_history.InForce(in_force["version"], time.monotonic())
+                self.in_force.append(told)
+            await asyncio.sleep(POLL_S)
+
+    async def _watch_entry(self, process: processes.Process) -> None:
+        while True:
+            began_at = time.monotonic()
+            path = "/v1/entries?service=shop&client=192.0.2.1"
+            answer = await ask(self._cluster, process, path)
+            if answer is not None:
+                version = answer["version"]
+                self.acted.append(
+                    in_force_history.Acted(process.instance_id, version, began_at)
+                )
+            await asyncio.sleep(POLL_S)
+
+
+async def ask(cluster: processes.Cluster, process: processes.Process, path: str) -> Any:
+    """Return the body of a good answer, None where there is none."""
+    with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+        timeout = aiohttp.ClientTimeout(total=operators.ATTEMPT_TIMEOUT_S)
+        status, answer = await cluster.get(process.url + path, timeout=timeout)
+        return answer if status == 200 else None
+    return None
+
+
+async def accept(
+    workload: operators.Workload, operator: operators.Operator
+) -> register_history.Write:
+    """Change the current version and return what was accepted."""
+    while True:
+        read = await operator.read()
+        if read is not None:
+            write = await operator.change(read.version)
+            if write.outcome == "accepted":
+                return write
+        await asyncio.sleep(POLL_S)
+
+
+async def test_leases_of_a_cut_off_leader_lapse(
+    cluster: processes.Cluster, mesh: relay.Mesh
+) -> None:
+    cluster.add_three_controls({"entry-1": "domain-1", "entry-2": "domain-2"})
+    await mesh.insert(cluster)
+    cluster.start()
+    workload = operators.Workload(
+        cluster, declarations.small(cluster.instances(), {"shop-1": 1})
+    )
+    operator = operators.Operator("op", workload, random.Random(1))
+    observer = Observer(cluster)
+
+    async def is_declared() -> bool:
+        return (await operator.change(0)).outcome == "accepted"
+
+    async with observer.watching():
+        await cluster.until("a first version is accepted", is_declared)
+        await observer.until_in_force(1)
+        await observer.until_acted("entry-1", 1)
+        cut = await operators.leader(cluster)
+        others = [p.instance_id for p in cluster.of_role("control") if p is not cut]
+        mesh.cut_off(cut.instance_id, others, relay.Mode.DROP)
+        # The entry reaches the cut-off leader and nobody else.
+        mesh.cut_off("entry-1", others, relay.Mode.DROP)
+        write = await accept(workload, operator)
+        await observer.until_in_force(write.version)
+        for _ in range(POLLS_OF_A_CUT_LEADER):
+            assert await ask(cluster, cut, "/v1/catalogue") is None
+            status = await ask(cluster, cut, "/v1/status")
+            assert status is not None and status["in_force"] is None
+            ready, _ = await cluster.get(
+                cluster.processes_by_id["entry-1"].url + "/readyz"
+            )
+            assert ready == 503
+            await asyncio.sleep(POLL_S)
+        mesh.heal()
+        await observer.until_acted("entry-1", write.version)
+    assert in_force_history.faults(observer.in_force, observer.acted) == []
+    records = await operators.records(cluster, workload.history)
+    assert register_history.faults(workload.history, records) == []
+
+
+async def test_leases_hold_while_entries_freeze_and_leaders_change(
+    cluster: processes.Cluster,
+) -> None:
+    cluster.add_three_controls({"entry-1": "domain-1", "entry-2": "domain-2"})
+    cluster.start()
+    workload = operators.Workload(
+        cluster, declarations.small(cluster.instances(), {"shop-1": 1})
+    )
+    operator = operators.Operator("op", workload, random.Random(2))
+    observer = Observer(cluster)
+    frozen = cluster.processes_by_id["entry-1"]
+
+    async def is_declared() -> bool:
+        return (await operator.change(0)).outcome == "accepted"
+
+    async with observer.watching():
+        await cluster.until("a first version is accepted", is_declared)
+        await observer.until_acted("entry-1", 1)
+        frozen.signal(signal.SIGSTOP)
+        write = await accept(workload, operator)
+        await observer.until_in_force(write.version)
+        killed = await operators.leader(cluster)
+        killed.kill()
+        write = await accept(workload, operator)
+        frozen.signal(signal.SIGCONT)
+        killed.start()
+        for _ in range(10):
+            write = await accept(workload, operator)
+            await observer.until_in_force(write.version)
+        await observer.until_acted("entry-1", write.version)
+    assert in_force_history.faults(observer.in_force, observer.acted) == []
--- /dev/null
+++ b/tests/test_catalogue_owners.py
@@ -0,0 +1,147 @@
+"""Owners change only what is theirs, with signed changes of the command line."""
+
+from __future__ import annotations
+
+import copy
+import datetime
+import json
+import pathlib
+import subprocess
+from typing import Any
+
+import pytest
+import yaml
+
+from tests import declarations, processes
+from yuccapitch.cli import exit_codes
+
+pytestmark = pytest.mark.processes
+
+ExitCode = exit_codes.ExitCode
+
+
+def month(months_ago: int) -> str:
+    """Return the UTC month so many months ago."""
+    now = datetime.datetime.now(datetime.UTC)
+    count = now.year * 12 + now.month - 1 - months_ago
+    return f"{count // 12:04}-{count % 12 + 1:02}"
+
+
+class Owners:
+    """Two owners with keys, and the declaration that they change."""
+
+    def __init__(self, cluster: processes.Cluster) -> None:
+        self._cluster = cluster
+        self.declaration = declarations.small(
+            cluster.instances(), {"shop-1": 1, "shop-2": 2}
+        )
+        self.declaration["endpoints"]["shop-2"]["owner"] = "south"
+
+    def key(self, owner: str) -> pathlib.Path:
+        """Return the file of an owner's private key."""
+        return self._cluster.folder / f"{owner}.key"
+
+    async def make_keys(self) -> None:
+        """Make a key for each owner and declare it; it is north's month."""
+        for owner in ("north", "south"):
+            await self._run(ExitCode.OK, "key", "new", str(self.key(owner)))
+            public = self.key(owner).with_suffix(".key.pub").read_text().strip()
+            self.declaration["owners"][owner] = {"public_keys": [public]}
+        self.declaration["turns"] = {"first_month": month(0), "order": ["north"]}
+        self.declaration["turns"]["order"].append("south")
+
+    async def apply(
+        self, edited: dict[str, Any], expected: exit_codes.ExitCode, *arguments: str
+    ) -> str:
+        """Apply a declaration; keep it if it is accepted; return what is printed."""
+        path = self._cluster.folder / "edited.yaml"
+        path.write_text(yaml.safe_dump(edited))
+        arguments = ("apply", str(path), "--yes", *arguments)
+        done = await self._run(expected, *arguments)
+        if expected is ExitCode.OK:
+            self.declaration = edited
+        return (done.stdout + done.stderr).decode()
+
+    async def apply_signed(
+        self, owner: str, edited: dict[str, Any], expected: exit_codes.ExitCode
+    ) -> str:
+        """Apply a declaration signed by an owner."""
+        return await self.apply(edited, expected, "--key", str(self.key(owner)))
+
+    async def export(self) -> pathlib.Path:
+        """Export the audit trail."""
+        path = self._cluster.folder / "audit.jsonl"
+        await self._run(ExitCode.OK, "audit", "export", str(path))
+        return path
+
+    async def verify(self, path: pathlib.Path, expected: exit_codes.ExitCode) -> str:
+        """Verify a trail with both owners' public keys."""
+        keys = [
+            argument
+            for owner in ("north", "south")
+            for argument in ("--keys", f"{owner}={self.key(owner)}.pub")
+        ]
+        done = await self._run(expected, "audit", "verify", str(path), *keys)
+        return (done.stdout + done.stderr).decode()
+
+    def edited(self, section: str, entry: str, **fields: object) -> dict[str, Any]:
+        """Return the declaration with some fields of an entry changed."""
+        changed = copy.deepcopy(self.declaration)
+        changed[section][entry].update(fields)
+        return changed
+
+    async def _run(
+        self, expected: exit_codes.ExitCode, *arguments: str
+    ) -> subprocess.CompletedProcess[bytes]:
+        done = await self._cluster.command(*arguments)
+        assert done.returncode == expected.value, (done.stdout + done.stderr).decode()
+        return done
+
+
+@pytest.fixture
+async def owners(cluster: processes.Cluster) -> Owners:
+    """Two owners at a control process that takes signed changes only."""
+    extra = {"YUCCAPITCH_ALLOW_UNSIGNED": "false"}
+    cluster.add({"control-1": "domain-1"}, {}, extra)
+    cluster.start()
+    made = Owners(cluster)
+    await made.make_keys()
+    await made.apply_signed("north", made.declaration, ExitCode.OK)
+    return made
+
+
+async def test_owner_changes_its_own_entries_only(owners: Owners) -> None:
+    own = owners.edited("endpoints", "shop-2", connections=41)
+    await owners.apply_signed("south", own, ExitCode.OK)
+    foreign = owners.edited("endpoints", "shop-1", connections=41)
+    said = await owners.apply_signed("south", foreign, ExitCode.REFUSED)
+    assert "endpoints.shop-1" in said and "belongs to 'north'" in said
+    unsigned = await owners.apply(own, ExitCode.REFUSED, "--owner", "south")
+    assert "not signed" in unsigned
+
+
+async def test_month_turn_moves_the_say_over_what_is_shared(owners: Owners) -> None:
+    shared = owners.edited("regions", "east", capacity=101)
+    said = await owners.apply_signed("south", shared, ExitCode.REFUSED)
+    assert "regions.east" in said and "is 'north''s" in said
+    await owners.apply_signed("north", shared, ExitCode.OK)
+    # The clock cannot be moved here, so the first month is: south's month has come.
+    turned = copy.deepcopy(owners.declaration)
+    turned["turns"]["first_month"] = month(1)
+    await owners.apply_signed("north", turned, ExitCode.OK)
+    shared = owners.edited("regions", "east", capacity=102)
+    await owners.apply_signed("north", shared, ExitCode.REFUSED)
+    await owners.apply_signed("south", shared, ExitCode.OK)
+
+
+async def test_audit_export_verifies_until_a_record_is_changed(owners: Owners) -> None:
+    own = owners.edited("endpoints", "shop-2", connections=41)
+    await owners.apply_signed("south", own, ExitCode.OK)
+    path = await owners.export()
+    await owners.verify(path, ExitCode.OK)
+    first, second = path.read_text().splitlines()
+    forged = {**json.loads(first), "reason": "another"}
+    path.write_text(f"{json.dumps(forged)}\n{second}\n")
+    assert "1" in await owners.verify(path, ExitCode.AUDIT_FAULT)
+    path.write_text(f"{second}\n")
+    await owners.verify(path, ExitCode.AUDIT_FAULT)
--- /dev/null
+++ b/tests/test_catalogue_repair.py
@@ -0,0 +1,122 @@
+"""Accepted changes outlast lost disks; an entry that was away acts on the latest."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import shutil
+from typing import Any
+
+import aiohttp
+import pytest
+
+from tests import declarations, operators, processes, register_history
+
+pytestmark = pytest.mark.processes
+
+MISSED_CHANGES = 200
+
+
+async def change_often(
+    workload: operators.Workload, operator: operators.Operator, count: int
+) -> None:
+    """Have more changes accepted."""
+    goal = workload.accepted() + count
+    while workload.accepted() < goal:
+        read = await operator.read()
+        if read is not None or not workload.accepted():
+            await operator.change(0 if read is None else read.version)
+        await asyncio.sleep(0)
+
+
+async def members(cluster: processes.Cluster) -> dict[str, dict[str, Any]]:
+    """Return the members by instance as the leader knows them."""
+    leader = await operators.leader(cluster)
+    _, status = await cluster.get(leader.url + "/v1/status")
+    return {member["instance_id"]: member for member in status["members"]}
+
+
+async def lose_disk(cluster: processes.Cluster, process: processes.Process) -> None:
+    """Kill the process and delete its data."""
+    process.kill()
+    await asyncio.to_thread(shutil.rmtree, process.folder / process.instance_id)
+
+
+async def until_admitted(
+    cluster: processes.Cluster, process: processes.Process, old_identity: str
+) -> None:
+    """Wait until a replaced disk votes."""
+
+    async def votes() -> bool:
+        member = (await members(cluster)).get(process.instance_id)
+        return (
+            member is not None
+            and member["voter"]
+            and member["identity"] != old_identity
+        )
+
+    await cluster.until(f"{process.instance_id} votes", votes)
+
+
+async def test_repair_then_a_second_loss_loses_nothing(
+    cluster: processes.Cluster,
+) -> None:
+    cluster.add_three_controls({})
+    cluster.start()
+    workload = operators.Workload(
+        cluster, declarations.small(cluster.instances(), {"shop-1": 1})
+    )
+    operator = operators.Operator("op", workload, random.Random(3))
+    await change_often(workload, operator, 20)
+    first = await operators.leader(cluster)
+    old = (await members(cluster))[first.instance_id]["identity"]
+    await lose_disk(cluster, first)
+    await change_often(workload, operator, 5)
+    first.start()
+    await until_admitted(cluster, first, old)
+    second = await operators.leader(cluster)
+    assert second is not first
+    old = (await members(cluster))[second.instance_id]["identity"]
+    await lose_disk(cluster, second)
+    await change_often(workload, operator, 5)
+    second.start()
+    await until_admitted(cluster, second, old)
+    await change_often(workload, operator, 5)
+    records = await operators.records(cluster, workload.history)
+    assert register_history.faults(workload.history, records) == []
+    assert len(records) >= 35
+
+
+async def test_entry_that_was_away_acts_on_the_latest_only(
+    cluster: processes.Cluster,
+) -> None:
+    cluster.add({"control-1": "domain-1"}, {"entry-1": "domain-1"})
+    cluster.start()
+    entry = cluster.processes_by_id["entry-1"]
+    workload = operators.Workload(
+        cluster, declarations.small(cluster.instances(), {"shop-1": 1})
+    )
+    operator = operators.Operator("op", workload, random.Random(4))
+    seen: list[int] = []
+
+    async def acts() -> bool:
+        timeout = aiohttp.ClientTimeout(total=operators.ATTEMPT_TIMEOUT_S)
+        url = entry.url + "/v1/entries?service=shop&client=192.0.2.1"
+        status, answer = await cluster.get(url, timeout=timeout)
+        if status == 200:
+            seen.append(answer["version"])
+        return status == 200
+
+    await change_often(workload, operator, 1)
+    await cluster.until("the entry acts", acts)
+    entry.kill()
+    await change_often(workload, operator, MISSED_CHANGES)
+    latest = await operator.read()
+    assert latest is not None
+    seen.clear()
+    entry.start()
+    await cluster.until("the entry acts again", acts)
+    with contextlib.suppress(aiohttp.ClientError):
+        await acts()
+    assert set(seen) == {latest.version}
