--- a/packages/gateway/src/yuccapitch/gateway/metric_table.py
+++ b/packages/gateway/src/yuccapitch/gateway/metric_table.py
@@ -106,6 +106,12 @@
     (),
     "Time until the configuration lease lapses; 0 once it has.",
 )
+INNER_LINK_BYTES = Metric(
+    "yuccapitch_inner_link_bytes",
+    Kind.GAUGE,
+    ("direction",),
+    "Bytes sent and received on inner links since the start, without TLS and TCP.",
+)
 
 METRICS = (
     REQUEST_DURATION,
@@ -120,4 +126,5 @@
     ENDPOINT_CONNECTIONS,
     CONFIG_VERSION,
     LEASE_REMAINING,
+    INNER_LINK_BYTES,
 )
--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -11,7 +11,7 @@
 import result
 
 from yuccapitch.control import lease_client, operator_api
-from yuccapitch.gateway import app, metrics as gateway_metrics
+from yuccapitch.gateway import app, metric_table, metrics as gateway_metrics
 from yuccapitch.node import control_role, entry_role, http_server, settings_table, tasks
 from yuccapitch.protocol import events, inner_tls, link, peers as inner_peers
 
@@ -71,6 +71,13 @@
         links.set_address(settings.instance_id, inner)
         metrics = gateway_metrics.Metrics()
         stack.callback(metrics.close)
+        metrics.read_gauge(
+            metric_table.INNER_LINK_BYTES,
+            lambda: [
+                (("sent",), links.traffic.sent_bytes),
+                (("received",), links.traffic.received_bytes),
+            ],
+        )
         application = app.build(metrics, self._not_ready_reason)
         if settings.runs_control:
             control = await control_role.start(
--- a/packages/protocol/src/yuccapitch/protocol/link.py
+++ b/packages/protocol/src/yuccapitch/protocol/link.py
@@ -49,6 +49,14 @@
     timeout_s: float = 2.0
 
 
+@dataclasses.dataclass
+class Traffic:
+    """Bytes of frames on the links of one instance, since its start."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
 class Link:
     """A stream between two instances that carries messages both ways."""
 
@@ -59,12 +67,14 @@
         own_id: str,
         handlers_by_type: dict[type, Handler],
         timing: LinkTiming,
+        traffic: Traffic | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._own_id = own_id
         self._handlers_by_type = handlers_by_type
         self._timing = timing
+        self._traffic = traffic or Traffic()
         self._next_correlation_id = 0
         self._futures_by_correlation_id: dict[int, asyncio.Future[Any]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -81,7 +91,7 @@
     ) -> result.Result[None, LinkError]:
         """Exchange the first message of each side."""
         hello = codec.encode(node_messages.Hello(self._own_id))
-        self._writer.write(frames.pack(frames.Kind.HELLO, 0, hello))
+        self._write_frame(frames.Kind.HELLO, 0, hello)
         try:
             async with asyncio.timeout(self._timing.timeout_s):
                 frame = await self._read_frame()
@@ -164,7 +174,14 @@
         self, kind: frames.Kind, correlation_id: int, payload: bytes = b""
     ) -> None:
         if self._is_open:
-            self._writer.write(frames.pack(kind, correlation_id, payload))
+            self._write_frame(kind, correlation_id, payload)
+
+    def _write_frame(
+        self, kind: frames.Kind, correlation_id: int, payload: bytes
+    ) -> None:
+        frame = frames.pack(kind, correlation_id, payload)
+        self._traffic.sent_bytes += len(frame)
+        self._writer.write(frame)
 
     async def _send_heartbeats(self) -> None:
         while True:
@@ -197,6 +214,7 @@
             return result.Err(LinkError(LinkFault.REMOTE, unpacked.err_value.reason))
         header = unpacked.ok_value
         payload = await self._reader.readexactly(header.length)
+        self._traffic.received_bytes += frames.HEADER_BYTES + header.length
         if not frames.is_intact(header, payload):
             return result.Err(LinkError(LinkFault.REMOTE, "a frame fails its checksum"))
         return result.Ok((header, payload))
--- a/packages/protocol/src/yuccapitch/protocol/peers.py
+++ b/packages/protocol/src/yuccapitch/protocol/peers.py
@@ -42,6 +42,7 @@
         self._retry_at_by_id: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._exit_stack = contextlib.AsyncExitStack()
+        self.traffic = inner_link.Traffic()
 
     def handle(self, message_type: type, handler: inner_link.Handler) -> None:
         """Call the handler for each message of a type, from whichever peer."""
@@ -179,7 +180,12 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> inner_link.Link:
         return inner_link.Link(
-            reader, writer, self._own_id, self._handlers_by_type, self._timing
+            reader,
+            writer,
+            self._own_id,
+            self._handlers_by_type,
+            self._timing,
+            self.traffic,
         )
 
     def _spawn(self, coroutine: Any) -> None:
--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -86,3 +86,12 @@
     reply = await pair.a.request("silent", node_messages.RenewalNotice(1, 0), 30)
     server.close()
     assert reply.unwrap_err().fault is link.LinkFault.CLOSED
+
+
+async def test_peers_count_the_bytes_of_both_sides(pair: Pair) -> None:
+    pair.b.handle(node_messages.RenewalNotice, lambda peer, message: message)
+    before = pair.a.traffic.sent_bytes
+    await pair.a.request("b", node_messages.RenewalNotice(1, 0), 5)
+    sent, received = pair.a.traffic.sent_bytes, pair.a.traffic.received_bytes
+    assert sent > before and received > 0
+    assert pair.b.traffic.received_bytes <= sent
