Send a heartbeat only on a link that sent nothing since the last one

Cause: entries exchange counts four times a second, and each link sent five heartbeats a second beside them.

--- a/packages/protocol/src/yuccapitch/protocol/link.py
+++ b/packages/protocol/src/yuccapitch/protocol/link.py
@@ -79,6 +79,7 @@
         self._futures_by_correlation_id: dict[int, asyncio.Future[Any]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_open = False
+        self._has_sent = False
         self.peer_id = ""
 
     @property
@@ -180,13 +181,17 @@
         self, kind: frames.Kind, correlation_id: int, payload: bytes
     ) -> None:
         frame = frames.pack(kind, correlation_id, payload)
+        self._has_sent = True
         self._traffic.sent_bytes += len(frame)
         self._writer.write(frame)
 
     async def _send_heartbeats(self) -> None:
         while True:
+            self._has_sent = False
             await asyncio.sleep(self._timing.heartbeat_interval_s)
-            self._write(frames.Kind.HEARTBEAT, 0)
+            # Any frame shows the peer that this side is there.
+            if not self._has_sent:
+                self._write(frames.Kind.HEARTBEAT, 0)
 
     async def _receive_frames(self) -> None:
         while self._is_open:
--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -7,7 +7,7 @@
 import pytest
 import result
 
-from yuccapitch.protocol import frames, link, node_messages, peers
+from yuccapitch.protocol import codec, frames, link, node_messages, peers
 
 TIMING = link.LinkTiming(heartbeat_interval_s=0.05, timeout_s=1.0)
 
@@ -95,3 +95,27 @@
     sent, received = pair.a.traffic.sent_bytes, pair.a.traffic.received_bytes
     assert sent > before and received > 0
     assert pair.b.traffic.received_bytes <= sent
+
+
+async def test_peers_send_no_heartbeats_beside_frames(pair: Pair) -> None:
+    kinds: list[frames.Kind] = []
+
+    async def accept(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        hello = codec.encode(node_messages.Hello("busy"))
+        writer.write(frames.pack(frames.Kind.HELLO, 0, hello))
+        while data := await reader.read(frames.HEADER_BYTES):
+            header = frames.unpack_header(data).unwrap()
+            kinds.append(header.kind)
+            await reader.readexactly(header.length)
+
+    async with await asyncio.start_server(accept, "127.0.0.1", 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        pair.a.set_address("busy", peers.Address("127.0.0.1", port))
+        for _ in range(40):
+            pair.a.send("busy", node_messages.RenewalNotice(1, 0))
+            await asyncio.sleep(TIMING.heartbeat_interval_s / 5)
+        await pair.a.aclose()
+    assert kinds.count(frames.Kind.ONE_WAY) > 20
+    assert kinds.count(frames.Kind.HEARTBEAT) <= 1
