--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -22,8 +22,10 @@
     exchange,
     forwarding,
     lookup,
+    metric_table,
     metrics as gateway_metrics,
     pool_service,
+    region_states,
     request_path,
     share_service,
 )
@@ -32,9 +34,9 @@
 from yuccapitch.steering import entry_choice, health, resources
 
 CONNECTIONS_PER_ENDPOINT = 64
-LOADS_INTERVAL_S = 0.25
+LOADS_INTERVAL_S = 0.2
 """Time between counts to the instances of the own region."""
-FAR_LOADS_EVERY = 4
+FAR_LOADS_EVERY = 5
 """Of so many counts, one goes to the instances of other regions as well."""
 DRAIN_POLL_S = 0.05
 
@@ -81,6 +83,9 @@
             parts.clock,
             parts.rng,
         )
+        self._region_states = region_states.RegionStates(
+            lambda endpoint_id: not self._watch.is_leaving(endpoint_id)
+        )
         self._tokens = forwarding.ForwardTokens()
         self._claims = claim_service.Claims(
             self._instance_id,
@@ -112,6 +117,7 @@
         # The request path exists once the shares do: with the first configuration.
         application.router.add_route("*", "/s/{service}{path:/.*|}", self._handle)
         self._path: request_path.RequestPath | None = None
+        self._read_gauges()
         for coroutine in (
             self.lease.run(),
             self._watch.run(),
@@ -151,6 +157,18 @@
         self._parts.metrics.record_drain("instance", duration_s)
         events.event("entry.drain-finished", duration_s=round(duration_s, 3))
 
+    def _read_gauges(self) -> None:
+        metrics = self._parts.metrics
+        metrics.read_gauge(
+            metric_table.LIMIT_SHARE,
+            lambda: [] if self._shares is None else self._shares.read_shares(),
+        )
+        metrics.read_gauge(
+            metric_table.LIMIT_SHARE_USED,
+            lambda: [] if self._shares is None else self._shares.read_used(),
+        )
+        metrics.read_gauge(metric_table.REGION_HEADROOM, self._pools.headroom)
+
     def _owners_in_region(self) -> set[ids.InstanceId]:
         view = self.state.view
         assert view is not None
@@ -205,7 +223,7 @@
             self._claims,
             dispatch,
             self._tokens,
-            lambda endpoint_id: not self._watch.is_leaving(endpoint_id),
+            self._region_states,
             parts.metrics,
             parts.settings.max_in_flight,
             parts.clock,
@@ -277,6 +295,7 @@
         }
 
     def _on_leaving(self) -> None:
+        self._region_states.forget()
         self._pools.tick()
 
     def _address(self, instance_id: ids.InstanceId) -> tuple[str, int] | None:
@@ -293,6 +312,13 @@
             await asyncio.sleep(pool_service.TICK_INTERVAL_S)
             self._pools.tick()
             self._tell_readiness()
+            self._abort_after_lapse()
+
+    def _abort_after_lapse(self) -> None:
+        # The leader counts this instance's work so long after its lease lapsed.
+        ends_at = self.lease.lease_until + resources.IN_FLIGHT_LINGER_S
+        if self._path is not None and self._parts.clock() >= ends_at:
+            self._path.abort_all()
 
     def _tell_readiness(self) -> None:
         is_ready = self.not_ready_reason() is None
