--- a/tests/fakes/relay.py
+++ b/tests/fakes/relay.py
@@ -63,10 +63,15 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server
 
-    async def start(self) -> None:
-        """Listen."""
+    async def start(self, reserved_ports: frozenset[int] = frozenset()) -> None:
+        """Listen on a port that nobody else will want."""
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
+        if self.port in reserved_ports:
+            # The system gives another while this one is held.
+            unwanted = self._server
+            await self.start(reserved_ports)
+            unwanted.close()
 
     def close_connections(self) -> None:
         """Close every connection; new ones are taken."""
@@ -121,10 +126,16 @@
 
     def __init__(self) -> None:
         self._relays_by_pair: dict[tuple[str, str], Relay] = {}
+        self._reserved_ports: frozenset[int] = frozenset()
 
     async def insert(self, cluster: processes.Cluster) -> None:
         """Relay every connection towards a control process, before they start."""
         controls = cluster.of_role("control")
+        everyone = cluster.processes_by_id.values()
+        # Chosen earlier and not yet bound, so that a relay could be given one.
+        self._reserved_ports = frozenset(
+            port for each in everyone for port in (each.http_port, each.inner_port)
+        )
         for process in cluster.processes_by_id.values():
             peers = []
             for control in controls:
@@ -139,7 +150,7 @@
     async def add(self, source: str, target: str, target_port: int) -> int:
         """Relay the connections that the source opens; return the port to use."""
         relay = Relay(target_port)
-        await relay.start()
+        await relay.start(self._reserved_ports)
         self._relays_by_pair[source, target] = relay
         return relay.port
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,9 +5,11 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
 
+from tests import processes
 from tests.fakes import relay
 
 Path = tuple[relay.Relay, asyncio.StreamReader, asyncio.StreamWriter]
@@ -64,3 +66,24 @@
     assert await reader.readexactly(3) == b"one"
     passing.close_connections()
     assert await reader.read() == b""
+
+
+async def test_relay_listens_on_no_reserved_port(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    start_server = asyncio.start_server
+    taken = processes.free_ports(1)[0]
+    ports = [taken, 0]
+
+    async def start(handler: Any, host: str, port: int) -> asyncio.Server:
+        return await start_server(handler, host, ports.pop(0))
+
+    monkeypatch.setattr(asyncio, "start_server", start)
+    passing = relay.Relay(taken)
+    await passing.start(frozenset({taken}))
+    assert passing.port != taken and ports == []
+    await passing.aclose()
+    monkeypatch.undo()
+    # It is free again for the process that it was chosen for.
+    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", taken)
+    server.close()
