Return a slot that was given while its caller went away

Cause: a slot granted in the same turn of the loop in which the waiting request was cancelled was held for ever: the future had its result, so the cancelled request neither cancelled the ask nor released the slot.

--- a/packages/gateway/src/yuccapitch/gateway/exchange.py
+++ b/packages/gateway/src/yuccapitch/gateway/exchange.py
@@ -23,6 +23,8 @@
 """Idle age after which a pooled connection is closed: it may have gone silent."""
 SILENCE_TIMEOUT_S = 30.0
 """Time without a byte from an endpoint after which an exchange is given up."""
+REUSED_TIMEOUT_PART = 0.5
+"""Part of the time left that a reused connection gets to begin an answer."""
 WHOLE_ANSWER_BYTES = 256 * 1024
 """Answers up to this size are read whole before the caller gets any of them."""
 
@@ -44,6 +46,9 @@
 )
 
 
+_NOT_ADDED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
 class Sent(enum.Enum):
     """How much of a request may have reached the endpoint."""
 
@@ -59,10 +64,24 @@
     status: int
     headers: multidict.CIMultiDict[str]
     body: bytes
-    rest: aiohttp.StreamReader | None
+    rest: Rest | None
     length: int | None
 
 
+@dataclasses.dataclass(frozen=True)
+class Rest:
+    """The rest of an answer's body, which must come before the deadline."""
+
+    content: aiohttp.StreamReader
+    deadline: float
+    """On the clock of the event loop."""
+
+    async def readany(self) -> bytes:
+        """Return what has come, or nothing at the end; raise if it ends early."""
+        async with asyncio.timeout_at(self.deadline):
+            return await self.content.readany()
+
+
 @dataclasses.dataclass(frozen=True)
 class ShedAnswer:
     """The endpoint says that it did not run the request."""
@@ -123,13 +142,18 @@
         connection, which cancels the endpoint's work and never lets a late
         answer reach another request.
         """
-        progress = _Progress()
+        if timeout_s <= 0:
+            yield NoAnswer(Sent.NOTHING, "the deadline had passed", is_timeout=True)
+            return
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        progress = _Progress(timeout_s)
         response: aiohttp.ClientResponse | None = None
         try:
             try:
-                async with asyncio.timeout(timeout_s):
+                async with asyncio.timeout(timeout_s) as progress.bound:
                     response = await self._send(target, body, timeout_s, progress)
-                    outcome = await _receive(response)
+                    progress.bound.reschedule(deadline)
+                    outcome = await _receive(response, deadline)
             except _FAILURES as error:
                 outcome = _no_answer(error, progress, body)
             yield outcome
@@ -164,7 +188,7 @@
             headers=headers,
             data=data,
             allow_redirects=False,
-            skip_auto_headers=("User-Agent", "Accept", "Content-Type"),
+            skip_auto_headers=_NOT_ADDED,
             trace_request_ctx=progress,
         )
 
@@ -197,8 +221,11 @@
 
 def forwarded_headers(headers: Mapping[str, str]) -> multidict.CIMultiDict[str]:
     """Return the headers that pass through, without those of one connection."""
-    named = headers.get("Connection", "").lower().split(",")
-    dropped = _HOP_BY_HOP | {name.strip() for name in named}
+    named: set[str] = set()
+    for name, value in headers.items():
+        if name.lower() == "connection":
+            named.update(part.strip() for part in value.lower().split(","))
+    dropped = _HOP_BY_HOP | named
     passed = multidict.CIMultiDict[str]()
     for name, value in headers.items():
         if name.lower() not in dropped:
@@ -208,8 +235,9 @@
 
 @dataclasses.dataclass
 class _Progress:
+    timeout_s: float
+    bound: asyncio.Timeout | None = None
     headers_sent: bool = False
-    is_reused: bool = False
 
 
 _FAILURES = (aiohttp.ClientError, OSError, TimeoutError, bodies.BodyError)
@@ -228,22 +256,31 @@
     context: types.SimpleNamespace,
     params: aiohttp.TraceConnectionReuseconnParams,
 ) -> None:
-    context.trace_request_ctx.is_reused = True
+    # It may have gone silent: time is left for another attempt on another one.
+    progress: _Progress = context.trace_request_ctx
+    assert progress.bound is not None
+    now = asyncio.get_running_loop().time()
+    progress.bound.reschedule(now + progress.timeout_s * REUSED_TIMEOUT_PART)
 
 
-async def _receive(response: aiohttp.ClientResponse) -> Result:
+async def _receive(response: aiohttp.ClientResponse, deadline: float) -> Result:
     headers = multidict.CIMultiDict(response.headers)
     if response.status == 503 and response.headers.get(SHED_HEADER) == "1":
-        await response.read()
+        # The head says it all; what follows it is let in only to keep the connection.
+        with contextlib.suppress(aiohttp.ClientError):
+            await response.content.read(WHOLE_ANSWER_BYTES)
         return ShedAnswer(headers)
     length = response.content_length
     taken = bytearray()
     while len(taken) < WHOLE_ANSWER_BYTES:
         chunk = await response.content.readany()
         if not chunk:
-            return Answer(response.status, headers, bytes(taken), None, len(taken))
+            if response.method != "HEAD":
+                length = len(taken)
+            return Answer(response.status, headers, bytes(taken), None, length)
         taken += chunk
-    return Answer(response.status, headers, bytes(taken), response.content, length)
+    rest = Rest(response.content, deadline)
+    return Answer(response.status, headers, bytes(taken), rest, length)
 
 
 def _no_answer(
--- a/packages/gateway/src/yuccapitch/gateway/pool_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/pool_service.py
@@ -178,10 +178,15 @@
         self._carry_out(own.ask(ask, self._clock()))
         try:
             return await future
+        except asyncio.CancelledError:
+            if ask.request_id in self._slots_by_request_id:
+                # The slot was given in the moment in which the caller went away.
+                self.release(pool, ask.request_id, None, 0.0)
+            else:
+                self._carry_out(own.cancel(ask.request_id, self._clock()))
+            raise
         finally:
             self._futures_by_request_id.pop(ask.request_id, None)
-            if future.cancelled():
-                self._carry_out(own.cancel(ask.request_id, self._clock()))
 
     def release(
         self,
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -159,6 +159,13 @@
         assert response.status == 200
     for writer in writers:
         writer.transport.abort()
+    # Slots that were given to callers in the moment they left come back.
+    for _ in range(20):
+        reads = [deployment.session.get(deployment.url("shop/")) for _ in range(8)]
+        statuses = [response.status for response in await asyncio.gather(*reads)]
+        if statuses == [200] * 8:
+            break
+    assert statuses == [200] * 8
 
 
 async def test_bad_input_on_the_inner_port_is_dropped(
