--- /dev/null
+++ b/tests/test_endpoint_faults.py
@@ -0,0 +1,383 @@
+"""Faulty endpoints never show as whole answers, second runs or false not-runs."""
+
+from __future__ import annotations
+
+import asyncio
+import gzip
+import hashlib
+import time
+from collections.abc import AsyncIterator, Callable
+
+import aiohttp
+import pytest
+import pytest_asyncio
+
+from tests import embedded
+from tests.fakes import behaviour, endpoint as fake_endpoint, platform as fake_platform
+
+pytestmark = [pytest.mark.processes, pytest.mark.asyncio(loop_scope="module")]
+RSS_BOUND_MB = 256
+LEAVING_BOUND_S = 3.0
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def started(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> AsyncIterator[embedded.Deployment]:
+    async with embedded.running(tmp_path_factory.mktemp("endpoint-faults")) as running:
+        yield running
+        assert running.is_up()
+
+
+@pytest_asyncio.fixture(loop_scope="module")
+async def deployment(
+    started: embedded.Deployment,
+) -> AsyncIterator[embedded.Deployment]:
+    """The deployment, whose endpoints behave again before each test."""
+    for shop in started.shops:
+        shop.set_behaviour(**behaviour.Behaviour().model_dump())
+    started.scripted.answer = embedded.ScriptedEndpoint().answer
+    started.scripted.reads_body = True
+
+    async def serves() -> bool:
+        ended = [await send(started, "GET", "shop/") for _ in range(4)]
+        return all(outcome == "answered" for outcome, _, _ in ended)
+
+    await started.cluster.until("the shop serves", serves, 20)
+    yield started
+
+
+async def send(
+    deployment: embedded.Deployment,
+    method: str,
+    path: str,
+    headers: dict[str, str] | None = None,
+    data: bytes | None = None,
+) -> tuple[str, int, bytes]:
+    """Return the outcome, status and body; the outcome is cut if it ended early."""
+    try:
+        async with deployment.session.request(
+            method, deployment.url(path), headers=headers, data=data
+        ) as response:
+            body = await response.read()
+            return response.headers["Yuccapitch-Outcome"], response.status, body
+    except aiohttp.ClientError:
+        return "cut", 0, b""
+
+
+async def order(
+    deployment: embedded.Deployment, key: str, query: str = "", timeout_ms: int = 2000
+) -> tuple[str, int, bytes]:
+    headers = {"Idempotency-Key": key, "Request-Timeout-Ms": str(timeout_ms)}
+    return await send(deployment, "POST", "shop/orders" + query, headers, b"order")
+
+
+@pytest.mark.parametrize("size", [1000, 1_000_000])
+@pytest.mark.parametrize("truncation", ["length", "chunked"])
+async def test_truncated_answer_is_never_whole(
+    deployment: embedded.Deployment, truncation: str, size: int
+) -> None:
+    for shop in deployment.shops:
+        shop.set_behaviour(truncation=truncation)
+    read = await send(deployment, "GET", f"shop/?bytes={size}")
+    assert read[:2] in [("cut", 0), ("unknown", 502)], read[:2]
+    key = deployment.key()
+    ended = await order(deployment, key, f"?bytes={size}")
+    assert ended[:2] in [("cut", 0), ("unknown", 502)], ended[:2]
+    assert deployment.steps(key).count("begin") == 1
+
+
+@pytest.mark.parametrize("size", [1000, 1_000_000])
+@pytest.mark.parametrize("stall", ["head", "body"])
+async def test_stalled_answer_ends_at_the_deadline(
+    deployment: embedded.Deployment, stall: str, size: int
+) -> None:
+    for shop in deployment.shops:
+        shop.set_behaviour(stall=stall)
+    key = deployment.key()
+    # A connection that stayed open beyond the deadline fails by the timeout.
+    async with asyncio.timeout(15):
+        ended = await order(deployment, key, f"?bytes={size}", 500)
+        read = await send(
+            deployment, "GET", f"shop/?bytes={size}", {"Request-Timeout-Ms": "500"}
+        )
+    assert ended[:2] in [("cut", 0), ("unknown", 504)], ended[:2]
+    assert read[:2] in [("cut", 0), ("unknown", 504)], read[:2]
+    assert deployment.steps(key).count("begin") == 1
+
+
+async def test_shed_order_runs_elsewhere(deployment: embedded.Deployment) -> None:
+    deployment.shops[0].set_behaviour(shed_ratio=1.0)
+    keys = [deployment.key() for _ in range(8)]
+    for key in keys:
+        assert (await order(deployment, key))[0] == "answered"
+        assert deployment.steps(key).count("begin") == 1
+
+
+async def test_shed_order_is_not_run_if_all_shed(
+    deployment: embedded.Deployment,
+) -> None:
+    for shop in deployment.shops:
+        shop.set_behaviour(shed_ratio=1.0)
+    key = deployment.key()
+    ended = await order(deployment, key)
+    assert ended[:2] == ("not-run", 503), ended
+    assert set(deployment.steps(key)) <= {"shed"}
+    for shop in deployment.shops:
+        shop.set_behaviour(shed_ratio=0.0)
+    headers = {"Idempotency-Key": key, "Idempotency-Attempt": "2"}
+
+    async def runs() -> bool:
+        ended = await send(deployment, "POST", "shop/orders", headers, b"order")
+        headers["Idempotency-Attempt"] = str(int(headers["Idempotency-Attempt"]) + 1)
+        return ended[0] == "answered"
+
+    await deployment.cluster.until("the key runs later", runs, 20)
+    assert deployment.steps(key).count("begin") == 1
+
+
+async def test_forgotten_connections_are_left(deployment: embedded.Deployment) -> None:
+    reads = [send(deployment, "GET", "shop/") for _ in range(8)]
+    await asyncio.gather(*reads)
+    for shop in deployment.shops:
+        shop.forget_connections()
+    key = deployment.key()
+    ended = await order(deployment, key)
+    assert ended[0] == "answered", ended
+    read = await send(deployment, "GET", "shop/", {"Request-Timeout-Ms": "4000"})
+    assert read[0] == "answered", read
+
+
+async def test_caller_that_goes_away_cancels_work(
+    deployment: embedded.Deployment,
+) -> None:
+    for shop in deployment.shops:
+        shop.set_behaviour(mean_s=30.0)
+    for method, path in (("GET", "shop/"), ("POST", "shop/orders")):
+        key = deployment.key()
+        request = (
+            f"{method} /s/{path} HTTP/1.1\r\nHost: x\r\nRequest-Id: {key}\r\n"
+            f"Idempotency-Key: {key}\r\nContent-Length: 0\r\n\r\n"
+        )
+        _, writer = await deployment.connect()
+        writer.write(request.encode())
+        await deployment.until("it runs", lambda: "begin" in deployment.steps(key))
+        writer.transport.abort()
+        await deployment.until(
+            "it is cancelled", lambda: "cancel" in deployment.steps(key)
+        )
+
+
+async def test_deadline_shrinks_on_its_way(deployment: embedded.Deployment) -> None:
+    for given, most in (("900", 900), ("90000", 5000), (None, 5000)):
+        request_id = deployment.key()
+        headers = {"Request-Id": request_id}
+        if given is not None:
+            headers["Request-Timeout-Ms"] = given
+        assert (await send(deployment, "GET", "shop/", headers))[0] == "answered"
+        sent = [
+            int(entry.timeout_ms)
+            for shop in deployment.shops
+            for entry in shop.journal.entries
+            if entry.key == request_id
+        ]
+        assert all(0 < timeout_ms <= most for timeout_ms in sent), sent
+
+
+async def test_expired_work_is_not_sent(deployment: embedded.Deployment) -> None:
+    for shop in deployment.shops:
+        shop.set_behaviour(stall="head")
+    busy = [
+        asyncio.create_task(order(deployment, deployment.key(), timeout_ms=4000))
+        for _ in range(8)
+    ]
+    await deployment.until(
+        "the slots are taken", lambda: sum(s.in_flight for s in deployment.shops) == 8
+    )
+    key = deployment.key()
+    ended = await order(deployment, key, timeout_ms=300)
+    assert ended[0] == "not-run", ended
+    assert deployment.steps(key) == []
+    for shop in deployment.shops:
+        shop.set_behaviour(stall="none")
+    assert {ended[0] for ended in await asyncio.gather(*busy)} == {"answered"}
+    assert deployment.steps(key) == []
+
+
+async def operator_drain(deployment: embedded.Deployment) -> None:
+    drain = {"kind": "endpoint", "target": "shop-1", "owner": "north"}
+    deployment.declaration["drains"] = {"d": drain}
+    await deployment.apply()
+
+
+async def report_drain(deployment: embedded.Deployment) -> None:
+    deployment.shops[0].set_behaviour(draining=True)
+
+
+async def platform_drain(deployment: embedded.Deployment) -> None:
+    state = fake_platform.InstanceState
+    instances = {"shop-1": state.LEAVING, "shop-2": state.LIVE}
+    deployment.platform.set_instances(instances, time.time())
+
+
+async def lift_drains(deployment: embedded.Deployment) -> None:
+    state = fake_platform.InstanceState
+    instances = {"shop-1": state.LIVE, "shop-2": state.LIVE}
+    deployment.platform.set_instances(instances, time.time())
+    if deployment.declaration.pop("drains", None):
+        await deployment.apply()
+
+
+@pytest.mark.parametrize("drain", [operator_drain, report_drain, platform_drain])
+async def test_leaving_endpoint_gets_no_new_work(
+    deployment: embedded.Deployment, drain: Callable[..., object]
+) -> None:
+    leaving = deployment.shops[0]
+    stop = asyncio.Event()
+
+    async def load() -> None:
+        while not stop.is_set():
+            await send(deployment, "GET", "shop/")
+            await asyncio.sleep(0.01)
+
+    loads = [asyncio.create_task(load()) for _ in range(4)]
+    await drain(deployment)  # type: ignore[misc]
+    signed_at = time.monotonic()
+    # Live reports of the endpoint and a live platform list go on all the while.
+    await asyncio.sleep(LEAVING_BOUND_S + 2)
+    stop.set()
+    await asyncio.gather(*loads)
+    late = [
+        entry
+        for entry in leaving.journal.entries
+        if entry.step.value == "begin"
+        and entry.monotonic_s > signed_at + LEAVING_BOUND_S
+    ]
+    await lift_drains(deployment)
+    assert late == []
+    assert deployment.shops[1].journal.entries[-1].monotonic_s > signed_at
+
+
+async def test_hop_by_hop_headers_end_here(deployment: embedded.Deployment) -> None:
+    deployment.scripted.answer = (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+        b"Connection: X-Jump\r\nX-Jump: 1\r\nKeep-Alive: timeout=9\r\n"
+        b"X-Kept: a\r\nX-Kept: b\r\n\r\nok"
+    )
+    request = (
+        b"GET /s/raw/ HTTP/1.1\r\nHost: x\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+        b"Connection: X-Jump, close\r\nX-Jump: 1\r\nTE: trailers\r\nX-Kept: a\r\n"
+        b"Yuccapitch-Forward-Domain: domain-2\r\nYuccapitch-Forward-Owner: x\r\n"
+        b"X-Kept: b\r\nKeep-Alive: 5\r\nProxy-Authorization: x\r\n\r\n"
+    )
+    answer = (await deployment.raw(request)).lower()
+    sent = deployment.scripted.heads[-1].lower()
+    for head in (answer, sent):
+        assert head.count(b"x-kept: ") == 2, head
+        for name in (
+            b"x-hop",
+            b"x-jump",
+            b"keep-alive:",
+            b"\r\nte:",
+            b"proxy-",
+            b"-forward-",
+        ):
+            assert name not in head, (name, head)  # fmt: skip
+    assert b"accept" not in sent and b"user-agent" not in sent, sent
+
+
+@pytest.mark.parametrize(
+    ("method", "answer"),
+    [
+        ("HEAD", b"200 OK\r\nContent-Length: 1234\r\n"),
+        ("GET", b"204 No Content\r\n"),
+        ("GET", b'304 Not Modified\r\nETag: "x"\r\n'),
+        ("HEAD", b"304 Not Modified\r\nContent-Length: 99\r\n"),
+    ],
+)
+async def test_answer_without_body_passes(
+    deployment: embedded.Deployment, method: str, answer: bytes
+) -> None:
+    deployment.scripted.answer = b"HTTP/1.1 " + answer + b"\r\n"
+    request = f"{method} /s/raw/ HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    got = await deployment.raw(request.encode())
+    assert got.startswith(b"HTTP/1.1 " + answer[:3]), got
+    assert got.endswith(b"\r\n\r\n") and got.count(b"\r\n\r\n") == 1, got
+    assert b"Yuccapitch-Outcome: answered" in got
+    if b"1234" in answer:
+        assert b"Content-Length: 1234\r\n" in got
+    if answer.startswith(b"204"):
+        assert b"content-length" not in got.lower()
+
+
+async def test_answer_before_the_body_was_read_passes(
+    deployment: embedded.Deployment,
+) -> None:
+    deployment.scripted.reads_body = False
+    deployment.scripted.answer = (
+        b"HTTP/1.1 413 Too Large\r\nContent-Length: 3\r\nConnection: close\r\n\r\nbig"
+    )
+    headers = {"Idempotency-Key": deployment.key()}
+    ended = await send(deployment, "PUT", "raw/uploads", headers, b"x" * 3_000_000)
+    # The endpoint's answer, or an end that claims nothing of the upload.
+    assert ended[:2] in [("answered", 413), ("unknown", 502), ("cut", 0)], ended[:2]
+    assert ended[1] != 413 or ended[2] == b"big"
+
+
+async def test_encoded_body_passes_unchanged(deployment: embedded.Deployment) -> None:
+    body = gzip.compress(b"x" * 10_000)
+    headers = {"Idempotency-Key": deployment.key(), "Content-Encoding": "gzip"}
+    ended = await send(deployment, "POST", "raw/orders", headers, body)
+    assert ended[0] == "answered", ended
+    assert deployment.scripted.bodies[-1] == body
+
+
+async def test_large_upload_streams_in_bounded_memory(
+    deployment: embedded.Deployment,
+) -> None:
+    block = b"y" * 1_000_000
+    digest = hashlib.sha256()
+
+    async def blocks() -> AsyncIterator[bytes]:
+        for _ in range(300):
+            digest.update(block)
+            yield block
+
+    key = deployment.key()
+    headers = {"Idempotency-Key": key}
+    async with deployment.session.put(
+        deployment.url("shop/uploads"), headers=headers, data=blocks()
+    ) as response:
+        assert response.status == 200, await response.text()
+        assert response.headers["Request-Body-Sha256"] == digest.hexdigest()
+    assert deployment.rss_mb() < RSS_BOUND_MB
+    assert deployment.steps(key) == ["begin", "end"]
+
+
+async def test_upload_cut_midway_is_kept_by_its_next_attempt(
+    deployment: embedded.Deployment,
+) -> None:
+    key = deployment.key()
+    _, writer = await deployment.connect()
+    head = (
+        f"PUT /s/shop/uploads HTTP/1.1\r\nHost: x\r\nIdempotency-Key: {key}\r\n"
+        f"Content-Length: 5000000\r\n\r\n"
+    )
+    writer.write(head.encode() + b"x" * 2_000_000)
+    await writer.drain()
+    await deployment.until(
+        "it is being sent", lambda: any(shop.in_flight for shop in deployment.shops)
+    )
+    writer.transport.abort()
+    await deployment.until(
+        "it is cut off", lambda: "incomplete" in deployment.steps(key)
+    )
+    body = b"x" * 5_000_000
+    for attempt in range(1, 6):
+        headers = {"Idempotency-Key": key, "Idempotency-Attempt": str(attempt)}
+        ended = await send(deployment, "PUT", "shop/uploads", headers, body)
+        if ended[0] == "answered":
+            break
+        assert "begin" not in deployment.steps(key), ended
+    assert ended[0] == "answered", ended
+    assert deployment.steps(key).count("begin") == 1
