--- a/packages/gateway/src/yuccapitch/gateway/bodies.py
+++ b/packages/gateway/src/yuccapitch/gateway/bodies.py
@@ -47,6 +47,8 @@
     """Whether bytes beyond the head were taken from the caller."""
     pacer: admissions.Pacer | None = None
     """Holds back bytes that go to another region."""
+    is_begun: bool = False
+    """Whether it was handed to an exchange, be it without a byte."""
     all_sent: bool = False
     """Whether the last byte was handed to the connection with an endpoint."""
 
--- a/packages/gateway/src/yuccapitch/gateway/claim_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/claim_service.py
@@ -131,6 +131,16 @@
         assert not isinstance(decision, claim_attempt.Dispatch), "a void never grants"
         return decision
 
+    def void_later(self, claimed: Dispatch) -> None:
+        """Void an attempt that did not run; its caller went away."""
+
+        async def void() -> None:
+            await claimed.prove_not_run()
+
+        task = asyncio.create_task(void())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     @property
     def votes(self) -> bool:
         """Whether this holder votes on new keys; it abstains on older ones."""
--- a/packages/gateway/src/yuccapitch/gateway/dispatcher.py
+++ b/packages/gateway/src/yuccapitch/gateway/dispatcher.py
@@ -28,6 +28,9 @@
     retry,
 )
 
+_NOT_SERVING_CODES = frozenset({"pool-moved", "wrong-token", "no-lease", "stopping"})
+"""Refusals by an instance that no longer owns the pool; another is chosen next."""
+
 Addresses = Callable[[ids.InstanceId], tuple[str, int] | None]
 
 
@@ -105,15 +108,22 @@
             failure = outcomes.Failure(503, "no-endpoint", message, retry_after_s=1)
             return jobs.Failed(failure, None)
         if chosen.owner == self._instance_id:
-            return await self._attempt_here(job, chosen.pool)
-        self._pools.directory.record_sent(chosen.pool)
-        try:
-            return await self._forward(job, chosen)
-        finally:
-            self._pools.directory.record_ended(chosen.pool)
+            ended = await self._attempt_here(job, chosen.pool)
+        else:
+            self._pools.directory.record_sent(chosen.pool)
+            try:
+                ended = await self._forward(job, chosen)
+            finally:
+                self._pools.directory.record_ended(chosen.pool)
+        if isinstance(ended, jobs.Failed):
+            job.tried_pools.add(chosen.pool)
+        return ended
 
     def _choose_pool(self, job: jobs.Job) -> pool_choice.PoolView | None:
         now = self._clock()
+        own = self._pools.idle_pool(job.wanted.route.service, job.region, now)
+        if own is not None and job.endpoint_owner is None:
+            return own
         views = [
             view
             for view in self._pools.directory.views(
@@ -123,6 +133,10 @@
         ]
         if job.endpoint_owner is not None:
             views = [view for view in views if self._has_owner(job, view.pool)]
+        avoided = self._shed_memory.avoided(now)
+        if avoided or job.tried_pools:
+            # Without any other, one of them is asked again.
+            views = [v for v in views if _is_untried(job, v.pool, avoided)] or views
         return pool_choice.choose_pool(
             views,
             job.wanted.route.limits.patience,
@@ -220,7 +234,7 @@
         async with self._exchanges.exchange(target, job.body, timeout_s) as outcome:
             match outcome:
                 case exchange.Answer():
-                    return await self._forwarded_end(job, outcome)
+                    return await self._forwarded_end(job, outcome, chosen.owner)
                 case exchange.NoAnswer(sent):
                     if sent is exchange.Sent.NOTHING:
                         self._pools.directory.lose(chosen.owner)
@@ -240,6 +254,8 @@
         )
         if text != outcomes.Outcome.NOT_RUN.value:
             return jobs.Failed(failure, retry.AttemptEnd.BROKEN)
+        if failure.code in _NOT_SERVING_CODES:
+            self._pools.directory.lose(owner)
         retry_after = answer.headers.get("Retry-After", "1")
         failure = outcomes.Failure(
             answer.status,
@@ -250,6 +266,14 @@
         return jobs.Failed(failure, retry.AttemptEnd.NOT_SENT)
 
 
+def _is_untried(
+    job: jobs.Job, pool: owners.Pool, avoided: frozenset[ids.EndpointId]
+) -> bool:
+    if pool in job.tried_pools:
+        return False
+    return any(endpoint not in avoided for endpoint in job.view.pool_endpoints(pool))
+
+
 async def deliver(job: jobs.Job, answer: exchange.Answer) -> web.StreamResponse:
     """Pass an answer on; a failure midway aborts the caller's connection."""
     job.on_answer(answer)
@@ -261,7 +285,7 @@
             status=answer.status, body=answer.body or None, headers=headers
         )
         if job.request.method == "HEAD" and answer.length is not None:
-            response.content_length = answer.length
+            response.headers["Content-Length"] = str(answer.length)
         return response
     streamed = web.StreamResponse(status=answer.status, headers=headers)
     streamed.content_length = answer.length
@@ -302,6 +326,15 @@
     return is_upload and ended.sent is exchange.Sent.PART
 
 
+def cannot_have_run(job: jobs.Job) -> bool:
+    """Whether a request whose caller went away is known not to have run."""
+    if not job.body.is_begun:
+        return True
+    # An upload that did not arrive whole was not kept.
+    is_upload = job.wanted.route.request_class is model.RequestClass.KEPT_ONCE
+    return is_upload and not job.body.all_sent
+
+
 def _health_end(ended: exchange.NoAnswer) -> health.ExchangeEnd | None:
     if ended.body_fault is not None:
         return None
--- a/packages/gateway/src/yuccapitch/gateway/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/request_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import asyncio
 import dataclasses
 import random
@@ -54,7 +55,7 @@
         claims: claim_service.Claims,
         dispatch: dispatcher.Dispatcher,
         tokens: forwarding.ForwardTokens,
-        takes_work: Callable[[ids.EndpointId], bool],
+        states: region_states.RegionStates,
         metrics: gateway_metrics.Metrics,
         max_in_flight: int,
         clock: Callable[[], float],
@@ -65,7 +66,7 @@
         self._claims = claims
         self._dispatch = dispatch
         self._tokens = tokens
-        self._takes_work = takes_work
+        self._region_states = states
         self._metrics = metrics
         self._max_in_flight = max_in_flight
         self._clock = clock
@@ -185,7 +186,12 @@
         match claimed:
             case claim_service.Dispatch():
                 job.on_answer = lambda answer: _tell_answer(claimed, answer)
-                ended = await self._dispatch.run(job)
+                try:
+                    ended = await self._dispatch.run(job)
+                except asyncio.CancelledError:
+                    if dispatcher.cannot_have_run(job):
+                        self._claims.void_later(claimed)
+                    raise
                 return await self._respond_claimed(ended, claimed)
             case claim_attempt.AlreadyDispatched():
                 return self._replay(claimed)
@@ -235,7 +241,7 @@
                 wanted.route.limits.patience,
                 wanted.content_length or 0,
             ),
-            region_states.region_states(view, service, self._takes_work),
+            self._region_states.of(view, service),
             self._clock(),
             self._rng.random(),
         )
