Look past an idle own pool whose endpoints were just seen to shed

Cause: the shortcut to an idle own pool was taken on every attempt, so that a retry after a shed answer asked the same pool again. test_shed_order_runs_elsewhere: failed before, passes after.

--- a/packages/gateway/src/yuccapitch/gateway/dispatcher.py
+++ b/packages/gateway/src/yuccapitch/gateway/dispatcher.py
@@ -121,8 +121,10 @@
 
     def _choose_pool(self, job: jobs.Job) -> pool_choice.PoolView | None:
         now = self._clock()
+        avoided = self._shed_memory.avoided(now)
+        is_first_choice = not avoided and not job.tried_pools
         own = self._pools.idle_pool(job.wanted.route.service, job.region, now)
-        if own is not None and job.endpoint_owner is None:
+        if own is not None and job.endpoint_owner is None and is_first_choice:
             return own
         views = [
             view
@@ -133,8 +135,7 @@
         ]
         if job.endpoint_owner is not None:
             views = [view for view in views if self._has_owner(job, view.pool)]
-        avoided = self._shed_memory.avoided(now)
-        if avoided or job.tried_pools:
+        if not is_first_choice:
             # Without any other, one of them is asked again.
             views = [v for v in views if _is_untried(job, v.pool, avoided)] or views
         return pool_choice.choose_pool(
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -152,6 +152,11 @@
         )
         stack.callback(cluster.close)
         cluster.start()
+
+        async def is_up() -> bool:
+            return (await cluster.get(process.url + "/healthz"))[0] == 200
+
+        await cluster.until("the process is up", is_up)
         await deployment.apply()
         await cluster.until_ready(process)
         await cluster.until("the shop serves", _serves(deployment))
