End a trickling body at the request's deadline

Cause: each byte renewed the stall timeout, so that a body of one byte each 9 s held its request for weeks. test_bodies.py: the second case cannot pass without the new argument.

--- a/packages/gateway/src/yuccapitch/gateway/bodies.py
+++ b/packages/gateway/src/yuccapitch/gateway/bodies.py
@@ -24,6 +24,7 @@
 
     TOO_LARGE = "too-large"
     STALLED = "stalled"
+    LATE = "late"
     CUT_OFF = "cut-off"
 
 
@@ -92,7 +93,7 @@
 
 
 async def open_body(
-    request: web.Request, most_bytes: int
+    request: web.Request, most_bytes: int, timeout_s: float
 ) -> result.Result[Body, outcomes.Failure]:
     """Read the head of a body, which is the whole of a small one."""
     body = Body(request, most_bytes)
@@ -101,16 +102,19 @@
         return result.Ok(body)
     taken = bytearray()
     try:
-        async for chunk in _read(request):
-            taken += chunk
-            if len(taken) > most_bytes:
-                return result.Err(failure_of(BodyFault.TOO_LARGE))
-            if len(taken) >= BUFFERED_BYTES:
-                break
-        else:
-            body.is_whole = True
+        async with asyncio.timeout(timeout_s):
+            async for chunk in _read(request):
+                taken += chunk
+                if len(taken) > most_bytes:
+                    return result.Err(failure_of(BodyFault.TOO_LARGE))
+                if len(taken) >= BUFFERED_BYTES:
+                    break
+            else:
+                body.is_whole = True
     except BodyError as error:
         return result.Err(failure_of(error.fault))
+    except TimeoutError:
+        return result.Err(failure_of(BodyFault.LATE))
     body.head = bytes(taken)
     return result.Ok(body)
 
@@ -120,6 +124,7 @@
     messages_by_fault = {
         BodyFault.TOO_LARGE: (413, "the body is larger than the route takes"),
         BodyFault.STALLED: (408, f"no byte of the body came for {STALL_TIMEOUT_S} s"),
+        BodyFault.LATE: (408, "the body did not come before the request's deadline"),
         BodyFault.CUT_OFF: (400, "the body ended before its announced length"),
     }
     status, message = messages_by_fault[fault]
--- a/packages/gateway/src/yuccapitch/gateway/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/request_path.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import asyncio
 import dataclasses
 import random
@@ -123,7 +122,7 @@
         refusal = self._refusal(self._clock())
         if refusal is not None:
             return await self._refuse(wanted, refusal)
-        opened = await bodies.open_body(request, wanted.route.limits.body_bytes)
+        opened = await self._open_body(request, wanted)
         if isinstance(opened, result.Err):
             return await self._refuse(wanted, opened.err_value)
         admitted = self._admit(request, wanted, view)
@@ -161,7 +160,7 @@
         refusal = self._refusal(self._clock())
         if refusal is not None:
             return self._fail(refusal)
-        opened = await bodies.open_body(request, wanted.route.limits.body_bytes)
+        opened = await self._open_body(request, wanted)
         if isinstance(opened, result.Err):
             return self._fail(opened.err_value)
         domain = view.declaration.failure_domains_by_id.get(forward.failure_domain)
@@ -211,6 +210,13 @@
                 return self._fail(outcomes.as_unknown(ended.failure))
         return self._fail(ended.failure)
 
+    async def _open_body(
+        self, request: web.Request, wanted: incoming.Incoming
+    ) -> result.Result[bodies.Body, outcomes.Failure]:
+        most_bytes = wanted.route.limits.body_bytes
+        timeout_s = wanted.deadline - self._clock()
+        return await bodies.open_body(request, most_bytes, timeout_s)
+
     def _refusal(self, now: float) -> outcomes.Failure | None:
         if not self._state.takes_new_work:
             message = "the instance is stopping; use another"
--- /dev/null
+++ b/packages/gateway/tests/test_bodies.py
@@ -0,0 +1,45 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+import result
+from aiohttp import test_utils, web
+
+from yuccapitch.gateway import bodies, outcomes
+
+
+async def open_slow_body(
+    timeout_s: float, sent: list[bytes], pause_s: float
+) -> outcomes.Failure:
+    """Return the failure of a body that is sent in pieces and never ended."""
+    opened: asyncio.Future[result.Result[bodies.Body, outcomes.Failure]]
+    opened = asyncio.get_running_loop().create_future()
+
+    async def handle(request: web.Request) -> web.Response:
+        opened.set_result(await bodies.open_body(request, 1000, timeout_s))
+        return web.Response()
+
+    app = web.Application()
+    app.router.add_put("/", handle)
+    async with test_utils.TestServer(app) as server:
+        _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"PUT / HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n")
+        for piece in sent:
+            writer.write(piece)
+            await asyncio.sleep(pause_s)
+        async with asyncio.timeout(20):
+            failure = (await opened).unwrap_err()
+        writer.close()
+        return failure
+
+
+async def test_body_that_stalls_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(bodies, "STALL_TIMEOUT_S", 0.05)
+    failure = await open_slow_body(60.0, [b"x"], 0.0)
+    assert (failure.status, failure.code) == (408, "body-stalled")
+
+
+async def test_body_that_trickles_ends_at_the_deadline() -> None:
+    failure = await open_slow_body(0.2, [b"x"] * 50, 0.01)
+    assert (failure.status, failure.code) == (408, "body-late")
