--- a/packages/gateway/src/yuccapitch/gateway/dispatcher.py
+++ b/packages/gateway/src/yuccapitch/gateway/dispatcher.py
@@ -279,6 +279,7 @@
 
 async def deliver(job: jobs.Job, answer: exchange.Answer) -> web.StreamResponse:
     """Pass an answer on; a failure midway aborts the caller's connection."""
+    job.is_answered = True
     job.on_answer(answer)
     headers = exchange.forwarded_headers(answer.headers)
     headers[outcomes.OUTCOME_HEADER] = outcomes.Outcome.ANSWERED.value
@@ -331,6 +332,8 @@
 
 def cannot_have_run(job: jobs.Job) -> bool:
     """Whether a request whose caller went away is known not to have run."""
+    if job.is_answered:
+        return False
     if not job.body.is_begun:
         return True
     # An upload that did not arrive whole was not kept.
--- a/packages/gateway/src/yuccapitch/gateway/jobs.py
+++ b/packages/gateway/src/yuccapitch/gateway/jobs.py
@@ -25,6 +25,8 @@
     endpoint_owner: ids.OwnerId | None
     tried_pools: set[owners.Pool] = dataclasses.field(default_factory=set)
     """Pools that gave no slot to the request, or whose endpoint shed it."""
+    is_answered: bool = False
+    """Whether an endpoint answered it, be it before its body was whole."""
     on_answer: Callable[[exchange.Answer], None] = lambda answer: None
     """Called with an answer before the caller gets any of it."""
 
