--- a/packages/gateway/src/yuccapitch/gateway/forwarding.py
+++ b/packages/gateway/src/yuccapitch/gateway/forwarding.py
@@ -87,7 +87,7 @@
 
 def without_forward_headers(headers: Mapping[str, str]) -> Mapping[str, str]:
     """Return the headers that an endpoint gets."""
-    if TOKEN_HEADER not in headers:
+    if not any(name in headers for name in _HEADERS):
         return headers
     kept = multidict.CIMultiDict(headers)
     for name in _HEADERS:
--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from typing import Any
 
 from aiohttp import http_exceptions, web, web_protocol
@@ -13,6 +14,8 @@
 HEAD_TIMEOUT_S = 10.0
 """Time in which a head must be whole once its first bytes came."""
 MAX_MESSAGE_CHARS = 200
+TRACE_FRAMES = 4
+INTERNAL_ERROR = "internal-error"
 HEAD_TIMED_OUT = outcomes.Failure(
     408,
     "head-timeout",
@@ -73,12 +76,11 @@
             events.event("request.cut-off", reason=repr(exc))
             raise ConnectionError("the answer was begun and cannot be ended")
         failure = _failure(status, exc)
-        events.event(
-            "request.failed",
-            code=failure.code,
-            status=failure.status,
-            reason=repr(exc)[:MAX_MESSAGE_CHARS],
-        )
+        if failure.code == INTERNAL_ERROR:
+            trace = "".join(traceback.format_exception(exc)[-TRACE_FRAMES:])
+            events.event("request.crashed", reason=repr(exc), trace=trace)
+        else:
+            events.event("request.failed", code=failure.code, status=failure.status)
         response = outcomes.failure_response(failure, 0)
         response.force_close()
         return response
@@ -119,7 +121,7 @@
         message = f"the request's head cannot be read: {_text_of(exc)}"
         code = "malformed-request"
     else:
-        code = "internal-error"
+        code = INTERNAL_ERROR
         message = "the instance failed on this request; its log has the reason"
     return outcomes.Failure(status, code, message, outcomes.Outcome.UNKNOWN)
 
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -121,6 +121,16 @@
     "A request ended without a whole answer.",
     Level.DEBUG,
 )
+declare(
+    "request.cut-off",
+    "An answer ended early; the caller's connection was closed under it.",
+    Level.DEBUG,
+)
+declare(
+    "request.crashed",
+    "The instance failed on a request by a fault of its own.",
+    Level.WARNING,
+)
 declare(
     "request.refused",
     "A request was refused before any of it left for an endpoint.",
