--- a/packages/gateway/src/yuccapitch/gateway/exchange.py
+++ b/packages/gateway/src/yuccapitch/gateway/exchange.py
@@ -44,6 +44,9 @@
 )
 
 
+_NOT_ADDED = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
 class Sent(enum.Enum):
     """How much of a request may have reached the endpoint."""
 
@@ -59,10 +62,24 @@
     status: int
     headers: multidict.CIMultiDict[str]
     body: bytes
-    rest: aiohttp.StreamReader | None
+    rest: Rest | None
     length: int | None
 
 
+@dataclasses.dataclass(frozen=True)
+class Rest:
+    """The rest of an answer's body, which must come before the deadline."""
+
+    content: aiohttp.StreamReader
+    deadline: float
+    """On the clock of the event loop."""
+
+    async def readany(self) -> bytes:
+        """Return what has come, or nothing at the end; raise if it ends early."""
+        async with asyncio.timeout_at(self.deadline):
+            return await self.content.readany()
+
+
 @dataclasses.dataclass(frozen=True)
 class ShedAnswer:
     """The endpoint says that it did not run the request."""
@@ -101,6 +118,8 @@
 
     def __init__(self) -> None:
         self._exit_stack = contextlib.AsyncExitStack()
+        self._distrusted_until: dict[tuple[str, int], float] = {}
+        """Endpoints whose pooled connections may have gone silent, and until when."""
         self._pooled: aiohttp.ClientSession
         self._fresh: aiohttp.ClientSession
 
@@ -123,15 +142,23 @@
         connection, which cancels the endpoint's work and never lets a late
         answer reach another request.
         """
+        if timeout_s <= 0:
+            yield NoAnswer(Sent.NOTHING, "the deadline had passed", is_timeout=True)
+            return
+        deadline = asyncio.get_running_loop().time() + timeout_s
         progress = _Progress(headers_sent=target.is_repeatable)
         response: aiohttp.ClientResponse | None = None
         try:
             try:
                 async with asyncio.timeout(timeout_s):
                     response = await self._send(target, body, timeout_s, progress)
-                    outcome = await _receive(response)
+                    outcome = await _receive(response, deadline)
             except _FAILURES as error:
                 outcome = _no_answer(error, progress, body)
+                if outcome.is_timeout:
+                    self._distrusted_until[target.host, target.port] = (
+                        asyncio.get_running_loop().time() + IDLE_CONNECTION_S
+                    )
             yield outcome
         finally:
             if response is not None:
@@ -145,10 +172,13 @@
         timeout_s: float,
         progress: _Progress,
     ) -> aiohttp.ClientResponse:
-        session = self._pooled if target.is_repeatable else self._fresh
+        session = self._fresh
+        if target.is_repeatable and not self._is_distrusted(target):
+            session = self._pooled
         base = f"http://{target.host}:{target.port}"
         headers = forwarded_headers(target.headers)
         headers[DEADLINE_HEADER] = str(max(1, int(timeout_s * 1000)))
+        body.is_begun = True
         data: bytes | AsyncIterator[bytes] | None = None
         if body.is_whole and body.pacer is None:
             data = body.head or None
@@ -164,10 +194,14 @@
             headers=headers,
             data=data,
             allow_redirects=False,
-            skip_auto_headers=("User-Agent", "Accept", "Content-Type"),
+            skip_auto_headers=_NOT_ADDED,
             trace_request_ctx=progress,
         )
 
+    def _is_distrusted(self, target: Target) -> bool:
+        until = self._distrusted_until.get((target.host, target.port))
+        return until is not None and asyncio.get_running_loop().time() < until
+
     async def _open(self, limit: int, is_pooled: bool) -> aiohttp.ClientSession:
         traces = []
         if not is_pooled:
@@ -201,8 +235,11 @@
 
 def forwarded_headers(headers: Mapping[str, str]) -> multidict.CIMultiDict[str]:
     """Return the headers that pass through, without those of one connection."""
-    named = headers.get("Connection", "").lower().split(",")
-    dropped = _HOP_BY_HOP | {name.strip() for name in named}
+    named: set[str] = set()
+    for name, value in headers.items():
+        if name.lower() == "connection":
+            named.update(part.strip() for part in value.lower().split(","))
+    dropped = _HOP_BY_HOP | named
     passed = multidict.CIMultiDict[str]()
     for name, value in headers.items():
         if name.lower() not in dropped:
@@ -230,19 +267,24 @@
     context.trace_request_ctx.headers_sent = True
 
 
-async def _receive(response: aiohttp.ClientResponse) -> Result:
+async def _receive(response: aiohttp.ClientResponse, deadline: float) -> Result:
     headers = multidict.CIMultiDict(response.headers)
     if response.status == 503 and response.headers.get(SHED_HEADER) == "1":
-        await response.read()
+        # The head says it all; what follows it is let in only to keep the connection.
+        with contextlib.suppress(aiohttp.ClientError):
+            await response.content.read(WHOLE_ANSWER_BYTES)
         return ShedAnswer(headers)
     length = response.content_length
     taken = bytearray()
     while len(taken) < WHOLE_ANSWER_BYTES:
         chunk = await response.content.readany()
         if not chunk:
-            return Answer(response.status, headers, bytes(taken), None, len(taken))
+            if response.method != "HEAD":
+                length = len(taken)
+            return Answer(response.status, headers, bytes(taken), None, length)
         taken += chunk
-    return Answer(response.status, headers, bytes(taken), response.content, length)
+    rest = Rest(response.content, deadline)
+    return Answer(response.status, headers, bytes(taken), rest, length)
 
 
 def _no_answer(
--- a/packages/gateway/src/yuccapitch/gateway/jobs.py
+++ b/packages/gateway/src/yuccapitch/gateway/jobs.py
@@ -9,7 +9,7 @@
 
 from yuccapitch.catalogue import ids
 from yuccapitch.gateway import bodies, config_view, exchange, incoming, outcomes
-from yuccapitch.steering import retry
+from yuccapitch.steering import owners, retry
 
 
 @dataclasses.dataclass
@@ -23,6 +23,10 @@
     region: ids.RegionId
     """The region that serves it."""
     endpoint_owner: ids.OwnerId | None
+    tried_pools: set[owners.Pool] = dataclasses.field(default_factory=set)
+    """Pools that gave no slot to the request, or whose endpoint shed it."""
+    is_answered: bool = False
+    """Whether an endpoint answered it, be it before its body was whole."""
     on_answer: Callable[[exchange.Answer], None] = lambda answer: None
     """Called with an answer before the caller gets any of it."""
 
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -114,9 +114,9 @@
 
         await self.cluster.until(what, checked, 20)
 
-    async def apply(self) -> None:
+    async def apply(self, *arguments: str) -> None:
         """Apply the declaration as it stands now."""
-        await self.cluster.apply(self.declaration)
+        await self.cluster.apply(self.declaration, *arguments)
 
 
 @contextlib.asynccontextmanager
@@ -152,6 +152,11 @@
         )
         stack.callback(cluster.close)
         cluster.start()
+
+        async def is_up() -> bool:
+            return (await cluster.get(process.url + "/healthz"))[0] == 200
+
+        await cluster.until("the process is up", is_up)
         await deployment.apply()
         await cluster.until_ready(process)
         await cluster.until("the shop serves", _serves(deployment))
