Let a pool's work end before it moves, and a stop be known before it is outlasted

Cause: at a hand-over every slot in use was kept from the next owner until its deadline, so that a pool under load was shut for 4 s; and the drain waited for assumed renewals. Ruled out: the quarantine after a loss (not involved).

--- a/packages/control/src/yuccapitch/control/lease_client.py
+++ b/packages/control/src/yuccapitch/control/lease_client.py
@@ -90,6 +90,7 @@
         self.lease_until = float("-inf")
         self.is_ready = False
         self.is_stopping = False
+        self.is_stop_known = False
         self.in_flight: Callable[[], int] = lambda: 0
         self.share_renewal: Callable[[float], lease_messages.ShareRenewal | None]
         self.share_renewal = lambda now: None
@@ -210,6 +211,7 @@
             if is_new_version:
                 # Acknowledges the version, so that it counts as in force here.
                 self.wake()
+        self.is_stop_known = grant.is_stop_known
         self.lease_until = max(self.lease_until, sent_at + grant.duration_s)
         if grant.shares is not None and self.share_answer(grant.shares, sent_at):
             self.wake()
--- a/packages/control/src/yuccapitch/control/leases.py
+++ b/packages/control/src/yuccapitch/control/leases.py
@@ -28,6 +28,10 @@
     version: ids.Version
     """Last version that the holder acknowledged."""
     sequence: int
+    live_sequence: int
+    """Last list of live instances that the holder acknowledged."""
+    stopping_since: int | None
+    """First list that says of the holder that it is stopping."""
     lapses_at_by_version: dict[ids.Version, float]
     """When the last lease granted on each unacknowledged version lapses."""
 
@@ -132,6 +136,7 @@
             number=self._grant_number,
             pools=pools,
             pool_owners=None if has_live else self._pool_owners(),
+            is_stop_known=self._is_stop_known(instance_id, now),
         )
         return result.Ok(grant)
 
@@ -208,9 +213,31 @@
             live,
             ids.Version(request.version),
             request.sequence,
+            request.live_sequence,
+            self._stopping_since(known, request),
             lapses_at_by_version,
         )
 
+    def _stopping_since(
+        self, known: _Holder | None, request: node_messages.LeaseRequest
+    ) -> int | None:
+        if not request.is_stopping:
+            return None
+        if known is not None and known.stopping_since is not None:
+            return known.stopping_since
+        return self.live_sequence
+
+    def _is_stop_known(self, instance_id: ids.InstanceId, now: float) -> bool:
+        since = self._holders_by_id[instance_id].stopping_since
+        # Before the term has settled, holders of earlier leases may be unknown.
+        if since is None or now < self._settles_at:
+            return False
+        return all(
+            other.live_sequence >= since or other.lapses_at <= now
+            for other_id, other in self._holders_by_id.items()
+            if other_id != instance_id
+        )
+
     def _forget_lapsed(self, now: float) -> None:
         lapsed = [
             instance_id
--- /dev/null
+++ b/packages/control/tests/test_lease_stop.py
@@ -0,0 +1,70 @@
+from __future__ import annotations
+
+import pytest
+
+from yuccapitch.catalogue import state as catalogue_state
+from yuccapitch.control import leases
+from yuccapitch.protocol import node_messages
+
+LEASE_S = 4.0
+
+
+class Term:
+    """A settled term of a leader, and entries that renew under it."""
+
+    def __init__(self, term: leases.LeaseTerm) -> None:
+        self.leases = term
+        self.now = 100.0
+        self.sequence = 0
+
+    def renew(
+        self, name: str, live_sequence: int, is_stopping: bool = False
+    ) -> node_messages.LeaseGrant:
+        self.sequence += 1
+        request = node_messages.LeaseRequest(
+            instance_id=name,
+            incarnation=1,
+            version=0,
+            is_ready=True,
+            is_stopping=is_stopping,
+            http_host="127.0.0.1",
+            http_port=1,
+            inner_host="127.0.0.1",
+            inner_port=2,
+            failure_domain="hanoi-1",
+            in_flight=0,
+            live_sequence=live_sequence,
+            shares=None,
+            sequence=self.sequence,
+            applied_term=0,
+            applied_grant=0,
+            pools=(),
+        )
+        return self.leases.renew(request, self.now).unwrap()
+
+
+@pytest.fixture
+def term() -> Term:
+    state = catalogue_state.CatalogueState(allow_unsigned=True)
+    return Term(leases.LeaseTerm(1, state, 0.0, LEASE_S))
+
+
+def test_stop_is_not_known_before_others_acknowledge_it(term: Term) -> None:
+    old = term.renew("other", 0).live_sequence
+    assert not term.renew("own", 0, is_stopping=True).is_stop_known
+    term.renew("other", old)
+    assert not term.renew("own", 0, is_stopping=True).is_stop_known
+
+
+def test_stop_is_known_once_others_acknowledged_it(term: Term) -> None:
+    term.renew("other", 0)
+    stopping = term.renew("own", 0, is_stopping=True).live_sequence
+    term.renew("other", stopping)
+    assert term.renew("own", 0, is_stopping=True).is_stop_known
+
+
+def test_stop_is_known_once_silent_holders_have_lapsed(term: Term) -> None:
+    term.renew("other", 0)
+    term.renew("own", 0, is_stopping=True)
+    term.now += LEASE_S * 1.1
+    assert term.renew("own", 0, is_stopping=True).is_stop_known
--- a/packages/gateway/src/yuccapitch/gateway/pool_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/pool_service.py
@@ -27,6 +27,8 @@
 )
 
 TICK_INTERVAL_S = 0.05
+CLOSING_S = 1.0
+"""How long a pool that was taken away is kept for the work in flight to end."""
 RELEASED_REPORT_S = 10.0
 """How long the slots still held in a pool that was given up are reported."""
 UNKNOWN_DELAY_S = 0.1
@@ -89,7 +91,10 @@
         self._released_by_pool: dict[owners.Pool, tuple[tuple[_Held, ...], float]] = {}
         self._futures_by_request_id: dict[str, asyncio.Future[Acquired]] = {}
         self._slots_by_request_id: dict[str, Slot] = {}
+        self._closing_since_by_pool: dict[owners.Pool, float] = {}
         self.directory = pool_directory.PoolDirectory(instance_id)
+        self.on_given_up: Callable[[], None] = lambda: None
+        """Called when pools were given up, so that the leader is told at once."""
 
     @property
     def own_pools(self) -> dict[owners.Pool, pool_module.SlotPool]:
@@ -130,15 +135,16 @@
             ): grant
             for grant in granted.grants
         }
-        given_up = [pool for pool in self._pools if pool not in grants_by_pool]
-        for pool in given_up:
-            self._give_up(pool, now)
+        for pool in self._pools:
+            if pool not in grants_by_pool:
+                self._closing_since_by_pool.setdefault(pool, now)
         for pool, grant in grants_by_pool.items():
             if pool in self._pools:
+                self._closing_since_by_pool.pop(pool, None)
                 self._pools[pool].table.renew(granted.lease_until)
             elif grant.number != pool_ownership.ADOPTED:
                 self._own(pool, grant, granted.lease_until, now)
-        return bool(given_up)
+        return self._give_up_closing(now)
 
     def reports(self, now: float) -> tuple[slot_messages.PoolReport, ...]:
         """Return what this instance owns and what it has just given up."""
@@ -224,13 +230,16 @@
     def tick(self) -> None:
         """Do what the passing of time calls for."""
         now = self._clock()
-        for own in self._pools.values():
+        for pool, own in self._pools.items():
+            is_closing = pool in self._closing_since_by_pool
             own.close_endpoints(
                 endpoint_id
                 for endpoint_id in own.table.endpoint_ids
-                if self._is_closed(endpoint_id)
+                if is_closing or self._is_closed(endpoint_id)
             )
             self._carry_out(own.tick(now))
+        if self._give_up_closing(now):
+            self.on_given_up()
 
     def loads(self, sequence: int, forward_token: str) -> slot_messages.PoolLoads:
         """Return the counts that the other entry instances are told."""
@@ -356,6 +365,21 @@
         for endpoint_id, endpoint in endpoints_by_id.items():
             self._carry_out(own.take_over(endpoint_id, endpoint.slots, (), now))
 
+    def _give_up_closing(self, now: float) -> bool:
+        """Give up the pools that were taken away; true if there were any."""
+        is_given_up = False
+        for pool, since in list(self._closing_since_by_pool.items()):
+            own = self._pools.get(pool)
+            # A slot still held is lost to the next owner until its work must have
+            # ended, so that short work is let finish first.
+            is_due = own is None or not own.running or now >= since + CLOSING_S
+            if is_due:
+                is_given_up = True
+                del self._closing_since_by_pool[pool]
+                if own is not None:
+                    self._give_up(pool, now)
+        return is_given_up
+
     def _give_up(self, pool: owners.Pool, now: float) -> None:
         own = self._pools.pop(pool)
         held = []
--- a/packages/gateway/tests/test_pool_service.py
+++ b/packages/gateway/tests/test_pool_service.py
@@ -6,6 +6,7 @@
 import pytest
 
 from yuccapitch.catalogue import ids, model
+from yuccapitch.control import lease_client
 from yuccapitch.gateway import pool_service
 from yuccapitch.steering import health, owners, pool as pool_module, slots
 
@@ -40,3 +41,22 @@
     with pytest.raises(asyncio.CancelledError):
         await waiting
     assert own.free(0.0) == 1
+
+
+async def test_pool_taken_away_is_kept_until_its_work_has_ended() -> None:
+    view = health.HealthView()
+    service = pool_service.PoolService(
+        E1, view, lambda endpoint_id: False, lambda: 0.0, random.Random(1)
+    )
+    table = slots.SlotTable(term=1, lease_until=99.0, longest_deadline_s=5.0)
+    table.add_endpoint(B1, 1)
+    service._pools[POOL] = pool_module.SlotPool(table, view, random.Random(1))
+    assert (await service.acquire(POOL, ask("first"))).is_ok()
+    assert not service.take_grants(lease_client.PoolGrants(1, (), 99.0))
+    assert [report.is_owned for report in service.reports(0.0)] == [True]
+    told: list[bool] = []
+    service.on_given_up = lambda: told.append(True)
+    service.release(POOL, "first", None, 0.0)
+    service.tick()
+    (report,) = service.reports(0.0)
+    assert told and not report.is_owned and report.held == ()
--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -24,6 +24,7 @@
 
 EXIT_OK = 0
 EXIT_FAILED = 1
+HEARTBEATS_PER_TIMEOUT = 4
 
 
 async def run(settings: settings_table.Settings) -> int:
--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -31,14 +31,15 @@
 )
 from yuccapitch.node import entry_views, settings_table, tasks
 from yuccapitch.protocol import events, peers as inner_peers, slot_messages
-from yuccapitch.steering import entry_choice, health, resources
+from yuccapitch.steering import entry_choice, health, ledger, resources
 
 CONNECTIONS_PER_ENDPOINT = 64
-LOADS_INTERVAL_S = 0.2
+LOADS_INTERVAL_S = 0.5
 """Time between counts to the instances of the own region."""
-FAR_LOADS_EVERY = 5
+FAR_LOADS_EVERY = 2
 """Of so many counts, one goes to the instances of other regions as well."""
 DRAIN_POLL_S = 0.05
+STOP_POLL_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -109,9 +110,11 @@
         self.lease.in_flight = lambda: self.state.in_flight
         self.lease.pool_reports = self._pools.reports
         self.lease.pool_grants = self._pools.take_grants
+        self._pools.on_given_up = self.lease.wake
         subscription = self.lease.configurations.subscribe(on_next=self._configure)
         stack.callback(subscription.dispose)
         self._parts.links.handle(slot_messages.PoolLoads, self._on_loads)
+        self._parts.links.on_lost = self._on_link_lost
         application.on_response_prepare.append(self._close_if_stopping)
         application.router.add_get("/v1/entries", self._lookup_handler().handle)
         # The request path exists once the shares do: with the first configuration.
@@ -148,7 +151,7 @@
         began_at = self._parts.clock()
         events.event("entry.drain-started", in_flight=self.state.in_flight)
         self.lease.is_stopping = True
-        self.lease.wake()
+        await self._until_stop_known(began_at)
         await asyncio.sleep(self._cached_answers_s())
         self.state.takes_new_work = False
         while self.state.in_flight:
@@ -182,15 +185,27 @@
     def _can_reach(self, owner: ids.InstanceId) -> bool:
         return owner == self._instance_id or self._tokens.knows(owner)
 
+    async def _until_stop_known(self, began_at: float) -> None:
+        """Wait until no other instance names this one.
+
+        Without a leader that says so, it suffices that every lease under which
+        another instance may not know of the stop has lapsed.
+        """
+        settings = self._parts.settings
+        longest_s = settings.lease_duration_s * ledger.CLOCK_MARGIN**2
+        while self._parts.clock() < began_at + longest_s:
+            if self.lease.is_stop_known:
+                return
+            self.lease.wake()
+            await asyncio.sleep(STOP_POLL_S)
+
     def _cached_answers_s(self) -> float:
         view = self.state.view
         if view is None:
             return 0.0
         services = view.declaration.services_by_id.values()
         ttl_s = max((service.answer_ttl_s for service in services), default=0.0)
-        settings = self._parts.settings
-        # The others stop naming this instance once they renewed their leases.
-        return settings.renew_interval_s * 2 + ttl_s + settings.drain_linger_s
+        return ttl_s + self._parts.settings.drain_linger_s
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         if self._path is None:
@@ -279,13 +294,16 @@
     def _entry_views(self, service: ids.ServiceId) -> list[entry_choice.EntryView]:
         if self.state.view is None:
             return []
-        return entry_views.entry_views(
+        views = entry_views.entry_views(
             self.state.view,
             self.lease.configuration,
             service,
             self._pools,
             self._parts.clock(),
         )
+        if not self.lease.is_stopping:
+            return views
+        return [view for view in views if view.instance_id != self._instance_id]
 
     def _owned_endpoints(self) -> set[ids.EndpointId]:
         return {
@@ -307,6 +325,9 @@
             self._tokens.learn(ids.InstanceId(peer_id), loads.forward_token)
             self._pools.hear(loads)
 
+    def _on_link_lost(self, peer_id: str) -> None:
+        self._pools.directory.lose(ids.InstanceId(peer_id))
+
     async def _run_pools(self) -> None:
         while True:
             await asyncio.sleep(pool_service.TICK_INTERVAL_S)
--- a/packages/node/src/yuccapitch/node/settings_table.py
+++ b/packages/node/src/yuccapitch/node/settings_table.py
@@ -158,7 +158,10 @@
         2.0, "Silence after which an inner link is closed and opened anew.", "s"
     )
     drain_linger_s: typing.Annotated[float, pydantic.Field(ge=0, le=3600)] = _setting(
-        0.0, "Time a stopping instance serves beyond the life of cached answers.", "s"
+        0.5,
+        "Time a stopping instance serves beyond the life of cached answers, for"
+        " requests that are on their way.",
+        "s",
     )
     max_header_bytes: typing.Annotated[int, pydantic.Field(ge=1024, le=1_048_576)] = (
         _setting(16_384, "Largest request head taken from a caller.", "bytes")
--- a/packages/protocol/src/yuccapitch/protocol/node_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/node_messages.py
@@ -79,6 +79,8 @@
     pools: tuple[slot_messages.PoolGrant, ...]
     pool_owners: tuple[slot_messages.PoolOwner, ...] | None
     """Owners of all pools, sent with the live instances."""
+    is_stop_known: bool
+    """Whether no live instance can still name the holder, which is stopping."""
 
 
 @registry.message(5)
--- a/packages/protocol/src/yuccapitch/protocol/peers.py
+++ b/packages/protocol/src/yuccapitch/protocol/peers.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import ssl
+from collections.abc import Callable
 from typing import Any
 
 import result
@@ -42,6 +43,8 @@
         self._retry_at_by_id: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._exit_stack = contextlib.AsyncExitStack()
+        self.on_lost: Callable[[str], None] = lambda peer_id: None
+        """Called with a peer's id when the outgoing link to it has closed."""
         self.traffic = inner_link.Traffic()
 
     def handle(self, message_type: type, handler: inner_link.Handler) -> None:
@@ -168,6 +171,7 @@
         finally:
             if is_outgoing and self._links_by_id.get(link.peer_id) is link:
                 del self._links_by_id[link.peer_id]
+                self.on_lost(link.peer_id)
             direction = "out" if is_outgoing else "in"
             events.event("link.closed", peer=link.peer_id, direction=direction)
 
--- a/packages/steering/src/yuccapitch/steering/pool_choice.py
+++ b/packages/steering/src/yuccapitch/steering/pool_choice.py
@@ -10,7 +10,7 @@
 
 COUNT_FRESH_S = 1.0
 UNKNOWN_LOAD_PENALTY_S = 0.02
-SILENT_S = 0.35
+SILENT_S = 1.2
 """Silence after which an owner is asked only if there is no other."""
 
 
--- a/packages/steering/tests/test_choices.py
+++ b/packages/steering/tests/test_choices.py
@@ -105,9 +105,10 @@
 
 
 def test_pool_choice_skips_silent_owner_unless_alone() -> None:
-    near, far = _view("near", 0.001), _view("far", 0.055, heard_at=1.0)
-    assert _choose(near, far, now=1.0) == "far"
-    assert _choose(near, now=1.0) == "near"
+    now = pool_choice.SILENT_S
+    near, far = _view("near", 0.001), _view("far", 0.055, heard_at=now)
+    assert _choose(near, far, now=now) == "far"
+    assert _choose(near, now=now) == "near"
 
 
 def _places(count: int) -> dict[ids.InstanceId, owners.Place]:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -118,5 +118,6 @@
             await cluster.until(f"a {kind} is answered again", caller.is_answered)
     assert history_checks.faults(history, fakes) == []
     cut_off = [e for e in history if e.entry == "entry-2" and e.outcome == "lost"]
-    assert cut_off == []
+    related = {event.request_id for event in cut_off}
+    assert [event for event in history if event.request_id in related] == []
     print(collections.Counter((event.kind, event.outcome) for event in history))
