--- a/packages/gateway/src/yuccapitch/gateway/pool_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/pool_service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import dataclasses
 import itertools
 import random
@@ -49,18 +48,6 @@
 Acquired = result.Result[Slot, pool_module.Refused]
 
 
-@dataclasses.dataclass(frozen=True)
-class OwnerLoad:
-    """The slots of a service that an instance owns, and how full they are."""
-
-    slots: int
-    used_part: float
-    counted_at: float
-
-
-NO_LOAD = OwnerLoad(0, 0.0, float("-inf"))
-
-
 @dataclasses.dataclass(frozen=True)
 class _Held:
     endpoint_id: ids.EndpointId
@@ -84,7 +71,6 @@
         self._clock = clock
         self._rng = rng
         self._view: config_view.ConfigView | None = None
-        self._regions: frozenset[ids.RegionId] = frozenset()
         self._terms = itertools.count(1)
         self._lease_until = float("-inf")
         self._pools: dict[owners.Pool, pool_module.SlotPool] = {}
@@ -109,7 +95,6 @@
     ) -> None:
         """Take a configuration or a change of the pools' owners."""
         self._view = view
-        self._regions = frozenset(view.declaration.regions_by_id)
         for pool, own in self._pools.items():
             self._update_endpoints(pool, own, now)
         known = [
@@ -241,77 +226,6 @@
         if self._give_up_closing(now):
             self.on_given_up()
 
-    def loads(self, sequence: int, forward_token: str) -> slot_messages.PoolLoads:
-        """Return the counts that the other entry instances are told."""
-        now = self._clock()
-        pools = []
-        for pool, own in self._pools.items():
-            counts = pool_directory.count_pool(own, sequence, now)
-            pools.append(
-                slot_messages.PoolLoad(
-                    pool.service,
-                    pool.failure_domain,
-                    counts.term,
-                    counts.slots,
-                    counts.free,
-                    counts.waiting_impatient,
-                    counts.waiting_patient,
-                )
-            )
-        return slot_messages.PoolLoads(
-            self._instance_id, sequence, forward_token, tuple(pools)
-        )
-
-    def loads_by_owner(
-        self, service: ids.ServiceId, now: float
-    ) -> dict[ids.InstanceId, OwnerLoad]:
-        """Return what each owner of the service's pools last told."""
-        loads_by_owner: dict[ids.InstanceId, OwnerLoad] = {}
-        for view in self.directory.views(service, self._regions, self._pools, now):
-            known = loads_by_owner.get(view.owner, NO_LOAD)
-            total = known.slots + view.slots
-            used = known.slots * known.used_part + view.slots - view.free
-            loads_by_owner[view.owner] = OwnerLoad(
-                total, used / total if total else 0.0, view.counted_at
-            )
-        return loads_by_owner
-
-    def headroom(self) -> list[tuple[tuple[str, ...], float]]:
-        """Return the free part of the slots of each region, as last told."""
-        if self._view is None:
-            return []
-        now = self._clock()
-        slots_by_region: collections.Counter[ids.RegionId] = collections.Counter()
-        free_by_region: collections.Counter[ids.RegionId] = collections.Counter()
-        for service in self._view.declaration.services_by_id:
-            for view in self.directory.views(service, self._regions, self._pools, now):
-                region = self._view.region_of_domain(view.pool.failure_domain)
-                slots_by_region[region] += view.slots
-                free_by_region[region] += view.free
-        return [
-            ((region,), free_by_region[region] / total)
-            for region, total in slots_by_region.items()
-            if total
-        ]
-
-    def hear(self, loads: slot_messages.PoolLoads) -> None:
-        """Take the counts of another instance."""
-        counts_by_pool = {
-            owners.Pool(
-                ids.ServiceId(load.service), ids.FailureDomainId(load.failure_domain)
-            ): pool_directory.PoolCounts(
-                loads.sequence,
-                load.term,
-                load.slots,
-                load.free,
-                load.waiting_impatient,
-                load.waiting_patient,
-            )
-            for load in loads.pools
-        }
-        owner = ids.InstanceId(loads.instance)
-        self.directory.hear(owner, counts_by_pool, self._clock())
-
     def _own(
         self,
         pool: owners.Pool,
--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -24,6 +24,7 @@
     lookup,
     metric_table,
     metrics as gateway_metrics,
+    pool_counts,
     pool_service,
     region_states,
     request_path,
@@ -84,6 +85,9 @@
             parts.clock,
             parts.rng,
         )
+        self._counts = pool_counts.PoolCounts(
+            self._instance_id, self._pools, lambda: self.state.view, parts.clock
+        )
         self._region_states = region_states.RegionStates(
             lambda endpoint_id: not self._watch.is_leaving(endpoint_id)
         )
@@ -170,7 +174,7 @@
             metric_table.LIMIT_SHARE_USED,
             lambda: [] if self._shares is None else self._shares.read_used(),
         )
-        metrics.read_gauge(metric_table.REGION_HEADROOM, self._pools.headroom)
+        metrics.read_gauge(metric_table.REGION_HEADROOM, self._counts.headroom)
 
     def _owners_in_region(self) -> set[ids.InstanceId]:
         view = self.state.view
@@ -298,7 +302,7 @@
             self.state.view,
             self.lease.configuration,
             service,
-            self._pools,
+            self._counts,
             self._parts.clock(),
         )
         if not self.lease.is_stopping:
@@ -323,7 +327,7 @@
     def _on_loads(self, peer_id: str, loads: slot_messages.PoolLoads) -> None:
         if loads.instance == peer_id:
             self._tokens.learn(ids.InstanceId(peer_id), loads.forward_token)
-            self._pools.hear(loads)
+            self._counts.hear(loads)
 
     def _on_link_lost(self, peer_id: str) -> None:
         self._pools.directory.lose(ids.InstanceId(peer_id))
@@ -352,7 +356,7 @@
     async def _send_loads(self) -> None:
         while True:
             sequence = next(self._load_sequence)
-            message = self._pools.loads(sequence, self._tokens.own)
+            message = self._counts.loads(sequence, self._tokens.own)
             for peer_id in self._peers_to_tell(sequence % FAR_LOADS_EVERY == 0):
                 self._parts.links.send(peer_id, message)
             await asyncio.sleep(LOADS_INTERVAL_S)
--- a/packages/node/src/yuccapitch/node/entry_views.py
+++ b/packages/node/src/yuccapitch/node/entry_views.py
@@ -4,7 +4,7 @@
 
 from yuccapitch.catalogue import ids, model
 from yuccapitch.control import lease_client
-from yuccapitch.gateway import config_view, pool_service
+from yuccapitch.gateway import config_view, pool_counts
 from yuccapitch.steering import entry_choice
 
 
@@ -12,7 +12,7 @@
     view: config_view.ConfigView,
     configuration: lease_client.Configuration,
     service: ids.ServiceId,
-    pools: pool_service.PoolService,
+    counts: pool_counts.PoolCounts,
     now: float,
 ) -> list[entry_choice.EntryView]:
     """Return every declared entry instance with its state and load."""
@@ -21,12 +21,12 @@
         for drain in view.declaration.drains_by_id.values()
         if drain.kind is model.DrainKind.INSTANCE
     }
-    loads_by_owner = pools.loads_by_owner(service, now)
+    loads_by_owner = counts.loads_by_owner(service, now)
     views = []
     for instance_id, instance in view.declaration.instances_by_id.items():
         if model.Role.ENTRY not in instance.roles:
             continue
-        load = loads_by_owner.get(instance_id, pool_service.NO_LOAD)
+        load = loads_by_owner.get(instance_id, pool_counts.NO_LOAD)
         state = _state(configuration, instance_id, instance_id in drained)
         views.append(
             entry_choice.EntryView(
