Tell the outcome of the request, not of its last attempt; hold slots a moment longer

Cause: a read whose first attempt broke after it was sent was told not-run if its retry found no room; a test failed first. Ruled out: orders, which are retried only if nothing ran. And a slot was given on at once after an exchange was cut off, while the endpoint may still work; it is now held for the stated grace of 0.25 s.

--- a/packages/gateway/src/yuccapitch/gateway/dispatcher.py
+++ b/packages/gateway/src/yuccapitch/gateway/dispatcher.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
+import functools
 import itertools
 import random
 from collections.abc import Callable
@@ -26,6 +28,7 @@
     pool as pool_module,
     pool_choice,
     retry,
+    slots,
 )
 
 _NOT_SERVING_CODES = frozenset({"pool-moved", "wrong-token", "no-lease", "stopping"})
@@ -69,9 +72,16 @@
         budget = self._budgets_by_service[job.wanted.route.service]
         budget.record_first_attempt()
         number = 1
+        may_have_run = False
         while True:
             ended = await self._attempt(job)
-            if isinstance(ended, jobs.Delivered) or ended.end is None:
+            if isinstance(ended, jobs.Delivered):
+                return ended
+            if may_have_run:
+                # The outcome is that of the request, not of its last attempt.
+                ended = jobs.Failed(outcomes.as_unknown(ended.failure), ended.end)
+            may_have_run = ended.failure.outcome is outcomes.Outcome.UNKNOWN
+            if ended.end is None:
                 return ended
             following = self._decide_retry(job, ended.end, number, budget)
             if isinstance(following, result.Err):
@@ -160,14 +170,27 @@
                 retry_after_s=refused.retry_after_s,
             )
             return jobs.Failed(failure, retry.AttemptEnd.NOT_SENT)
-        slot = acquired.ok_value
         end: health.ExchangeEnd | None = None
         began_at = self._clock()
+        is_over = False
         try:
-            ended, end = await self._exchange(job, slot)
+            ended, end = await self._exchange(job, acquired.ok_value)
+            is_over = _is_over(ended)
             return ended
         finally:
-            self._pools.release(pool, ask.request_id, end, self._clock() - began_at)
+            release = functools.partial(
+                self._pools.release,
+                pool,
+                ask.request_id,
+                end,
+                self._clock() - began_at,
+            )
+            if is_over:
+                release()
+            else:
+                # The endpoint may go on until it sees that the exchange was closed.
+                loop = asyncio.get_running_loop()
+                loop.call_later(slots.RELEASE_GRACE_S, release)
 
     def _ask(self, job: jobs.Job, pool: owners.Pool) -> pool_module.Ask:
         avoided = self._shed_memory.avoided(self._clock())
@@ -303,6 +326,12 @@
     return streamed
 
 
+def _is_over(ended: jobs.End) -> bool:
+    if isinstance(ended, jobs.Delivered):
+        return True
+    return ended.failure.outcome is outcomes.Outcome.NOT_RUN
+
+
 def _no_answer(job: jobs.Job, ended: exchange.NoAnswer) -> jobs.Failed:
     if ended.body_fault is not None:
         failure = bodies.failure_of(ended.body_fault)
