Announce that a connection closes after an answer of a stopping instance

Cause: aiohttp completes the headers before on_response_prepare runs, so that force_close there closed the connection without saying so, and a caller's next request on it was lost. Trace: an order sent 92 ms after SIGTERM to the stopped entry was lost within 0.6 ms. Ruled out: names used beyond their life (the first attempt was lost) and the drain's length. The test failed without the header.

--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -30,7 +30,7 @@
     request_path,
     share_service,
 )
-from yuccapitch.node import entry_views, settings_table, tasks
+from yuccapitch.node import entry_views, http_server, settings_table, tasks
 from yuccapitch.protocol import events, peers as inner_peers, slot_messages
 from yuccapitch.steering import entry_choice, health, ledger, resources
 
@@ -220,8 +220,7 @@
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
         if self.lease.is_stopping:
-            # So that callers do not send on a connection that is about to close.
-            response.force_close()
+            http_server.announce_close(response)
 
     def _request_path(self) -> request_path.RequestPath:
         parts = self._parts
--- a/packages/node/src/yuccapitch/node/http_server.py
+++ b/packages/node/src/yuccapitch/node/http_server.py
@@ -53,3 +53,11 @@
         await self._site.stop()
         # What was sent on them before is read and answered.
         await asyncio.sleep(LAST_REQUESTS_S)
+
+
+def announce_close(response: web.StreamResponse) -> None:
+    """Close the connection after a response that is being prepared, and say so."""
+    response.force_close()
+    # The headers are complete by now. Without this one a caller would send its
+    # next request on a connection that closes under it.
+    response.headers["Connection"] = "close"
--- /dev/null
+++ b/packages/node/tests/test_http_server.py
@@ -0,0 +1,24 @@
+from __future__ import annotations
+
+import aiohttp
+from aiohttp import test_utils, web
+
+from yuccapitch.node import http_server
+
+
+async def test_announce_close_tells_the_caller() -> None:
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(text="ok")
+
+    async def prepare(request: web.Request, response: web.StreamResponse) -> None:
+        http_server.announce_close(response)
+
+    application = web.Application()
+    application.router.add_get("/", answer)
+    application.on_response_prepare.append(prepare)
+    async with (
+        test_utils.TestServer(application) as server,
+        aiohttp.ClientSession() as session,
+        session.get(server.make_url("/")) as response,
+    ):
+        assert response.headers["Connection"] == "close"
