Stop the process when a background task breaks

Cause, from reading: a failed invariant in the lease's or the pools' task ended that task unseen until the exit, and the instance went on without it.

--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -97,8 +97,7 @@
                 return result.Err(str(control.err_value))
             routes = operator_api.OperatorApi(control.ok_value.control).routes()
             application.router.add_routes(routes)
-            watch = asyncio.create_task(self._watch_replica(control.ok_value))
-            stack.push_async_callback(tasks.cancel, watch)
+            tasks.start(control.ok_value.replica.wait_stopped(), stack, self._fail)
         http = http_server.HttpServer(
             settings.http_host, settings.http_port, settings.max_header_bytes
         )
@@ -111,7 +110,7 @@
                 inner=inner,
             )
             parts = entry_role.Parts(
-                settings, links, own, metrics, self._clock, self._rng
+                settings, links, own, metrics, self._clock, self._rng, self._fail
             )
             self._entry = await entry_role.start(parts, application, stack)
             gauges.read_lease(metrics, self._entry.lease, self._clock)
@@ -127,13 +126,11 @@
         )
         return result.Ok(None)
 
-    async def _watch_replica(self, role: control_role.ControlRole) -> None:
-        try:
-            await role.replica.wait_stopped()
-        except Exception as error:
-            # What the disk holds is not known any more; only a restart reads it.
-            self._broken = repr(error)
-            self._stop.set()
+    def _fail(self, reason: str) -> None:
+        # A broken invariant, or a disk whose contents are not known any more: only a
+        # restart puts it right.
+        self._broken = reason
+        self._stop.set()
 
     def _not_ready_reason(self) -> str | None:
         return None if self._entry is None else self._entry.not_ready_reason()
--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -53,6 +53,8 @@
     metrics: gateway_metrics.Metrics
     clock: Callable[[], float]
     rng: random.Random
+    on_failed: tasks.OnFailed
+    """Called when a background task of the role fails."""
 
 
 class EntryRole:
@@ -131,7 +133,7 @@
             self._run_pools(),
             self._send_loads(),
         ):
-            stack.push_async_callback(tasks.cancel, asyncio.create_task(coroutine))
+            tasks.start(coroutine, stack, self._parts.on_failed)
 
     def not_ready_reason(self) -> str | None:
         """Return why the instance takes no new work, or None if it does."""
