Read through: typed releases, one request path from the start, one builder of lease requests

Words about borrowed slots are gone with the lending; the entry role builds its request path once; two tests shared a lease request that is now made in one place. No behaviour and no check is changed.

--- a/packages/control/tests/test_lease_stop.py
+++ b/packages/control/tests/test_lease_stop.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tests import lease_requests
 from yuccapitch.catalogue import state as catalogue_state
 from yuccapitch.control import leases
 from yuccapitch.protocol import node_messages
@@ -21,24 +22,12 @@
         self, name: str, live_sequence: int, is_stopping: bool = False
     ) -> node_messages.LeaseGrant:
         self.sequence += 1
-        request = node_messages.LeaseRequest(
-            instance_id=name,
-            incarnation=1,
-            version=0,
-            is_ready=True,
-            is_stopping=is_stopping,
-            http_host="127.0.0.1",
-            http_port=1,
-            inner_host="127.0.0.1",
-            inner_port=2,
-            failure_domain="hanoi-1",
-            in_flight=0,
+        request = lease_requests.lease_request(
+            name,
+            self.sequence,
+            "hanoi-1",
             live_sequence=live_sequence,
-            shares=None,
-            sequence=self.sequence,
-            applied_term=0,
-            applied_grant=0,
-            pools=(),
+            is_stopping=is_stopping,
         )
         return self.leases.renew(request, self.now).unwrap()
 
--- a/packages/gateway/src/yuccapitch/gateway/pool_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/pool_service.py
@@ -54,6 +54,13 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True)
+class _Released:
+    held: tuple[_Held, ...]
+    until: float
+    """When the release no longer needs to be reported."""
+
+
 class PoolService:
     """Gives slots of owned pools, and counts for the choice among all pools."""
 
@@ -74,7 +81,7 @@
         self._terms = itertools.count(1)
         self._lease_until = float("-inf")
         self._pools: dict[owners.Pool, pool_module.SlotPool] = {}
-        self._released_by_pool: dict[owners.Pool, tuple[tuple[_Held, ...], float]] = {}
+        self._released_by_pool: dict[owners.Pool, _Released] = {}
         self._futures_by_request_id: dict[str, asyncio.Future[Acquired]] = {}
         self._slots_by_request_id: dict[str, Slot] = {}
         self._closing_since_by_pool: dict[owners.Pool, float] = {}
@@ -142,15 +149,15 @@
             slot_messages.PoolReport(pool.service, pool.failure_domain, True, ())
             for pool in self._pools
         ]
-        for pool, (held, until) in list(self._released_by_pool.items()):
-            if now >= until:
+        for pool, released in list(self._released_by_pool.items()):
+            if now >= released.until:
                 del self._released_by_pool[pool]
                 continue
             remaining = tuple(
                 slot_messages.HeldSlot(
                     item.endpoint_id, int((item.until - now) * 1000) + 1
                 )
-                for item in held
+                for item in released.held
                 if item.until > now
             )
             owned.append(
@@ -300,7 +307,7 @@
         for endpoint_id in own.table.endpoint_ids:
             for quarantine in own.give_up(endpoint_id, now):
                 held += [_Held(endpoint_id, quarantine.until)] * quarantine.slots
-        self._released_by_pool[pool] = (tuple(held), now + RELEASED_REPORT_S)
+        self._released_by_pool[pool] = _Released(tuple(held), now + RELEASED_REPORT_S)
         # Those that wait for a slot are refused, so that they ask elsewhere.
         for ask in own.take_waiting():
             self._settle(ask.request_id, result.Err(_not_owned(ask)))
--- a/packages/gateway/tests/test_share_service.py
+++ b/packages/gateway/tests/test_share_service.py
@@ -5,11 +5,10 @@
 
 import pytest
 
-from tests import catalogue_sample
+from tests import catalogue_sample, lease_requests
 from yuccapitch.catalogue import ids, model, state as catalogue_state
 from yuccapitch.control import leases
 from yuccapitch.gateway import admissions, share_service, share_use
-from yuccapitch.protocol import node_messages
 from yuccapitch.steering import ramp, resources, shifts
 
 NORTH = ids.RegionId("north")
@@ -64,24 +63,8 @@
         shares = self.shares_by_name[name]
         for count in range(1, 5):
             self.sequence += 1
-            request = node_messages.LeaseRequest(
-                instance_id=name,
-                incarnation=1,
-                version=1,
-                is_stopping=False,
-                is_ready=True,
-                http_host="127.0.0.1",
-                http_port=1,
-                inner_host="127.0.0.1",
-                inner_port=2,
-                failure_domain="n1",
-                in_flight=0,
-                live_sequence=0,
-                shares=shares.renewal(self.now),
-                sequence=self.sequence,
-                applied_term=0,
-                applied_grant=0,
-                pools=(),
+            request = lease_requests.lease_request(
+                name, self.sequence, "n1", version=1, shares=shares.renewal(self.now)
             )
             answer = self.term.renew(request, self.now).unwrap().shares
             assert answer is not None
--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -105,6 +105,7 @@
         self._shares: share_service.Shares | None = None
         self._exchanges = exchange.Exchanges()
         self._load_sequence = itertools.count(1)
+        self._path = self._request_path()
 
     async def start(
         self, application: web.Application, stack: contextlib.AsyncExitStack
@@ -123,9 +124,7 @@
         self._parts.links.on_lost = self._on_link_lost
         application.on_response_prepare.append(self._close_if_stopping)
         application.router.add_get("/v1/entries", self._lookup_handler().handle)
-        # The request path exists once the shares do: with the first configuration.
-        application.router.add_route("*", "/s/{service}{path:/.*|}", self._handle)
-        self._path: request_path.RequestPath | None = None
+        application.router.add_route("*", "/s/{service}{path:/.*|}", self._path.handle)
         self._read_gauges()
         for coroutine in (
             self.lease.run(),
@@ -213,11 +212,6 @@
         ttl_s = max((service.answer_ttl_s for service in services), default=0.0)
         return ttl_s + self._parts.settings.drain_linger_s
 
-    async def _handle(self, request: web.Request) -> web.StreamResponse:
-        if self._path is None:
-            self._path = self._request_path()
-        return await self._path.handle(request)
-
     async def _close_if_stopping(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
@@ -343,7 +337,7 @@
     def _abort_after_lapse(self) -> None:
         # The leader counts this instance's work so long after its lease lapsed.
         ends_at = self.lease.lease_until + resources.IN_FLIGHT_LINGER_S
-        if self._path is not None and self._parts.clock() >= ends_at:
+        if self._parts.clock() >= ends_at:
             self._path.abort_all()
 
     def _tell_readiness(self) -> None:
--- a/packages/steering/src/yuccapitch/steering/health.py
+++ b/packages/steering/src/yuccapitch/steering/health.py
@@ -66,7 +66,7 @@
         service_s: float,
         now: float,
     ) -> None:
-        """Record an own exchange, or one that a borrower reports on release."""
+        """Record an own exchange."""
         record = self._record(endpoint_id)
         if end in (ExchangeEnd.FAILED, ExchangeEnd.SHED):
             # Either ends at once, so that its free slots would attract more work.
--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -1,4 +1,4 @@
-"""The owner's side of a pool: grants slots to its own requests and to borrowers."""
+"""The owner's side of a pool: grants its slots to requests, own and forwarded."""
 
 from __future__ import annotations
 
--- a/packages/steering/src/yuccapitch/steering/slots.py
+++ b/packages/steering/src/yuccapitch/steering/slots.py
@@ -139,7 +139,7 @@
         deadline: float,
         now: float,
     ) -> result.Result[Hold, SlotRefusal]:
-        """Hold a slot for one request, by this instance or a borrower."""
+        """Hold a slot for one request."""
         if now >= self.lease_until:
             return result.Err(SlotRefusal.LEASE_LAPSED)
         if deadline <= now:
