--- a/packages/consensus/src/yuccapitch/consensus/core.py
+++ b/packages/consensus/src/yuccapitch/consensus/core.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import result
@@ -94,6 +94,11 @@
         """The other instances that the settings list."""
         return self._state.peer_ids
 
+    def add_contacts(self, peer_ids: Iterable[str]) -> None:
+        """Ask these instances too to be admitted, as long as that is needed."""
+        own_id = self._state.instance_id
+        self._state.contact_ids.update(i for i in peer_ids if i != own_id)
+
     @property
     def term(self) -> int:
         """The current term."""
--- a/packages/consensus/src/yuccapitch/consensus/joining.py
+++ b/packages/consensus/src/yuccapitch/consensus/joining.py
@@ -19,7 +19,7 @@
 
 def ask(state: core_state.State) -> None:
     """Ask every other instance, of which the leader will answer."""
-    for peer_id in state.peer_ids:
+    for peer_id in sorted(state.contact_ids.union(state.peer_ids)):
         _send_request(state, peer_id, messages.NO_NONCE)
 
 
--- a/packages/consensus/src/yuccapitch/consensus/replica.py
+++ b/packages/consensus/src/yuccapitch/consensus/replica.py
@@ -80,8 +80,12 @@
         clock: Callable[[], float],
         snapshot_interval_entries: int = SNAPSHOT_INTERVAL_ENTRIES,
         on_event: Callable[[effects.Effect], None] | None = None,
+        admits: Callable[[str], bool] | None = None,
     ) -> None:
-        """Take over a core and the storage it was recovered from."""
+        """Take over a core and the storage it was recovered from.
+
+        ``admits`` tells which instances may join; by default those in the settings.
+        """
         self._core = core
         self._storage = storage
         self._send = send
@@ -89,6 +93,7 @@
         self._clock = clock
         self._snapshot_interval_entries = snapshot_interval_entries
         self._on_event = on_event
+        self._admits = admits or (lambda instance_id: instance_id in core.peer_ids)
         self._applied_index = 0
         self._snapshot_index = 0
         self._proposals_by_index: dict[int, _Proposal] = {}
@@ -266,7 +271,7 @@
             case effects.RoleChanged():
                 self._fail_pending()
             case effects.JoinRequested(instance_id, identity):
-                if instance_id in self._core.peer_ids:
+                if self._admits(instance_id):
                     self._admission.request(instance_id, identity)
         if self._on_event and not isinstance(effect, effects.Send):
             self._on_event(effect)
--- a/packages/consensus/src/yuccapitch/consensus/state.py
+++ b/packages/consensus/src/yuccapitch/consensus/state.py
@@ -95,6 +95,8 @@
     founding_by_instance_id: dict[str, str] = dataclasses.field(default_factory=dict)
     leadership: Leadership | None = None
     incoming: IncomingSnapshot | None = None
+    contact_ids: set[str] = dataclasses.field(default_factory=set)
+    """Further instances that may lead, learnt since the start."""
     effects: list[effects.Effect] = dataclasses.field(default_factory=list)
 
     @property
--- /dev/null
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -0,0 +1,300 @@
+"""One control instance: commits orders, serves followers, reads the platform's list."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import typing
+from collections.abc import Callable
+
+import result
+
+from yuccapitch.consensus import effects, replica as consensus_replica
+from yuccapitch.control import fleet as control_fleet, following, orders
+from yuccapitch.protocol import (
+    codec,
+    events,
+    peers as inner_peers,
+    subscription_messages as messages,
+)
+from yuccapitch.steering import allocation
+
+# Followers are polled by at most this rate in all, so that the leader's work stays
+# bounded as the fleet grows.
+MAX_POLLS_PER_S = 200.0
+POLL_INTERVAL_S = 0.5
+# Time between two readings of the platform's list.
+LIST_INTERVAL_S = 1.0
+# Callers give an instance a second to answer.
+FORWARD_TIMEOUT_S = 0.85
+LEADER_CHECK_INTERVAL_S = 0.1
+ALLOCATION_INTERVAL_S = 2.0
+
+
+class EndpointSource(typing.Protocol):
+    """Reads the platform's list of endpoints."""
+
+    async def read(self) -> result.Result[tuple[messages.EndpointRecord, ...], str]:
+        """Return all endpoints, or why they are not known."""
+
+
+class Coordinator:
+    """What a control instance does beside its part of the log."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        state: orders.OrderState,
+        links: inner_peers.Peers,
+        source: EndpointSource,
+        clock: Callable[[], float],
+    ) -> None:
+        self._instance_id = instance_id
+        self._state = state
+        self._links = links
+        self._source = source
+        self._clock = clock
+        self._replica: consensus_replica.Replica
+        self._lead_term: int | None = None
+        self._list_is_failing = False
+        self._allocated_at = float("-inf")
+        self.fleet = control_fleet.Fleet()
+        links.handle(messages.FollowRequest, self._on_follow)
+        links.handle(messages.SubmitRequest, self._on_submit)
+        links.handle(messages.ReadRequest, self._on_read)
+
+    def attach(self, replica: consensus_replica.Replica) -> None:
+        """Use the replica that applies to the state."""
+        self._replica = replica
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this instance is the confirmed leader."""
+        return self._clock() < self._replica.leadership_confirmed_until
+
+    def on_effect(self, effect: effects.Effect) -> None:
+        """Follow the log's state: leadership, members, applied orders."""
+        match effect:
+            case effects.RoleChanged(role, term, leader_id):
+                if role is effects.Role.LEADER:
+                    events.event("consensus.leader-elected", term=term)
+                elif role is effects.Role.FOLLOWER:
+                    events.event(
+                        "consensus.leader-changed", term=term, leader=leader_id
+                    )
+                if role is not effects.Role.LEADER:
+                    self._lead_term = None
+            case effects.Apply() | effects.Restore():
+                self._notify()
+            case effects.JoinRequested(instance_id, identity):
+                events.event(
+                    "consensus.members-changed",
+                    joining=instance_id,
+                    identity=identity,
+                    members=[m.instance_id for m in self._replica.core.members.members],
+                )
+            case _:
+                return
+
+    async def run(self) -> None:
+        """Do the leader's periodic work until cancelled."""
+        next_list_at = 0.0
+        while True:
+            await asyncio.sleep(LEADER_CHECK_INTERVAL_S)
+            now = self._clock()
+            if not self.is_leader:
+                continue
+            self._ensure_lead(now)
+            if self.fleet.expire(now):
+                self._notify()
+            if now >= next_list_at:
+                next_list_at = now + LIST_INTERVAL_S
+                await self._read_list()
+
+    async def submit(self, command: bytes) -> result.Result[None, str]:
+        """Commit an order, here or at the leader."""
+        if self._replica.is_leader:
+            return await self._commit(command)
+        reply = await self._ask_leader(messages.SubmitRequest(command))
+        if isinstance(reply, result.Err):
+            return reply
+        answer = reply.ok_value
+        if isinstance(answer, messages.SubmitAnswer) and answer.is_committed:
+            return result.Ok(None)
+        return result.Err(getattr(answer, "detail", "the leader gave no answer"))
+
+    async def read(self) -> result.Result[messages.OrderSnapshot, str]:
+        """Return the newest state, confirmed by a quorum."""
+        if self._replica.is_leader:
+            return await self._read_here()
+        reply = await self._ask_leader(messages.ReadRequest())
+        if isinstance(reply, result.Err):
+            return reply
+        answer = reply.ok_value
+        if isinstance(answer, messages.ReadAnswer) and answer.state is not None:
+            return result.Ok(answer.state)
+        return result.Err("the leader could not confirm its state")
+
+    async def _commit(self, command: bytes) -> result.Result[None, str]:
+        decoded = codec.decode(command)
+        order = decoded.ok_value if isinstance(decoded, result.Ok) else None
+        if (
+            isinstance(order, messages.RouteDeclaration)
+            and order.revision <= self._state.revision
+        ):
+            # Overtaken by what is committed; nothing is left to agree on.
+            return result.Ok(None)
+        started_at = self._clock()
+        try:
+            async with asyncio.timeout(FORWARD_TIMEOUT_S):
+                outcome = await self._replica.propose(command)
+        except TimeoutError:
+            outcome = None
+        if isinstance(outcome, result.Ok):
+            return result.Ok(None)
+        detail = "no quorum in time" if outcome is None else repr(outcome.err_value)
+        waited_ms = round((self._clock() - started_at) * 1000)
+        events.event("order.failed", reason=detail, waited_ms=waited_ms)
+        return result.Err(detail)
+
+    async def _read_here(self) -> result.Result[messages.OrderSnapshot, str]:
+        try:
+            async with asyncio.timeout(FORWARD_TIMEOUT_S):
+                barrier = await self._replica.read_barrier()
+        except TimeoutError:
+            return result.Err("no quorum in time")
+        if isinstance(barrier, result.Err):
+            return result.Err("leadership was lost")
+        return result.Ok(self._state.message())
+
+    async def _ask_leader(self, message: object) -> result.Result[typing.Any, str]:
+        deadline = self._clock() + FORWARD_TIMEOUT_S
+        leader_id = self._replica.leader_id
+        while leader_id in (None, self._instance_id):
+            if self._clock() + LEADER_CHECK_INTERVAL_S > deadline:
+                return result.Err("no leader is known")
+            await asyncio.sleep(LEADER_CHECK_INTERVAL_S)
+            leader_id = self._replica.leader_id
+        assert leader_id is not None
+        following.set_address_by_id(self._links, leader_id)
+        left_s = deadline - self._clock()
+        reply = await self._links.request(leader_id, message, left_s)
+        if isinstance(reply, result.Err):
+            return result.Err(f"the leader {leader_id}: {reply.err_value.fault.value}")
+        return result.Ok(reply.ok_value)
+
+    async def _on_submit(
+        self, peer_id: str, request: messages.SubmitRequest
+    ) -> messages.SubmitAnswer:
+        if not self._replica.is_leader:
+            return messages.SubmitAnswer(False, "not the leader")
+        outcome = await self._commit(request.command)
+        if isinstance(outcome, result.Err):
+            return messages.SubmitAnswer(False, outcome.err_value)
+        return messages.SubmitAnswer(True, "")
+
+    async def _on_read(
+        self, peer_id: str, request: messages.ReadRequest
+    ) -> messages.ReadAnswer:
+        if not self._replica.is_leader:
+            return messages.ReadAnswer(None)
+        outcome = await self._read_here()
+        return messages.ReadAnswer(
+            outcome.ok_value if isinstance(outcome, result.Ok) else None
+        )
+
+    def _on_follow(
+        self, peer_id: str, request: messages.FollowRequest
+    ) -> messages.FollowAnswer | messages.FollowRefusal:
+        now = self._clock()
+        if not self.is_leader:
+            leader_id = self._replica.leader_id
+            known = "" if leader_id in (None, self._instance_id) else leader_id or ""
+            return messages.FollowRefusal(known)
+        self._ensure_lead(now)
+        following.set_address_by_id(self._links, peer_id)
+        if request.is_entry and self.fleet.hear(request, now):
+            self._notify()
+        return self._answer(request, now)
+
+    def _answer(
+        self, request: messages.FollowRequest, now: float
+    ) -> messages.FollowAnswer:
+        term = self._replica.core.term
+        fleet = self.fleet
+        is_same_term = request.term == term
+        has_endpoints = (
+            is_same_term and request.endpoints_version == fleet.endpoints_version
+        )
+        has_instances = (
+            is_same_term and request.instances_version == fleet.instances_version
+        )
+        read_at = fleet.endpoints_read_at
+        has_list = read_at is not None
+        follower_count = len(fleet.instances) + len(self._replica.core.members.members)
+        interval_s = max(POLL_INTERVAL_S, follower_count / MAX_POLLS_PER_S)
+        return messages.FollowAnswer(
+            term=term,
+            state_index=self._state.index,
+            state=(
+                None
+                if request.state_index >= self._state.index
+                else self._state.message()
+            ),
+            endpoints_version=fleet.endpoints_version,
+            endpoints=None if has_endpoints or not has_list else fleet.endpoints,
+            endpoints_age_ms=-1 if read_at is None else round((now - read_at) * 1000),
+            instances_version=fleet.instances_version,
+            instances=None if has_instances else fleet.instances,
+            control_ids=tuple(
+                m.instance_id for m in self._replica.core.members.members
+            ),
+            poll_interval_ms=round(interval_s * 1000),
+        )
+
+    def _ensure_lead(self, now: float) -> None:
+        term = self._replica.core.term
+        if self._lead_term != term:
+            self._lead_term = term
+            self.fleet.begin_lead(now)
+
+    def _notify(self) -> None:
+        if self._lead_term is None:
+            return
+        notice = messages.FollowNotice(self._lead_term)
+        for instance in self.fleet.instances:
+            self._links.send(instance.instance_id, notice)
+        for member in self._replica.core.members.members:
+            if member.instance_id != self._instance_id:
+                self._links.send(member.instance_id, notice)
+
+    async def _read_list(self) -> None:
+        outcome = await self._source.read()
+        now = self._clock()
+        if isinstance(outcome, result.Err):
+            if not self._list_is_failing:
+                events.event("list.read-failed", reason=outcome.err_value)
+            self._list_is_failing = True
+            return
+        if self._list_is_failing:
+            events.event("list.read-again", endpoints=len(outcome.ok_value))
+        self._list_is_failing = False
+        if not self.is_leader:
+            return
+        records = self._allocate(outcome.ok_value, now)
+        if self.fleet.list_endpoints(records, now):
+            self._notify()
+
+    def _allocate(
+        self, records: tuple[messages.EndpointRecord, ...], now: float
+    ) -> tuple[messages.EndpointRecord, ...]:
+        may_move = now - self._allocated_at >= ALLOCATION_INTERVAL_S
+        if may_move:
+            self._allocated_at = now
+        demands = self.fleet.demands() if may_move else {}
+        return allocation.assign(records, self.fleet.endpoints_by_id, demands)
+
+
+def boot_time_s() -> float:
+    """Return the time since the machine started, with the time it was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/front/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a routed request through an entry instance."""
--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/front/splitting.py
@@ -0,0 +1,32 @@
+"""Shares a route's requests among its services in proportion to their weights."""
+
+from __future__ import annotations
+
+from yuccapitch.catalogue import ids, routes
+
+
+class Splitter:
+    """Smooth weighted round robin, as known from nginx's upstream module."""
+
+    def __init__(self) -> None:
+        self._credits_by_route: dict[
+            tuple[ids.RouteId, tuple[routes.ServiceShare, ...]], list[float]
+        ] = {}
+
+    def choose(self, route: routes.Route) -> ids.ServiceId:
+        """Return the service of the next request."""
+        if len(route.shares) == 1:
+            return route.shares[0].service_id
+        key = (route.route_id, route.shares)
+        credits = self._credits_by_route.setdefault(key, [0.0] * len(route.shares))
+        total = 0.0
+        for index, share in enumerate(route.shares):
+            credits[index] += share.weight
+            total += share.weight
+        best = max(range(len(credits)), key=credits.__getitem__)
+        credits[best] -= total
+        return route.shares[best].service_id
+
+    def clear(self) -> None:
+        """Forget the routes of an earlier declaration."""
+        self._credits_by_route.clear()
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/log_lines.py
@@ -0,0 +1,53 @@
+"""Formats a logged event as one line of key=value pairs."""
+
+from __future__ import annotations
+
+import datetime
+import enum
+import json
+import re
+import typing
+from collections.abc import Mapping
+
+from yuccapitch.protocol import events
+
+_BARE_VALUE = re.compile(r"[A-Za-z0-9_.:/@+,%\[\]-]+")
+_KEY_UNSAFE = re.compile(r"[^A-Za-z0-9_.-]")
+_ELIOT_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
+
+
+def format_line(message: Mapping[str, typing.Any], instance_id: str) -> str:
+    """Return an eliot message as one line of key=value pairs."""
+    moment = datetime.datetime.fromtimestamp(message["timestamp"], datetime.UTC)
+    pairs: dict[str, object] = {
+        "time": moment.isoformat(timespec="milliseconds").replace("+00:00", "Z"),
+        "level": level_of(message).name.lower(),
+        "event": message.get("message_type", "eliot.action"),
+        "instance": instance_id,
+    }
+    for key, value in message.items():
+        if key not in _ELIOT_FIELDS:
+            # A field cannot take the place of a pair that every line has.
+            pairs[f"field_{key}" if key in pairs else key] = value
+    return " ".join(
+        f"{_KEY_UNSAFE.sub('_', key)}={_value_text(value)}"
+        for key, value in pairs.items()
+    )
+
+
+def level_of(message: Mapping[str, typing.Any]) -> events.Level:
+    name = message.get("message_type", "")
+    declared = events.EVENTS_BY_NAME.get(name)
+    # What nobody declared, such as a failure inside eliot, must not be lost.
+    return declared.level if declared else events.Level.ERROR
+
+
+def _value_text(value: object) -> str:
+    if isinstance(value, enum.Enum):
+        value = value.value
+    if isinstance(value, bool) or value is None:
+        return json.dumps(value)
+    text = value if isinstance(value, str) else str(value)
+    if _BARE_VALUE.fullmatch(text):
+        return text
+    return json.dumps(text)
--- a/packages/node/src/yuccapitch/node/logs.py
+++ b/packages/node/src/yuccapitch/node/logs.py
@@ -3,23 +3,17 @@
 from __future__ import annotations
 
 import contextlib
-import datetime
-import enum
-import json
-import re
 import typing
 from collections.abc import Iterator, Mapping
 
 import eliot
 
-from yuccapitch.node import settings_table
+from yuccapitch.node import log_lines, settings_table
 from yuccapitch.protocol import events
 
 event = events.event
+format_line = log_lines.format_line
 
-_BARE_VALUE = re.compile(r"[A-Za-z0-9_.:/@+,%\[\]-]+")
-_KEY_UNSAFE = re.compile(r"[^A-Za-z0-9_.-]")
-_ELIOT_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
 _LEVELS_BY_SETTING = {
     settings_table.LogLevel.DEBUG: events.Level.DEBUG,
     settings_table.LogLevel.INFO: events.Level.INFO,
@@ -36,7 +30,7 @@
     lowest_level = _LEVELS_BY_SETTING[lowest]
 
     def write(message: Mapping[str, typing.Any]) -> None:
-        if _level(message) >= lowest_level:
+        if log_lines.level_of(message) >= lowest_level:
             stream.write(format_line(message, instance_id) + "\n")
             stream.flush()
 
@@ -45,40 +39,3 @@
         yield
     finally:
         eliot.remove_destination(write)
-
-
-def format_line(message: Mapping[str, typing.Any], instance_id: str) -> str:
-    """Return an eliot message as one line of key=value pairs."""
-    moment = datetime.datetime.fromtimestamp(message["timestamp"], datetime.UTC)
-    pairs: dict[str, object] = {
-        "time": moment.isoformat(timespec="milliseconds").replace("+00:00", "Z"),
-        "level": _level(message).name.lower(),
-        "event": message.get("message_type", "eliot.action"),
-        "instance": instance_id,
-    }
-    for key, value in message.items():
-        if key not in _ELIOT_FIELDS:
-            # A field cannot take the place of a pair that every line has.
-            pairs[f"field_{key}" if key in pairs else key] = value
-    return " ".join(
-        f"{_KEY_UNSAFE.sub('_', key)}={_value_text(value)}"
-        for key, value in pairs.items()
-    )
-
-
-def _level(message: Mapping[str, typing.Any]) -> events.Level:
-    name = message.get("message_type", "")
-    declared = events.EVENTS_BY_NAME.get(name)
-    # What nobody declared, such as a failure inside eliot, must not be lost.
-    return declared.level if declared else events.Level.ERROR
-
-
-def _value_text(value: object) -> str:
-    if isinstance(value, enum.Enum):
-        value = value.value
-    if isinstance(value, bool) or value is None:
-        return json.dumps(value)
-    text = value if isinstance(value, str) else str(value)
-    if _BARE_VALUE.fullmatch(text):
-        return text
-    return json.dumps(text)
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/routed/bounded_log.py
@@ -0,0 +1,98 @@
+"""Writes events to standard output, bounded in volume and without waiting."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import os
+import time
+import typing
+from collections.abc import Iterator, Mapping
+
+import eliot
+
+from yuccapitch.protocol import events
+
+# Lines a second of one event beyond which lines are dropped; a burst of twice as many.
+LINES_PER_S = 40.0
+# Text kept for a reader that does not read.
+MAX_PENDING_BYTES = 256 * 1024
+# Lines of events that end well are the first to be dropped under load.
+ROUTINE_LINES_PER_S = 15.0
+ROUTINE_EVENTS = frozenset({"request.answered", "request.placed"})
+
+
+class BoundedLog:
+    """A destination of events that drops and counts what is too much."""
+
+    def __init__(
+        self,
+        descriptor: int,
+        format_line: typing.Callable[[Mapping[str, typing.Any]], str],
+        lowest: events.Level,
+    ) -> None:
+        self._descriptor = descriptor
+        self._format_line = format_line
+        self._lowest = lowest
+        self._tokens_by_event: dict[str, tuple[float, float]] = {}
+        self._dropped_by_event: collections.Counter[str] = collections.Counter()
+        self._pending = bytearray()
+
+    def __call__(self, message: Mapping[str, typing.Any]) -> None:
+        """Write one event, if there is room for it."""
+        name = message.get("message_type", "")
+        declared = events.EVENTS_BY_NAME.get(name)
+        if declared is not None and declared.level < self._lowest:
+            return
+        if not self._may_write(name, time.monotonic()):
+            self._dropped_by_event[name] += 1
+            return
+        self._append(self._format_line(message))
+
+    def report_dropped(self) -> None:
+        """Say how many lines were left out, and try again to write what is pending."""
+        dropped, self._dropped_by_event = self._dropped_by_event, collections.Counter()
+        for name, count in dropped.items():
+            events.event("log.dropped", dropped_event=name, lines=count)
+        self._flush()
+
+    def _may_write(self, name: str, now: float) -> bool:
+        rate = ROUTINE_LINES_PER_S if name in ROUTINE_EVENTS else LINES_PER_S
+        tokens, updated_at = self._tokens_by_event.get(name, (2 * rate, now))
+        tokens = min(2 * rate, tokens + (now - updated_at) * rate)
+        has_token = tokens >= 1.0
+        self._tokens_by_event[name] = (tokens - has_token, now)
+        return has_token
+
+    def _append(self, line: str) -> None:
+        if len(self._pending) > MAX_PENDING_BYTES:
+            self._dropped_by_event["pending"] += 1
+            return
+        self._pending += line.encode() + b"\n"
+        self._flush()
+
+    def _flush(self) -> None:
+        while self._pending:
+            try:
+                written = os.write(self._descriptor, self._pending)
+            except BlockingIOError:
+                # The reader is slow; the next line or report tries again.
+                return
+            del self._pending[:written]
+
+
+@contextlib.contextmanager
+def write_to(
+    descriptor: int,
+    format_line: typing.Callable[[Mapping[str, typing.Any]], str],
+    lowest: events.Level,
+) -> Iterator[BoundedLog]:
+    """Write events to a descriptor while open."""
+    os.set_blocking(descriptor, False)
+    log = BoundedLog(descriptor, format_line, lowest)
+    eliot.add_destinations(log)
+    try:
+        yield log
+    finally:
+        eliot.remove_destination(log)
+        os.set_blocking(descriptor, True)
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -0,0 +1,200 @@
+"""Runs a control instance: its part of the log, operators' calls, look-ups."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import secrets
+
+import result
+
+from yuccapitch.catalogue import routes
+from yuccapitch.consensus import (
+    core as consensus_core,
+    disk,
+    replica as consensus_replica,
+    state as core_state,
+)
+from yuccapitch.control import coordinator, following, orders
+from yuccapitch.gateway.http1 import server as http_server
+from yuccapitch.node import tasks
+from yuccapitch.node.routed import adapter as routed_adapter, directory, settings
+from yuccapitch.protocol import (
+    consensus_messages,
+    events,
+    link as inner_link,
+    peers as inner_peers,
+    registry,
+    subscription_messages as messages,
+)
+
+IDENTITY_BYTES = 16
+LOG_FOLDER = "log"
+# Entries after which the log is replaced by a snapshot; one may be 100 KB large.
+SNAPSHOT_INTERVAL_ENTRIES = 100
+LEADER_REST_S = 0.2
+# A follower misses four heartbeats, and a round trip between regions, before it stands.
+TIMING = core_state.Timing(
+    heartbeat_interval_s=0.2, min_election_timeout_s=1.0, max_election_timeout_s=1.8
+)
+LINK_TIMING = inner_link.LinkTiming(heartbeat_interval_s=1.0, timeout_s=2.5)
+
+
+class ControlNode:
+    """One running control instance."""
+
+    def __init__(
+        self,
+        given: settings.RoutedSettings,
+        adapter: routed_adapter.Adapter,
+        stack: contextlib.AsyncExitStack,
+        on_failed: tasks.OnFailed,
+    ) -> None:
+        self._given = given
+        self._adapter = adapter
+        self._stack = stack
+        self._on_failed = on_failed
+        self._clock = coordinator.boot_time_s
+        self._links = inner_peers.Peers(given.instance_id, LINK_TIMING)
+        self._state = orders.OrderState()
+        self._coordinator = coordinator.Coordinator(
+            given.instance_id,
+            self._state,
+            self._links,
+            adapter.endpoint_source(),
+            self._clock,
+        )
+        self._follower = following.Follower(
+            self._links, given.seed_ids, self._request, self._on_answer, self._clock
+        )
+        self._replica: consensus_replica.Replica
+        self._servers: list[http_server.Server] = []
+
+    async def start(self) -> result.Result[None, str]:
+        """Recover the log and serve."""
+        given = self._given
+        if given.data_dir is None:
+            return result.Err("a control instance needs a data folder")
+        storage = disk.DiskStorage(
+            given.data_dir / LOG_FOLDER, lambda: secrets.token_hex(IDENTITY_BYTES)
+        )
+        recovered = storage.load()
+        if isinstance(recovered, result.Err):
+            storage.close()
+            return result.Err(str(recovered.err_value))
+        events.event(
+            "log.recovered",
+            entries=len(recovered.ok_value.entries),
+            term=recovered.ok_value.hard_state.term,
+            identity=recovered.ok_value.identity,
+        )
+        self._replica = consensus_replica.Replica(
+            self._core(recovered.ok_value),
+            storage,
+            self._send,
+            self._state,
+            self._clock,
+            snapshot_interval_entries=SNAPSHOT_INTERVAL_ENTRIES,
+            on_event=self._coordinator.on_effect,
+            admits=lambda instance_id: True,
+        )
+        self._coordinator.attach(self._replica)
+        for message_type in registry.NUMBERS_BY_TYPE:
+            if message_type.__module__ == consensus_messages.__name__:
+                self._links.handle(message_type, self._replica.receive)
+        await self._links.start(given.inner.host, given.inner.port)
+        self._stack.push_async_callback(self._links.aclose)
+        await self._replica.start()
+        self._stack.push_async_callback(self._replica.aclose)
+        tasks.start(self._replica.wait_stopped(), self._stack, self._on_failed)
+        tasks.start(self._coordinator.run(), self._stack, self._on_failed)
+        tasks.start(self._follow(), self._stack, self._on_failed)
+        await self._listen()
+        return result.Ok(None)
+
+    def reload(self, given: settings.RoutedSettings) -> None:
+        """Use the seeds of changed settings."""
+        self._given = given
+        self._follower.set_seeds(given.seed_ids)
+        self._replica.core.add_contacts(given.seed_ids)
+
+    async def drain(self) -> None:
+        """Stop serving; another control instance takes over."""
+        for listening in self._servers:
+            listening.drain()
+            listening.close_idle()
+        await asyncio.sleep(0)
+
+    def _core(self, recovered: consensus_core.Recovered) -> consensus_core.Core:
+        given = self._given
+        seeds = sorted(given.seed_ids)
+        core = consensus_core.Core(
+            consensus_core.Settings(
+                instance_id=given.instance_id,
+                peer_ids=tuple(i for i in seeds if i != given.instance_id),
+                # One instance founds the group; the others are admitted to it.
+                is_founder=given.is_first_start
+                and bool(seeds)
+                and seeds[0] == given.instance_id,
+                timing=TIMING,
+            ),
+            recovered,
+            random.Random(),
+            self._clock(),
+        )
+        return core
+
+    async def _listen(self) -> None:
+        given, adapter = self._given, self._adapter
+        names = directory.Directory(self._coordinator.fleet, given.answer_life_s)
+        served = (
+            (given.operators, adapter.operator_handler(self._coordinator)),
+            (given.lookups, adapter.lookup_handler(names)),
+        )
+        for address, handler in served:
+            if address is None:
+                continue
+            listening = http_server.Server(handler, self._clock, routes.CallerLimits)
+            await listening.start(address.host, address.port)
+            self._stack.push_async_callback(listening.aclose)
+            self._servers.append(listening)
+
+    async def _follow(self) -> None:
+        while True:
+            if self._coordinator.is_leader:
+                await asyncio.sleep(LEADER_REST_S)
+            else:
+                delay_s = await self._follower.poll()
+                self._replica.core.add_contacts(self._follower.control_ids)
+                if self._follower.leader_id is not None:
+                    self._replica.core.add_contacts([self._follower.leader_id])
+                await self._follower.rest(delay_s)
+
+    def _request(self, position: following.Position) -> messages.FollowRequest:
+        given = self._given
+        return messages.FollowRequest(
+            instance_id=given.instance_id,
+            is_entry=False,
+            region_id=given.region_id,
+            failure_domain=given.failure_domain,
+            http_host=given.inner.host,
+            http_port=given.inner.port,
+            is_ready=True,
+            is_stopping=False,
+            term=position.term,
+            # The state itself comes by the log.
+            state_index=1 << 62,
+            endpoints_version=position.endpoints_version,
+            instances_version=position.instances_version,
+            demands=(),
+            sequence=0,
+        )
+
+    def _on_answer(self, answer: messages.FollowAnswer) -> None:
+        if not self._coordinator.is_leader:
+            self._coordinator.fleet.adopt(answer, self._clock())
+
+    def _send(self, peer_id: str, message: consensus_messages.Message) -> None:
+        following.set_address_by_id(self._links, peer_id)
+        self._links.send(peer_id, message)
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -0,0 +1,244 @@
+"""Runs an entry instance: callers' requests, and what it follows of the leader."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+import result
+
+from yuccapitch.catalogue import ids, routes
+from yuccapitch.control import coordinator, following
+from yuccapitch.gateway.front import placing, request_path, sending, view
+from yuccapitch.gateway.http1 import messages as http_messages, server as http_server
+from yuccapitch.node import tasks
+from yuccapitch.node.routed import adapter as routed_adapter, settings
+from yuccapitch.protocol import (
+    events,
+    link as inner_link,
+    peers as inner_peers,
+    subscription_messages as messages,
+)
+from yuccapitch.steering.placement import dispatcher, model
+
+TICK_INTERVAL_S = 0.02
+LINK_TIMING = inner_link.LinkTiming(heartbeat_interval_s=1.0, timeout_s=2.5)
+# Callers may use a cached answer of a look-up for three times its life.
+CACHED_LIVES = 3
+# Time kept back at the end of a stop for closing connections.
+STOP_MARGIN_S = 0.5
+STOP_CHECK_INTERVAL_S = 0.05
+
+
+class EntryNode:
+    """One running entry instance."""
+
+    def __init__(
+        self,
+        given: settings.RoutedSettings,
+        adapter: routed_adapter.Adapter,
+        stack: contextlib.AsyncExitStack,
+        on_failed: tasks.OnFailed,
+    ) -> None:
+        self._given = given
+        self._adapter = adapter
+        self._stack = stack
+        self._on_failed = on_failed
+        self._clock = coordinator.boot_time_s
+        self._view = view.View()
+        self._evacuated: frozenset[ids.FailureDomainId] = frozenset()
+        self._endpoints: list[model.Endpoint] = []
+        self._domains_by_entry_id: dict[str, ids.FailureDomainId] = {}
+        self._is_stopping = False
+        self._links = inner_peers.Peers(given.instance_id, LINK_TIMING)
+        self._follower = following.Follower(
+            self._links, given.seed_ids, self._request, self._on_answer, self._clock
+        )
+        self._dispatcher = dispatcher.Dispatcher(
+            given.region_id, self._domain_of_entry, random.Random()
+        )
+        self._placer = placing.LocalPlacer(self._dispatcher, self._clock)
+        self._sender = sending.Sender(adapter.header_names, self._clock)
+        self._path = request_path.RequestPath(
+            given.instance_id,
+            adapter.header_names,
+            self._view,
+            self._placer,
+            self._sender,
+            given.retry_allowance,
+            self._clock,
+            self._count,
+        )
+        self._server = http_server.Server(self._handle, self._clock, self._view.limits)
+
+    async def start(self) -> result.Result[None, str]:
+        """Serve callers."""
+        given = self._given
+        if given.callers is None:
+            return result.Err("an entry instance needs an address for callers")
+        await self._links.start(given.inner.host, given.inner.port)
+        self._stack.push_async_callback(self._links.aclose)
+        self._stack.callback(self._sender.close)
+        tasks.start(self._follower.run(), self._stack, self._on_failed)
+        tasks.start(self._tick(), self._stack, self._on_failed)
+        await self._server.start(given.callers.host, given.callers.port)
+        self._stack.push_async_callback(self._server.aclose)
+        if given.readiness is not None:
+            handler = self._adapter.readiness_handler(self._is_ready)
+            ready = http_server.Server(handler, self._clock, routes.CallerLimits)
+            await ready.start(given.readiness.host, given.readiness.port)
+            self._stack.push_async_callback(ready.aclose)
+        return result.Ok(None)
+
+    def reload(self, given: settings.RoutedSettings) -> None:
+        """Use the seeds of changed settings."""
+        self._given = given
+        self._follower.set_seeds(given.seed_ids)
+
+    async def drain(self) -> None:
+        """Leave the look-ups, wait for cached answers, finish what was read."""
+        started_at = self._clock()
+        end_at = started_at + self._given.stop_grace_s - STOP_MARGIN_S
+        self._is_stopping = True
+        self._follower.wake()
+        self._server.drain()
+        cached_s = CACHED_LIVES * self._given.answer_life_s
+        await asyncio.sleep(min(cached_s, self._given.stop_grace_s / 2))
+        self._server.stop_listening()
+        self._server.close_idle()
+        while self._server.requests_in_flight and self._clock() < end_at:
+            await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+        events.event(
+            "entry.drain-finished",
+            in_flight=self._server.requests_in_flight,
+            took_ms=round((self._clock() - started_at) * 1000),
+        )
+
+    async def _handle(self, request: http_messages.Request) -> http_messages.Answer:
+        return await self._path.handle(request)
+
+    def _is_ready(self) -> bool:
+        return self._view.table is not None and not self._is_stopping
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_INTERVAL_S)
+            self._placer.tick()
+
+    def _request(self, position: following.Position) -> messages.FollowRequest:
+        given = self._given
+        assert given.callers is not None
+        demands = self._dispatcher.demands(self._clock())
+        return messages.FollowRequest(
+            instance_id=given.instance_id,
+            is_entry=True,
+            region_id=given.region_id,
+            failure_domain=given.failure_domain,
+            http_host=given.callers.host,
+            http_port=given.callers.port,
+            is_ready=self._is_ready(),
+            is_stopping=self._is_stopping,
+            term=position.term,
+            state_index=position.state_index,
+            endpoints_version=position.endpoints_version,
+            instances_version=position.instances_version,
+            demands=tuple(
+                messages.ServiceDemand(service_id, given.region_id, slots)
+                for service_id, slots in demands.items()
+            ),
+            sequence=0,
+        )
+
+    def _on_answer(self, answer: messages.FollowAnswer) -> None:
+        now = self._clock()
+        self._view.confirmed_at = self._follower.confirmed_at
+        is_changed = False
+        if answer.state is not None and answer.state_index > self._view.state_index:
+            is_changed = self._apply_state(answer.state, answer.state_index)
+        if answer.endpoints is not None:
+            self._apply_endpoints(answer.endpoints, answer.endpoints_age_ms)
+            is_changed = True
+        if answer.instances is not None:
+            self._apply_instances(answer.instances)
+        if is_changed and self._view.table is not None:
+            self._dispatcher.update(
+                self._endpoints,
+                self._view.table.services_by_id,
+                self._evacuated,
+                now,
+            )
+
+    def _apply_state(self, state: messages.OrderSnapshot, index: int) -> bool:
+        known = self._view.table
+        if state.content and (known is None or state.revision > known.revision):
+            decoded = self._adapter.decode_routes(state.content)
+            if isinstance(decoded, result.Err):
+                events.event(
+                    "routes.refused",
+                    revision=state.revision,
+                    reason=decoded.err_value,
+                )
+                return False
+            self._view.table = decoded.ok_value
+        self._view.state_index = index
+        self._evacuated = frozenset(
+            ids.FailureDomainId(domain) for domain in state.evacuated_domains
+        )
+        events.event(
+            "routes.applied",
+            revision=state.revision,
+            index=index,
+            evacuated=sorted(self._evacuated),
+        )
+        return True
+
+    def _apply_endpoints(
+        self, records: tuple[messages.EndpointRecord, ...], age_ms: int
+    ) -> None:
+        regions = self._given.region_by_domain
+        listed = []
+        for record in records:
+            domain = ids.FailureDomainId(record.failure_domain)
+            region = regions.get(domain, ids.RegionId(domain))
+            listed.append(
+                model.Endpoint(
+                    ids.EndpointId(record.endpoint_id),
+                    ids.ServiceId(record.service_id),
+                    record.host,
+                    record.port,
+                    domain,
+                    region,
+                    record.slots,
+                    record.is_leaving,
+                    max(0, record.cold_left_ms - age_ms) / 1000,
+                    record.incarnation,
+                    ids.RegionId(record.serving_region_id or region),
+                )
+            )
+        self._endpoints = listed
+        self._sender.keep(listed)
+        events.event(
+            "endpoints.applied",
+            count=len(listed),
+            leaving=sum(endpoint.is_leaving for endpoint in listed),
+            age_ms=age_ms,
+        )
+
+    def _apply_instances(self, instances: tuple[messages.EntryInstance, ...]) -> None:
+        self._view.instance_count = max(1, len(instances))
+        self._view.budgets_by_service_id.clear()
+        self._domains_by_entry_id = {
+            instance.instance_id: ids.FailureDomainId(instance.failure_domain)
+            for instance in instances
+        }
+        peers = sum(i.region_id == self._given.region_id for i in instances)
+        self._dispatcher.set_capacity_share(1.0 / max(1, peers))
+
+    def _domain_of_entry(self, entry_id: ids.InstanceId) -> ids.FailureDomainId | None:
+        if entry_id == self._given.instance_id:
+            return self._given.failure_domain
+        return self._domains_by_entry_id.get(entry_id)
+
+    def _count(self, outcome: str, route: str, duration_s: float) -> None:
+        return
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -0,0 +1,168 @@
+"""One process of a routed deployment: logs, signals, settings, orderly stop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import signal
+import sys
+import typing
+from collections.abc import Callable, Mapping
+
+import result
+
+from yuccapitch.node import log_lines, tasks
+from yuccapitch.node.routed import adapter as routed_adapter, bounded_log, settings
+from yuccapitch.protocol import events
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+# Allocations between two collections; requests leave few cycles behind.
+GC_ALLOCATIONS = 20_000
+REPORT_INTERVAL_S = 5.0
+# Changes of the settings file may come without a signal.
+SETTINGS_CHECK_INTERVAL_S = 1.0
+
+
+ReadSettings = Callable[[], result.Result[settings.RoutedSettings, str]]
+
+
+class Node(typing.Protocol):
+    """A running instance of either role."""
+
+    async def start(self) -> result.Result[None, str]:
+        """Serve."""
+
+    def reload(self, given: settings.RoutedSettings) -> None:
+        """Take changed settings."""
+
+    async def drain(self) -> None:
+        """Finish what is in flight."""
+
+
+MakeNode = Callable[
+    [
+        settings.RoutedSettings,
+        routed_adapter.Adapter,
+        contextlib.AsyncExitStack,
+        Callable[[str], None],
+    ],
+    Node,
+]
+
+
+def _make_control(
+    given: settings.RoutedSettings,
+    adapter: routed_adapter.Adapter,
+    stack: contextlib.AsyncExitStack,
+    on_failed: Callable[[str], None],
+) -> Node:
+    # Imported by role: an entry instance needs neither the log nor its storage.
+    from yuccapitch.node.routed import control_node
+
+    return control_node.ControlNode(given, adapter, stack, on_failed)
+
+
+def _make_entry(
+    given: settings.RoutedSettings,
+    adapter: routed_adapter.Adapter,
+    stack: contextlib.AsyncExitStack,
+    on_failed: Callable[[str], None],
+) -> Node:
+    from yuccapitch.node.routed import entry_node
+
+    return entry_node.EntryNode(given, adapter, stack, on_failed)
+
+
+_MAKERS_BY_ROLE: dict[str, MakeNode] = {
+    "control": _make_control,
+    "entry": _make_entry,
+}
+
+
+async def run(
+    role: str,
+    given: settings.RoutedSettings,
+    adapter: routed_adapter.Adapter,
+    read_changed: Callable[[bool], result.Result[settings.RoutedSettings, str] | None],
+) -> int:
+    """Run an instance until a signal stops it; return the exit code.
+
+    ``read_changed`` returns changed settings, None if they are unchanged; it is told
+    whether a signal asks for them.
+    """
+    stop = asyncio.Event()
+    broken: list[str] = []
+
+    def fail(reason: str) -> None:
+        broken.append(reason)
+        stop.set()
+
+    loop = asyncio.get_running_loop()
+    async with contextlib.AsyncExitStack() as stack:
+        log = stack.enter_context(_logging(given.name))
+        node = _MAKERS_BY_ROLE[role](given, adapter, stack, fail)
+        started = await node.start()
+        if isinstance(started, result.Err):
+            events.event("process.failed", reason=started.err_value)
+            return EXIT_FAILED
+        reload_event = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGINT, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, reload_event.set)
+        tasks.start(_watch(node, reload_event, read_changed), stack, fail)
+        tasks.start(_report_dropped(log), stack, fail)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_ALLOCATIONS)
+        events.event(
+            "process.started",
+            name=given.name,
+            region=given.region_id,
+            domain=given.failure_domain,
+            seeds=list(given.seed_ids),
+        )
+        await stop.wait()
+        if broken:
+            events.event("process.failed", reason=broken[0])
+            return EXIT_FAILED
+        events.event("process.stopping")
+        await node.drain()
+    events.event("process.stopped")
+    return EXIT_OK
+
+
+def _logging(name: str) -> contextlib.AbstractContextManager[bounded_log.BoundedLog]:
+    def format_line(message: Mapping[str, typing.Any]) -> str:
+        return log_lines.format_line(message, name)
+
+    return bounded_log.write_to(sys.stdout.fileno(), format_line, events.Level.INFO)
+
+
+async def _report_dropped(log: bounded_log.BoundedLog) -> None:
+    while True:
+        await asyncio.sleep(REPORT_INTERVAL_S)
+        log.report_dropped()
+
+
+async def _watch(
+    node: Node,
+    reload_event: asyncio.Event,
+    read_changed: Callable[[bool], result.Result[settings.RoutedSettings, str] | None],
+) -> None:
+    while True:
+        is_asked = False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SETTINGS_CHECK_INTERVAL_S):
+                await reload_event.wait()
+                is_asked = True
+        reload_event.clear()
+        changed = read_changed(is_asked)
+        if changed is None:
+            continue
+        if isinstance(changed, result.Err):
+            events.event("settings.reload-failed", reason=changed.err_value)
+            continue
+        node.reload(changed.ok_value)
+        events.event("settings.reloaded", seeds=list(changed.ok_value.seed_ids))
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/routed/settings.py
@@ -0,0 +1,47 @@
+"""Settings of an instance that serves routes, whatever format they came in."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+from collections.abc import Mapping
+
+from yuccapitch.catalogue import ids
+from yuccapitch.gateway.front import request_path
+
+
+@dataclasses.dataclass(frozen=True)
+class Listen:
+    """An address to listen on."""
+
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutedSettings:
+    """What an instance is told at its start."""
+
+    instance_id: ids.InstanceId
+    """Inner address as host:port; other instances reach it there."""
+    name: str
+    """Name in logs."""
+    inner: Listen
+    region_id: ids.RegionId
+    failure_domain: ids.FailureDomainId
+    region_by_domain: Mapping[ids.FailureDomainId, ids.RegionId]
+    seed_ids: tuple[ids.InstanceId, ...]
+    """Inner addresses of some control instances."""
+    is_first_start: bool
+    """Whether the whole system starts for the first time, with empty disks."""
+    stop_grace_s: float
+    """Time from the signal to stop until the process is killed."""
+    answer_life_s: float
+    """Time for which callers may use the answer of a look-up."""
+    retry_allowance: request_path.RetryAllowance
+    data_dir: pathlib.Path | None = None
+    callers: Listen | None = None
+    readiness: Listen | None = None
+    operators: Listen | None = None
+    lookups: Listen | None = None
+    metrics: Listen | None = None
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -151,3 +151,41 @@
 )
 declare("shift.started", "Traffic of a service is being moved to another region.")
 declare("shift.stopped", "Traffic of a service is no longer moved.")
+declare("log.dropped", "Lines were left out to bound the volume of the log.")
+declare("settings.reloaded", "The settings were read again.")
+declare(
+    "settings.reload-failed",
+    "Changed settings are invalid; the former stay.",
+    Level.ERROR,
+)
+declare("routes.applied", "The instance acts on a newer declaration of routes.")
+declare("routes.refused", "A committed declaration cannot be read here.", Level.ERROR)
+declare("endpoints.applied", "The instance acts on a newer list of endpoints.")
+declare(
+    "caller.refused",
+    "A caller's bytes were refused: malformed, too large or too slow.",
+    Level.WARNING,
+)
+declare("request.answered", "A caller got an endpoint's answer.")
+declare("request.placed", "A request was sent to an endpoint.", Level.DEBUG)
+declare("request.resent", "A request goes to a further endpoint.")
+declare("request.unmatched", "No route matches a request.")
+declare("request.abandoned", "The caller left before its answer.")
+declare("list.read-failed", "The list of endpoints could not be read.", Level.WARNING)
+declare("list.read-again", "The list of endpoints can be read again.")
+declare("order.failed", "An order got no quorum in time.", Level.WARNING)
+declare("follow.leader-found", "A leader answers; the state is current again.")
+declare(
+    "follow.leader-lost",
+    "No leader answers; the last state is used.",
+    Level.WARNING,
+)
+declare("order.applied", "A committed order changed routes or evacuations.")
+declare(
+    "order.unchanged", "A committed order changed nothing: it is repeated or overtaken."
+)
+declare("fleet.entry-joined", "An entry instance made itself known.")
+declare("fleet.entry-lost", "An entry instance fell silent or is stopping.")
+declare("fleet.endpoints-changed", "The platform's list of endpoints changed.")
+declare("endpoint.listed", "An endpoint appeared on the platform's list.")
+declare("endpoint.unlisted", "An endpoint left the platform's list.")
--- a/packages/protocol/src/yuccapitch/protocol/peers.py
+++ b/packages/protocol/src/yuccapitch/protocol/peers.py
@@ -5,13 +5,15 @@
 import asyncio
 import contextlib
 import dataclasses
-import ssl
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import result
 
-from yuccapitch.protocol import events, inner_tls, link as inner_link
+from yuccapitch.protocol import events, link as inner_link
+
+if TYPE_CHECKING:
+    from yuccapitch.protocol import inner_tls
 
 RECONNECT_DELAY_S = 0.2
 
@@ -130,7 +132,7 @@
                 reader, writer = await asyncio.open_connection(
                     address.host, address.port, ssl=context
                 )
-        except (OSError, TimeoutError, ssl.SSLError):
+        except (OSError, TimeoutError):  # ssl.SSLError is an OSError
             return None
         link = self._new_link(reader, writer)
         greeting = await link.greet(self._may_be)
@@ -153,6 +155,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self._tls is not None:
+            # Imported where it is used: without TLS the library costs 9 MB.
+            from yuccapitch.protocol import inner_tls
+
             accepted = await inner_tls.accept(self._tls, writer)
             if isinstance(accepted, result.Err):
                 return
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/placement/durations.py
@@ -0,0 +1,63 @@
+"""How long requests of a route keep a slot, with and without the object at hand."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from yuccapitch.catalogue import ids
+
+# Weight of the newest measurement; half of what is known is from the last 7 requests.
+NEWEST_WEIGHT = 0.1
+# Assumed before the first measurement.
+INITIAL_S = 0.3
+
+
+@dataclasses.dataclass
+class _Known:
+    warm_s: float | None = None
+    cold_s: float | None = None
+    mean_s: float | None = None
+
+
+class Durations:
+    """Smoothed durations by route."""
+
+    def __init__(self) -> None:
+        self._known_by_route_id: dict[ids.RouteId, _Known] = {}
+
+    def observe(self, route_id: ids.RouteId, is_warm: bool, duration_s: float) -> None:
+        """Take in how long one request took."""
+        known = self._known_by_route_id.setdefault(route_id, _Known())
+        known.mean_s = _smooth(known.mean_s, duration_s)
+        if is_warm:
+            known.warm_s = _smooth(known.warm_s, duration_s)
+        else:
+            known.cold_s = _smooth(known.cold_s, duration_s)
+
+    def mean_s(self, route_id: ids.RouteId) -> float:
+        """Return the duration of the route's requests as they come."""
+        known = self._known_by_route_id.get(route_id)
+        return INITIAL_S if known is None else known.mean_s or INITIAL_S
+
+    def warm_s(self, route_id: ids.RouteId) -> float:
+        """Return the expected duration at an endpoint that knows the object."""
+        known = self._known_by_route_id.get(route_id)
+        if known is None:
+            return INITIAL_S
+        if known.warm_s is None:
+            return known.cold_s or INITIAL_S
+        return known.warm_s
+
+    def cold_s(self, route_id: ids.RouteId) -> float:
+        """Return the expected duration at an endpoint that does not."""
+        known = self._known_by_route_id.get(route_id)
+        if known is None:
+            return INITIAL_S
+        # Without a gain from affinity both are alike.
+        if known.cold_s is None:
+            return known.warm_s or INITIAL_S
+        return max(known.cold_s, known.warm_s or 0.0)
+
+
+def _smooth(known: float | None, newest: float) -> float:
+    return newest if known is None else known + NEWEST_WEIGHT * (newest - known)
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -0,0 +1,167 @@
+"""What one dispatcher knows of one endpoint."""
+
+from __future__ import annotations
+
+import collections
+import enum
+
+from yuccapitch.catalogue import ids, routes
+from yuccapitch.steering.placement import cold_rate, model
+
+# Objects assumed to stay warm at an endpoint; 33 to 50 are known to.
+WARM_OBJECTS = 32
+# An object not used for this long is not counted on.
+WARM_S = 60.0
+# First pause after an endpoint proved unreachable; doubles up to the longest.
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 4.0
+# Pause after an endpoint shed a request.
+SHED_PAUSE_S = 0.15
+# Weight of the newest send in the share of failures.
+FAILURE_WEIGHT = 0.15
+# Share of failures beyond which an endpoint is used only to find out whether it is
+# well again, at most once per pause.
+MAX_FAILURE_SHARE = 0.35
+SICK_PAUSE_S = 1.0
+# Weight of the newest request in an endpoint's slowness.
+SLOWNESS_WEIGHT = 0.15
+MAX_SLOWNESS = 20.0
+
+
+class Availability(enum.Enum):
+    """Whether an endpoint may get a request now."""
+
+    FREE = "free"
+    BUSY = "busy"
+    CLOSED = "closed"
+
+
+class EndpointState:
+    """Use, warmth and health of one endpoint."""
+
+    def __init__(
+        self, endpoint: model.Endpoint, service: routes.RoutedService, now: float
+    ) -> None:
+        """Begin with an endpoint that nothing is known of."""
+        self.endpoint = endpoint
+        self.service = service
+        self.in_flight = 0
+        self.slowness = 1.0
+        self.failure_share = 0.0
+        self.cold_until = 0.0
+        self._cold_rate: cold_rate.ColdRate | None = None
+        self._paused_until = 0.0
+        self._consecutive_unreachable = 0
+        self._used_at_by_key: collections.OrderedDict[str, float]
+        self._used_at_by_key = collections.OrderedDict()
+        if endpoint.cold_left_s > 0:
+            self.chill(now, endpoint.cold_left_s, 1.0)
+
+    def update(self, endpoint: model.Endpoint, service: routes.RoutedService) -> None:
+        """Take in what the platform's list says now."""
+        self.endpoint, self.service = endpoint, service
+
+    def chill(self, now: float, duration_s: float, rate_share: float) -> None:
+        """Treat the endpoint as cold for this long."""
+        self.cold_until = max(self.cold_until, now + duration_s)
+        self._used_at_by_key.clear()
+        if self._cold_rate is None and self.service.cold_rate_per_s > 0:
+            self._cold_rate = cold_rate.ColdRate(
+                self.service.cold_rate_per_s, rate_share, now
+            )
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the endpoint is in its cold time."""
+        return now < self.cold_until
+
+    def availability(self, now: float, limit: int) -> Availability:
+        """Tell whether a request may be sent now with ``limit`` in flight at most."""
+        if now < self._paused_until:
+            return Availability.CLOSED
+        is_sick = self.failure_share > MAX_FAILURE_SHARE
+        if is_sick and self.in_flight > 0:
+            return Availability.CLOSED
+        if self.in_flight >= limit:
+            return Availability.BUSY
+        if self.is_cold(now):
+            if self._cold_rate is not None and not self._cold_rate.may_take(now):
+                return Availability.BUSY
+        else:
+            self._cold_rate = None
+        return Availability.FREE
+
+    def is_warm(self, key: str, now: float) -> bool:
+        """Tell whether the endpoint has served the object lately."""
+        used_at = self._used_at_by_key.get(key)
+        return used_at is not None and now - used_at < WARM_S
+
+    def begin(self, key: str, now: float) -> bool:
+        """Count a request, and tell whether the endpoint knew the object."""
+        self.in_flight += 1
+        if self._cold_rate is not None and self.is_cold(now):
+            self._cold_rate.take(now)
+        was_warm = bool(key) and self.is_warm(key, now)
+        if key:
+            self._used_at_by_key[key] = now
+            self._used_at_by_key.move_to_end(key)
+            while len(self._used_at_by_key) > WARM_OBJECTS:
+                self._used_at_by_key.popitem(last=False)
+        return was_warm
+
+    def end(self, key: str, outcome: model.Outcome, now: float) -> None:
+        """Count the end of a request."""
+        self.in_flight = max(0, self.in_flight - 1)
+        _EFFECTS_BY_OUTCOME[outcome](self, now)
+        if outcome is not model.Outcome.ANSWERED:
+            self._used_at_by_key.pop(key, None)
+
+    def observe_duration(self, expected_s: float, duration_s: float) -> None:
+        """Compare a request's duration with what is usual."""
+        ratio = min(MAX_SLOWNESS, duration_s / max(expected_s, 0.001))
+        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+
+    def _succeed(self, now: float) -> None:
+        self._consecutive_unreachable = 0
+        self.failure_share *= 1.0 - FAILURE_WEIGHT
+
+    def _fail(self, now: float) -> None:
+        self.failure_share += FAILURE_WEIGHT * (1.0 - self.failure_share)
+        if self.failure_share > MAX_FAILURE_SHARE:
+            self._pause(now, SICK_PAUSE_S)
+
+    def _shed(self, now: float) -> None:
+        self._fail(now)
+        self._pause(now, SHED_PAUSE_S)
+
+    def _lose(self, now: float) -> None:
+        doublings = min(self._consecutive_unreachable, 8)
+        self._consecutive_unreachable += 1
+        self._pause(now, min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2.0**doublings))
+        # It may come back without its caches.
+        self.chill(now, self.service.cold_duration_s, 1.0)
+
+    def _misdirect(self, now: float) -> None:
+        # The address belongs to another endpoint now; the list will tell.
+        self._pause(now, LONGEST_PAUSE_S)
+
+    def _ignore(self, now: float) -> None:
+        return
+
+    def _pause(self, now: float, duration_s: float) -> None:
+        self._paused_until = max(self._paused_until, now + duration_s)
+
+
+_EFFECTS_BY_OUTCOME = {
+    model.Outcome.ANSWERED: EndpointState._succeed,
+    model.Outcome.FAILED: EndpointState._fail,
+    model.Outcome.SHED: EndpointState._shed,
+    model.Outcome.UNREACHABLE: EndpointState._lose,
+    model.Outcome.BROKEN: EndpointState._fail,
+    model.Outcome.MISDIRECTED: EndpointState._misdirect,
+    model.Outcome.ABANDONED: EndpointState._ignore,
+}
+
+
+def region_of(state: EndpointState) -> ids.RegionId:
+    """Return the region that the endpoint stands in."""
+    return state.endpoint.region_id
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/placement/spill.py
@@ -0,0 +1,95 @@
+"""Which part of a region's requests goes to other regions; it changes slowly.
+
+Callers and caches follow a slow change; a sudden one would land whole on cold caches.
+"""
+
+from __future__ import annotations
+
+import math
+
+# Use of the own region's slots up to which nothing is sent elsewhere.
+OWN_USE = 0.8
+# Fastest change of the share. Over two windows of 2 s each it moves by 0.1 at most,
+# which leaves a third of the usual bound of 0.15 for chance.
+MAX_CHANGE_PER_S = 0.05
+# Time over which the demand is smoothed.
+DEMAND_WINDOW_S = 3.0
+# Part of the requests that may go to the other side when their own has no room.
+OVERFLOW_SHARE = 0.04
+OVERFLOW_BURST = 3.0
+
+
+class Demand:
+    """Slots that the requests of one service keep busy, smoothed."""
+
+    def __init__(self, now: float) -> None:
+        self._busy_s = 0.0
+        self._updated_at = now
+        self._started_at = now
+
+    def add(self, duration_s: float, now: float) -> None:
+        """Count a request that keeps a slot for this long."""
+        self._decay(now)
+        self._busy_s += duration_s
+
+    def busy_slots(self, now: float) -> float:
+        """Return the number of slots that are needed."""
+        self._decay(now)
+        # Before a whole window has passed, the sum covers only a part of one.
+        age_s = max(0.1, now - self._started_at)
+        covered_s = DEMAND_WINDOW_S * (1.0 - math.exp(-age_s / DEMAND_WINDOW_S))
+        return self._busy_s / covered_s
+
+    def _decay(self, now: float) -> None:
+        elapsed_s = max(0.0, now - self._updated_at)
+        self._updated_at = now
+        self._busy_s *= math.exp(-elapsed_s / DEMAND_WINDOW_S)
+
+
+class Spill:
+    """Share of one service's requests that other regions serve."""
+
+    def __init__(self, now: float) -> None:
+        self.share = 0.0
+        self._updated_at = now
+        self._has_begun = False
+        self._overflow_tokens = OVERFLOW_BURST
+
+    def update(
+        self, demand_slots: float, own_slots: int, other_slots: int, now: float
+    ) -> None:
+        """Move the share towards what the demand asks for."""
+        elapsed_s = max(0.0, now - self._updated_at)
+        self._updated_at = now
+        wanted = wanted_share(demand_slots, own_slots, other_slots)
+        if not own_slots or not other_slots:
+            # There is no choice to smooth.
+            self.share = wanted
+            return
+        step = MAX_CHANGE_PER_S * elapsed_s
+        self.share += min(step, max(-step, wanted - self.share))
+
+    def may_overflow(self) -> bool:
+        """Take one of the few requests that may go to the other side."""
+        if self._overflow_tokens < 1.0:
+            return False
+        self._overflow_tokens -= 1.0
+        return True
+
+    def count(self) -> None:
+        """Count a request of the service."""
+        self._overflow_tokens = min(
+            OVERFLOW_BURST, self._overflow_tokens + OVERFLOW_SHARE
+        )
+
+
+def wanted_share(demand_slots: float, own_slots: int, other_slots: int) -> float:
+    """Return the share that leaves the own region at its use."""
+    if not other_slots:
+        return 0.0
+    if not own_slots:
+        return 1.0
+    excess = demand_slots - OWN_USE * own_slots
+    if excess <= 0 or demand_slots <= 0:
+        return 0.0
+    return min(excess / demand_slots, other_slots / (own_slots + other_slots))
