--- a/packages/control/src/yuccapitch/control/fleet.py
+++ b/packages/control/src/yuccapitch/control/fleet.py
@@ -26,13 +26,18 @@
         self.endpoints_read_at: float | None = None
         self.instances_version = 0
         self._heard_by_id: dict[str, _Heard] = {}
+        self._dispatchers_by_region: dict[str, str] = {}
         self._demands_by_entry_id: dict[str, tuple[messages.ServiceDemand, ...]] = {}
 
     @property
     def instances(self) -> tuple[messages.EntryInstance, ...]:
         """The entry instances in the order of their ids."""
         heard = sorted(self._heard_by_id.items())
-        return tuple(item.instance for _, item in heard)
+        dispatchers = set(self._dispatchers_by_region.values())
+        return tuple(
+            dataclasses.replace(item.instance, is_dispatcher=instance_id in dispatchers)
+            for instance_id, item in heard
+        )
 
     @property
     def endpoints(self) -> tuple[messages.EndpointRecord, ...]:
@@ -59,11 +64,12 @@
             request.http_host,
             request.http_port,
             request.is_ready,
+            is_dispatcher=False,
         )
         self._demands_by_entry_id[request.instance_id] = request.demands
         known = self._heard_by_id.get(request.instance_id)
         self._heard_by_id[request.instance_id] = _Heard(instance, now)
-        if known is not None and known.instance == instance:
+        if known is not None and _without_role(known.instance) == instance:
             return False
         if known is None:
             events.event(
@@ -71,6 +77,7 @@
                 entry=request.instance_id,
                 domain=request.failure_domain,
             )
+        self._choose_dispatchers()
         self.instances_version += 1
         return True
 
@@ -114,6 +121,11 @@
                 instance.instance_id: _Heard(instance, now)
                 for instance in answer.instances
             }
+            self._dispatchers_by_region = {
+                instance.region_id: instance.instance_id
+                for instance in answer.instances
+                if instance.is_dispatcher
+            }
             self.instances_version += 1
 
     def begin_lead(self, now: float) -> None:
@@ -129,9 +141,24 @@
         if self._heard_by_id.pop(instance_id, None) is None:
             return False
         events.event("fleet.entry-lost", entry=instance_id, reason=reason)
+        self._choose_dispatchers()
         self.instances_version += 1
         return True
 
+    def _choose_dispatchers(self) -> None:
+        # Kept as long as it lives: a new one has to learn what the former knew.
+        for region_id, dispatcher_id in list(self._dispatchers_by_region.items()):
+            if dispatcher_id not in self._heard_by_id:
+                del self._dispatchers_by_region[region_id]
+        for instance_id, heard in sorted(self._heard_by_id.items()):
+            if heard.instance.is_ready:
+                region_id = heard.instance.region_id
+                self._dispatchers_by_region.setdefault(region_id, instance_id)
+
+
+def _without_role(instance: messages.EntryInstance) -> messages.EntryInstance:
+    return dataclasses.replace(instance, is_dispatcher=False)
+
 
 def _comparable(
     records_by_id: dict[str, messages.EndpointRecord],
--- a/packages/gateway/src/yuccapitch/gateway/front/placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/placing.py
@@ -36,6 +36,9 @@
         self._futures_by_attempt_id: dict[
             model.AttemptId, asyncio.Future[model.Decision]
         ] = {}
+        self._watchers_by_attempt_id: dict[
+            model.AttemptId, Callable[[model.Decision], None]
+        ] = {}
 
     async def place(self, request: model.PlaceRequest) -> model.Granted | model.Refused:
         """Return a place, once there is one, or a refusal."""
@@ -71,9 +74,23 @@
         """Let the dispatcher act on the passing of time."""
         self.settle(self._dispatcher.tick(self._clock()))
 
+    def watch(
+        self, attempt_id: model.AttemptId, on_decision: Callable[[model.Decision], None]
+    ) -> None:
+        """Call back once a request that waits has its decision."""
+        self._watchers_by_attempt_id[attempt_id] = on_decision
+
+    def unwatch(self, attempt_id: model.AttemptId) -> None:
+        """Call back no more."""
+        self._watchers_by_attempt_id.pop(attempt_id, None)
+
     def settle(self, decisions: Iterable[model.Decision]) -> None:
         """Hand decisions to those that wait for them."""
         for decision in decisions:
+            watcher = self._watchers_by_attempt_id.pop(decision.attempt_id, None)
+            if watcher is not None:
+                watcher(decision)
+                continue
             future = self._futures_by_attempt_id.get(decision.attempt_id)
             if future is not None and not future.done():
                 future.set_result(decision)
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -10,7 +10,7 @@
 
 from yuccapitch.catalogue import ids, routes
 from yuccapitch.control import coordinator, following
-from yuccapitch.gateway.front import placing, request_path, sending, view
+from yuccapitch.gateway.front import region_placing, request_path, sending, view
 from yuccapitch.gateway.http1 import messages as http_messages, server as http_server
 from yuccapitch.node import tasks
 from yuccapitch.node.routed import adapter as routed_adapter, settings
@@ -48,7 +48,7 @@
         self._clock = coordinator.boot_time_s
         self._view = view.View()
         self._evacuated: frozenset[ids.FailureDomainId] = frozenset()
-        self._endpoints: list[model.Endpoint] = []
+        self._endpoints_by_id: dict[ids.EndpointId, model.Endpoint] = {}
         self._domains_by_entry_id: dict[str, ids.FailureDomainId] = {}
         self._is_stopping = False
         self._links = inner_peers.Peers(given.instance_id, LINK_TIMING)
@@ -58,7 +58,14 @@
         self._dispatcher = dispatcher.Dispatcher(
             given.region_id, self._domain_of_entry, random.Random()
         )
-        self._placer = placing.LocalPlacer(self._dispatcher, self._clock)
+        self._placer = region_placing.RegionPlacer(
+            given.instance_id,
+            self._links,
+            self._dispatcher,
+            self._find_endpoint,
+            self._clock,
+        )
+        self._links.on_lost = self._placer.lose
         self._sender = sending.Sender(adapter.header_names, self._clock)
         self._path = request_path.RequestPath(
             given.instance_id,
@@ -163,7 +170,7 @@
             self._apply_instances(answer.instances)
         if is_changed and self._view.table is not None:
             self._dispatcher.update(
-                self._endpoints,
+                self._endpoints_by_id.values(),
                 self._view.table.services_by_id,
                 self._evacuated,
                 now,
@@ -216,7 +223,7 @@
                     ids.RegionId(record.serving_region_id or region),
                 )
             )
-        self._endpoints = listed
+        self._endpoints_by_id = {e.endpoint_id: e for e in listed}
         self._sender.keep(listed)
         events.event(
             "endpoints.applied",
@@ -226,14 +233,27 @@
         )
 
     def _apply_instances(self, instances: tuple[messages.EntryInstance, ...]) -> None:
+        given = self._given
         self._view.instance_count = max(1, len(instances))
         self._view.budgets_by_service_id.clear()
+        former_ids = set(self._domains_by_entry_id)
         self._domains_by_entry_id = {
             instance.instance_id: ids.FailureDomainId(instance.failure_domain)
             for instance in instances
         }
-        peers = sum(i.region_id == self._given.region_id for i in instances)
-        self._dispatcher.set_capacity_share(1.0 / max(1, peers))
+        peers = [i for i in instances if i.region_id == given.region_id]
+        for peer in peers:
+            following.set_address_by_id(self._links, peer.instance_id)
+        dispatcher_ids = [i.instance_id for i in peers if i.is_dispatcher]
+        dispatcher_id = ids.InstanceId(dispatcher_ids[0]) if dispatcher_ids else None
+        is_own = dispatcher_id == given.instance_id
+        self._dispatcher.set_capacity_share(1.0 if is_own else 1 / max(1, len(peers)))
+        self._placer.set_dispatcher(dispatcher_id)
+        for gone_id in former_ids - set(self._domains_by_entry_id):
+            self._placer.forget_entry(ids.InstanceId(gone_id))
+
+    def _find_endpoint(self, endpoint_id: ids.EndpointId) -> model.Endpoint | None:
+        return self._endpoints_by_id.get(endpoint_id)
 
     def _domain_of_entry(self, entry_id: ids.InstanceId) -> ids.FailureDomainId | None:
         if entry_id == self._given.instance_id:
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -189,3 +189,9 @@
 declare("fleet.endpoints-changed", "The platform's list of endpoints changed.")
 declare("endpoint.listed", "An endpoint appeared on the platform's list.")
 declare("endpoint.unlisted", "An endpoint left the platform's list.")
+declare("place.dispatcher-changed", "Another instance grants the region's places.")
+declare(
+    "place.dispatcher-lost",
+    "The region's dispatcher gives no answer; the own part of the slots is used.",
+    Level.WARNING,
+)
--- /dev/null
+++ b/packages/protocol/src/yuccapitch/protocol/place_messages.py
@@ -0,0 +1,82 @@
+"""Messages between entry instances and the dispatcher of their region.
+
+Clocks differ between instances, so that every time is counted from the sending.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from yuccapitch.protocol import registry
+
+
+@registry.message(110)
+@dataclasses.dataclass(frozen=True)
+class PlaceQuery:
+    """Asks for a place at an endpoint."""
+
+    attempt_id: str
+    service_id: str
+    route_id: str
+    key: str
+    rank: int
+    home_region_ids: tuple[str, ...]
+    objective_in_ms: int
+    deadline_in_ms: int
+    avoided: tuple[str, ...]
+
+
+@registry.message(111)
+@dataclasses.dataclass(frozen=True)
+class PlaceGrant:
+    """The request may be sent to the endpoint now."""
+
+    attempt_id: str
+    endpoint_id: str
+
+
+@registry.message(112)
+@dataclasses.dataclass(frozen=True)
+class PlaceRefusal:
+    """The request gets no place."""
+
+    attempt_id: str
+    reason: str
+    retry_after_ms: int
+
+
+@registry.message(113)
+@dataclasses.dataclass(frozen=True)
+class PlaceWait:
+    """The request waits; a grant or refusal follows."""
+
+    attempt_id: str
+
+
+@registry.message(114)
+@dataclasses.dataclass(frozen=True)
+class PlaceRelease:
+    """Gives a place back."""
+
+    attempt_id: str
+    outcome: str
+    connect_ms: int
+    """Time that a new connection took; -1 if there was none."""
+
+
+@registry.message(115)
+@dataclasses.dataclass(frozen=True)
+class PlaceCancel:
+    """The request no longer waits."""
+
+    attempt_id: str
+
+
+@registry.message(116)
+@dataclasses.dataclass(frozen=True)
+class PlaceHeld:
+    """Tells a new dispatcher of a place that was granted before it began."""
+
+    query: PlaceQuery
+    endpoint_id: str
+    held_ms: int
--- a/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
@@ -80,6 +80,8 @@
     http_host: str
     http_port: int
     is_ready: bool
+    is_dispatcher: bool
+    """Whether it grants the places for its region's requests."""
 
 
 @registry.message(96)
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -35,6 +35,8 @@
 # Time kept back from the objective for the way to the caller.
 RETURN_S = 0.01
 MIN_RETRY_AFTER_S = 0.1
+# Time after a request's deadline at which its slot is taken to be free.
+OVERDUE_S = 1.0
 MAX_RETRY_AFTER_S = 5.0
 # Slots lent beyond the endpoint's own while requests are on their way to it.
 MAX_TRANSIT_FACTOR = 0.5
@@ -158,6 +160,19 @@
         state.end(request.key, outcome, now)
         return self._offer(state, now)
 
+    def adopt(
+        self, request: model.PlaceRequest, endpoint: model.Endpoint, granted_at: float
+    ) -> model.Granted | None:
+        """Count a place that a former dispatcher granted."""
+        state = self._states_by_id.get(endpoint.endpoint_id)
+        if state is None or request.attempt_id in self._grants_by_attempt_id:
+            return None
+        is_warm = state.begin(_object(request), granted_at)
+        self._grants_by_attempt_id[request.attempt_id] = _Grant(
+            request, state, is_warm, granted_at
+        )
+        return model.Granted(request.attempt_id, state.endpoint)
+
     def cancel(self, attempt_id: model.AttemptId) -> None:
         """Forget a request that waits."""
         for queue in self._queues_by_service_id.values():
@@ -185,6 +200,7 @@
     def tick(self, now: float) -> Sequence[model.Decision]:
         """Act on the passing of time: expire, and place what waits."""
         decisions: list[model.Decision] = []
+        decisions += self._release_overdue(now)
         for service_id, queue in self._queues_by_service_id.items():
             for item in queue.expired(now):
                 queue.remove(item.request.attempt_id)
@@ -435,6 +451,20 @@
             decisions.append(self._grant(item.request, state, now))
         return decisions
 
+    def _release_overdue(self, now: float) -> Sequence[model.Decision]:
+        # Their entry instance is gone, or its message was lost.
+        overdue = [
+            attempt_id
+            for attempt_id, grant in self._grants_by_attempt_id.items()
+            if now > grant.request.deadline_at + OVERDUE_S
+        ]
+        decisions: list[model.Decision] = []
+        for attempt_id in overdue:
+            decisions += self.release(
+                attempt_id, model.Outcome.ABANDONED, None, None, now
+            )
+        return decisions
+
     def _refuse(
         self,
         request: model.PlaceRequest,
--- a/packages/steering/src/yuccapitch/steering/placement/spill.py
+++ b/packages/steering/src/yuccapitch/steering/placement/spill.py
@@ -66,6 +66,11 @@
             # There is no choice to smooth.
             self.share = wanted
             return
+        if not self._has_begun:
+            # All caches are cold and the demand is unknown: every slot is needed.
+            self._has_begun = True
+            self.share = other_slots / (own_slots + other_slots)
+            return
         step = MAX_CHANGE_PER_S * elapsed_s
         self.share += min(step, max(-step, wanted - self.share))
 
