--- /dev/null
+++ b/packages/steering/tests/placement/places.py
@@ -0,0 +1,65 @@
+"""Builders of endpoints and requests for the tests of placement."""
+
+from __future__ import annotations
+
+import random
+
+from yuccapitch.catalogue import ids, routes
+from yuccapitch.steering.placement import dispatcher, model
+
+SERVICE = ids.ServiceId("orders")
+NORTH, SOUTH = ids.RegionId("north"), ids.RegionId("south")
+ENTRY = ids.InstanceId("10.0.0.1:7000")
+
+
+def service(cold_rate_per_s: float = 4.0) -> routes.RoutedService:
+    return routes.RoutedService(SERVICE, "/health", 100, 3.0, cold_rate_per_s)
+
+
+def endpoint(
+    name: str,
+    region: ids.RegionId = NORTH,
+    slots: int = 2,
+    serving: ids.RegionId | None = None,
+    **changes: object,
+) -> model.Endpoint:
+    fields: dict[str, object] = {
+        "endpoint_id": ids.EndpointId(name),
+        "service_id": SERVICE,
+        "host": "10.0.1.1",
+        "port": 80,
+        "failure_domain": ids.FailureDomainId(f"{region}-a"),
+        "region_id": region,
+        "slots": slots,
+        "is_leaving": False,
+        "cold_left_s": 0.0,
+        "incarnation": 0,
+        "serving_region_id": serving or region,
+    }
+    return model.Endpoint(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+def request(number: int, key: str = "", now: float = 0.0, **changes: object):
+    fields: dict[str, object] = {
+        "attempt_id": model.AttemptId(str(number)),
+        "entry_id": ENTRY,
+        "service_id": SERVICE,
+        "route_id": ids.RouteId("read"),
+        "key": key,
+        "rank": 1,
+        "home_region_ids": frozenset(),
+        "objective_at": now + 1.0,
+        "deadline_at": now + 5.0,
+    }
+    return model.PlaceRequest(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+def make(
+    *endpoints: model.Endpoint,
+    evacuated: frozenset[ids.FailureDomainId] = frozenset(),
+    cold_rate_per_s: float = 4.0,
+) -> dispatcher.Dispatcher:
+    places = dispatcher.Dispatcher(NORTH, lambda entry: None, random.Random(1))
+    services = {SERVICE: service(cold_rate_per_s)}
+    places.update(endpoints, services, evacuated, 0.0)
+    return places
--- /dev/null
+++ b/packages/steering/tests/placement/test_dispatcher.py
@@ -0,0 +1,195 @@
+"""Placement of requests: the dispatcher of a region."""
+
+from __future__ import annotations
+
+import places
+import pytest
+
+from yuccapitch.catalogue import ids
+from yuccapitch.steering.placement import model
+
+ANSWERED = model.Outcome.ANSWERED
+
+
+def grant(dispatcher, request, now=0.0):
+    decision = dispatcher.place(request, now)
+    assert isinstance(decision, model.Granted), decision
+    return decision
+
+
+def test_place_prefers_the_endpoint_that_knows_the_object():
+    dispatcher = places.make(*(places.endpoint(f"e{n}") for n in range(8)))
+    first = grant(dispatcher, places.request(1, key="7"))
+    dispatcher.release(first.attempt_id, ANSWERED, None, None, 0.5)
+    for number in range(2, 6):
+        again = grant(dispatcher, places.request(number, "7", 1.0), 1.0)
+        assert again.endpoint == first.endpoint
+        dispatcher.release(again.attempt_id, ANSWERED, None, None, 1.2)
+
+
+def test_place_begins_an_object_at_the_same_endpoint_in_every_dispatcher():
+    endpoints = [places.endpoint(f"e{n}") for n in range(8)]
+    chosen = {
+        grant(places.make(*group), places.request(1, key="7")).endpoint.endpoint_id
+        for group in (endpoints, endpoints[::-1])
+    }
+    assert len(chosen) == 1
+
+
+def test_place_never_exceeds_the_slots():
+    dispatcher = places.make(places.endpoint("e1"), places.endpoint("e2"))
+    decisions = [dispatcher.place(places.request(n), 0.0) for n in range(8)]
+    granted = [d for d in decisions if isinstance(d, model.Granted)]
+    assert len(granted) == 4
+    assert dispatcher.waiting_count() == 4
+
+
+def test_place_refuses_at_once_what_would_come_too_late():
+    dispatcher = places.make(places.endpoint("e1"))
+    decisions = [dispatcher.place(places.request(n), 0.0) for n in range(12)]
+    refused = [d for d in decisions if isinstance(d, model.Refused)]
+    assert refused
+    assert {r.reason for r in refused} == {model.RefusalReason.LATE}
+    assert all(r.retry_after_s > 0.1 for r in refused)
+
+
+def test_place_spreads_the_return_of_those_refused_together():
+    dispatcher = places.make(places.endpoint("e1"))
+    decisions = [dispatcher.place(places.request(n), 0.0) for n in range(30)]
+    refused = [d for d in decisions if isinstance(d, model.Refused)]
+    assert len({round(r.retry_after_s, 3) for r in refused}) > len(refused) / 2
+
+
+def test_place_refuses_without_an_endpoint():
+    decision = places.make().place(places.request(1), 0.0)
+    assert isinstance(decision, model.Refused)
+    assert decision.reason is model.RefusalReason.NO_ENDPOINT
+
+
+def test_release_gives_the_slot_to_the_most_urgent():
+    dispatcher = places.make(places.endpoint("e1", slots=1))
+    held = grant(dispatcher, places.request(1))
+    assert dispatcher.place(places.request(2, rank=2), 0.0) is None
+    assert dispatcher.place(places.request(3, rank=0), 0.0) is None
+    decisions = dispatcher.release(held.attempt_id, ANSWERED, None, None, 0.2)
+    assert [d.attempt_id for d in decisions] == ["3"]
+
+
+def test_release_serves_what_is_still_in_time_before_what_is_late():
+    dispatcher = places.make(places.endpoint("e1", slots=1))
+    held = grant(dispatcher, places.request(1))
+    late = places.request(2, rank=0, objective_at=0.0, deadline_at=9.0)
+    assert dispatcher.place(late, 0.0) is None
+    assert dispatcher.place(places.request(3, rank=2), 0.0) is None
+    decisions = dispatcher.release(held.attempt_id, ANSWERED, None, None, 0.2)
+    assert [d.attempt_id for d in decisions] == ["3"]
+
+
+def test_tick_refuses_what_no_slot_came_free_for():
+    dispatcher = places.make(places.endpoint("e1", slots=1))
+    grant(dispatcher, places.request(1))
+    assert dispatcher.place(places.request(2), 0.0) is None
+    decisions = dispatcher.tick(0.9)
+    assert [d.reason for d in decisions] == [model.RefusalReason.EXPIRED]
+
+
+def test_tick_frees_the_slot_of_an_entry_that_fell_silent():
+    dispatcher = places.make(places.endpoint("e1", slots=1))
+    grant(dispatcher, places.request(1))
+    dispatcher.tick(6.5)
+    grant(dispatcher, places.request(2, now=6.5), 6.5)
+
+
+def test_forget_entry_frees_its_slots_for_those_that_wait():
+    dispatcher = places.make(places.endpoint("e1", slots=1))
+    grant(dispatcher, places.request(1))
+    other = ids.InstanceId("10.0.0.2:7000")
+    assert dispatcher.place(places.request(2, entry_id=other), 0.0) is None
+    decisions = dispatcher.forget_entry(places.ENTRY, 0.1)
+    assert [d.attempt_id for d in decisions] == ["2"]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"is_leaving": True}, {"failure_domain": ids.FailureDomainId("north-z")}],
+)
+def test_place_avoids_leaving_and_evacuated_endpoints(changes):
+    dispatcher = places.make(
+        places.endpoint("e1", **changes),
+        evacuated=frozenset({ids.FailureDomainId("north-z")}),
+    )
+    assert isinstance(dispatcher.place(places.request(1), 0.0), model.Refused)
+
+
+def test_place_keeps_a_request_in_its_home_regions():
+    dispatcher = places.make(
+        places.endpoint("n"), places.endpoint("s", places.SOUTH, slots=9)
+    )
+    homes = frozenset({places.SOUTH})
+    for number in range(6):
+        granted = grant(dispatcher, places.request(number, home_region_ids=homes))
+        assert granted.endpoint.region_id == places.SOUTH
+
+
+def test_place_leaves_endpoints_that_serve_another_region():
+    dispatcher = places.make(
+        places.endpoint("n1"), places.endpoint("n2", serving=places.SOUTH)
+    )
+    decisions = [dispatcher.place(places.request(n), 0.0) for n in range(4)]
+    granted = [d for d in decisions if isinstance(d, model.Granted)]
+    assert {g.endpoint.endpoint_id for g in granted} == {"n1"}
+
+
+def test_place_bounds_the_rate_at_a_cold_endpoint():
+    dispatcher = places.make(places.endpoint("e1", slots=100, cold_left_s=3.0))
+    granted = 0
+    for step in range(100):
+        now = step / 100
+        decision = dispatcher.place(places.request(step, now=now), now)
+        if isinstance(decision, model.Granted):
+            granted += 1
+            dispatcher.release(decision.attempt_id, ANSWERED, None, None, now)
+        granted += sum(isinstance(d, model.Granted) for d in dispatcher.tick(now))
+    assert 2 <= granted <= 4.0 + 2
+
+
+def test_update_treats_a_new_incarnation_as_cold_and_without_objects():
+    dispatcher = places.make(places.endpoint("e1", slots=9))
+    first = grant(dispatcher, places.request(1, key="7"))
+    dispatcher.release(first.attempt_id, ANSWERED, None, None, 0.1)
+    services = {places.SERVICE: places.service(cold_rate_per_s=1.0)}
+    reborn = places.endpoint("e1", slots=9, incarnation=5)
+    dispatcher.update([reborn], services, frozenset(), 1.0)
+    decisions = [dispatcher.place(places.request(n, "7", 1.0), 1.0) for n in range(9)]
+    assert sum(isinstance(d, model.Granted) for d in decisions) == 1
+
+
+def test_update_treats_endpoints_as_cold_after_their_evacuation():
+    domain = ids.FailureDomainId("north-a")
+    dispatcher = places.make(
+        places.endpoint("e1", slots=9), evacuated=frozenset({domain})
+    )
+    services = {places.SERVICE: places.service(cold_rate_per_s=1.0)}
+    dispatcher.update([places.endpoint("e1", slots=9)], services, frozenset(), 1.0)
+    decisions = [dispatcher.place(places.request(n, now=1.0), 1.0) for n in range(9)]
+    assert sum(isinstance(d, model.Granted) for d in decisions) == 1
+
+
+def test_place_pauses_an_endpoint_that_cannot_be_reached():
+    dispatcher = places.make(places.endpoint("e1"), places.endpoint("e2"))
+    first = grant(dispatcher, places.request(1))
+    unreachable = model.Outcome.UNREACHABLE
+    dispatcher.release(first.attempt_id, unreachable, None, None, 0.0)
+    for number in range(2, 4):
+        again = grant(dispatcher, places.request(number, now=0.1), 0.1)
+        assert again.endpoint != first.endpoint
+
+
+def test_adopt_counts_what_a_former_dispatcher_granted():
+    endpoint = places.endpoint("e1", slots=1)
+    dispatcher = places.make(endpoint)
+    adopted = dispatcher.adopt(places.request(1), endpoint, 0.0)
+    assert adopted is not None
+    assert dispatcher.place(places.request(2), 0.0) is None
+    decisions = dispatcher.release(adopted.attempt_id, ANSWERED, None, None, 0.2)
+    assert [d.attempt_id for d in decisions] == ["2"]
