--- /dev/null
+++ b/packages/control/tests/test_fleet.py
@@ -0,0 +1,82 @@
+"""What the leader knows of entry instances and endpoints."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from yuccapitch.control import fleet as control_fleet
+from yuccapitch.protocol import subscription_messages as messages
+
+
+def sign_of_life(instance_id: str, **changes: object) -> messages.FollowRequest:
+    request = messages.FollowRequest(
+        instance_id, True, "north", "north-a", "10.0.0.1", 80, True, False, 0, 0, 0, 0,
+        (), 0,
+    )  # fmt: skip
+    return dataclasses.replace(request, **changes)  # type: ignore[arg-type]
+
+
+def record(endpoint_id: str, **changes: object) -> messages.EndpointRecord:
+    made = messages.EndpointRecord(
+        endpoint_id, "orders", "10.0.1.1", 80, "north-a", 4, False, 0, 0, "north"
+    )
+    return dataclasses.replace(made, **changes)  # type: ignore[arg-type]
+
+
+def dispatchers(fleet: control_fleet.Fleet) -> list[str]:
+    return [i.instance_id for i in fleet.instances if i.is_dispatcher]
+
+
+def test_hear_changes_the_version_only_with_news():
+    fleet = control_fleet.Fleet()
+    assert fleet.hear(sign_of_life("a"), 0.0)
+    assert not fleet.hear(sign_of_life("a"), 0.5)
+    assert fleet.hear(sign_of_life("a", is_ready=False), 1.0)
+
+
+def test_expire_drops_what_fell_silent():
+    fleet = control_fleet.Fleet()
+    fleet.hear(sign_of_life("a"), 0.0)
+    fleet.hear(sign_of_life("b"), 2.0)
+    assert fleet.expire(2.5)
+    assert [i.instance_id for i in fleet.instances] == ["b"]
+
+
+def test_hear_drops_an_instance_that_is_stopping():
+    fleet = control_fleet.Fleet()
+    fleet.hear(sign_of_life("a"), 0.0)
+    assert fleet.hear(sign_of_life("a", is_stopping=True), 0.1)
+    assert fleet.instances == ()
+    assert not fleet.hear(sign_of_life("a", is_stopping=True), 0.2)
+
+
+def test_dispatcher_stays_while_it_lives():
+    fleet = control_fleet.Fleet()
+    fleet.hear(sign_of_life("b"), 0.0)
+    fleet.hear(sign_of_life("a"), 0.1)
+    assert dispatchers(fleet) == ["b"]
+    fleet.hear(sign_of_life("b", is_stopping=True), 0.2)
+    assert dispatchers(fleet) == ["a"]
+
+
+def test_dispatcher_is_ready_and_one_a_region():
+    fleet = control_fleet.Fleet()
+    fleet.hear(sign_of_life("a", is_ready=False), 0.0)
+    fleet.hear(sign_of_life("b"), 0.0)
+    fleet.hear(sign_of_life("c", region_id="south"), 0.0)
+    assert dispatchers(fleet) == ["b", "c"]
+
+
+def test_list_endpoints_ignores_the_shrinking_cold_time():
+    fleet = control_fleet.Fleet()
+    assert fleet.list_endpoints([record("a", cold_left_ms=900)], 0.0)
+    assert not fleet.list_endpoints([record("a", cold_left_ms=100)], 1.0)
+    assert fleet.list_endpoints([record("a", is_leaving=True)], 2.0)
+
+
+def test_begin_lead_gives_known_instances_time_to_report():
+    fleet = control_fleet.Fleet()
+    fleet.hear(sign_of_life("a"), 0.0)
+    fleet.begin_lead(10.0)
+    assert not fleet.expire(11.0)
+    assert fleet.expire(13.0)
--- /dev/null
+++ b/tests/platform/test_node_file.py
@@ -0,0 +1,76 @@
+"""Decoding of the settings file that the platform writes."""
+
+from __future__ import annotations
+
+import pathlib
+
+import pytest
+
+from yuccapitch.platform import node_file, units
+
+TEXT = """
+nodeId = "control-north-a-1"
+ip = "10.1.0.14"
+zone = "north-a"
+region = "north"
+internalPortRange = [7660,7675]
+seeds = ["10.1.0.14:8146","10.2.0.24:8146"]
+bootstrap = true
+dataDir = "/data/control"
+[zones]
+north-a = "north"
+[listen]
+control = "10.1.0.14:8146"
+[bounds]
+grace = "6s"
+retryBudgetRatio = 0.2
+budgetWindow = "10s"
+retryBudgetSlack = 62
+ttl_max = "5s"
+[cloudApi]
+address = "10.200.0.4:8142"
+"""
+
+
+def test_read_decodes_the_file(tmp_path: pathlib.Path):
+    path = tmp_path / "local.toml"
+    path.write_text(TEXT)
+    given = node_file.read(path).unwrap()
+    routed = given.routed
+    assert routed.instance_id == "10.1.0.14:7660"
+    assert routed.seed_ids == ("10.1.0.14:7660", "10.2.0.24:7660")
+    assert routed.is_first_start
+    assert routed.data_dir == pathlib.Path("/data/control")
+    assert routed.operators is not None and routed.operators.port == 8146
+    assert routed.callers is None
+    assert given.list_address == ("10.200.0.4", 8142)
+
+
+def test_read_names_every_fault(tmp_path: pathlib.Path):
+    path = tmp_path / "local.toml"
+    path.write_text(
+        TEXT.replace('"6s"', '"six"')
+        .replace("[7660,7675]", "7660")
+        .replace("retryBudgetSlack = 62", "")
+        .replace('address = "10.200.0.4:8142"', "")
+    )
+    reason = node_file.read(path).unwrap_err()
+    for name in ("grace", "internalPortRange", "retryBudgetSlack", "cloudApi.address"):
+        assert name in reason
+
+
+def test_read_names_the_variable_of_a_missing_file(tmp_path: pathlib.Path):
+    reason = node_file.read(tmp_path / "none").unwrap_err()
+    assert node_file.VARIABLE in reason
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)]
+)
+def test_parse_duration_s_reads_a_number_and_its_unit(text, seconds):
+    assert units.parse_duration_s(text) == pytest.approx(seconds)
+
+
+@pytest.mark.parametrize("value", ["", "5", "5m", "-1s", 5, None, "s"])
+def test_parse_duration_s_refuses_what_is_no_time(value):
+    assert units.parse_duration_s(value) is None
