Lend endpoints for half use, and by the entries of a region before traffic

A moment without an open endpoint of its own had set the share sent elsewhere to 1. And callers' deadlines differ by 15 % from the start, so that a fifth of first tries were taken for late ones.

--- a/packages/control/src/yuccapitch/control/coordinator.py
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import time
 import typing
 from collections.abc import Callable
@@ -294,8 +295,12 @@
         may_move = now - self._allocated_at >= ALLOCATION_INTERVAL_S
         if may_move:
             self._allocated_at = now
-        demands = self.fleet.demands() if may_move else {}
-        return allocation.assign(records, self.fleet.endpoints_by_id, demands)
+        if not may_move:
+            return allocation.assign(records, self.fleet.endpoints_by_id, {}, {})
+        weights = collections.Counter(i.region_id for i in self.fleet.instances)
+        return allocation.assign(
+            records, self.fleet.endpoints_by_id, self.fleet.demands(), weights
+        )
 
 
 def boot_time_s() -> float:
--- a/packages/control/src/yuccapitch/control/fleet.py
+++ b/packages/control/src/yuccapitch/control/fleet.py
@@ -187,5 +187,8 @@
     for endpoint_id in former.keys() - listed.keys():
         events.event("endpoint.unlisted", endpoint=endpoint_id)
     for endpoint_id in former.keys() & listed.keys():
+        serving = listed[endpoint_id].serving_region_id
+        if serving != former[endpoint_id].serving_region_id:
+            events.event("endpoint.lent", endpoint=endpoint_id, region=serving)
         if listed[endpoint_id].is_leaving and not former[endpoint_id].is_leaving:
             events.event("endpoint.leaving", endpoint=endpoint_id)
--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -20,6 +20,9 @@
 MAX_UNREACHABLE_ENDPOINTS = 3
 # Asked for where nothing is known of the time at which the request can be served.
 UNKNOWN_RETRY_AFTER_S = 0.5
+# Callers differ in the time that they will wait; less than this part of the longest
+# seen on a route is stated only by one that has waited before.
+LEAST_FIRST_SHARE = 0.82
 # Part of the fleet's retry budget that is used, so that the uneven use of many
 # instances does not exceed it.
 BUDGET_USE = 0.7
@@ -225,11 +228,11 @@
     ) -> _Work:
         stated_s = headers.parse_deadline_s(request.header(self._names.deadline_ms))
         wait_s = DEFAULT_DEADLINE_S if stated_s is None else stated_s
-        # A caller that comes back states less time than one that comes first; the
+        # A caller that comes back states less time than any that comes first; the
         # objective counts from its first try.
         longest_s = max(wait_s, self._longest_wait_s_by_route_id.get(route.route_id, 0))
         self._longest_wait_s_by_route_id[route.route_id] = longest_s
-        spent_s = longest_s - wait_s
+        spent_s = max(0.0, LEAST_FIRST_SHARE * longest_s - wait_s)
         return _Work(
             request,
             request_id,
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -195,3 +195,4 @@
     "The region's dispatcher gives no answer; the own part of the slots is used.",
     Level.WARNING,
 )
+declare("endpoint.lent", "An endpoint takes the requests of another region now.")
--- a/packages/steering/src/yuccapitch/steering/allocation.py
+++ b/packages/steering/src/yuccapitch/steering/allocation.py
@@ -12,8 +12,11 @@
 
 from yuccapitch.protocol import subscription_messages as messages
 
-# Use of its slots that a region is given slots for.
-AIMED_USE = 0.75
+# Use of its slots that a region is given slots for. Above it requests begin to wait: a
+# slot is held a little longer than the work takes, and arrivals come in bunches.
+AIMED_USE = 0.5
+# Demand, as a part of all slots, below which there is no traffic to judge by.
+IDLE_USE = 0.02
 # A slot in another region is also held while requests are on their way.
 BORROWED_SLOT_YIELD = 0.75
 
@@ -25,11 +28,13 @@
     records: Iterable[messages.EndpointRecord],
     former_by_id: Mapping[str, messages.EndpointRecord],
     demands: Demands,
+    weights_by_region: Mapping[str, int],
 ) -> tuple[messages.EndpointRecord, ...]:
     """Return the records with the regions that they serve.
 
     Each record comes with its own region. At most one endpoint a service and region
-    moves in a call, so that the callers' requests change regions slowly.
+    moves in a call, so that the callers' requests change regions slowly. Before there
+    is traffic, ``weights_by_region`` tells how much of it is expected.
     """
     own_regions_by_id: dict[str, str] = {}
     records_by_service: dict[str, list[messages.EndpointRecord]]
@@ -49,8 +54,14 @@
             if service == service_id
         }
         service = _Service(group, own_regions_by_id)
-        if needs:
+        total_slots = sum(record.slots for record in group)
+        if sum(needs.values()) > IDLE_USE * total_slots:
             service.move(needs)
+        elif sum(weights_by_region.values()) > 0:
+            unit = AIMED_USE * total_slots / sum(weights_by_region.values())
+            expected = {r: unit * weight for r, weight in weights_by_region.items()}
+            for _ in group:
+                service.move(expected)
         assigned += service.records
     return tuple(assigned)
 
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -21,8 +21,8 @@
 # Use of a service's slots from which a request rather waits for an endpoint that knows
 # its object than takes a slot for the longer time that a cold one needs.
 PRESSURE = 0.75
-# Part of the gain by affinity that is given up to waiting for it.
-WAIT_SHARE = 0.5
+# Part of the time that a request can wait for which it waits for such an endpoint.
+WAIT_SHARE = 0.7
 # Cost of a failure domain change, as time; equal warmth prefers the own domain.
 DOMAIN_CHANGE_S = 0.004
 # Assumed round trip to another region before one was measured.
@@ -131,7 +131,7 @@
         allowed = self._allowed(request)
         if not allowed:
             return self._refuse(request, model.RefusalReason.NO_ENDPOINT, 1.0)
-        preferred, others = self._sides(request, allowed)
+        preferred, others = self._sides(request, allowed, now)
         found = self._choose(request, preferred, now, takes_cold=False)
         if found is None and others and self._spill(request.service_id).may_overflow():
             found = self._choose(request, others, now, takes_cold=False)
@@ -255,11 +255,16 @@
         self,
         request: model.PlaceRequest,
         allowed: list[endpoint_state.EndpointState],
+        now: float,
     ) -> tuple[list[endpoint_state.EndpointState], list[endpoint_state.EndpointState]]:
         own = [s for s in allowed if s.endpoint.region_id == self._region_id]
         other = [s for s in allowed if s.endpoint.region_id != self._region_id]
         if not own or not other:
             return allowed, []
+        if not self._open_slots(own, now):
+            return other, own
+        if not self._open_slots(other, now):
+            return own, other
         if self._rng.random() < self._spill(request.service_id).share:
             return other, own
         return own, other
@@ -290,16 +295,16 @@
                 warm_is_busy = warm_is_busy or is_warm
         if best is None or best_is_warm or takes_cold or not warm_is_busy:
             return best
-        if used < PRESSURE * total:
-            return best
-        # The longer time at a cold endpoint would be taken from other requests.
-        gain_s = self._durations.cold_s(request.route_id) - self._durations.warm_s(
-            request.route_id
-        )
-        can_wait = now + WAIT_SHARE * gain_s + self._durations.warm_s(
-            request.route_id
-        ) < (request.objective_at - RETURN_S)
-        return None if can_wait and gain_s > 0 else best
+        # The longer time at a cold endpoint is taken from other requests, and often it
+        # is too long for the objective.
+        warm_s = self._durations.warm_s(request.route_id)
+        cold_s = self._durations.cold_s(request.route_id)
+        may_wait = now + warm_s < request.objective_at - RETURN_S
+        is_pressed = used >= PRESSURE * total
+        is_cold_late = now + cold_s > request.objective_at - RETURN_S
+        if may_wait and cold_s > warm_s and (is_pressed or is_cold_late):
+            return None
+        return best
 
     def _cost(
         self,
@@ -353,39 +358,43 @@
         now: float,
     ) -> model.Refused | None:
         queue = self._queue(request.service_id)
-        duration_s = self._durations.mean_s(request.route_id)
-        slots = sum(
-            self._limit(state)
-            for state in states
-            if state.availability(now, 1 << 30)
-            is not endpoint_state.Availability.CLOSED
-        )
-        is_late = now + duration_s > request.objective_at - RETURN_S
-        wait_s = queue.expected_wait_s(request.rank, is_late, max(1, slots), duration_s)
-        last_start = request.objective_at - RETURN_S - duration_s
+        warm_s = self._durations.warm_s(request.route_id)
+        mean_s = self._durations.mean_s(request.route_id)
+        slots = max(1, self._open_slots(states, now))
+        last_start = request.objective_at - RETURN_S - warm_s
+        is_late = now > last_start
         if is_late:
             # Worth little, so that it waits only for half of the time that is left.
-            last_start = now + (request.deadline_at - now) / 2 - duration_s
-        retry_after_s = wait_s + duration_s
+            last_start = now + (request.deadline_at - now) / 2 - warm_s
+        wait_s = queue.expected_wait_s(request.rank, is_late, slots, mean_s)
         if now + wait_s > last_start:
-            return self._refuse(request, model.RefusalReason.LATE, retry_after_s)
-        if len(queue) >= MAX_QUEUE_PER_SLOT * max(1, slots):
-            return self._refuse(request, model.RefusalReason.QUEUE_FULL, retry_after_s)
-        gain_s = self._durations.cold_s(request.route_id) - self._durations.warm_s(
-            request.route_id
-        )
+            retry_after_s = queue.expected_wait_s(request.rank, True, slots, mean_s)
+            reason = model.RefusalReason.LATE
+            return self._refuse(request, reason, retry_after_s + mean_s)
+        if len(queue) >= MAX_QUEUE_PER_SLOT * slots:
+            reason = model.RefusalReason.QUEUE_FULL
+            return self._refuse(request, reason, wait_s + mean_s)
+        is_known = any(state.is_warm(_object(request), now) for state in states)
+        takes_cold_at = now
+        if is_known:
+            takes_cold_at = min(last_start, now + WAIT_SHARE * (last_start - now))
         queue.add(
             waiting.Item(
-                request,
-                is_late,
-                duration_s,
-                last_start,
-                now + WAIT_SHARE * max(0.0, gain_s),
-                self._side(states),
+                request, is_late, mean_s, last_start, takes_cold_at, self._side(states)
             )
         )
         return None
 
+    def _open_slots(
+        self, states: list[endpoint_state.EndpointState], now: float
+    ) -> int:
+        return sum(
+            self._limit(state)
+            for state in states
+            if state.availability(now, 1 << 30)
+            is not endpoint_state.Availability.CLOSED
+        )
+
     def _side(self, states: list[endpoint_state.EndpointState]) -> waiting.Side:
         regions = {state.endpoint.region_id for state in states}
         if regions == {self._region_id}:
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -52,6 +52,7 @@
         self._cold_rate: cold_rate.ColdRate | None = None
         self._paused_until = 0.0
         self._failed_at = float("-inf")
+        self._full_until = float("-inf")
         self._consecutive_unreachable = 0
         self._used_at_by_key: collections.OrderedDict[str, float]
         self._used_at_by_key = collections.OrderedDict()
@@ -89,7 +90,7 @@
             self.in_flight > 0 or now < self._failed_at + SICK_PAUSE_S
         ):
             return Availability.CLOSED
-        if self.in_flight >= limit:
+        if self.in_flight >= limit or now < self._full_until:
             return Availability.BUSY
         if self.is_cold(now):
             if self._cold_rate is not None and not self._cold_rate.may_take(now):
@@ -137,9 +138,9 @@
         self._failed_at = now
 
     def observe_load(self, load: model.Load, now: float) -> None:
-        """Take in an endpoint's report; a queue there is work that is not known here."""
+        """Take in a report; a queue at the endpoint is work not known here."""
         if load.waiting > 0:
-            self._pause(now, FULL_PAUSE_S)
+            self._full_until = now + FULL_PAUSE_S
 
     def _lose(self, now: float) -> None:
         doublings = min(self._consecutive_unreachable, 8)
--- a/packages/steering/src/yuccapitch/steering/placement/spill.py
+++ b/packages/steering/src/yuccapitch/steering/placement/spill.py
@@ -8,7 +8,7 @@
 import math
 
 # Use of the own region's slots up to which nothing is sent elsewhere.
-OWN_USE = 0.8
+OWN_USE = 0.7
 # Fastest change of the share. Over two windows of 2 s each it moves by 0.1 at most,
 # which leaves a third of the usual bound of 0.15 for chance.
 MAX_CHANGE_PER_S = 0.05
@@ -63,8 +63,7 @@
         self._updated_at = now
         wanted = wanted_share(demand_slots, own_slots, other_slots)
         if not own_slots or not other_slots:
-            # There is no choice to smooth.
-            self.share = wanted
+            # There is no choice now; the share is kept for when there is again.
             return
         if not self._has_begun:
             # All caches are cold and the demand is unknown: every slot is needed.
