--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -83,6 +83,16 @@
         self._splitter = splitting.Splitter()
         self._numbers = itertools.count(1)
         self._longest_wait_s_by_route_id: dict[ids.RouteId, float] = {}
+        self._stop_at: float | None = None
+        self._place_timeouts: set[asyncio.Timeout] = set()
+
+    def stop(self, at: float) -> None:
+        """Refuse what has no place by this time."""
+        self._stop_at = at
+        loop = asyncio.get_running_loop()
+        left_s = max(0.0, at - self._clock())
+        for timeout in self._place_timeouts:
+            timeout.reschedule(loop.time() + left_s)
 
     async def handle(self, request: messages.Request) -> messages.Answer:
         """Return the answer for a caller."""
@@ -126,7 +136,7 @@
     async def _serve(self, work: _Work) -> messages.Answer:
         self._budget(work.service_id).record_first_attempt()
         while True:
-            place = await self._placer.place(self._place_request(work))
+            place = await self._place(work)
             if isinstance(place, model.Refused):
                 return self._answer_refused(work, place)
             exchanged = await self._send(work, place)
@@ -148,6 +158,22 @@
                 sends=work.sends,
             )
 
+    async def _place(self, work: _Work) -> model.Granted | model.Refused:
+        request = self._place_request(work)
+        left_s = work.deadline_at - self._clock()
+        if self._stop_at is not None:
+            left_s = min(left_s, max(0.0, self._stop_at - self._clock()))
+        timeout = asyncio.timeout(left_s)
+        self._place_timeouts.add(timeout)
+        try:
+            async with timeout:
+                return await self._placer.place(request)
+        except TimeoutError:
+            reason = model.RefusalReason.EXPIRED
+            return model.Refused(request.attempt_id, reason, UNKNOWN_RETRY_AFTER_S)
+        finally:
+            self._place_timeouts.discard(timeout)
+
     async def _send(self, work: _Work, place: model.Granted) -> sending.Exchanged:
         endpoint = place.endpoint
         events.event(
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -192,7 +192,9 @@
             slot = self._answers.pop(0)
             answer = slot.answer
             assert answer is not None
-            closes = not slot.keeps_alive or self._state.is_stopping
+            # What was read behind this request may be at an endpoint already.
+            is_last = not self._answers and not self._is_in_message
+            closes = not slot.keeps_alive or (self._state.is_stopping and is_last)
             has_body = slot.request.method != b"HEAD"
             self._transport.write(messages.encode_answer(answer, closes, has_body))
             if closes:
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -158,3 +158,21 @@
     async with serving(broken) as (_, port):
         answer = await exchange(port, get("/", CLOSE))
     assert answer.startswith(b"HTTP/1.1 500")
+
+
+async def test_drain_answers_every_pipelined_request_that_was_read():
+    go_on = asyncio.Event()
+
+    async def wait(request):
+        await go_on.wait()
+        return await echo(request)
+
+    async with serving(wait) as (listening, port):
+        task = asyncio.create_task(exchange(port, get("/0") + get("/1") + get("/2")))
+        while listening.requests_in_flight < 3:
+            await asyncio.sleep(0)
+        listening.drain()
+        go_on.set()
+        answer = await task
+    assert [b"x-target: /%d" % n in answer for n in range(3)] == [True] * 3
+    assert answer.count(b"connection: close") == 1
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -110,6 +110,7 @@
         self._is_stopping = True
         self._follower.wake()
         self._server.drain()
+        self._path.stop(end_at - STOP_MARGIN_S)
         cached_s = CACHED_LIVES * self._given.answer_life_s
         await asyncio.sleep(min(cached_s, self._given.stop_grace_s / 2))
         self._server.stop_listening()
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -27,6 +27,8 @@
 DOMAIN_CHANGE_S = 0.004
 # Assumed round trip to another region before one was measured.
 OTHER_REGION_S = 0.1
+# Time after which an endpoint that joined and got nothing gets one request.
+TRIAL_AFTER_S = 1.0
 # Requests taken into account when an endpoint has a free slot.
 SCAN_LENGTH = 16
 # Slowness of a cold endpoint.
@@ -114,6 +116,7 @@
             if state is None or is_new:
                 state = endpoint_state.EndpointState(endpoint, service, now)
                 if self._has_endpoints:
+                    state.untried_since = now
                     state.chill(now, service.cold_duration_s, self._capacity_share)
             elif endpoint.failure_domain in returned:
                 state.chill(now, service.cold_duration_s, self._capacity_share)
@@ -284,6 +287,10 @@
         ordinary = self._ordinary_failure_share(request.service_id)
         for state in states:
             limit = self._limit(state)
+            if _is_due_for_trial(state, now):
+                availability = state.availability(now, limit, ordinary)
+                if availability is endpoint_state.Availability.FREE:
+                    return state
             used, total = used + state.in_flight, total + limit
             is_warm = state.is_warm(_object(request), now)
             availability = state.availability(now, limit, ordinary)
@@ -559,5 +566,11 @@
         return self._transit_s_by_region_id.get(region_id, OTHER_REGION_S)
 
 
+def _is_due_for_trial(state: endpoint_state.EndpointState, now: float) -> bool:
+    # Warm endpoints would go on being preferred; one request makes a new one known.
+    since = state.untried_since
+    return since is not None and now - since > TRIAL_AFTER_S
+
+
 def _object(request: model.PlaceRequest) -> str:
     return f"{request.route_id}/{request.key}" if request.key else ""
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -46,6 +46,8 @@
         self.endpoint = endpoint
         self.service = service
         self.in_flight = 0
+        self.untried_since: float | None = None
+        """When the endpoint joined, if it has got no request since."""
         self.slowness = 1.0
         self.failure_share = 0.0
         self.cold_until = 0.0
@@ -107,6 +109,7 @@
     def begin(self, key: str, now: float) -> bool:
         """Count a request, and tell whether the endpoint knew the object."""
         self.in_flight += 1
+        self.untried_since = None
         if self._cold_rate is not None and self.is_cold(now):
             self._cold_rate.take(now)
         was_warm = bool(key) and self.is_warm(key, now)
--- a/packages/steering/tests/placement/test_dispatcher.py
+++ b/packages/steering/tests/placement/test_dispatcher.py
@@ -232,3 +232,17 @@
     dispatcher.release(granted.attempt_id, ANSWERED, load, None, 0.0)
     assert dispatcher.place(places.request(2), 0.0) is None
     assert [d.attempt_id for d in dispatcher.tick(0.1)] == ["2"]
+
+
+def test_place_tries_an_endpoint_that_joined():
+    dispatcher = places.make(places.endpoint("e1", slots=9))
+    first = grant(dispatcher, places.request(1, key="7"))
+    dispatcher.release(first.attempt_id, ANSWERED, None, None, 0.2)
+    joined = [places.endpoint("e1", slots=9), places.endpoint("e2", slots=9)]
+    services = {places.SERVICE: places.service()}
+    dispatcher.update(joined, services, frozenset(), 1.0)
+    chosen = [
+        grant(dispatcher, places.request(n, "7", 2.5), 2.5).endpoint.endpoint_id
+        for n in range(2, 5)
+    ]
+    assert chosen == ["e2", "e1", "e1"]
