Metrics of both roles; tests of control and entry instances together; faster elections

Connections to endpoints are probed each second, so that one that went silent shows in three seconds instead of five.

--- a/packages/control/src/yuccapitch/control/following.py
+++ b/packages/control/src/yuccapitch/control/following.py
@@ -109,11 +109,9 @@
             case messages.FollowAnswer() as answer:
                 return self._take(target_id, answer, sent_at)
             case messages.FollowRefusal(leader_id):
-                was_leader = target_id == self._leader_id
                 self._lose(target_id, "not the leader")
-                if leader_id and leader_id != target_id and not was_leader:
+                if leader_id and leader_id != target_id:
                     self._leader_id = leader_id
-                    return 0.0
                 return RETRY_DELAY_S
             case other:
                 self._lose(target_id, f"unexpected {type(other).__name__}")
--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import itertools
+import typing
 from collections.abc import Callable
 
 from yuccapitch.catalogue import ids, routes
@@ -39,6 +40,19 @@
     window_s: float
 
 
+class Meter(typing.Protocol):
+    """Counts what becomes of requests."""
+
+    def count_request(self, outcome: str, duration_s: float) -> None:
+        """Count a request that is over."""
+
+    def count_refusal(self, reason: str) -> None:
+        """Count a request that was told that it did not run."""
+
+    def count_resend(self, cause: str) -> None:
+        """Count a send beyond the first."""
+
+
 @dataclasses.dataclass(slots=True)
 class _Work:
     """One request on its way."""
@@ -69,9 +83,9 @@
         sender: sending.Sender,
         allowance: RetryAllowance,
         clock: Callable[[], float],
-        count: Callable[[str, str, float], None],
+        meter: Meter,
     ) -> None:
-        """Serve with these parts; ``count`` takes outcome, route and duration."""
+        """Serve with these parts."""
         self._instance_id = instance_id
         self._names = names
         self._view = state
@@ -79,7 +93,7 @@
         self._sender = sender
         self._allowance = allowance
         self._clock = clock
-        self._count = count
+        self._meter = meter
         self._splitter = splitting.Splitter()
         self._numbers = itertools.count(1)
         self._longest_wait_s_by_route_id: dict[ids.RouteId, float] = {}
@@ -99,9 +113,9 @@
         request_id = (request.header(self._names.request_id) or b"").decode("latin-1")
         table = self._view.table
         if table is None:
-            events.event(
-                "request.refused", request=request_id, reason="no routes are known yet"
-            )
+            reason = "no routes are known yet"
+            self._meter.count_refusal(reason)
+            events.event("request.refused", request=request_id, reason=reason)
             return self._not_run(request_id, UNKNOWN_RETRY_AFTER_S)
         route = _find(table, request)
         if route is None:
@@ -148,6 +162,7 @@
             if exchanged.answer is None and not self._may_resend(work, exchanged):
                 return self._answer_failed(work, exchanged)
             work.avoided |= {place.endpoint.endpoint_id}
+            self._meter.count_resend(exchanged.outcome.value)
             events.event(
                 "request.resent",
                 request=work.request_id,
@@ -225,6 +240,7 @@
         if work.may_have_run:
             return self._answer_unknown(work, fields)
         fields["retry_after_ms"] = _ms(place.retry_after_s)
+        self._meter.count_refusal(place.reason.value)
         fields.update(self._finish(work, "refused"))
         events.event("request.refused", **fields)
         return self._not_run(work.request_id, place.retry_after_s)
@@ -238,6 +254,7 @@
         }
         if work.may_have_run:
             return self._answer_unknown(work, fields)
+        self._meter.count_refusal(exchanged.outcome.value)
         fields.update(self._finish(work, "refused"))
         events.event("request.refused", **fields)
         return self._not_run(work.request_id, UNKNOWN_RETRY_AFTER_S)
@@ -297,7 +314,7 @@
     def _finish(self, work: _Work, outcome: str) -> dict[str, object]:
         """Count a request that is over, and return what its log line says."""
         duration_s = self._clock() - work.request.received_s
-        self._count(outcome, work.route.route_id, duration_s)
+        self._meter.count_request(outcome, duration_s)
         return {
             "request": work.request_id,
             "route": work.route.route_id,
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -21,6 +21,9 @@
 LISTEN_BACKLOG = 1024
 # Silence after which the kernel gives up a connection (TCP_USER_TIMEOUT).
 PEER_SILENCE_MS = 5000
+# Keep-alive probes show a peer that went silent while an answer is awaited.
+KEEPALIVE_S = 1
+KEEPALIVE_PROBES = 2
 
 Handler = Callable[[messages.Request], Awaitable[messages.Answer]]
 
@@ -315,9 +318,9 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 2)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/packages/gateway/tests/front/test_request_path.py
+++ b/packages/gateway/tests/front/test_request_path.py
@@ -41,6 +41,19 @@
 UNREACHABLE = exchanged(model.Outcome.UNREACHABLE, sending.HasRun.NOT_SENT)
 
 
+class Meter:
+    """Counts nothing."""
+
+    def count_request(self, outcome, duration_s):
+        return
+
+    def count_refusal(self, reason):
+        return
+
+    def count_resend(self, cause):
+        return
+
+
 class Placer:
     """Grants a place at e0, e1, ...; then refuses or waits for good."""
 
@@ -85,7 +98,7 @@
     return request_path.RequestPath(
         ids.InstanceId("i"), NAMES, view.View(table), placer, sender,
         request_path.RetryAllowance(0.2, 10.0, 10.0), loop.time,
-        lambda outcome, route, duration_s: None,
+        Meter(),
     )  # fmt: skip
 
 
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -19,7 +19,12 @@
 from yuccapitch.control import coordinator, following, orders
 from yuccapitch.gateway.http1 import server as http_server
 from yuccapitch.node import tasks
-from yuccapitch.node.routed import adapter as routed_adapter, directory, settings
+from yuccapitch.node.routed import (
+    adapter as routed_adapter,
+    directory,
+    metrics,
+    settings,
+)
 from yuccapitch.protocol import (
     consensus_messages,
     events,
@@ -35,9 +40,9 @@
 SNAPSHOT_INTERVAL_ENTRIES = 100
 LEADER_REST_S = 0.2
 # A follower misses three heartbeats and a round trip between regions of 0.11 s before
-# it stands; entry instances that start know nothing until a leader does.
+# it stands; entry instances that start know nothing until there is a leader.
 TIMING = core_state.Timing(
-    heartbeat_interval_s=0.2, min_election_timeout_s=0.75, max_election_timeout_s=1.3
+    heartbeat_interval_s=0.15, min_election_timeout_s=0.6, max_election_timeout_s=1.0
 )
 LINK_TIMING = inner_link.LinkTiming(heartbeat_interval_s=1.0, timeout_s=2.5)
 
@@ -58,6 +63,7 @@
         self._on_failed = on_failed
         self._clock = coordinator.boot_time_s
         self._links = inner_peers.Peers(given.instance_id, LINK_TIMING)
+        self._meters = metrics.Meters()
         self._state = orders.OrderState()
         self._coordinator = coordinator.Coordinator(
             given.instance_id,
@@ -111,6 +117,7 @@
         tasks.start(self._replica.wait_stopped(), self._stack, self._on_failed)
         tasks.start(self._coordinator.run(), self._stack, self._on_failed)
         tasks.start(self._follow(), self._stack, self._on_failed)
+        self._add_gauges()
         await self._listen()
         return result.Ok(None)
 
@@ -152,6 +159,7 @@
         served = (
             (given.operators, adapter.operator_handler(self._coordinator)),
             (given.lookups, adapter.lookup_handler(names)),
+            (given.metrics, self._meters.handle),
         )
         for address, handler in served:
             if address is None:
@@ -161,6 +169,29 @@
             self._stack.push_async_callback(listening.aclose)
             self._servers.append(listening)
 
+    def _add_gauges(self) -> None:
+        meters, replica = self._meters, self._replica
+        fleet = self._coordinator.fleet
+        meters.gauge(
+            "is_leader", "1 if confirmed.", lambda: float(self._coordinator.is_leader)
+        )
+        meters.gauge("term", "Term of the log.", lambda: replica.core.term)
+        meters.gauge(
+            "applied_index", "Last applied entry.", lambda: replica.applied_index
+        )
+        meters.gauge(
+            "voters",
+            "Control instances that vote.",
+            lambda: len(replica.core.members.voters()),
+        )
+        meters.gauge(
+            "revision", "Revision of the routes.", lambda: self._state.revision
+        )
+        meters.gauge("entries", "Entry instances known.", lambda: len(fleet.instances))
+        meters.gauge(
+            "endpoints", "Endpoints listed.", lambda: len(fleet.endpoints_by_id)
+        )
+
     async def _follow(self) -> None:
         while True:
             if self._coordinator.is_leader:
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -13,7 +13,7 @@
 from yuccapitch.gateway.front import region_placing, request_path, sending, view
 from yuccapitch.gateway.http1 import messages as http_messages, server as http_server
 from yuccapitch.node import tasks
-from yuccapitch.node.routed import adapter as routed_adapter, settings
+from yuccapitch.node.routed import adapter as routed_adapter, metrics, settings
 from yuccapitch.protocol import (
     events,
     link as inner_link,
@@ -51,6 +51,7 @@
         self._endpoints_by_id: dict[ids.EndpointId, model.Endpoint] = {}
         self._domains_by_entry_id: dict[str, ids.FailureDomainId] = {}
         self._is_stopping = False
+        self._meters = metrics.Meters()
         self._links = inner_peers.Peers(given.instance_id, LINK_TIMING)
         self._follower = following.Follower(
             self._links, given.seed_ids, self._request, self._on_answer, self._clock
@@ -75,7 +76,7 @@
             self._sender,
             given.retry_allowance,
             self._clock,
-            self._count,
+            self._meters,
         )
         self._server = http_server.Server(self._handle, self._clock, self._view.limits)
 
@@ -91,11 +92,18 @@
         tasks.start(self._tick(), self._stack, self._on_failed)
         await self._server.start(given.callers.host, given.callers.port)
         self._stack.push_async_callback(self._server.aclose)
-        if given.readiness is not None:
-            handler = self._adapter.readiness_handler(self._is_ready)
-            ready = http_server.Server(handler, self._clock, routes.CallerLimits)
-            await ready.start(given.readiness.host, given.readiness.port)
-            self._stack.push_async_callback(ready.aclose)
+        self._add_gauges()
+        served = (
+            (given.readiness, self._adapter.readiness_handler(self._is_ready)),
+            (given.metrics, self._meters.handle),
+        )
+        for address, handler in served:
+            if address is not None:
+                listening = http_server.Server(
+                    handler, self._clock, routes.CallerLimits
+                )
+                await listening.start(address.host, address.port)
+                self._stack.push_async_callback(listening.aclose)
         return result.Ok(None)
 
     def reload(self, given: settings.RoutedSettings) -> None:
@@ -129,6 +137,42 @@
     def _is_ready(self) -> bool:
         return self._view.table is not None and not self._is_stopping
 
+    def _add_gauges(self) -> None:
+        view_, meters = self._view, self._meters
+        meters.gauge(
+            "revision",
+            "Revision of the routes in use; -1 without any.",
+            lambda: -1 if view_.table is None else view_.table.revision,
+        )
+        meters.gauge(
+            "confirmed_seconds",
+            "Time since the leader confirmed the state.",
+            lambda: min(1e6, self._clock() - view_.confirmed_at),
+        )
+        meters.gauge(
+            "endpoints", "Endpoints on the list.", lambda: len(self._endpoints_by_id)
+        )
+        meters.gauge(
+            "requests_in_flight",
+            "Requests read and not yet answered.",
+            lambda: self._server.requests_in_flight,
+        )
+        meters.gauge(
+            "caller_connections",
+            "Open connections of callers.",
+            lambda: self._server.connection_count,
+        )
+        meters.gauge(
+            "places_waiting",
+            "Requests that wait for a place of this dispatcher.",
+            self._dispatcher.waiting_count,
+        )
+        meters.gauge(
+            "places_granted",
+            "Places that this dispatcher has granted and not got back.",
+            self._dispatcher.granted_count,
+        )
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
@@ -260,6 +304,3 @@
         if entry_id == self._given.instance_id:
             return self._given.failure_domain
         return self._domains_by_entry_id.get(entry_id)
-
-    def _count(self, outcome: str, route: str, duration_s: float) -> None:
-        return
--- /dev/null
+++ b/tests/routed.py
@@ -0,0 +1,239 @@
+"""Routed instances in one process on loopback, for the tests of the whole path."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import socket
+from collections.abc import Callable
+
+import result
+
+from yuccapitch.catalogue import ids
+from yuccapitch.gateway.front import request_path
+from yuccapitch.gateway.http1 import client, messages
+from yuccapitch.node.routed import control_node, entry_node, settings
+from yuccapitch.platform import calls, declaration, headers
+from yuccapitch.protocol import subscription_messages
+
+HOST = "127.0.0.1"
+DOMAIN = ids.FailureDomainId("north-a")
+REGION = ids.RegionId("north")
+
+
+class Source:
+    """A list of endpoints that the test writes."""
+
+    def __init__(self) -> None:
+        self.records: tuple[subscription_messages.EndpointRecord, ...] = ()
+
+    async def read(self):
+        return result.Ok(self.records)
+
+
+class Adapter:
+    """The platform's formats, with the test's list of endpoints."""
+
+    header_names = headers.NAMES
+
+    def __init__(self, source: Source) -> None:
+        self._source = source
+
+    def decode_routes(self, content):
+        return declaration.decode(content)
+
+    def readiness_handler(self, is_ready):
+        return calls.readiness(is_ready)
+
+    def operator_handler(self, control):
+        return calls.operators(control)
+
+    def lookup_handler(self, names):
+        return calls.lookups(names)
+
+    def endpoint_source(self):
+        return self._source
+
+
+class Instance:
+    """One running instance, which the test may kill and start again."""
+
+    def __init__(self, given: settings.RoutedSettings, make, source: Source) -> None:
+        self.given, self._make, self._source = given, make, source
+        self.failures: list[str] = []
+        self._stack: contextlib.AsyncExitStack | None = None
+        self.node = None
+
+    async def start(self) -> None:
+        self._stack = contextlib.AsyncExitStack()
+        self.node = self._make(
+            self.given, Adapter(self._source), self._stack, self.failures.append
+        )
+        started = await self.node.start()
+        assert isinstance(started, result.Ok), started
+
+    async def kill(self) -> None:
+        if self._stack is not None:
+            stack, self._stack = self._stack, None
+            await stack.aclose()
+
+
+class Group:
+    """Control and entry instances with addresses of their own."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self.source = Source()
+        self.instances: list[Instance] = []
+        self._seeds: tuple[ids.InstanceId, ...] = ()
+
+    def control(self, is_first_start: bool = True) -> Instance:
+        given = self._settings(f"control-{len(self.instances)}", is_first_start)
+        return self._add(given, control_node.ControlNode)
+
+    def entry(self) -> Instance:
+        given = self._settings(f"entry-{len(self.instances)}", False)
+        return self._add(given, entry_node.EntryNode)
+
+    def seeds(self, count: int) -> list[Instance]:
+        """Add control instances that are each other's seeds."""
+        made = [self.control() for _ in range(count)]
+        self._seeds = tuple(i.given.instance_id for i in made)
+        for instance in made:
+            instance.given = _replace(instance.given, seed_ids=self._seeds)
+        return made
+
+    async def start(self) -> None:
+        for instance in self.instances:
+            await instance.start()
+
+    async def aclose(self) -> None:
+        for instance in self.instances:
+            await instance.kill()
+
+    def _add(self, given: settings.RoutedSettings, make) -> Instance:
+        instance = Instance(given, make, self.source)
+        self.instances.append(instance)
+        return instance
+
+    def _settings(self, name: str, is_first_start: bool) -> settings.RoutedSettings:
+        inner = settings.Listen(HOST, free_port())
+        is_control = name.startswith("control")
+        return settings.RoutedSettings(
+            instance_id=ids.InstanceId(f"{HOST}:{inner.port}"),
+            name=name,
+            inner=inner,
+            region_id=REGION,
+            failure_domain=DOMAIN,
+            region_by_domain={DOMAIN: REGION},
+            seed_ids=self._seeds,
+            is_first_start=is_first_start,
+            stop_grace_s=3.0,
+            answer_life_s=0.2,
+            retry_allowance=request_path.RetryAllowance(0.2, 60.0, 10.0),
+            data_dir=self._folder / name if is_control else None,
+            callers=None if is_control else settings.Listen(HOST, free_port()),
+            readiness=None if is_control else settings.Listen(HOST, free_port()),
+            operators=settings.Listen(HOST, free_port()) if is_control else None,
+            lookups=settings.Listen(HOST, free_port()) if is_control else None,
+        )
+
+
+class Endpoint:
+    """An endpoint that answers each request with its name."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.ran: list[str] = []
+        self.delay_s = 0.0
+        self.port = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    def record(self, **changes) -> subscription_messages.EndpointRecord:
+        made = subscription_messages.EndpointRecord(
+            self.name, "orders", HOST, self.port, DOMAIN, 4, False, 0, 0, REGION
+        )
+        return _replace(made, **changes)
+
+    async def _serve(self, reader, writer) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                fields = dict(
+                    line.split(": ", 1)
+                    for line in head.decode().split("\r\n")
+                    if ": " in line
+                )
+                await reader.readexactly(int(fields.get("content-length", 0)))
+                self.ran.append(fields["attempt-id"])
+                await asyncio.sleep(self.delay_s)
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\nServer-Seal: x\r\nAttempt-Id: %s\r\n"
+                    b"Content-Length: %d\r\n\r\n%s"
+                    % (
+                        fields["attempt-id"].encode(),
+                        len(self.name),
+                        self.name.encode(),
+                    )
+                )
+        writer.close()
+
+
+def free_port() -> int:
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+async def call(
+    listen: settings.Listen, method: str, target: str, body: bytes = b"", **fields: str
+) -> messages.Answer | client.Failure:
+    """Send one request on a connection of its own."""
+    loop = asyncio.get_running_loop()
+    pool = client.Pool(listen.host, listen.port, loop.time)
+    connection = await pool.acquire(5.0, 5.0)
+    if isinstance(connection, client.Failure):
+        return connection
+    listed = [(b"host", b"shop.example")]
+    listed += [(k.replace("_", "-").encode(), v.encode()) for k, v in fields.items()]
+    request = messages.Request(method.encode(), target.encode(), listed, body, 0.0)
+    async with asyncio.timeout(10):
+        data = messages.encode_request(request, listed)
+        answer = await connection.exchange(data, lambda answer: True, False)
+    connection.close()
+    return answer
+
+
+async def until(condition: Callable[[], object], what: str) -> None:
+    """Wait for a condition; the time is only there to end a test that is stuck."""
+    try:
+        async with asyncio.timeout(60):
+            while not condition():
+                await asyncio.sleep(0.02)
+    except TimeoutError:
+        raise AssertionError(f"not reached: {what}") from None
+
+
+async def until_status(status: int, make_call, what: str) -> messages.Answer:
+    """Call until the answer has this status."""
+    async with asyncio.timeout(60):
+        while True:
+            answer = await make_call()
+            if getattr(answer, "status", None) == status:
+                return answer
+            await asyncio.sleep(0.05)
+
+
+def _replace(value, **changes):
+
+    return dataclasses.replace(value, **changes)
--- /dev/null
+++ b/tests/test_routed_group.py
@@ -0,0 +1,210 @@
+"""Control and entry instances together: membership from seeds, orders, requests."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import pathlib
+import shutil
+
+import pytest
+
+from tests import routed
+
+
+@pytest.fixture
+async def group(tmp_path: pathlib.Path):
+    made = routed.Group(tmp_path)
+    yield made
+    await made.aclose()
+
+
+def configuration(version: int, prefix: str = "/a/", **changes: object) -> bytes:
+    route = {
+        "host": "shop.example",
+        "pathPrefix": prefix,
+        "kind": "safe",
+        "timeout": "5s",
+        "targetLatency": "2s",
+        "priority": 1,
+        "service": "orders",
+        "maxAttempts": 2,
+        "sticky": True,
+        "homeRegions": [],
+        **changes,
+    }
+    limits = {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 65536,
+        "headerTimeout": "3s",
+        "idleTimeout": "15s",
+    }
+    service = {"maxConns": 9, "coldStart": "0s", "coldPerS": 100.0}
+    resources = [
+        {"resourceKind": "routes", "metadata": {"name": "r"}, "spec": route},
+        {"resourceKind": "services", "metadata": {"name": "orders"}, "spec": service},
+        {"resourceKind": "limits", "metadata": {}, "spec": limits},
+    ]
+    return json.dumps({"version": version, "resources": resources}).encode()
+
+
+async def put(control: routed.Instance, body: bytes):
+    target = "/api/config/put"
+    return await routed.call(control.given.operators, "POST", target, body)
+
+
+async def get(control: routed.Instance):
+    return await routed.call(control.given.operators, "GET", "/api/config/get")
+
+
+def voters(instance: routed.Instance) -> int:
+    return len(instance.node._replica.core.members.voters())
+
+
+async def test_group_admits_instances_that_are_no_seeds(group):
+    seeds = group.seeds(3)
+    others = [group.control(), group.control()]
+    await group.start()
+    for instance in (*seeds, *others):
+        await routed.until(lambda: voters(instance) == 5, "five voters")
+
+
+async def test_group_takes_an_order_at_any_instance_and_keeps_it(group):
+    seeds = group.seeds(3)
+    await group.start()
+    first, second = configuration(4), configuration(9, "/b/")
+    await routed.until_status(200, lambda: put(seeds[0], first), "the first")
+    await routed.until_status(200, lambda: put(seeds[1], second), "the second")
+    # An older one and other content of the same number are taken and change nothing.
+    for body in (first, configuration(9, "/c/")):
+        await routed.until_status(200, lambda: put(seeds[2], body), "an older one")
+    for instance in seeds:
+        answer = await routed.until_status(200, lambda: get(instance), "a read")
+        assert answer.body == second
+
+
+async def test_group_keeps_orders_when_all_are_killed_at_once(group):
+    seeds = group.seeds(3)
+    await group.start()
+    body = configuration(4)
+    await routed.until_status(200, lambda: put(seeds[0], body), "a first order")
+    for instance in seeds:
+        await instance.kill()
+    await group.start()
+    answer = await routed.until_status(200, lambda: get(seeds[1]), "a read")
+    assert answer.body == body
+
+
+async def test_group_admits_an_instance_whose_disk_was_lost(group):
+    seeds = group.seeds(3)
+    await group.start()
+    body = configuration(4)
+    await routed.until_status(200, lambda: put(seeds[0], body), "a first order")
+    lost = seeds[1]
+    former = lost.node._replica.core.identity
+    await lost.kill()
+    shutil.rmtree(lost.given.data_dir)
+    lost.given = routed._replace(lost.given, is_first_start=False)
+    await lost.start()
+    new = lost.node._replica.core.identity
+    await routed.until(
+        lambda: new in seeds[0].node._replica.core.members.voters(), "its new identity"
+    )
+    assert former not in seeds[0].node._replica.core.members.voters()
+    await seeds[2].kill()
+    answer = await routed.until_status(200, lambda: get(lost), "a read by two of three")
+    assert answer.body == body
+
+
+async def test_group_refuses_reads_without_a_quorum(group):
+    seeds = group.seeds(3)
+    await group.start()
+    body = configuration(4)
+    await routed.until_status(200, lambda: put(seeds[0], body), "a first order")
+    for instance in seeds[1:]:
+        await instance.kill()
+    answer = await get(seeds[0])
+    assert answer.status == 503
+
+
+async def test_group_refuses_an_invalid_order_with_its_faults(group):
+    (seed,) = group.seeds(1)
+    await group.start()
+    answer = await put(seed, configuration(4, timeout="0s", maxAttempts=0))
+    assert answer.status == 400
+    reason = json.loads(answer.body)["error"]
+    assert "timeout" in reason and "attempt" in reason
+
+
+@contextlib.asynccontextmanager
+async def serving(group, *names: str):
+    """Run one control and one entry instance before these endpoints."""
+    (seed,) = group.seeds(1)
+    entry = group.entry()
+    entry.given = routed._replace(entry.given, seed_ids=seed.given.seed_ids)
+    endpoints = [routed.Endpoint(name) for name in names]
+    for endpoint in endpoints:
+        await endpoint.start()
+    group.source.records = tuple(endpoint.record() for endpoint in endpoints)
+    await group.start()
+    await routed.until_status(200, lambda: put(seed, configuration(1)), "an order")
+    try:
+        yield seed, entry, endpoints
+    finally:
+        for endpoint in endpoints:
+            endpoint.stop()
+
+
+def send(entry: routed.Instance, request_id: str, target: str = "/a/1"):
+    return routed.call(
+        entry.given.callers, "GET", target, attempt_id=request_id, deadline_ms="4000"
+    )
+
+
+async def test_entry_serves_a_request_of_the_configuration(group):
+    async with serving(group, "e1") as (_, entry, endpoints):
+        answer = await routed.until_status(200, lambda: send(entry, "q1"), "an answer")
+        assert answer.body == b"e1"
+        assert answer.header(b"server-seal") == b"x"
+        assert (await send(entry, "q2", "/b/1")).status == 404
+        assert endpoints[0].ran[-1] == "q1"
+
+
+async def test_directory_names_an_entry_until_it_stops(group):
+    async with serving(group, "e1") as (seed, entry, _):
+        target = "/api/resolve?name=shop.example&region=north&zone=north-a"
+
+        def look_up():
+            return routed.call(seed.given.lookups, "GET", target)
+
+        answer = await routed.until_status(200, look_up, "a look-up")
+        port = entry.given.callers.port
+        assert json.loads(answer.body)["addresses"] == [f"127.0.0.1:{port}"]
+        await entry.node.drain()
+        await routed.until_status(503, look_up, "no entry is left")
+
+
+async def test_entry_keeps_away_from_an_evacuated_domain(group):
+    async with serving(group, "e1") as (seed, entry, _):
+        await routed.until_status(200, lambda: send(entry, "q1"), "an answer")
+        for verb, status in (("start", 503), ("end", 200)):
+            target = f"/api/evacuations/north-a/{verb}"
+            answer = await routed.call(seed.given.operators, "POST", target)
+            assert answer.status == 200
+            await routed.until_status(status, lambda: send(entry, "q"), verb)
+
+
+async def test_entry_sends_again_what_an_endpoint_that_is_gone_did_not_get(group):
+    async with serving(group, "e1", "e2") as (_, entry, endpoints):
+        await routed.until_status(200, lambda: send(entry, "q1"), "an answer")
+        endpoints[0].stop()
+        for number in range(6):
+            answer = await send(entry, f"r{number}")
+            assert answer.status == 200
+
+
+async def test_entry_serves_on_without_a_leader(group):
+    async with serving(group, "e1") as (seed, entry, _):
+        await routed.until_status(200, lambda: send(entry, "q1"), "an answer")
+        await seed.kill()
+        assert (await send(entry, "q2")).status == 200
