Keep an object on one side of a spill; begin nothing that cannot end in time

The first duration of a route was compared with a guess, so that every endpoint began as a slow one.

--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -29,12 +29,15 @@
 OTHER_REGION_S = 0.1
 # Time after which an endpoint that joined and got nothing gets one request.
 TRIAL_AFTER_S = 1.0
+MAX_HASH = 1 << 32
 # Requests taken into account when an endpoint has a free slot.
 SCAN_LENGTH = 16
 # Slowness of a cold endpoint.
 COLD_SLOWNESS = 2.0
 # Longest queue of a service as a multiple of its slots.
 MAX_QUEUE_PER_SLOT = 4
+# Part of the usual duration that must be left before the deadline.
+LEAST_TIME_SHARE = 0.9
 # Time kept back from the objective for the way to the caller.
 RETURN_S = 0.01
 MIN_RETRY_AFTER_S = 0.1
@@ -268,10 +271,19 @@
             return other, own
         if not self._open_slots(other, now):
             return own, other
-        if self._rng.random() < self._spill(request.service_id).share:
+        if self._position(request) < self._spill(request.service_id).share:
             return other, own
         return own, other
 
+    def _position(self, request: model.PlaceRequest) -> float:
+        """Return where a request stands between 0 and 1, the same for one object.
+
+        So an object is warm on one side only, and few move when the share does.
+        """
+        if not request.key:
+            return self._rng.random()
+        return _hash(_object(request)) / MAX_HASH
+
     def _choose(
         self,
         request: model.PlaceRequest,
@@ -291,6 +303,8 @@
                 availability = state.availability(now, limit, ordinary)
                 if availability is endpoint_state.Availability.FREE:
                     return state
+            if not self._can_finish(request, state, now):
+                continue
             used, total = used + state.in_flight, total + limit
             is_warm = state.is_warm(_object(request), now)
             availability = state.availability(now, limit, ordinary)
@@ -313,6 +327,23 @@
             return None
         return best
 
+    def _can_finish(
+        self,
+        request: model.PlaceRequest,
+        state: endpoint_state.EndpointState,
+        now: float,
+    ) -> bool:
+        """Tell whether an answer is likely before the deadline."""
+        known = self._durations
+        is_warm = state.is_warm(_object(request), now)
+        if is_warm:
+            duration_s = known.warm_s(request.route_id)
+        else:
+            duration_s = known.cold_s(request.route_id)
+        transit_s = self._transit_s(state.endpoint.region_id)
+        # What takes longer than usual may still end; less time would be spent in vain.
+        return now + LEAST_TIME_SHARE * duration_s + transit_s < request.deadline_at
+
     def _cost(
         self,
         request: model.PlaceRequest,
@@ -336,8 +367,8 @@
         if is_warm or not request.key:
             return round(cost_s, 2), state.in_flight / max(1, state.endpoint.slots)
         # Rendezvous hashing: an object begins at the same endpoints everywhere.
-        text = f"{request.route_id}/{request.key}/{state.endpoint.endpoint_id}"
-        return round(cost_s, 1), float(xxhash.xxh32_intdigest(text.encode()))
+        text = f"{_object(request)}/{state.endpoint.endpoint_id}"
+        return round(cost_s, 1), float(_hash(text))
 
     def _limit(self, state: endpoint_state.EndpointState) -> int:
         slots = state.endpoint.slots * self._capacity_share
@@ -547,8 +578,11 @@
     def _observe_duration(self, grant: _Grant, duration_s: float, now: float) -> None:
         route_id, state = grant.request.route_id, grant.state
         known = self._durations
-        expected_s = known.warm_s(route_id) if grant.is_warm else known.cold_s(route_id)
-        state.observe_duration(expected_s, duration_s)
+        if known.is_known(route_id, grant.is_warm):
+            expected_s = (
+                known.warm_s(route_id) if grant.is_warm else known.cold_s(route_id)
+            )
+            state.observe_duration(expected_s, duration_s)
         if state.is_cold(now):
             return
         # A slow endpoint must not raise what counts as usual.
@@ -572,5 +606,10 @@
     return since is not None and now - since > TRIAL_AFTER_S
 
 
+def _hash(text: str) -> int:
+    digest: int = xxhash.xxh32_intdigest(text.encode())
+    return digest
+
+
 def _object(request: model.PlaceRequest) -> str:
     return f"{request.route_id}/{request.key}" if request.key else ""
--- a/packages/steering/src/yuccapitch/steering/placement/durations.py
+++ b/packages/steering/src/yuccapitch/steering/placement/durations.py
@@ -34,6 +34,13 @@
         else:
             known.cold_s = _smooth(known.cold_s, duration_s)
 
+    def is_known(self, route_id: ids.RouteId, is_warm: bool) -> bool:
+        """Tell whether such a request was measured before."""
+        known = self._known_by_route_id.get(route_id)
+        if known is None:
+            return False
+        return (known.warm_s if is_warm else known.cold_s) is not None
+
     def mean_s(self, route_id: ids.RouteId) -> float:
         """Return the duration of the route's requests as they come."""
         known = self._known_by_route_id.get(route_id)
--- a/packages/steering/tests/placement/test_dispatcher.py
+++ b/packages/steering/tests/placement/test_dispatcher.py
@@ -246,3 +246,32 @@
         for n in range(2, 5)
     ]
     assert chosen == ["e2", "e1", "e1"]
+
+
+def test_place_keeps_an_object_on_one_side_of_a_spill():
+    endpoints = [places.endpoint(f"n{n}", slots=9) for n in range(3)]
+    endpoints += [
+        places.endpoint(f"s{n}", places.SOUTH, slots=9, serving=places.NORTH)
+        for n in range(3)
+    ]
+    dispatcher = places.make(*endpoints)
+    regions_by_key = {}
+    for number in range(400):
+        now = number / 100
+        granted = grant(dispatcher, places.request(number, f"{number % 40}", now), now)
+        dispatcher.release(granted.attempt_id, ANSWERED, None, None, now)
+        dispatcher.tick(now)
+        regions = regions_by_key.setdefault(number % 40, set())
+        regions.add(granted.endpoint.region_id)
+    assert sum(len(regions) > 1 for regions in regions_by_key.values()) <= 8
+
+
+def test_place_starts_nothing_that_cannot_end_before_its_deadline():
+    dispatcher = places.make(places.endpoint("e1", slots=9))
+    for number in range(3):
+        granted = grant(dispatcher, places.request(number, str(number)))
+        dispatcher.release(granted.attempt_id, ANSWERED, None, None, 2.0)
+    decision = dispatcher.place(
+        places.request(9, "9", 2.0, objective_at=2.5, deadline_at=3.0), 2.0
+    )
+    assert isinstance(decision, model.Refused)
