--- a/bench/steering/designs.py
+++ b/bench/steering/designs.py
@@ -10,7 +10,7 @@
 
 from bench.steering import world as world_module
 from yuccapitch.catalogue import ids, model
-from yuccapitch.steering import endpoint_choice, retry
+from yuccapitch.steering import endpoint_choice, retry, retry_budget
 
 REPORT_INTERVAL_S = 0.25
 BASELINE_ATTEMPTS = 4
@@ -49,7 +49,8 @@
         self.remote = 0
         self.baseline = spec.kind == "baseline"
         self.budgets_by_entry = {
-            e: retry.RetryBudget(0.1 if spec.budget else 10.0) for e in world.entries
+            e: retry_budget.RetryBudget(0.1 if spec.budget else 10.0)
+            for e in world.entries
         }
         self.sheds_by_entry = {e: retry.ShedMemory() for e in world.entries}
         self.own_by_pair: dict[tuple, int] = {}
--- a/bench/steering/slot_designs.py
+++ b/bench/steering/slot_designs.py
@@ -15,6 +15,7 @@
     pool_choice,
     pool_directory,
     retry,
+    retry_budget,
     slots,
 )
 
@@ -56,7 +57,9 @@
         }
         self.counts = 0
         self.requests_by_id: dict[str, tuple] = {}
-        self.budgets_by_id = {e.instance_id: retry.RetryBudget() for e in world.entries}
+        self.budgets_by_id = {
+            e.instance_id: retry_budget.RetryBudget() for e in world.entries
+        }
         self._assign(())
         world.after(0.0, self._count)
         world.after(0.0, self._tick)
--- a/packages/gateway/src/yuccapitch/gateway/dispatcher.py
+++ b/packages/gateway/src/yuccapitch/gateway/dispatcher.py
@@ -28,6 +28,7 @@
     pool as pool_module,
     pool_choice,
     retry,
+    retry_budget,
     slots,
 )
 
@@ -64,8 +65,8 @@
         self._numbers = itertools.count(1)
         self._shed_memory = retry.ShedMemory()
         self._budgets_by_service: collections.defaultdict[
-            ids.ServiceId, retry.RetryBudget
-        ] = collections.defaultdict(retry.RetryBudget)
+            ids.ServiceId, retry_budget.RetryBudget
+        ] = collections.defaultdict(retry_budget.RetryBudget)
 
     async def run(self, job: jobs.Job) -> jobs.End:
         """Make attempts until one is answered or none may follow."""
@@ -97,7 +98,7 @@
         job: jobs.Job,
         end: retry.AttemptEnd,
         number: int,
-        budget: retry.RetryBudget,
+        budget: retry_budget.RetryBudget,
     ) -> result.Result[int, retry.Stop]:
         if not job.body.can_resend:
             return result.Err(retry.Stop.MAY_HAVE_RUN)
--- a/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable
 
@@ -26,6 +27,9 @@
 # Time for which a dispatcher that did not answer is not asked.
 AVOIDANCE_S = 1.0
 
+# Objects that an entry remembers for a new dispatcher; a region has some hundreds.
+MAX_WARM_OBJECTS = 256
+
 _OUTCOMES_BY_VALUE = {outcome.value: outcome for outcome in model.Outcome}
 _REASONS_BY_VALUE = {reason.value: reason for reason in model.RefusalReason}
 
@@ -58,15 +62,20 @@
         self._clock = clock
         self._dispatcher_id: ids.InstanceId | None = None
         self._avoided_until = float("-inf")
+        self._untold_dispatcher_id: ids.InstanceId | None = None
         self._held_by_attempt_id: dict[model.AttemptId, _Held] = {}
         self._waits_by_attempt_id: dict[
             model.AttemptId, asyncio.Future[model.Decision | None]
         ] = {}
+        self._used_at_by_warm: collections.OrderedDict[
+            tuple[str, ids.EndpointId], float
+        ] = collections.OrderedDict()
         self._served_grants: dict[model.AttemptId, model.Granted] = {}
         links.handle(messages.PlaceQuery, self._on_query)
         links.handle(messages.PlaceRelease, self._on_release)
         links.handle(messages.PlaceCancel, self._on_cancel)
         links.handle(messages.PlaceHeld, self._on_held)
+        links.handle(messages.WarmObjects, self._on_warm_objects)
         links.handle(messages.PlaceGrant, self._on_decision)
         links.handle(messages.PlaceRefusal, self._on_decision)
 
@@ -97,8 +106,7 @@
             if dispatcher_id == self._instance_id:
                 held.dispatcher_id = None
                 self._own.adopt(held.request, held.granted.endpoint, held.granted_at)
-            else:
-                self._links.send(dispatcher_id, self._held_message(held))
+        self._introduce(dispatcher_id)
 
     def lose(self, peer_id: str) -> None:
         """Do without the dispatcher for now if the link to it is lost."""
@@ -125,6 +133,8 @@
     ) -> None:
         """Give a place back to whoever granted it."""
         held = self._held_by_attempt_id.pop(granted.attempt_id, None)
+        if held is not None and outcome is model.Outcome.ANSWERED:
+            self._remember_warm(held)
         if held is None or held.dispatcher_id is None:
             self._local.release(granted, outcome, load, connect_s)
             return
@@ -148,6 +158,37 @@
         """Free what an entry instance that is gone held."""
         self._local.settle(self._own.forget_entry(entry_id, self._clock()))
 
+    def _remember_warm(self, held: _Held) -> None:
+        object_id = dispatcher.object_id(held.request)
+        if not object_id:
+            return
+        warm = (object_id, held.granted.endpoint.endpoint_id)
+        self._used_at_by_warm[warm] = self._clock()
+        self._used_at_by_warm.move_to_end(warm)
+        while len(self._used_at_by_warm) > MAX_WARM_OBJECTS:
+            self._used_at_by_warm.popitem(last=False)
+
+    def _introduce(self, dispatcher_id: ids.InstanceId) -> None:
+        """Tell a new dispatcher of the places held and of objects at endpoints."""
+        self._untold_dispatcher_id = None
+        now = self._clock()
+        message = messages.WarmObjects(
+            tuple(
+                messages.WarmObject(object_id, endpoint_id, _ms(now - used_at))
+                for (object_id, endpoint_id), used_at in self._used_at_by_warm.items()
+            )
+        )
+        if dispatcher_id == self._instance_id:
+            self._on_warm_objects(dispatcher_id, message)
+            return
+        if not self._links.send(dispatcher_id, message):
+            # The link is being opened; the answer to a first query shows that it is.
+            self._untold_dispatcher_id = dispatcher_id
+            return
+        for held in self._held_by_attempt_id.values():
+            if held.dispatcher_id == dispatcher_id:
+                self._links.send(dispatcher_id, self._held_message(held))
+
     def _hold(
         self,
         request: model.PlaceRequest,
@@ -175,6 +216,8 @@
             if isinstance(reply, result.Err):
                 self._avoid(reply.err_value.fault.value)
                 return None
+            if self._untold_dispatcher_id == dispatcher_id:
+                self._introduce(dispatcher_id)
             if isinstance(reply.ok_value, messages.PlaceWait):
                 decision = await future
             else:
@@ -275,6 +318,15 @@
         if granted is not None:
             self._served_grants[request.attempt_id] = granted
 
+    def _on_warm_objects(self, peer_id: str, message: messages.WarmObjects) -> None:
+        now = self._clock()
+        for warm in message.objects:
+            self._own.note_warm(
+                ids.EndpointId(warm.endpoint_id),
+                warm.object_id,
+                now - warm.age_ms / headers.MS_PER_S,
+            )
+
     def _tell(self, peer_id: str, decision: model.Decision) -> None:
         if not self._links.send(peer_id, self._encode(decision)):
             self._on_cancel(peer_id, messages.PlaceCancel(decision.attempt_id))
--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -12,7 +12,7 @@
 from yuccapitch.gateway.front import headers, placing, sending, splitting, view
 from yuccapitch.gateway.http1 import messages
 from yuccapitch.protocol import events
-from yuccapitch.steering import retry
+from yuccapitch.steering import retry_budget
 from yuccapitch.steering.placement import model
 
 # Deadline of a request that states none; the longest that a caller is known to wait.
@@ -21,6 +21,9 @@
 MAX_UNREACHABLE_ENDPOINTS = 3
 # Asked for where nothing is known of the time at which the request can be served.
 UNKNOWN_RETRY_AFTER_S = 0.5
+# An instance that knows no routes has just started; where the whole system did, a
+# leader stands and answers after about this time.
+NO_ROUTES_RETRY_AFTER_S = 1.5
 # Callers differ in the time that they will wait; less than this part of the longest
 # seen on a route is stated only by one that has waited before.
 LEAST_FIRST_SHARE = 0.82
@@ -116,7 +119,7 @@
             reason = "no routes are known yet"
             self._meter.count_refusal(reason)
             events.event("request.refused", request=request_id, reason=reason)
-            return self._not_run(request_id, UNKNOWN_RETRY_AFTER_S)
+            return self._not_run(request_id, NO_ROUTES_RETRY_AFTER_S)
         route = _find(table, request)
         if route is None:
             events.event(
@@ -302,13 +305,18 @@
             work.avoided,
         )
 
-    def _budget(self, service_id: ids.ServiceId) -> retry.RetryBudget:
-        budget = self._view.budgets_by_service_id.get(service_id)
+    def _budget(self, service_id: ids.ServiceId) -> retry_budget.RetryBudget:
+        allowance = self._allowance
+        part = BUDGET_USE / max(1, self._view.instance_count)
+        burst = max(1.0, part * allowance.slack)
+        budgets = self._view.budgets_by_service_id
+        budget = budgets.get(service_id)
         if budget is None:
-            allowance = self._allowance
-            burst = BUDGET_USE * allowance.slack / max(1, self._view.instance_count)
-            budget = retry.RetryBudget(BUDGET_USE * allowance.ratio, max(1.0, burst))
-            self._view.budgets_by_service_id[service_id] = budget
+            ratio = BUDGET_USE * allowance.ratio
+            budget = budgets[service_id] = retry_budget.RetryBudget(ratio, burst)
+        elif budget.burst != burst:
+            # Another number of instances shares the slack; what is spent stays spent.
+            budget.burst, budget.tokens = burst, min(budget.tokens, burst)
         return budget
 
     def _finish(self, work: _Work, outcome: str) -> dict[str, object]:
--- a/packages/gateway/src/yuccapitch/gateway/front/view.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/view.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from yuccapitch.catalogue import ids, routes
-from yuccapitch.steering import retry
+from yuccapitch.steering import retry_budget
 
 
 @dataclasses.dataclass
@@ -18,8 +18,8 @@
     """When the leader last confirmed that nothing is newer."""
     instance_count: int = 1
     """Entry instances that share the retry budget."""
-    budgets_by_service_id: dict[ids.ServiceId, retry.RetryBudget] = dataclasses.field(
-        default_factory=dict
+    budgets_by_service_id: dict[ids.ServiceId, retry_budget.RetryBudget] = (
+        dataclasses.field(default_factory=dict)
     )
 
     def limits(self) -> routes.CallerLimits:
--- /dev/null
+++ b/packages/gateway/tests/front/test_region_placing.py
@@ -0,0 +1,166 @@
+"""Places from the region's dispatcher, with links that hand messages straight over."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+import result
+
+from yuccapitch.catalogue import ids, routes
+from yuccapitch.gateway.front import region_placing
+from yuccapitch.protocol import link as inner_link
+from yuccapitch.steering.placement import dispatcher, model
+
+NORTH = ids.RegionId("north")
+SERVICE = ids.ServiceId("orders")
+A, B, C = (ids.InstanceId(f"10.0.0.{n}:7000") for n in (1, 2, 3))
+
+
+def endpoint(name: str) -> model.Endpoint:
+    return model.Endpoint(
+        ids.EndpointId(name), SERVICE, "h", 80, ids.FailureDomainId("north-a"), NORTH,
+        1, False, 0.0, 0, NORTH,
+    )  # fmt: skip
+
+
+class Network:
+    """Links between instances; those in ``silent`` neither answer nor get anything."""
+
+    def __init__(self) -> None:
+        self.handlers_by_id: dict[str, dict[type, object]] = {}
+        self.silent: set[str] = set()
+
+    def links(self, own_id: str) -> Links:
+        return Links(self, own_id)
+
+
+class Links:
+    def __init__(self, network: Network, own_id: str) -> None:
+        self._network, self._own_id = network, own_id
+        network.handlers_by_id[own_id] = {}
+
+    def handle(self, message_type, handler) -> None:
+        self._network.handlers_by_id[self._own_id][message_type] = handler
+
+    def send(self, peer_id, message) -> bool:
+        if peer_id in self._network.silent:
+            return False
+        self._network.handlers_by_id[peer_id][type(message)](self._own_id, message)
+        return True
+
+    async def request(self, peer_id, message, timeout_s):
+        await asyncio.sleep(0)
+        if peer_id in self._network.silent:
+            return result.Err(inner_link.LinkError(inner_link.LinkFault.TIMEOUT))
+        handler = self._network.handlers_by_id[peer_id][type(message)]
+        return result.Ok(handler(self._own_id, message))
+
+
+class Region:
+    """Entry instances that share the endpoints of one region."""
+
+    def __init__(self, *endpoint_ids: str) -> None:
+        self.network = Network()
+        self.endpoints = {ids.EndpointId(n): endpoint(n) for n in endpoint_ids}
+        self.placers = {entry_id: self._placer(entry_id) for entry_id in (A, B, C)}
+
+    def appoint(self, dispatcher_id: ids.InstanceId) -> None:
+        for placer in self.placers.values():
+            placer.set_dispatcher(dispatcher_id)
+
+    def _placer(self, entry_id: ids.InstanceId) -> region_placing.RegionPlacer:
+        clock = asyncio.get_running_loop().time
+        own = dispatcher.Dispatcher(NORTH, lambda entry: None, random.Random(1))
+        service = routes.RoutedService(SERVICE, "/health", 9, 0.0, 0.0)
+        own.update(self.endpoints.values(), {SERVICE: service}, frozenset(), clock())
+        return region_placing.RegionPlacer(
+            entry_id, self.network.links(entry_id), own, self.endpoints.get, clock
+        )
+
+
+def request(name: str, entry_id: ids.InstanceId) -> model.PlaceRequest:
+    now = asyncio.get_running_loop().time()
+    return model.PlaceRequest(
+        model.AttemptId(name), entry_id, SERVICE, ids.RouteId("r"), "7", 1,
+        frozenset(), now + 30.0, now + 60.0,
+    )  # fmt: skip
+
+
+def place(region: Region, entry_id: ids.InstanceId, name: str):
+    return region.placers[entry_id].place(request(name, entry_id))
+
+
+async def test_place_counts_the_slots_of_all_entries_together():
+    region = Region("e1", "e2")
+    region.appoint(A)
+    granted = [await place(region, entry, f"{entry}") for entry in (A, B)]
+    assert {g.endpoint.endpoint_id for g in granted} == {"e1", "e2"}
+    third = asyncio.create_task(place(region, C, "third"))
+    for _ in range(5):
+        await asyncio.sleep(0)
+    assert not third.done()
+    placer = region.placers[B]
+    placer.release(granted[1], model.Outcome.ANSWERED, None, None)
+    assert (await third).endpoint == granted[1].endpoint
+
+
+async def test_place_cancelled_leaves_nothing_behind():
+    region = Region("e1")
+    region.appoint(A)
+    held = await place(region, A, "held")
+    waiting = asyncio.create_task(place(region, B, "waiting"))
+    for _ in range(5):
+        await asyncio.sleep(0)
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+    region.placers[A].release(held, model.Outcome.ANSWERED, None, None)
+    assert isinstance(await place(region, C, "next"), model.Granted)
+
+
+async def test_place_does_without_a_silent_dispatcher():
+    region = Region("e1")
+    region.appoint(A)
+    region.network.silent.add(A)
+    assert isinstance(await place(region, B, "b"), model.Granted)
+
+
+async def test_place_goes_on_when_the_dispatcher_is_lost_while_it_waits():
+    region = Region("e1")
+    region.appoint(A)
+    await place(region, A, "held")
+    waiting = asyncio.create_task(place(region, B, "waiting"))
+    for _ in range(5):
+        await asyncio.sleep(0)
+    region.placers[B].lose(A)
+    assert isinstance(await waiting, model.Granted)
+
+
+@pytest.mark.parametrize("is_reachable", [True, False])
+async def test_set_dispatcher_tells_the_new_one_of_places_held(is_reachable):
+    region = Region("e1")
+    region.appoint(A)
+    held = await place(region, B, "held")
+    if not is_reachable:
+        region.network.silent.add(C)
+    region.appoint(C)
+    region.network.silent.discard(C)
+    waiting = asyncio.create_task(place(region, B, "waiting"))
+    for _ in range(8):
+        await asyncio.sleep(0)
+    if is_reachable:
+        assert not waiting.done()
+        region.placers[B].release(held, model.Outcome.ANSWERED, None, None)
+    assert isinstance(await waiting, model.Granted)
+
+
+async def test_set_dispatcher_tells_the_new_one_of_warm_objects():
+    region = Region(*(f"e{n}" for n in range(9)))
+    region.appoint(A)
+    first = await place(region, B, "first")
+    region.placers[B].release(first, model.Outcome.ANSWERED, None, None)
+    region.appoint(C)
+    state = region.placers[C]._own._states_by_id[first.endpoint.endpoint_id]
+    now = asyncio.get_running_loop().time()
+    assert state.is_warm("r/7", now)
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -280,7 +280,6 @@
     def _apply_instances(self, instances: tuple[messages.EntryInstance, ...]) -> None:
         given = self._given
         self._view.instance_count = max(1, len(instances))
-        self._view.budgets_by_service_id.clear()
         former_ids = set(self._domains_by_entry_id)
         self._domains_by_entry_id = {
             instance.instance_id: ids.FailureDomainId(instance.failure_domain)
--- a/packages/protocol/src/yuccapitch/protocol/place_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/place_messages.py
@@ -84,3 +84,21 @@
     query: PlaceQuery
     endpoint_id: str
     held_ms: int
+
+
+@registry.message(117)
+@dataclasses.dataclass(frozen=True)
+class WarmObject:
+    """An object that an endpoint has served lately."""
+
+    object_id: str
+    endpoint_id: str
+    age_ms: int
+
+
+@registry.message(118)
+@dataclasses.dataclass(frozen=True)
+class WarmObjects:
+    """Tells a new dispatcher what the sender's requests left at the endpoints."""
+
+    objects: tuple[WarmObject, ...]
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -164,7 +164,7 @@
             self._observe_duration(grant, max(0.0, duration_s - transit_s), now)
         if connect_s is not None:
             self._observe_transit(state.endpoint.region_id, connect_s)
-        state.end(_object(request), outcome, now)
+        state.end(object_id(request), outcome, grant.is_warm, now)
         if load is not None:
             state.observe_load(load, now)
         return self._offer(state, now)
@@ -176,12 +176,20 @@
         state = self._states_by_id.get(endpoint.endpoint_id)
         if state is None or request.attempt_id in self._grants_by_attempt_id:
             return None
-        is_warm = state.begin(_object(request), granted_at)
+        is_warm = state.begin(object_id(request), granted_at)
         self._grants_by_attempt_id[request.attempt_id] = _Grant(
             request, state, is_warm, granted_at
         )
         return model.Granted(request.attempt_id, state.endpoint)
 
+    def note_warm(
+        self, endpoint_id: ids.EndpointId, warm_object_id: str, used_at: float
+    ) -> None:
+        """Take in what a former dispatcher's requests left at an endpoint."""
+        state = self._states_by_id.get(endpoint_id)
+        if state is not None:
+            state.note_warm(warm_object_id, used_at)
+
     def cancel(self, attempt_id: model.AttemptId) -> None:
         """Forget a request that waits."""
         for queue in self._queues_by_service_id.values():
@@ -282,7 +290,7 @@
         """
         if not request.key:
             return self._rng.random()
-        return _hash(_object(request)) / MAX_HASH
+        return _hash(object_id(request)) / MAX_HASH
 
     def _choose(
         self,
@@ -306,7 +314,7 @@
             if not self._can_finish(request, state, now):
                 continue
             used, total = used + state.in_flight, total + limit
-            is_warm = state.is_warm(_object(request), now)
+            is_warm = state.is_warm(object_id(request), now)
             availability = state.availability(now, limit, ordinary)
             if availability is endpoint_state.Availability.FREE:
                 cost = self._cost(request, state, is_warm, now)
@@ -335,7 +343,7 @@
     ) -> bool:
         """Tell whether an answer is likely before the deadline."""
         known = self._durations
-        is_warm = state.is_warm(_object(request), now)
+        is_warm = state.is_warm(object_id(request), now)
         if is_warm:
             duration_s = known.warm_s(request.route_id)
         else:
@@ -367,7 +375,7 @@
         if is_warm or not request.key:
             return round(cost_s, 2), state.in_flight / max(1, state.endpoint.slots)
         # Rendezvous hashing: an object begins at the same endpoints everywhere.
-        text = f"{_object(request)}/{state.endpoint.endpoint_id}"
+        text = f"{object_id(request)}/{state.endpoint.endpoint_id}"
         return round(cost_s, 1), float(_hash(text))
 
     def _limit(self, state: endpoint_state.EndpointState) -> int:
@@ -383,7 +391,7 @@
         state: endpoint_state.EndpointState,
         now: float,
     ) -> model.Granted:
-        is_warm = state.begin(_object(request), now)
+        is_warm = state.begin(object_id(request), now)
         self._grants_by_attempt_id[request.attempt_id] = _Grant(
             request, state, is_warm, now
         )
@@ -412,7 +420,7 @@
         if len(queue) >= MAX_QUEUE_PER_SLOT * slots:
             reason = model.RefusalReason.QUEUE_FULL
             return self._refuse(request, reason, wait_s + mean_s)
-        is_known = any(state.is_warm(_object(request), now) for state in states)
+        is_known = any(state.is_warm(object_id(request), now) for state in states)
         takes_cold_at = now
         if is_known:
             takes_cold_at = min(last_start, now + WAIT_SHARE * (last_start - now))
@@ -487,7 +495,7 @@
                 break
             if state not in self._open_to(item):
                 continue
-            if not item.request.key or state.is_warm(_object(item.request), now):
+            if not item.request.key or state.is_warm(object_id(item.request), now):
                 return item
             if first is None and now >= item.takes_cold_at:
                 first = item
@@ -611,5 +619,6 @@
     return digest
 
 
-def _object(request: model.PlaceRequest) -> str:
+def object_id(request: model.PlaceRequest) -> str:
+    """Return the name of the object a request is about; empty if unknown."""
     return f"{request.route_id}/{request.key}" if request.key else ""
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -120,11 +120,20 @@
                 self._used_at_by_key.popitem(last=False)
         return was_warm
 
-    def end(self, key: str, outcome: model.Outcome, now: float) -> None:
+    def note_warm(self, key: str, used_at: float) -> None:
+        """Take in that the endpoint knew an object at this time."""
+        if key not in self._used_at_by_key:
+            self._used_at_by_key[key] = used_at
+            self._used_at_by_key.move_to_end(key, last=False)
+            while len(self._used_at_by_key) > WARM_OBJECTS:
+                self._used_at_by_key.popitem(last=False)
+
+    def end(self, key: str, outcome: model.Outcome, was_warm: bool, now: float) -> None:
         """Count the end of a request."""
         self.in_flight = max(0, self.in_flight - 1)
         _EFFECTS_BY_OUTCOME[outcome](self, now)
-        if outcome is not model.Outcome.ANSWERED:
+        if outcome in _OUTCOMES_WITHOUT_WORK and not was_warm:
+            # The endpoint did not come to know the object.
             self._used_at_by_key.pop(key, None)
 
     def observe_duration(self, expected_s: float, duration_s: float) -> None:
@@ -163,6 +172,14 @@
         self._paused_until = max(self._paused_until, now + duration_s)
 
 
+_OUTCOMES_WITHOUT_WORK = frozenset(
+    (
+        model.Outcome.SHED,
+        model.Outcome.UNREACHABLE,
+        model.Outcome.MISDIRECTED,
+        model.Outcome.BROKEN,
+    )
+)
 _EFFECTS_BY_OUTCOME = {
     model.Outcome.ANSWERED: EndpointState._succeed,
     model.Outcome.FAILED: EndpointState._fail,
--- a/packages/steering/src/yuccapitch/steering/retry.py
+++ b/packages/steering/src/yuccapitch/steering/retry.py
@@ -8,10 +8,8 @@
 import result
 
 from yuccapitch.catalogue import ids, model
+from yuccapitch.steering import retry_budget
 
-BUDGET_RATIO = 0.1
-"""Retries allowed for each first attempt."""
-BUDGET_BURST = 10.0
 MAX_ATTEMPTS = 3
 SHED_AVOIDANCE_S = 1.0
 """Time for which an endpoint that shed gets no retry."""
@@ -47,28 +45,6 @@
     expected_service_s: float
 
 
-class RetryBudget:
-    """Token bucket of one service: first attempts fill it, retries spend it."""
-
-    def __init__(
-        self, ratio: float = BUDGET_RATIO, burst: float = BUDGET_BURST
-    ) -> None:
-        self.ratio = ratio
-        self.burst = burst
-        self.tokens = burst
-
-    def record_first_attempt(self) -> None:
-        """Add a first attempt's part of a retry."""
-        self.tokens = min(self.burst, self.tokens + self.ratio)
-
-    def spend(self) -> bool:
-        """Take the token of one retry, if there is one."""
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
-
-
 class ShedMemory:
     """Endpoints just seen to shed."""
 
@@ -100,7 +76,7 @@
 
 
 def decide_retry(
-    attempt: Attempt, budget: RetryBudget, other_endpoints: int, now: float
+    attempt: Attempt, budget: retry_budget.RetryBudget, other_endpoints: int, now: float
 ) -> result.Result[int, Stop]:
     """Return the number of the next attempt, or why there is none.
 
--- a/packages/steering/tests/placement/test_dispatcher.py
+++ b/packages/steering/tests/placement/test_dispatcher.py
@@ -275,3 +275,23 @@
         places.request(9, "9", 2.0, objective_at=2.5, deadline_at=3.0), 2.0
     )
     assert isinstance(decision, model.Refused)
+
+
+def test_note_warm_prefers_what_a_former_dispatcher_used():
+    endpoints = [places.endpoint(f"e{n}", slots=9) for n in range(8)]
+    first = grant(places.make(*endpoints), places.request(1, key="7")).endpoint
+    other = next(e for e in endpoints if e != first)
+    dispatcher = places.make(*endpoints)
+    dispatcher.note_warm(other.endpoint_id, "read/7", 0.0)
+    assert grant(dispatcher, places.request(2, key="7")).endpoint == other
+
+
+@pytest.mark.parametrize(
+    ("outcome", "is_kept"), [(model.Outcome.FAILED, True), (model.Outcome.SHED, False)]
+)
+def test_release_keeps_an_object_that_was_worked_on(outcome, is_kept):
+    dispatcher = places.make(*(places.endpoint(f"e{n}", slots=9) for n in range(8)))
+    first = grant(dispatcher, places.request(1, key="7"))
+    dispatcher.release(first.attempt_id, outcome, None, None, 0.1)
+    state = dispatcher._states_by_id[first.endpoint.endpoint_id]
+    assert state.is_warm("read/7", 0.2) is is_kept
--- a/packages/steering/tests/test_retry.py
+++ b/packages/steering/tests/test_retry.py
@@ -4,7 +4,7 @@
 import result
 
 from yuccapitch.catalogue import ids, model
-from yuccapitch.steering import retry
+from yuccapitch.steering import retry, retry_budget
 
 READ_ONLY = model.RequestClass.READ_ONLY
 AT_MOST_ONCE = model.RequestClass.AT_MOST_ONCE
@@ -22,18 +22,20 @@
 def test_retry_refuses_what_may_have_run(end: retry.AttemptEnd) -> None:
     for request_class in (AT_MOST_ONCE, model.RequestClass.KEPT_ONCE):
         decided = retry.decide_retry(
-            _attempt(request_class, end), retry.RetryBudget(), 1, 0.0
+            _attempt(request_class, end), retry_budget.RetryBudget(), 1, 0.0
         )
         assert decided == result.Err(retry.Stop.MAY_HAVE_RUN)
 
 
 def test_retry_allows_shed_at_most_once() -> None:
-    decided = retry.decide_retry(_attempt(AT_MOST_ONCE), retry.RetryBudget(), 1, 0.0)
+    decided = retry.decide_retry(
+        _attempt(AT_MOST_ONCE), retry_budget.RetryBudget(), 1, 0.0
+    )
     assert decided == result.Ok(2)
 
 
 def test_retry_budget_bounds_retries_to_a_part() -> None:
-    budget = retry.RetryBudget(ratio=0.1, burst=10.0)
+    budget = retry_budget.RetryBudget(ratio=0.1, burst=10.0)
     retries = 0
     for _ in range(1000):
         budget.record_first_attempt()
@@ -42,7 +44,7 @@
 
 
 def test_retry_refused_for_another_reason_spends_nothing() -> None:
-    budget = retry.RetryBudget()
+    budget = retry_budget.RetryBudget()
     late = retry.decide_retry(_attempt(), budget, 1, 0.99)
     alone = retry.decide_retry(_attempt(), budget, 0, 0.0)
     third = retry.decide_retry(_attempt(number=3), budget, 1, 0.0)
@@ -51,7 +53,7 @@
         result.Err(retry.Stop.NO_OTHER_ENDPOINT),
         result.Err(retry.Stop.ATTEMPTS),
     ]
-    assert budget.tokens == retry.BUDGET_BURST
+    assert budget.tokens == retry_budget.BUDGET_BURST
 
 
 def test_shed_memory_forgets_after_a_second() -> None:
