--- /dev/null
+++ b/packages/cli/src/yuccapitch/cli/explanation.py
@@ -0,0 +1,110 @@
+"""Joins the log lines of many processes into the way of one request."""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+from collections.abc import Iterable
+
+# Events that change what an instance acts on; the last of each before a request tells
+# what the instance believed.
+BELIEF_EVENTS = (
+    "routes.applied",
+    "endpoints.applied",
+    "place.dispatcher-changed",
+    "place.dispatcher-lost",
+    "follow.leader-found",
+    "follow.leader-lost",
+)
+_PAIR = re.compile(r'([A-Za-z0-9_.-]+)=("(?:[^"\\]|\\.)*"|\S*)')
+_COMMON = frozenset(("time", "level", "event", "instance"))
+
+
+@dataclasses.dataclass(frozen=True)
+class Line:
+    """One event of one instance."""
+
+    time: str
+    instance: str
+    event: str
+    fields: dict[str, str]
+
+    def text(self) -> str:
+        """Return the event on one line."""
+        pairs = " ".join(
+            f"{key}={value}" for key, value in self.fields.items() if key not in _COMMON
+        )
+        return f"{self.time} {self.instance} {self.event} {pairs}".rstrip()
+
+
+@dataclasses.dataclass(frozen=True)
+class Explanation:
+    """The way of one request, in the order of the lines' times."""
+
+    request_lines: list[Line]
+    belief_lines: list[Line]
+    """What the instances believed when they decided."""
+    endpoint_lines: list[Line]
+    """What was learnt of the endpoints that the request was sent to."""
+    unreadable_count: int
+    dropped_count: int
+    """Lines that the instances on the way left out to bound their logs."""
+
+
+def parse(text: str) -> Line | None:
+    """Return the event of a log line; None for what is none, or cut short.
+
+    Whatever stands before the line's time, such as a collector's prefix, is ignored.
+    """
+    fields = {key: _unquoted(value) for key, value in _PAIR.findall(text)}
+    if any(name not in fields for name in ("time", "event", "instance")):
+        return None
+    return Line(fields["time"], fields["instance"], fields["event"], fields)
+
+
+def explain(request_id: str, texts: Iterable[str]) -> Explanation:
+    """Find what the lines say of a request, and what decided it."""
+    lines: list[Line] = []
+    unreadable = 0
+    for text in texts:
+        line = parse(text)
+        if line is not None:
+            lines.append(line)
+        elif "event=" in text:
+            unreadable += 1
+    lines.sort(key=lambda line: line.time)
+    own = [line for line in lines if line.fields.get("request") == request_id]
+    instances = {line.instance for line in own}
+    endpoints = {line.fields["endpoint"] for line in own if "endpoint" in line.fields}
+    end = own[-1].time if own else ""
+    return Explanation(
+        own,
+        _beliefs(lines, instances, end),
+        [
+            line
+            for line in lines
+            if line.event.startswith("endpoint.")
+            and line.fields.get("endpoint") in endpoints
+        ],
+        unreadable,
+        sum(
+            int(line.fields.get("lines", "0"))
+            for line in lines
+            if line.event == "log.dropped" and line.instance in instances
+        ),
+    )
+
+
+def _beliefs(lines: Iterable[Line], instances: set[str], end: str) -> list[Line]:
+    latest: dict[tuple[str, str], Line] = {}
+    for line in lines:
+        is_belief = line.event in BELIEF_EVENTS and line.instance in instances
+        if is_belief and line.time <= end:
+            latest[line.instance, line.event] = line
+    return sorted(latest.values(), key=lambda line: (line.instance, line.time))
+
+
+def _unquoted(value: str) -> str:
+    if len(value) >= 2 and value[0] == value[-1] == '"':
+        return value[1:-1]
+    return value
--- a/packages/cli/src/yuccapitch/cli/main.py
+++ b/packages/cli/src/yuccapitch/cli/main.py
@@ -14,6 +14,7 @@
     base,
     catalogue,
     drain,
+    explain,
     keys,
     operations,
     shift,
