Use 0.85 of the fleet's retry budget; a failed try is noted

Failed try, reverted: a request that misses its objective waited on among the late ones instead of being refused. Expected: fewer refused again. Ruled out: the budget (shed refusals fell). Conclusion: late requests take slots that on-time ones need a moment later.

--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -29,7 +29,7 @@
 LEAST_FIRST_SHARE = 0.82
 # Part of the fleet's retry budget that is used, so that the uneven use of many
 # instances does not exceed it.
-BUDGET_USE = 0.7
+BUDGET_USE = 0.85
 
 
 @dataclasses.dataclass(frozen=True)
