--- a/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
@@ -237,11 +237,12 @@
                 if endpoint is None:
                     return None
                 return model.Granted(model.AttemptId(attempt_id), endpoint)
-            case messages.PlaceRefusal(attempt_id, reason, retry_after_ms):
+            case messages.PlaceRefusal(attempt_id, reason, retry_after_ms, detail):
                 return model.Refused(
                     model.AttemptId(attempt_id),
                     _REASONS_BY_VALUE.get(reason, model.RefusalReason.LATE),
                     retry_after_ms / headers.MS_PER_S,
+                    detail,
                 )
             case _:
                 return None
@@ -340,7 +341,10 @@
                 decision.attempt_id, decision.endpoint.endpoint_id
             )
         return messages.PlaceRefusal(
-            decision.attempt_id, decision.reason.value, _ms(decision.retry_after_s)
+            decision.attempt_id,
+            decision.reason.value,
+            _ms(decision.retry_after_s),
+            decision.detail,
         )
 
     def _held_message(self, held: _Held) -> messages.PlaceHeld:
--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -239,7 +239,7 @@
         return self._budget(work.service_id).spend()
 
     def _answer_refused(self, work: _Work, place: model.Refused) -> messages.Answer:
-        fields: dict[str, object] = {"reason": place.reason}
+        fields: dict[str, object] = {"reason": place.reason, "detail": place.detail}
         if work.may_have_run:
             return self._answer_unknown(work, fields)
         fields["retry_after_ms"] = _ms(place.retry_after_s)
--- a/packages/protocol/src/yuccapitch/protocol/place_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/place_messages.py
@@ -43,6 +43,8 @@
     attempt_id: str
     reason: str
     retry_after_ms: int
+    detail: str
+    """The figures that decided, for the log."""
 
 
 @registry.message(113)
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -537,7 +537,20 @@
         # Spread, so that those refused together do not come back together.
         spread = 1.0 + 0.5 * self._rng.random()
         delay_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s) * spread)
-        return model.Refused(request.attempt_id, reason, delay_s)
+        return model.Refused(
+            request.attempt_id, reason, delay_s, self._describe(request)
+        )
+
+    def _describe(self, request: model.PlaceRequest) -> str:
+        states = self._allowed(request)
+        in_flight = sum(state.in_flight for state in states)
+        slots = sum(self._limit(state) for state in states)
+        waiting_count = len(self._queue(request.service_id))
+        mean_ms = round(self._durations.mean_s(request.route_id) * 1000)
+        return (
+            f"endpoints {len(states)}, in use {in_flight}/{slots},"
+            f" waiting {waiting_count}, mean {mean_ms} ms, rank {request.rank}"
+        )
 
     def _ordinary_failure_share(self, service_id: ids.ServiceId) -> float:
         shares = [
--- a/packages/steering/src/yuccapitch/steering/placement/model.py
+++ b/packages/steering/src/yuccapitch/steering/placement/model.py
@@ -87,6 +87,8 @@
     attempt_id: AttemptId
     reason: RefusalReason
     retry_after_s: float
+    detail: str = ""
+    """The figures that decided, for the log."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
