--- /dev/null
+++ b/packages/node/tests/test_bounded_log.py
@@ -0,0 +1,72 @@
+"""The log of routed instances: bounded in volume, never waiting for a reader."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+
+from yuccapitch.node.routed import bounded_log
+from yuccapitch.protocol import events
+
+
+def format_line(message) -> str:
+    return f"{message['message_type']} {message.get('number', '')}"
+
+
+@pytest.fixture
+def pipe():
+    reading, writing = os.pipe()
+    os.set_blocking(reading, False)
+    yield reading, writing
+    os.close(reading)
+    os.close(writing)
+
+
+def written(reading: int) -> list[str]:
+    chunks = []
+    while True:
+        try:
+            chunk = os.read(reading, 1 << 16)
+        except BlockingIOError:
+            return b"".join(chunks).decode().splitlines()
+        chunks.append(chunk)
+
+
+def test_write_to_bounds_the_lines_of_an_event_and_counts_the_rest(pipe):
+    reading, writing = pipe
+    with bounded_log.write_to(writing, format_line, events.Level.DEBUG) as log:
+        for number in range(500):
+            events.event("request.failed", number=number)
+        log.report_dropped()
+        lines = written(reading)
+    failed = [line for line in lines if line.startswith("request.failed")]
+    assert 80 <= len(failed) < 500
+    assert any(line.startswith("log.dropped") for line in lines)
+
+
+def test_write_to_keeps_failures_where_routine_lines_are_dropped(pipe):
+    reading, writing = pipe
+    with bounded_log.write_to(writing, format_line, events.Level.DEBUG):
+        for number in range(200):
+            events.event("request.answered", number=number)
+        events.event("request.failed", number=1)
+        lines = written(reading)
+    assert "request.failed 1" in lines
+    assert len(lines) < 200
+
+
+def test_write_to_does_not_wait_for_a_reader_that_stands_still(pipe):
+    reading, writing = pipe
+    with bounded_log.write_to(writing, format_line, events.Level.DEBUG) as log:
+        for number in range(20_000):
+            log({"message_type": f"event-{number}", "number": "x" * 100})
+        assert written(reading)
+
+
+def test_write_to_leaves_out_what_is_below_the_level(pipe):
+    reading, writing = pipe
+    with bounded_log.write_to(writing, format_line, events.Level.WARNING):
+        events.event("request.answered")
+        events.event("caller.refused")
+        assert written(reading) == ["caller.refused "]
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -69,7 +69,10 @@
 
 @pytest.mark.parametrize("page", PAGES, ids=page_id)
 def test_pages_name_existing_tests(page: pathlib.Path) -> None:
-    files = [*ROOT.glob("tests/test_*.py"), *ROOT.glob("packages/*/tests/test_*.py")]
+    files = [
+        *ROOT.glob("tests/**/test_*.py"),
+        *ROOT.glob("packages/*/tests/**/test_*.py"),
+    ]
     known = {path.name for path in files} | {path.stem for path in files}
     for path in files:
         known.update(re.findall(r"def (test_\w+)", path.read_text()))
