--- a/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
@@ -367,6 +367,7 @@
         _ms(request.objective_at - now),
         _ms(request.deadline_at - now),
         tuple(sorted(request.avoided)),
+        request.body_bytes,
     )
 
 
@@ -384,6 +385,7 @@
         now + query.objective_in_ms / headers.MS_PER_S,
         now + query.deadline_in_ms / headers.MS_PER_S,
         frozenset(ids.EndpointId(endpoint) for endpoint in query.avoided),
+        query.body_bytes,
     )
 
 
--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -303,6 +303,7 @@
             work.objective_at,
             work.deadline_at,
             work.avoided,
+            len(work.request.body),
         )
 
     def _budget(self, service_id: ids.ServiceId) -> retry_budget.RetryBudget:
--- a/packages/protocol/src/yuccapitch/protocol/place_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/place_messages.py
@@ -24,6 +24,7 @@
     objective_in_ms: int
     deadline_in_ms: int
     avoided: tuple[str, ...]
+    body_bytes: int
 
 
 @registry.message(111)
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -30,6 +30,10 @@
 # Time after which an endpoint that joined and got nothing gets one request.
 TRIAL_AFTER_S = 1.0
 MAX_HASH = 1 << 32
+# Bodies beyond the usual first window of a connection, which take more round trips.
+LARGE_BODY_BYTES = 14_000
+# Share sent to other regions beyond which large bodies go there too.
+LARGE_BODY_POSITION = 0.7
 # Requests taken into account when an endpoint has a free slot.
 SCAN_LENGTH = 16
 # Slowness of a cold endpoint.
@@ -288,9 +292,13 @@
 
         So an object is warm on one side only, and few move when the share does.
         """
-        if not request.key:
-            return self._rng.random()
-        return _hash(object_id(request)) / MAX_HASH
+        position = self._rng.random()
+        if request.key:
+            position = _hash(object_id(request)) / MAX_HASH
+        if request.body_bytes > LARGE_BODY_BYTES:
+            # It takes several round trips to send, so that others go before it.
+            position = LARGE_BODY_POSITION + (1.0 - LARGE_BODY_POSITION) * position
+        return position
 
     def _choose(
         self,
--- a/packages/steering/src/yuccapitch/steering/placement/model.py
+++ b/packages/steering/src/yuccapitch/steering/placement/model.py
@@ -70,6 +70,7 @@
     """Time up to which an answer is worth most."""
     deadline_at: float
     avoided: frozenset[ids.EndpointId] = frozenset()
+    body_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/steering/tests/placement/test_dispatcher.py
+++ b/packages/steering/tests/placement/test_dispatcher.py
@@ -295,3 +295,19 @@
     dispatcher.release(first.attempt_id, outcome, None, None, 0.1)
     state = dispatcher._states_by_id[first.endpoint.endpoint_id]
     assert state.is_warm("read/7", 0.2) is is_kept
+
+
+def test_place_keeps_large_bodies_in_the_region():
+    endpoints = [places.endpoint("n", slots=30)]
+    endpoints += [places.endpoint("s", places.SOUTH, slots=30, serving=places.NORTH)]
+    dispatcher = places.make(*endpoints)
+    dispatcher.place(places.request(0), 0.0)
+    dispatcher.tick(0.0)
+    regions = {True: [], False: []}
+    for number in range(1, 40):
+        is_large = number % 2 == 0
+        size = 60_000 if is_large else 0
+        request = places.request(number, f"{number}", body_bytes=size)
+        regions[is_large].append(grant(dispatcher, request).endpoint.region_id)
+    assert set(regions[True]) == {places.NORTH}
+    assert places.SOUTH in regions[False]
