--- a/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
@@ -159,7 +159,7 @@
         self._local.settle(self._own.forget_entry(entry_id, self._clock()))
 
     def _remember_warm(self, held: _Held) -> None:
-        object_id = dispatcher.object_id(held.request)
+        object_id = held.request.object_id
         if not object_id:
             return
         warm = (object_id, held.granted.endpoint.endpoint_id)
--- a/packages/gateway/tests/front/test_region_placing.py
+++ b/packages/gateway/tests/front/test_region_placing.py
@@ -74,7 +74,9 @@
         clock = asyncio.get_running_loop().time
         own = dispatcher.Dispatcher(NORTH, lambda entry: None, random.Random(1))
         service = routes.RoutedService(SERVICE, "/health", 9, 0.0, 0.0)
-        own.update(self.endpoints.values(), {SERVICE: service}, frozenset(), clock())
+        own.table.update(
+            self.endpoints.values(), {SERVICE: service}, frozenset(), clock()
+        )
         return region_placing.RegionPlacer(
             entry_id, self.network.links(entry_id), own, self.endpoints.get, clock
         )
@@ -161,6 +163,6 @@
     first = await place(region, B, "first")
     region.placers[B].release(first, model.Outcome.ANSWERED, None, None)
     region.appoint(C)
-    state = region.placers[C]._own._states_by_id[first.endpoint.endpoint_id]
+    state = region.placers[C]._own.table.states_by_id[first.endpoint.endpoint_id]
     now = asyncio.get_running_loop().time()
     assert state.is_warm("r/7", now)
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -24,11 +24,11 @@
     directory,
     metrics,
     settings,
+    timing,
 )
 from yuccapitch.protocol import (
     consensus_messages,
     events,
-    link as inner_link,
     peers as inner_peers,
     registry,
     subscription_messages as messages,
@@ -44,7 +44,6 @@
 TIMING = core_state.Timing(
     heartbeat_interval_s=0.15, min_election_timeout_s=0.6, max_election_timeout_s=1.0
 )
-LINK_TIMING = inner_link.LinkTiming(heartbeat_interval_s=1.0, timeout_s=2.5)
 
 
 class ControlNode:
@@ -62,7 +61,7 @@
         self._stack = stack
         self._on_failed = on_failed
         self._clock = coordinator.boot_time_s
-        self._links = inner_peers.Peers(given.instance_id, LINK_TIMING)
+        self._links = inner_peers.Peers(given.instance_id, timing.LINK_TIMING)
         self._meters = metrics.Meters()
         self._state = orders.OrderState()
         self._coordinator = coordinator.Coordinator(
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -13,17 +13,15 @@
 from yuccapitch.gateway.front import region_placing, request_path, sending, view
 from yuccapitch.gateway.http1 import messages as http_messages, server as http_server
 from yuccapitch.node import tasks
-from yuccapitch.node.routed import adapter as routed_adapter, metrics, settings
+from yuccapitch.node.routed import adapter as routed_adapter, metrics, settings, timing
 from yuccapitch.protocol import (
     events,
-    link as inner_link,
     peers as inner_peers,
     subscription_messages as messages,
 )
 from yuccapitch.steering.placement import dispatcher, model
 
 TICK_INTERVAL_S = 0.02
-LINK_TIMING = inner_link.LinkTiming(heartbeat_interval_s=1.0, timeout_s=2.5)
 # Callers may use a cached answer of a look-up for three times its life.
 CACHED_LIVES = 3
 # Time kept back at the end of a stop for closing connections.
@@ -52,7 +50,7 @@
         self._domains_by_entry_id: dict[str, ids.FailureDomainId] = {}
         self._is_stopping = False
         self._meters = metrics.Meters()
-        self._links = inner_peers.Peers(given.instance_id, LINK_TIMING)
+        self._links = inner_peers.Peers(given.instance_id, timing.LINK_TIMING)
         self._follower = following.Follower(
             self._links, given.seed_ids, self._request, self._on_answer, self._clock
         )
@@ -214,7 +212,7 @@
         if answer.instances is not None:
             self._apply_instances(answer.instances)
         if is_changed and self._view.table is not None:
-            self._dispatcher.update(
+            self._dispatcher.table.update(
                 self._endpoints_by_id.values(),
                 self._view.table.services_by_id,
                 self._evacuated,
@@ -291,7 +289,8 @@
         dispatcher_ids = [i.instance_id for i in peers if i.is_dispatcher]
         dispatcher_id = ids.InstanceId(dispatcher_ids[0]) if dispatcher_ids else None
         is_own = dispatcher_id == given.instance_id
-        self._dispatcher.set_capacity_share(1.0 if is_own else 1 / max(1, len(peers)))
+        share = 1.0 if is_own else 1 / max(1, len(peers))
+        self._dispatcher.table.capacity_share = share
         self._placer.set_dispatcher(dispatcher_id)
         for gone_id in former_ids - set(self._domains_by_entry_id):
             self._placer.forget_entry(ids.InstanceId(gone_id))
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/routed/timing.py
@@ -0,0 +1,8 @@
+"""Durations that both roles share."""
+
+from __future__ import annotations
+
+from yuccapitch.protocol import link as inner_link
+
+# Polls and log messages show that a peer is there; the heartbeat is for idle links.
+LINK_TIMING = inner_link.LinkTiming(heartbeat_interval_s=1.0, timeout_s=2.5)
--- a/packages/steering/src/yuccapitch/steering/placement/model.py
+++ b/packages/steering/src/yuccapitch/steering/placement/model.py
@@ -72,6 +72,11 @@
     avoided: frozenset[ids.EndpointId] = frozenset()
     body_bytes: int = 0
 
+    @property
+    def object_id(self) -> str:
+        """Name of the object that the request is about; empty if unknown."""
+        return f"{self.route_id}/{self.key}" if self.key else ""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Granted:
--- a/packages/steering/src/yuccapitch/steering/placement/spill.py
+++ b/packages/steering/src/yuccapitch/steering/placement/spill.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 
 # Use of the own region's slots up to which nothing is sent elsewhere.
@@ -87,6 +88,14 @@
         )
 
 
+@dataclasses.dataclass
+class Flow:
+    """The requests of one service: what they need and where they go."""
+
+    demand: Demand
+    spill: Spill
+
+
 def wanted_share(demand_slots: float, own_slots: int, other_slots: int) -> float:
     """Return the share that leaves the own region at its use."""
     if not other_slots:
--- /dev/null
+++ b/packages/steering/src/yuccapitch/steering/placement/table.py
@@ -0,0 +1,153 @@
+"""The endpoints that a region's dispatcher may use, with their state."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Iterable
+
+from yuccapitch.catalogue import ids, routes
+from yuccapitch.steering.placement import endpoint_state, model
+
+# Assumed round trip to another region before one was measured.
+OTHER_REGION_S = 0.1
+# Slots used beyond the own ones, as a part of them, while requests are on the way.
+MAX_TRANSIT_FACTOR = 0.5
+
+States = list[endpoint_state.EndpointState]
+
+
+class EndpointTable:
+    """Knows which endpoints may serve a request and how many slots they have."""
+
+    def __init__(self, region_id: ids.RegionId, capacity_share: float) -> None:
+        """Serve a region with ``capacity_share`` of the slots and rates."""
+        self.region_id = region_id
+        self.capacity_share = capacity_share
+        self.states_by_id: dict[ids.EndpointId, endpoint_state.EndpointState] = {}
+        self._states_by_service_id: dict[ids.ServiceId, States] = {}
+        self._evacuated_domains: frozenset[ids.FailureDomainId] = frozenset()
+        self._transit_s_by_region_id: dict[ids.RegionId, float] = {region_id: 0.0}
+        self._has_endpoints = False
+
+    def update(
+        self,
+        endpoints: Iterable[model.Endpoint],
+        services_by_id: dict[ids.ServiceId, routes.RoutedService],
+        evacuated_domains: frozenset[ids.FailureDomainId],
+        now: float,
+    ) -> None:
+        """Take in the endpoints, the services and the evacuations in force."""
+        returned = self._evacuated_domains - evacuated_domains
+        self._evacuated_domains = evacuated_domains
+        former = self.states_by_id
+        self.states_by_id = {}
+        self._states_by_service_id = {}
+        for endpoint in endpoints:
+            service = services_by_id.get(endpoint.service_id)
+            if service is None:
+                continue
+            state = former.get(endpoint.endpoint_id)
+            is_new = (
+                state is None
+                or state.endpoint.incarnation != endpoint.incarnation
+                or state.endpoint.service_id != endpoint.service_id
+            )
+            if state is None or is_new:
+                state = endpoint_state.EndpointState(endpoint, service, now)
+                if self._has_endpoints:
+                    state.untried_since = now
+                    state.chill(now, service.cold_duration_s, self.capacity_share)
+            elif endpoint.failure_domain in returned:
+                state.chill(now, service.cold_duration_s, self.capacity_share)
+            state.update(endpoint, service)
+            self.states_by_id[endpoint.endpoint_id] = state
+            group = self._states_by_service_id.setdefault(endpoint.service_id, [])
+            group.append(state)
+        self._has_endpoints = self._has_endpoints or bool(self.states_by_id)
+
+    def allowed(self, request: model.PlaceRequest) -> States:
+        """Return the endpoints that may serve a request."""
+        homes = request.home_region_ids
+        usable = [
+            state
+            for state in self._states_by_service_id.get(request.service_id, ())
+            if not state.endpoint.is_leaving
+            and state.endpoint.failure_domain not in self._evacuated_domains
+            and state.endpoint.endpoint_id not in request.avoided
+            and (not homes or state.endpoint.region_id in homes)
+        ]
+        serving = [
+            state
+            for state in usable
+            if state.endpoint.serving_region_id == self.region_id
+        ]
+        # Without one of its own, for instance where the homes are elsewhere, a region
+        # shares what others use.
+        return serving or usable
+
+    def open_slots(
+        self, states: Iterable[endpoint_state.EndpointState], now: float
+    ) -> int:
+        """Return the slots of those that are not closed."""
+        return sum(
+            self.limit(state)
+            for state in states
+            if state.availability(now, 1 << 30)
+            is not endpoint_state.Availability.CLOSED
+        )
+
+    def serving_slots(self, service_id: ids.ServiceId, now: float) -> tuple[int, int]:
+        """Return the region's slots, in the region and elsewhere."""
+        own, other = 0, 0
+        for state in self._states_by_service_id.get(service_id, ()):
+            endpoint = state.endpoint
+            if (
+                endpoint.serving_region_id != self.region_id
+                or endpoint.is_leaving
+                or endpoint.failure_domain in self._evacuated_domains
+                or state.availability(now, 1 << 30)
+                is endpoint_state.Availability.CLOSED
+            ):
+                continue
+            if endpoint.region_id == self.region_id:
+                own += endpoint.slots
+            else:
+                other += endpoint.slots
+        return own, other
+
+    def limit(self, state: endpoint_state.EndpointState) -> int:
+        """Return how many requests an endpoint may have at a time."""
+        slots = state.endpoint.slots * self.capacity_share
+        transit_s = self.transit_s(state.endpoint.region_id)
+        if transit_s > 0:
+            slots *= 1.0 + min(MAX_TRANSIT_FACTOR, transit_s)
+        return max(1, int(slots))
+
+    def ordinary_failure_share(self, service_id: ids.ServiceId) -> float:
+        """Return the share of failures at an ordinary endpoint of a service."""
+        shares = [
+            state.failure_share
+            for state in self._states_by_service_id.get(service_id, ())
+            if state.endpoint.serving_region_id == self.region_id
+        ]
+        return statistics.median_low(shares) if shares else 0.0
+
+    def availability(
+        self, state: endpoint_state.EndpointState, now: float
+    ) -> endpoint_state.Availability:
+        """Tell whether a request may be sent to an endpoint now."""
+        ordinary = self.ordinary_failure_share(state.endpoint.service_id)
+        return state.availability(now, self.limit(state), ordinary)
+
+    def observe_transit(self, region_id: ids.RegionId, connect_s: float) -> None:
+        """Take in how long a new connection to a region took."""
+        if region_id == self.region_id:
+            return
+        known = self._transit_s_by_region_id.get(region_id)
+        # The shortest time is the way; longer ones also hold waits.
+        shortest = connect_s if known is None else min(known, connect_s)
+        self._transit_s_by_region_id[region_id] = shortest
+
+    def transit_s(self, region_id: ids.RegionId) -> float:
+        """Return the round trip to a region."""
+        return self._transit_s_by_region_id.get(region_id, OTHER_REGION_S)
--- a/packages/steering/tests/placement/places.py
+++ b/packages/steering/tests/placement/places.py
@@ -61,5 +61,5 @@
 ) -> dispatcher.Dispatcher:
     places = dispatcher.Dispatcher(NORTH, lambda entry: None, random.Random(1))
     services = {SERVICE: service(cold_rate_per_s)}
-    places.update(endpoints, services, evacuated, 0.0)
+    places.table.update(endpoints, services, evacuated, 0.0)
     return places
--- a/packages/steering/tests/placement/test_dispatcher.py
+++ b/packages/steering/tests/placement/test_dispatcher.py
@@ -159,7 +159,7 @@
     dispatcher.release(first.attempt_id, ANSWERED, None, None, 0.1)
     services = {places.SERVICE: places.service(cold_rate_per_s=1.0)}
     reborn = places.endpoint("e1", slots=9, incarnation=5)
-    dispatcher.update([reborn], services, frozenset(), 1.0)
+    dispatcher.table.update([reborn], services, frozenset(), 1.0)
     decisions = [dispatcher.place(places.request(n, "7", 1.0), 1.0) for n in range(9)]
     assert sum(isinstance(d, model.Granted) for d in decisions) == 1
 
@@ -170,7 +170,9 @@
         places.endpoint("e1", slots=9), evacuated=frozenset({domain})
     )
     services = {places.SERVICE: places.service(cold_rate_per_s=1.0)}
-    dispatcher.update([places.endpoint("e1", slots=9)], services, frozenset(), 1.0)
+    dispatcher.table.update(
+        [places.endpoint("e1", slots=9)], services, frozenset(), 1.0
+    )
     decisions = [dispatcher.place(places.request(n, now=1.0), 1.0) for n in range(9)]
     assert sum(isinstance(d, model.Granted) for d in decisions) == 1
 
@@ -240,7 +242,7 @@
     dispatcher.release(first.attempt_id, ANSWERED, None, None, 0.2)
     joined = [places.endpoint("e1", slots=9), places.endpoint("e2", slots=9)]
     services = {places.SERVICE: places.service()}
-    dispatcher.update(joined, services, frozenset(), 1.0)
+    dispatcher.table.update(joined, services, frozenset(), 1.0)
     chosen = [
         grant(dispatcher, places.request(n, "7", 2.5), 2.5).endpoint.endpoint_id
         for n in range(2, 5)
@@ -293,7 +295,7 @@
     dispatcher = places.make(*(places.endpoint(f"e{n}", slots=9) for n in range(8)))
     first = grant(dispatcher, places.request(1, key="7"))
     dispatcher.release(first.attempt_id, outcome, None, None, 0.1)
-    state = dispatcher._states_by_id[first.endpoint.endpoint_id]
+    state = dispatcher.table.states_by_id[first.endpoint.endpoint_id]
     assert state.is_warm("read/7", 0.2) is is_kept
 
 
