--- /dev/null
+++ b/tests/platform/test_imports.py
@@ -0,0 +1,46 @@
+"""What the roles import, as they are started on the platform."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parents[2]
+# Heavy libraries of the daemon and the command line that no routed role may draw in.
+UNWANTED = ("pydantic", "aiohttp", "cryptography", "opentelemetry", "cleo", "reactivex")
+SCRIPT = """
+import sys
+import yuccapitch.platform.__main__
+import yuccapitch.node.routed.control_node
+import yuccapitch.node.routed.entry_node
+print(*sorted({name.partition(".")[0] for name in sys.modules}))
+"""
+
+
+def imported() -> set[str]:
+    """Return the top modules of a process that imports both roles."""
+    sources = [*ROOT.glob("packages/*/src"), ROOT / "platform" / "src"]
+    packages = next(p for p in sys.path if p.endswith("site-packages"))
+    paths = ":".join(map(str, [*sources, packages]))
+    done = subprocess.run(
+        [sys.executable, "-S", "-c", SCRIPT],
+        env={"PYTHONPATH": paths},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return set(done.stdout.split())
+
+
+def test_entry_imports_only_what_the_build_installs():
+    assert imported().isdisjoint(UNWANTED)
+
+
+def test_build_installs_what_is_pinned():
+    names = (ROOT / "deploy" / "requirements.txt").read_text().splitlines()
+    wanted = {name for name in names if name and not name.startswith("#")}
+    pins = (ROOT / "constraints.txt").read_text()
+    pinned = set(re.findall(r"^([\w.-]+)==", pins, re.MULTILINE))
+    assert wanted <= pinned
