--- a/packages/control/src/yuccapitch/control/following.py
+++ b/packages/control/src/yuccapitch/control/following.py
@@ -18,7 +18,6 @@
 # A round trip between regions, one lost packet, and the work of the leader.
 REQUEST_TIMEOUT_S = 0.6
 RETRY_DELAY_S = 0.1
-FIRST_POLL_INTERVAL_S = 0.5
 
 
 @dataclasses.dataclass
--- a/packages/gateway/src/yuccapitch/gateway/front/headers.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/headers.py
@@ -19,7 +19,6 @@
     proof: bytes
     """Signature by which an endpoint's answer is known."""
     expected_endpoint: bytes
-    endpoint_id: bytes
     load: bytes
     not_run: bytes
     """Present on an answer that says that the request did not run."""
--- a/packages/gateway/src/yuccapitch/gateway/front/sending.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/sending.py
@@ -54,7 +54,7 @@
 
     @property
     def connect_count(self) -> int:
-        """Connections opened so far by the pools in use."""
+        """Connections opened so far to the endpoints that are listed."""
         return sum(pool.connect_count for pool in self._pools_by_id.values())
 
     def keep(self, endpoints: list[model.Endpoint]) -> None:
@@ -74,7 +74,6 @@
         pool = self._pool(endpoint)
         max_idle_s = MAX_IDLE_S if is_idempotent else FRESH_CONNECTION_S
         started_at = self._clock()
-        connects_before = pool.connect_count
         connection = await pool.acquire(CONNECT_TIMEOUT_S, max_idle_s)
         if isinstance(connection, client.Failure):
             return Exchanged(
@@ -86,7 +85,7 @@
                 connection.detail,
             )
         connect_s = None
-        if pool.connect_count != connects_before:
+        if connection.use_count == 0:
             connect_s = self._clock() - started_at
         data = messages.encode_request(
             request, self._headers(request, endpoint, deadline_at)
--- a/packages/gateway/src/yuccapitch/gateway/front/splitting.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/splitting.py
@@ -26,7 +26,3 @@
         best = max(range(len(credits)), key=credits.__getitem__)
         credits[best] -= total
         return route.shares[best].service_id
-
-    def clear(self) -> None:
-        """Forget the routes of an earlier declaration."""
-        self._credits_by_route.clear()
--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -213,7 +213,6 @@
         self._port = port
         self._clock = clock
         self._idle: list[Connection] = []
-        self.open_count = 0
         self.connect_count = 0
 
     async def acquire(
--- a/packages/gateway/tests/front/test_request_path.py
+++ b/packages/gateway/tests/front/test_request_path.py
@@ -13,9 +13,8 @@
 from yuccapitch.steering.placement import model
 
 NAMES = headers.HeaderNames(
-    b"request-id", b"time-left", b"object", b"proof", b"expected", b"endpoint-id",
-    b"load", b"not-run",
-)  # fmt: skip
+    b"request-id", b"time-left", b"object", b"proof", b"expected", b"load", b"not-run"
+)
 OK = messages.Answer(200, [(b"proof", b"x")], b"body")
 ROUTE = routes.Route(
     ids.RouteId("r"), "shop", "/a/", routes.Repeatability.IDEMPOTENT, 2.0, 0.5, 1,
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -219,7 +219,6 @@
             endpoints_version=position.endpoints_version,
             instances_version=position.instances_version,
             demands=(),
-            sequence=0,
         )
 
     def _on_answer(self, answer: messages.FollowAnswer) -> None:
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -160,6 +160,11 @@
             "Open connections of callers.",
             lambda: self._server.connection_count,
         )
+        meters.gauge(
+            "endpoint_connects",
+            "Connections opened to the endpoints that are listed.",
+            lambda: self._sender.connect_count,
+        )
         meters.gauge(
             "places_waiting",
             "Requests that wait for a place of this dispatcher.",
@@ -197,7 +202,6 @@
                 messages.ServiceDemand(service_id, given.region_id, slots)
                 for service_id, slots in demands.items()
             ),
-            sequence=0,
         )
 
     def _on_answer(self, answer: messages.FollowAnswer) -> None:
--- a/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
@@ -65,8 +65,6 @@
     endpoints_version: int
     instances_version: int
     demands: tuple[ServiceDemand, ...]
-    sequence: int
-    """Time of sending in milliseconds on the sender's clock."""
 
 
 @registry.message(95)
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -5,7 +5,7 @@
 import collections
 import enum
 
-from yuccapitch.catalogue import ids, routes
+from yuccapitch.catalogue import routes
 from yuccapitch.steering.placement import cold_rate, model
 
 # Objects assumed to stay warm at an endpoint; 33 to 50 are known to.
@@ -189,8 +189,3 @@
     model.Outcome.MISDIRECTED: EndpointState._misdirect,
     model.Outcome.ABANDONED: EndpointState._ignore,
 }
-
-
-def region_of(state: EndpointState) -> ids.RegionId:
-    """Return the region that the endpoint stands in."""
-    return state.endpoint.region_id
