--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -52,6 +52,20 @@
 ]
 
 
+_MAKERS_BY_ROLE: dict[str, MakeNode] = {}
+
+
+def _role(name: str) -> Callable[[MakeNode], MakeNode]:
+    """Register what makes an instance of a role."""
+
+    def register(make: MakeNode) -> MakeNode:
+        _MAKERS_BY_ROLE[name] = make
+        return make
+
+    return register
+
+
+@_role("control")
 def _make_control(
     given: settings.RoutedSettings,
     adapter: routed_adapter.Adapter,
@@ -64,6 +78,7 @@
     return control_node.ControlNode(given, adapter, stack, on_failed)
 
 
+@_role("entry")
 def _make_entry(
     given: settings.RoutedSettings,
     adapter: routed_adapter.Adapter,
@@ -75,12 +90,6 @@
     return entry_node.EntryNode(given, adapter, stack, on_failed)
 
 
-_MAKERS_BY_ROLE: dict[str, MakeNode] = {
-    "control": _make_control,
-    "entry": _make_entry,
-}
-
-
 async def run(
     role: str,
     given: settings.RoutedSettings,
@@ -92,6 +101,20 @@
     ``read_changed`` returns changed settings, None if they are unchanged; it is told
     whether a signal asks for them.
     """
+    with _logging(given.name) as log:
+        code = await _run_logged(role, given, adapter, read_changed, log)
+        if code == EXIT_OK:
+            events.event("process.stopped")
+    return code
+
+
+async def _run_logged(
+    role: str,
+    given: settings.RoutedSettings,
+    adapter: routed_adapter.Adapter,
+    read_changed: Callable[[bool], result.Result[settings.RoutedSettings, str] | None],
+    log: bounded_log.BoundedLog,
+) -> int:
     stop = asyncio.Event()
     broken: list[str] = []
 
@@ -101,16 +124,16 @@
 
     loop = asyncio.get_running_loop()
     async with contextlib.AsyncExitStack() as stack:
-        log = stack.enter_context(_logging(given.name))
+        reload_event = asyncio.Event()
+        # A signal that comes while the node starts must not end the process.
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGINT, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, reload_event.set)
         node = _MAKERS_BY_ROLE[role](given, adapter, stack, fail)
         started = await node.start()
         if isinstance(started, result.Err):
             events.event("process.failed", reason=started.err_value)
             return EXIT_FAILED
-        reload_event = asyncio.Event()
-        loop.add_signal_handler(signal.SIGTERM, stop.set)
-        loop.add_signal_handler(signal.SIGINT, stop.set)
-        loop.add_signal_handler(signal.SIGHUP, reload_event.set)
         tasks.start(_watch(node, reload_event, read_changed), stack, fail)
         tasks.start(_report_dropped(log), stack, fail)
         gc.collect()
@@ -129,7 +152,6 @@
             return EXIT_FAILED
         events.event("process.stopping")
         await node.drain()
-    events.event("process.stopped")
     return EXIT_OK
 
 
--- a/packages/node/tests/test_logs.py
+++ b/packages/node/tests/test_logs.py
@@ -49,7 +49,10 @@
 
 def test_events_logged_are_declared() -> None:
     names = [
-        name for path in ROOT.glob("packages/*/src/**/*.py") for name in used(path)
+        name
+        for source in ("packages/*/src", "platform/src")
+        for path in ROOT.glob(f"{source}/**/*.py")
+        for name in used(path)
     ]
     assert set(names) <= set(events.EVENTS_BY_NAME)
 
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -196,3 +196,8 @@
     Level.WARNING,
 )
 declare("endpoint.lent", "An endpoint takes the requests of another region now.")
+declare("list.entry-skipped", "An entry of the list cannot be read.", Level.WARNING)
+declare("operator.refused", "An operator's call was refused.", Level.WARNING)
+declare("operator.unavailable", "An operator's call got no quorum.", Level.WARNING)
+declare("operator.acknowledged", "An operator's order is committed.")
+declare("lookup.empty", "No entry instance can be named.", Level.WARNING)
