--- /dev/null
+++ b/packages/control/tests/test_coordinator.py
@@ -0,0 +1,117 @@
+"""A control instance's side of following, with a replica that the test sets."""
+
+from __future__ import annotations
+
+import time
+import types
+
+from yuccapitch.control import coordinator, orders
+from yuccapitch.protocol import subscription_messages as messages
+
+A, B = "10.0.0.1:7000", "10.0.0.2:7000"
+
+
+class Links:
+    def __init__(self) -> None:
+        self.handlers_by_type: dict[type, object] = {}
+        self.sent: list[tuple[str, object]] = []
+
+    def handle(self, message_type, handler) -> None:
+        self.handlers_by_type[message_type] = handler
+
+    def set_address(self, peer_id, address) -> None:
+        return
+
+    def send(self, peer_id, message) -> bool:
+        self.sent.append((peer_id, message))
+        return True
+
+
+class Control:
+    """A coordinator whose leadership is confirmed until 10 s."""
+
+    def __init__(self) -> None:
+        self.now = 9.0
+        self.links = Links()
+        self.state = orders.OrderState()
+        self.coordinator = coordinator.Coordinator(
+            A, self.state, self.links, None, lambda: self.now
+        )
+        members = types.SimpleNamespace(members=())
+        self.replica = types.SimpleNamespace(
+            core=types.SimpleNamespace(term=3, members=members),
+            is_leader=True,
+            leader_id=A,
+            leadership_confirmed_until=10.0,
+        )
+        self.coordinator.attach(self.replica)
+
+    def follow(self, **changes: object):
+        fields: dict[str, object] = {
+            "instance_id": B,
+            "is_entry": True,
+            "region_id": "north",
+            "failure_domain": "north-a",
+            "http_host": "10.0.0.2",
+            "http_port": 80,
+            "is_ready": True,
+            "is_stopping": False,
+            "term": 0,
+            "state_index": 0,
+            "endpoints_version": 0,
+            "instances_version": 0,
+            "demands": (),
+        }
+        request = messages.FollowRequest(**{**fields, **changes})
+        handler = self.links.handlers_by_type[messages.FollowRequest]
+        return handler(B, request)
+
+
+def test_follow_is_answered_by_a_confirmed_leader():
+    answer = Control().follow()
+    assert isinstance(answer, messages.FollowAnswer)
+    assert [i.instance_id for i in answer.instances] == [B]
+
+
+def test_follow_is_refused_by_a_leader_that_was_suspended():
+    control = Control()
+    # The clock counts the time for which the machine was suspended.
+    control.now = 60.0
+    assert isinstance(control.follow(), messages.FollowRefusal)
+    assert not control.coordinator.is_leader
+
+
+def test_follow_is_refused_with_the_leader_that_is_known():
+    control = Control()
+    control.replica.leadership_confirmed_until = 0.0
+    control.replica.leader_id = B
+    assert control.follow() == messages.FollowRefusal(B)
+
+
+def test_follow_sends_only_what_changed():
+    control = Control()
+    first = control.follow()
+    again = control.follow(term=first.term, instances_version=first.instances_version)
+    assert again.instances is None
+    assert again.state is None
+
+
+def test_follow_tells_the_others_of_a_new_instance():
+    control = Control()
+    control.follow()
+    control.links.sent.clear()
+    control.follow(instance_id="10.0.0.3:7000")
+    assert B in [peer_id for peer_id, _ in control.links.sent]
+
+
+def test_follow_makes_an_entry_known_where_no_leader_is():
+    control = Control()
+    control.replica.leadership_confirmed_until = 0.0
+    control.follow()
+    assert [i.instance_id for i in control.coordinator.fleet.instances] == [B]
+
+
+def test_boot_time_counts_while_suspended():
+    before = time.clock_gettime(time.CLOCK_BOOTTIME)
+    now = coordinator.boot_time_s()
+    assert before <= now <= time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -117,3 +117,23 @@
     assert client.idle_seconds(b"timeout=7, max=9") == 7.0
     assert client.idle_seconds(b"max=9") is None
     assert client.idle_seconds(None) is None
+
+
+async def test_exchange_leaves_a_connection_on_which_a_body_is_still_due():
+    async def answer_early(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(WHOLE)
+        await asyncio.Event().wait()
+
+    listening = await asyncio.start_server(answer_early, "127.0.0.1", 0)
+    loop = asyncio.get_running_loop()
+    port = listening.sockets[0].getsockname()[1]
+    pool = client.Pool("127.0.0.1", port, loop.time)
+    connection = await pool.acquire(5.0, 5.0)
+    size = 64 * 1024 * 1024
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % size
+    async with asyncio.timeout(20):
+        outcome = await connection.exchange(head + bytes(size), is_first, False)
+    assert outcome.body == b"ok"
+    assert not connection.is_usable
+    listening.close()
--- a/tests/test_routed_group.py
+++ b/tests/test_routed_group.py
@@ -208,3 +208,14 @@
         await routed.until_status(200, lambda: send(entry, "q1"), "an answer")
         await seed.kill()
         assert (await send(entry, "q2")).status == 200
+
+
+async def test_entry_finds_the_leader_by_exchanged_seeds(group):
+    async with serving(group, "e1") as (seed, _, _):
+        late = group.entry()
+        gone = (routed.ids.InstanceId(f"127.0.0.1:{routed.free_port()}"),)
+        late.given = routed._replace(late.given, seed_ids=gone)
+        await late.start()
+        assert (await send(late, "q1")).status == 503
+        late.node.reload(routed._replace(late.given, seed_ids=seed.given.seed_ids))
+        await routed.until_status(200, lambda: send(late, "q2"), "an answer")
