Hand durations and shares on to a new dispatcher; choose one that is not next to stop

The next one was the first in the order of ids, often the next to be stopped, and it began without durations, the share sent elsewhere and what is known of sick endpoints.

Change: a dispatcher tells its region's entry instances every 2 s what it has learned; whoever dispatches next goes on from it. The leader chooses the instance that joined last and has been there for 3 s. Fleet.lose had no caller and is removed.

Ruled out: asking the stopping dispatcher alone, as killed ones tell nothing. Tests: test_dispatcher_moves_to_the_latest_that_has_settled, test_set_dispatcher_goes_on_from_the_summary_of_the_former failed before.

--- a/packages/control/src/yuccapitch/control/fleet.py
+++ b/packages/control/src/yuccapitch/control/fleet.py
@@ -11,10 +11,15 @@
 ENTRY_SILENCE_S = 2.0
 
 
+# Time after which an instance that joined knows enough to dispatch.
+SETTLED_AFTER_S = 3.0
+
+
 @dataclasses.dataclass
 class _Heard:
     instance: messages.EntryInstance
     at: float
+    joined_at: float
 
 
 class Fleet:
@@ -56,7 +61,7 @@
     def hear(self, request: messages.FollowRequest, now: float) -> bool:
         """Take in an entry instance's sign of life; true if that changed anything."""
         if request.is_stopping:
-            return self._forget(request.instance_id, "stopping")
+            return self._forget(request.instance_id, "stopping", now)
         instance = messages.EntryInstance(
             request.instance_id,
             request.region_id,
@@ -68,7 +73,8 @@
         )
         self._demands_by_entry_id[request.instance_id] = request.demands
         known = self._heard_by_id.get(request.instance_id)
-        self._heard_by_id[request.instance_id] = _Heard(instance, now)
+        joined_at = now if known is None else known.joined_at
+        self._heard_by_id[request.instance_id] = _Heard(instance, now, joined_at)
         if known is not None and _without_role(known.instance) == instance:
             return False
         if known is None:
@@ -77,7 +83,7 @@
                 entry=request.instance_id,
                 domain=request.failure_domain,
             )
-        self._choose_dispatchers()
+        self._choose_dispatchers(now)
         self.instances_version += 1
         return True
 
@@ -89,13 +95,9 @@
             if now - heard.at > ENTRY_SILENCE_S
         ]
         for instance_id in silent:
-            self._forget(instance_id, "silent")
+            self._forget(instance_id, "silent", now)
         return bool(silent)
 
-    def lose(self, instance_id: str) -> bool:
-        """Drop an entry instance whose link broke, until it is heard again."""
-        return self._forget(instance_id, "link lost")
-
     def list_endpoints(
         self, records: Iterable[messages.EndpointRecord], now: float
     ) -> bool:
@@ -117,10 +119,13 @@
         if answer.endpoints_age_ms >= 0:
             self.endpoints_read_at = now - answer.endpoints_age_ms / 1000
         if answer.instances is not None:
-            self._heard_by_id = {
-                instance.instance_id: _Heard(instance, now)
-                for instance in answer.instances
-            }
+            former = self._heard_by_id
+            self._heard_by_id = {}
+            for instance in answer.instances:
+                known = former.get(instance.instance_id)
+                joined_at = now if known is None else known.joined_at
+                heard = _Heard(instance, now, joined_at)
+                self._heard_by_id[instance.instance_id] = heard
             self._dispatchers_by_region = {
                 instance.region_id: instance.instance_id
                 for instance in answer.instances
@@ -136,21 +141,31 @@
         self.instances_version += 1
         self.endpoints_version += 1
 
-    def _forget(self, instance_id: str, reason: str) -> bool:
+    def _forget(self, instance_id: str, reason: str, now: float) -> bool:
         self._demands_by_entry_id.pop(instance_id, None)
         if self._heard_by_id.pop(instance_id, None) is None:
             return False
         events.event("fleet.entry-lost", entry=instance_id, reason=reason)
-        self._choose_dispatchers()
+        self._choose_dispatchers(now)
         self.instances_version += 1
         return True
 
-    def _choose_dispatchers(self) -> None:
+    def _choose_dispatchers(self, now: float) -> None:
         # Kept as long as it lives: a new one has to learn what the former knew.
         for region_id, dispatcher_id in list(self._dispatchers_by_region.items()):
             if dispatcher_id not in self._heard_by_id:
                 del self._dispatchers_by_region[region_id]
-        for instance_id, heard in sorted(self._heard_by_id.items()):
+        # Instances that are stopped and started in turn are next to stop in the order
+        # of their joining.
+        latest_first = sorted(
+            self._heard_by_id.items(),
+            key=lambda item: (
+                now - item[1].joined_at < SETTLED_AFTER_S,
+                -item[1].joined_at,
+                item[0],
+            ),
+        )
+        for instance_id, heard in latest_first:
             if heard.instance.is_ready:
                 region_id = heard.instance.region_id
                 self._dispatchers_by_region.setdefault(region_id, instance_id)
--- a/packages/control/tests/test_fleet.py
+++ b/packages/control/tests/test_fleet.py
@@ -59,6 +59,29 @@
     assert dispatchers(fleet) == ["a"]
 
 
+def test_dispatcher_moves_to_the_latest_that_has_settled():
+    # Rolling stop: those that joined first are the next to be stopped.
+    fleet = control_fleet.Fleet()
+    for name, joined_at in (("a", 0.0), ("b", 0.1), ("c", 5.0), ("d", 9.0)):
+        fleet.hear(sign_of_life(name), joined_at)
+    assert dispatchers(fleet) == ["a"]
+    fleet.hear(sign_of_life("a", is_stopping=True), 10.0)
+    assert dispatchers(fleet) == ["c"]
+
+
+def test_adopt_keeps_when_an_instance_joined():
+    former, fleet = control_fleet.Fleet(), control_fleet.Fleet()
+    for name, joined_at in (("a", 0.0), ("b", 5.0)):
+        fleet.hear(sign_of_life(name), joined_at)
+        former.hear(sign_of_life(name), joined_at)
+    answer = messages.FollowAnswer(
+        1, 0, None, 0, None, -1, 1, former.instances, (), 500
+    )
+    fleet.adopt(answer, 20.0)
+    fleet.hear(sign_of_life("a", is_stopping=True), 20.5)
+    assert dispatchers(fleet) == ["b"]
+
+
 def test_dispatcher_is_ready_and_one_a_region():
     fleet = control_fleet.Fleet()
     fleet.hear(sign_of_life("a", is_ready=False), 0.0)
--- a/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
@@ -9,7 +9,7 @@
 import asyncio
 import collections
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import result
 
@@ -27,6 +27,8 @@
 # Time for which a dispatcher that did not answer is not asked.
 AVOIDANCE_S = 1.0
 
+# Time between two summaries for whoever dispatches next.
+SUMMARY_INTERVAL_S = 2.0
 # Objects that an entry remembers for a new dispatcher; a region has some hundreds.
 MAX_WARM_OBJECTS = 256
 
@@ -71,11 +73,14 @@
             tuple[str, ids.EndpointId], float
         ] = collections.OrderedDict()
         self._served_grants: dict[model.AttemptId, model.Granted] = {}
+        self._peer_ids: frozenset[ids.InstanceId] = frozenset()
+        self._summary_due_at = clock() + SUMMARY_INTERVAL_S
         links.handle(messages.PlaceQuery, self._on_query)
         links.handle(messages.PlaceRelease, self._on_release)
         links.handle(messages.PlaceCancel, self._on_cancel)
         links.handle(messages.PlaceHeld, self._on_held)
         links.handle(messages.WarmObjects, self._on_warm_objects)
+        links.handle(messages.DispatcherSummary, self._on_summary)
         links.handle(messages.PlaceGrant, self._on_decision)
         links.handle(messages.PlaceRefusal, self._on_decision)
 
@@ -150,14 +155,33 @@
         )
         self._links.send(held.dispatcher_id, message)
 
+    def set_peers(self, peer_ids: Iterable[ids.InstanceId]) -> None:
+        """Take in the other entry instances of the region."""
+        self._peer_ids = frozenset(peer_ids) - {self._instance_id}
+
     def tick(self) -> None:
         """Let the own dispatcher act on the passing of time."""
         self._local.tick()
+        now = self._clock()
+        if now >= self._summary_due_at:
+            self._summary_due_at = now + SUMMARY_INTERVAL_S
+            if self.is_dispatcher:
+                self._tell_summary()
 
     def forget_entry(self, entry_id: ids.InstanceId) -> None:
         """Free what an entry instance that is gone held."""
         self._local.settle(self._own.forget_entry(entry_id, self._clock()))
 
+    def _tell_summary(self) -> None:
+        summary = self._own.summary()
+        for peer_id in self._peer_ids:
+            # Without a link the peer has asked nothing; it begins anew if chosen.
+            self._links.send(peer_id, summary)
+
+    def _on_summary(self, peer_id: str, message: messages.DispatcherSummary) -> None:
+        if peer_id == self._dispatcher_id:
+            self._own.adopt_summary(message, self._clock())
+
     def _remember_warm(self, held: _Held) -> None:
         object_id = held.request.object_id
         if not object_id:
--- a/packages/gateway/tests/front/test_region_placing.py
+++ b/packages/gateway/tests/front/test_region_placing.py
@@ -166,3 +166,31 @@
     state = region.placers[C]._own.table.states_by_id[first.endpoint.endpoint_id]
     now = asyncio.get_running_loop().time()
     assert state.is_warm("r/7", now)
+
+
+async def test_set_dispatcher_goes_on_from_the_summary_of_the_former():
+    # Rolling stop: the region's dispatcher ends, one after the other.
+    region = Region("e1", "e2", "e3")
+    region.appoint(A)
+    for placer in region.placers.values():
+        placer.set_peers([A, B, C])
+    own = region.placers[A]._own
+    own._durations.observe(ids.RouteId("r"), True, 0.8)
+    own._flow(SERVICE, 0.0).spill.adopt(0.4, 0.0)
+    own.table.states_by_id[ids.EndpointId("e2")].adopt_health(4.0, 0.0)
+    region.placers[A]._summary_due_at = 0.0
+    region.placers[A].tick()
+    region.appoint(C)
+    heir = region.placers[C]._own
+    assert heir._durations.warm_s(ids.RouteId("r")) == 0.8
+    assert heir._flow(SERVICE, 0.0).spill.share == 0.4
+    assert heir.table.states_by_id[ids.EndpointId("e2")].slowness == 4.0
+
+
+async def test_summary_of_an_instance_that_does_not_dispatch_is_ignored():
+    region = Region("e1")
+    region.appoint(A)
+    region.placers[B].set_peers([A, B, C])
+    region.placers[B]._own._durations.observe(ids.RouteId("r"), True, 0.8)
+    region.placers[B]._tell_summary()
+    assert not region.placers[C]._own._durations.is_known(ids.RouteId("r"), True)
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -295,6 +295,7 @@
         is_own = dispatcher_id == given.instance_id
         share = 1.0 if is_own else 1 / max(1, len(peers))
         self._dispatcher.table.capacity_share = share
+        self._placer.set_peers(ids.InstanceId(peer.instance_id) for peer in peers)
         self._placer.set_dispatcher(dispatcher_id)
         for gone_id in former_ids - set(self._domains_by_entry_id):
             self._placer.forget_entry(ids.InstanceId(gone_id))
--- a/packages/protocol/src/yuccapitch/protocol/place_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/place_messages.py
@@ -105,3 +105,43 @@
     """Tells a new dispatcher what the sender's requests left at the endpoints."""
 
     objects: tuple[WarmObject, ...]
+
+
+@registry.message(119)
+@dataclasses.dataclass(frozen=True)
+class RouteDurations:
+    """How long requests of a route keep a slot; -1 where it is not known."""
+
+    route_id: str
+    warm_ms: int
+    cold_ms: int
+    mean_ms: int
+
+
+@registry.message(120)
+@dataclasses.dataclass(frozen=True)
+class ServiceShare:
+    """Share of a service's requests that other regions serve."""
+
+    service_id: str
+    share: float
+
+
+@registry.message(121)
+@dataclasses.dataclass(frozen=True)
+class EndpointHealth:
+    """An endpoint that is slower, or fails more often, than is usual."""
+
+    endpoint_id: str
+    slowness: float
+    failure_share: float
+
+
+@registry.message(122)
+@dataclasses.dataclass(frozen=True)
+class DispatcherSummary:
+    """What a dispatcher has learned, for whoever dispatches after it."""
+
+    durations: tuple[RouteDurations, ...]
+    shares: tuple[ServiceShare, ...]
+    unhealthy: tuple[EndpointHealth, ...]
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Sequence
 
 from yuccapitch.catalogue import ids
+from yuccapitch.protocol import place_messages
 from yuccapitch.steering.placement import (
     choice,
     durations,
@@ -128,6 +129,36 @@
         if state is not None:
             state.note_warm(warm_object_id, used_at)
 
+    def summary(self) -> place_messages.DispatcherSummary:
+        """Return what was learned, for whoever dispatches next."""
+        return place_messages.DispatcherSummary(
+            self._durations.summary(),
+            tuple(
+                place_messages.ServiceShare(service_id, flow.spill.share)
+                for service_id, flow in self._flows_by_service_id.items()
+            ),
+            tuple(
+                place_messages.EndpointHealth(
+                    endpoint_id, state.slowness, state.failure_share
+                )
+                for endpoint_id, state in self._table.states_by_id.items()
+                if state.is_unhealthy()
+            ),
+        )
+
+    def adopt_summary(
+        self, summary: place_messages.DispatcherSummary, now: float
+    ) -> None:
+        """Go on from what another dispatcher learned."""
+        self._durations.adopt(summary.durations)
+        for share in summary.shares:
+            flow = self._flow(ids.ServiceId(share.service_id), now)
+            flow.spill.adopt(share.share, now)
+        for health in summary.unhealthy:
+            state = self._table.states_by_id.get(ids.EndpointId(health.endpoint_id))
+            if state is not None:
+                state.adopt_health(health.slowness, health.failure_share)
+
     def cancel(self, attempt_id: model.AttemptId) -> None:
         """Forget a request that waits."""
         for queue in self._queues_by_service_id.values():
@@ -370,13 +401,17 @@
         )
 
     def _count_demand(self, request: model.PlaceRequest, now: float) -> None:
-        flow = self._flows_by_service_id.get(request.service_id)
-        if flow is None:
-            flow = spill.Flow(spill.Demand(now), spill.Spill(0.0))
-            self._flows_by_service_id[request.service_id] = flow
+        flow = self._flow(request.service_id, now)
         flow.demand.add(self._durations.mean_s(request.route_id), now)
         flow.spill.count()
 
+    def _flow(self, service_id: ids.ServiceId, now: float) -> spill.Flow:
+        flow = self._flows_by_service_id.get(service_id)
+        if flow is None:
+            flow = spill.Flow(spill.Demand(now), spill.Spill(0.0))
+            self._flows_by_service_id[service_id] = flow
+        return flow
+
     def _queue(self, service_id: ids.ServiceId) -> waiting.Queue:
         return self._queues_by_service_id.setdefault(service_id, waiting.Queue())
 
--- a/packages/steering/src/yuccapitch/steering/placement/durations.py
+++ b/packages/steering/src/yuccapitch/steering/placement/durations.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable
 
 from yuccapitch.catalogue import ids
+from yuccapitch.protocol import place_messages
 
 # Weight of the newest measurement; half of what is known is from the last 7 requests.
 NEWEST_WEIGHT = 0.1
 # Assumed before the first measurement.
 INITIAL_S = 0.3
+MS_PER_S = 1000
 
 
 @dataclasses.dataclass
@@ -34,6 +37,24 @@
         else:
             known.cold_s = _smooth(known.cold_s, duration_s)
 
+    def summary(self) -> tuple[place_messages.RouteDurations, ...]:
+        """Return all that is known, as a message."""
+        return tuple(
+            place_messages.RouteDurations(
+                route_id, _ms(known.warm_s), _ms(known.cold_s), _ms(known.mean_s)
+            )
+            for route_id, known in self._known_by_route_id.items()
+        )
+
+    def adopt(self, listed: Iterable[place_messages.RouteDurations]) -> None:
+        """Replace what is known of these routes."""
+        for durations in listed:
+            self._known_by_route_id[ids.RouteId(durations.route_id)] = _Known(
+                _seconds(durations.warm_ms),
+                _seconds(durations.cold_ms),
+                _seconds(durations.mean_ms),
+            )
+
     def is_known(self, route_id: ids.RouteId, is_warm: bool) -> bool:
         """Tell whether such a request was measured before."""
         known = self._known_by_route_id.get(route_id)
@@ -68,3 +89,11 @@
 
 def _smooth(known: float | None, newest: float) -> float:
     return newest if known is None else known + NEWEST_WEIGHT * (newest - known)
+
+
+def _ms(duration_s: float | None) -> int:
+    return -1 if duration_s is None else round(duration_s * MS_PER_S)
+
+
+def _seconds(duration_ms: int) -> float | None:
+    return None if duration_ms < 0 else duration_ms / MS_PER_S
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -26,6 +26,10 @@
 # Weight of the newest request in an endpoint's slowness.
 SLOWNESS_WEIGHT = 0.15
 MAX_SLOWNESS = 20.0
+# Beyond these an endpoint is told of to whoever dispatches next; below them a few
+# requests tell as much.
+UNHEALTHY_SLOWNESS = 1.5
+UNHEALTHY_FAILURE_SHARE = 0.15
 
 
 class Availability(enum.Enum):
@@ -141,6 +145,17 @@
         ratio = min(MAX_SLOWNESS, duration_s / max(expected_s, 0.001))
         self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
 
+    def is_unhealthy(self) -> bool:
+        """Tell whether the endpoint is slower or fails more often than is usual."""
+        return (
+            self.slowness > UNHEALTHY_SLOWNESS
+            or self.failure_share > UNHEALTHY_FAILURE_SHARE
+        )
+
+    def adopt_health(self, slowness: float, failure_share: float) -> None:
+        """Go on from what a former dispatcher learned."""
+        self.slowness, self.failure_share = slowness, failure_share
+
     def _succeed(self, now: float) -> None:
         self._consecutive_unreachable = 0
         self.failure_share *= 1.0 - FAILURE_WEIGHT
--- a/packages/steering/src/yuccapitch/steering/placement/spill.py
+++ b/packages/steering/src/yuccapitch/steering/placement/spill.py
@@ -74,6 +74,12 @@
         step = MAX_CHANGE_PER_S * elapsed_s
         self.share += min(step, max(-step, wanted - self.share))
 
+    def adopt(self, share: float, now: float) -> None:
+        """Go on from the share of a former dispatcher."""
+        self.share = share
+        self._has_begun = True
+        self._updated_at = now
+
     def may_overflow(self) -> bool:
         """Take one of the few requests that may go to the other side."""
         if self._overflow_tokens < 1.0:
