Learn how many objects an endpoint keeps; wait longer for places on a slow link

And an endpoint of the artwork service forgets after fewer objects than the 32 that were assumed, which also raised the time taken for usual where the object is at hand.

Change: the answer may take 0.15 s and the time of 150 KB on the instance's link. Requests are told by their duration whether they found their object; each miss of a known object lowers, each hit of a dropped one raises the number of objects that endpoints of the service are taken to keep. Tests: test_warm_capacity.py, test_place_waits_longer_for_an_answer_behind_uploads_on_a_slow_link, test_read_takes_the_link_that_the_file_states.

--- a/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
@@ -24,6 +24,9 @@
 
 # A dispatcher answers at once; this covers the way inside a region and a busy moment.
 ANSWER_TIMEOUT_S = 0.15
+# Bodies on the instance's own link before an answer: two or three uploads of some 60 KB.
+BYTES_BEFORE_ANSWER = 150_000
+BITS_PER_BYTE = 8
 # Time for which a dispatcher that did not answer is not asked.
 AVOIDANCE_S = 1.0
 
@@ -52,7 +55,9 @@
         own: dispatcher.Dispatcher,
         find_endpoint: Callable[[ids.EndpointId], model.Endpoint | None],
         clock: Callable[[], float],
+        link_bits_per_s: float = float("inf"),
     ) -> None:
+        """Place requests of an instance whose link carries so much."""
         self._instance_id = instance_id
         self._links = links
         self._own = own
@@ -62,6 +67,9 @@
         self._local = self._service.local
         self._find_endpoint = find_endpoint
         self._clock = clock
+        self._answer_timeout_s = (
+            ANSWER_TIMEOUT_S + BYTES_BEFORE_ANSWER * BITS_PER_BYTE / link_bits_per_s
+        )
         self._avoided_until = float("-inf")
         self._untold_dispatcher_id: ids.InstanceId | None = None
         self._held_by_attempt_id: dict[model.AttemptId, _Held] = {}
@@ -215,7 +223,9 @@
         query = place_service.query_of(request, self._clock())
         is_settled = False
         try:
-            reply = await self._links.request(dispatcher_id, query, ANSWER_TIMEOUT_S)
+            reply = await self._links.request(
+                dispatcher_id, query, self._answer_timeout_s
+            )
             if isinstance(reply, result.Err):
                 self._avoid(reply.err_value.fault.value)
                 return None
--- a/packages/gateway/tests/front/test_region_placing.py
+++ b/packages/gateway/tests/front/test_region_placing.py
@@ -12,7 +12,7 @@
 from yuccapitch.catalogue import ids, routes
 from yuccapitch.gateway.front import region_placing
 from yuccapitch.protocol import link as inner_link
-from yuccapitch.steering.placement import dispatcher, model
+from yuccapitch.steering.placement import dispatcher, model, warm_capacity
 
 NORTH = ids.RegionId("north")
 SERVICE = ids.ServiceId("orders")
@@ -176,7 +176,7 @@
     for placer in region.placers.values():
         placer.set_peers([A, B, C])
     own = region.placers[A]._own
-    own._durations.observe(ids.RouteId("r"), True, 0.8)
+    own._durations.observe(ids.RouteId("r"), warm_capacity.Visit(True), True, 0.8)
     own._flow(SERVICE, 0.0).spill.adopt(0.4, 0.0)
     own.table.states_by_id[ids.EndpointId("e2")].adopt_health(4.0, 0.0)
     region.placers[A]._service._summary_due_at = 0.0
@@ -192,9 +192,11 @@
     region = Region("e1")
     region.appoint(A)
     region.placers[B].set_peers([A, B, C])
-    region.placers[B]._own._durations.observe(ids.RouteId("r"), True, 0.8)
+    region.placers[B]._own._durations.observe(
+        ids.RouteId("r"), warm_capacity.Visit(True), True, 0.8
+    )
     region.placers[B]._service._tell_summary()
-    assert not region.placers[C]._own._durations.is_known(ids.RouteId("r"), True)
+    assert not region.placers[C]._own._durations.is_known(ids.RouteId("r"))
 
 
 async def test_place_does_without_a_dispatcher_that_knows_too_little():
@@ -231,3 +233,28 @@
     region.network.silent.add(A)
     again = await place(region, B, "again")
     assert again.endpoint == first.endpoint
+
+
+async def test_place_waits_longer_for_an_answer_behind_uploads_on_a_slow_link():
+    # 60 KB take 0.2 s at 2.45 Mbit/s; a dispatcher that answers is not lost.
+    region = Region("e1")
+    region.appoint(A)
+    timeouts: list[float] = []
+    links = region.network.links(B)
+    request_link = links.request
+
+    async def request_with(peer_id, message, timeout_s):
+        timeouts.append(timeout_s)
+        return await request_link(peer_id, message, timeout_s)
+
+    links.request = request_with
+    clock = asyncio.get_running_loop().time
+    for bits_per_s in (float("inf"), 2_450_000.0):
+        placer = region_placing.RegionPlacer(
+            B, links, region.placers[B]._own, region.endpoints.get, clock, bits_per_s
+        )
+        placer.set_dispatcher(A)
+        granted = await placer.place(request(f"at {bits_per_s}", B))
+        placer.release(granted, model.Outcome.ANSWERED, None, None)
+    assert timeouts[0] < 0.2
+    assert 0.5 < timeouts[1] < 0.8
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -62,6 +62,7 @@
             self._dispatcher,
             self._region.find_endpoint,
             self._clock,
+            given.link_bits_per_s,
         )
         self._links.on_lost = self._placer.lose
         self._sender = sending.Sender(adapter.header_names, self._clock)
--- a/packages/node/src/yuccapitch/node/routed/settings.py
+++ b/packages/node/src/yuccapitch/node/routed/settings.py
@@ -41,6 +41,8 @@
     answer_life_s: float
     """Time for which callers may use the answer of a look-up."""
     retry_allowance: request_path.RetryAllowance
+    link_bits_per_s: float = float("inf")
+    """What the instance's own link carries each way."""
     data_dir: pathlib.Path | None = None
     callers: Listen | None = None
     readiness: Listen | None = None
--- a/packages/protocol/src/yuccapitch/protocol/place_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/place_messages.py
@@ -120,11 +120,14 @@
 
 @registry.message(120)
 @dataclasses.dataclass(frozen=True)
-class ServiceShare:
-    """Share of a service's requests that other regions serve."""
+class ServiceSummary:
+    """What a dispatcher has learned of one service."""
 
     service_id: str
-    share: float
+    spill_share: float
+    """Part of the requests that other regions serve."""
+    warm_objects: float
+    """Objects that an endpoint keeps at hand."""
 
 
 @registry.message(121)
@@ -143,7 +146,7 @@
     """What a dispatcher has learned, for whoever dispatches after it."""
 
     durations: tuple[RouteDurations, ...]
-    shares: tuple[ServiceShare, ...]
+    services: tuple[ServiceSummary, ...]
     unhealthy: tuple[EndpointHealth, ...]
 
 
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -17,6 +17,7 @@
     spill,
     table,
     waiting,
+    warm_capacity,
 )
 
 # Part of the time that a request can wait for which it waits for such an endpoint.
@@ -30,6 +31,8 @@
 # Longest queue of a service as a multiple of its slots.
 MAX_QUEUE_PER_SLOT = 4
 MIN_RETRY_AFTER_S = 0.1
+# Objects that every endpoint with a cache keeps.
+SURE_DEPTH = 4
 # Time after a request's deadline at which its slot is taken to be free.
 OVERDUE_S = 1.0
 MAX_RETRY_AFTER_S = 5.0
@@ -39,7 +42,7 @@
 class _Grant:
     request: model.PlaceRequest
     state: endpoint_state.EndpointState
-    is_warm: bool
+    visit: warm_capacity.Visit
     granted_at: float
 
 
@@ -103,7 +106,7 @@
             self._observe_duration(grant, max(0.0, duration_s - transit_s), now)
         if connect_s is not None:
             self._table.observe_transit(state.endpoint.region_id, connect_s)
-        state.end(request.object_id, outcome, grant.is_warm, now)
+        state.end(request.object_id, outcome, grant.visit.is_warm, now)
         if load is not None:
             state.observe_load(load, now)
         return self._offer(state, now)
@@ -115,9 +118,9 @@
         state = self._table.states_by_id.get(endpoint.endpoint_id)
         if state is None or request.attempt_id in self._grants_by_attempt_id:
             return None
-        is_warm = state.begin(request.object_id, granted_at)
+        visit = state.begin(request.object_id, granted_at)
         self._grants_by_attempt_id[request.attempt_id] = _Grant(
-            request, state, is_warm, granted_at
+            request, state, visit, granted_at
         )
         return model.Granted(request.attempt_id, state.endpoint)
 
@@ -134,7 +137,11 @@
         return place_messages.DispatcherSummary(
             self._durations.summary(),
             tuple(
-                place_messages.ServiceShare(service_id, flow.spill.share)
+                place_messages.ServiceSummary(
+                    service_id,
+                    flow.spill.share,
+                    self._table.warm_capacity(service_id).objects,
+                )
                 for service_id, flow in self._flows_by_service_id.items()
             ),
             tuple(
@@ -151,9 +158,10 @@
     ) -> None:
         """Go on from what another dispatcher learned."""
         self._durations.adopt(summary.durations)
-        for share in summary.shares:
-            flow = self._flow(ids.ServiceId(share.service_id), now)
-            flow.spill.adopt(share.share, now)
+        for service in summary.services:
+            service_id = ids.ServiceId(service.service_id)
+            self._flow(service_id, now).spill.adopt(service.spill_share, now)
+            self._table.warm_capacity(service_id).objects = service.warm_objects
         for health in summary.unhealthy:
             state = self._table.states_by_id.get(ids.EndpointId(health.endpoint_id))
             if state is not None:
@@ -254,9 +262,9 @@
         state: endpoint_state.EndpointState,
         now: float,
     ) -> model.Granted:
-        is_warm = state.begin(request.object_id, now)
+        visit = state.begin(request.object_id, now)
         self._grants_by_attempt_id[request.attempt_id] = _Grant(
-            request, state, is_warm, now
+            request, state, visit, now
         )
         return model.Granted(request.attempt_id, state.endpoint)
 
@@ -416,14 +424,18 @@
         return self._queues_by_service_id.setdefault(service_id, waiting.Queue())
 
     def _observe_duration(self, grant: _Grant, duration_s: float, now: float) -> None:
-        route_id, state = grant.request.route_id, grant.state
+        route_id, state, visit = grant.request.route_id, grant.state, grant.visit
         known = self._durations
-        if known.is_known(route_id, grant.is_warm):
-            expected_s = (
-                known.warm_s(route_id) if grant.is_warm else known.cold_s(route_id)
-            )
+        usual_s = duration_s / max(1.0, state.slowness)
+        had_object = known.had_object(route_id, visit, usual_s)
+        if known.is_known(route_id):
+            # An object used just before is there: what takes longer is slow.
+            is_warm = visit.is_warm and (had_object or visit.depth < SURE_DEPTH)
+            expected_s = known.warm_s(route_id) if is_warm else known.cold_s(route_id)
             state.observe_duration(expected_s, duration_s)
         if state.is_cold(now):
             return
+        if state.slowness < endpoint_state.UNHEALTHY_SLOWNESS:
+            state.capacity.observe(visit, had_object)
         # A slow endpoint must not raise what counts as usual.
-        known.observe(route_id, grant.is_warm, duration_s / max(1.0, state.slowness))
+        known.observe(route_id, visit, had_object, usual_s)
--- a/packages/steering/src/yuccapitch/steering/placement/durations.py
+++ b/packages/steering/src/yuccapitch/steering/placement/durations.py
@@ -7,11 +7,14 @@
 
 from yuccapitch.catalogue import ids
 from yuccapitch.protocol import place_messages
+from yuccapitch.steering.placement import warm_capacity
 
 # Weight of the newest measurement; half of what is known is from the last 7 requests.
 NEWEST_WEIGHT = 0.1
 # Assumed before the first measurement.
 INITIAL_S = 0.3
+# A request that took less than this part of the time without its object had it at hand.
+WARM_RATIO = 0.6
 MS_PER_S = 1000
 
 
@@ -28,15 +31,30 @@
     def __init__(self) -> None:
         self._known_by_route_id: dict[ids.RouteId, _Known] = {}
 
-    def observe(self, route_id: ids.RouteId, is_warm: bool, duration_s: float) -> None:
-        """Take in how long one request took."""
+    def observe(
+        self,
+        route_id: ids.RouteId,
+        visit: warm_capacity.Visit,
+        had_object: bool,
+        duration_s: float,
+    ) -> None:
+        """Take in how long one request took, and whether it found its object."""
         known = self._known_by_route_id.setdefault(route_id, _Known())
         known.mean_s = _smooth(known.mean_s, duration_s)
-        if is_warm:
+        if visit.is_warm and had_object:
             known.warm_s = _smooth(known.warm_s, duration_s)
-        else:
+        elif not visit.is_warm and not (visit.was_dropped and had_object):
             known.cold_s = _smooth(known.cold_s, duration_s)
 
+    def had_object(
+        self, route_id: ids.RouteId, visit: warm_capacity.Visit, duration_s: float
+    ) -> bool:
+        """Tell by its duration whether a request found its object at the endpoint."""
+        known = self._known_by_route_id.get(route_id)
+        if known is None or known.cold_s is None:
+            return visit.is_warm
+        return duration_s < WARM_RATIO * known.cold_s
+
     def summary(self) -> tuple[place_messages.RouteDurations, ...]:
         """Return all that is known, as a message."""
         return tuple(
@@ -55,12 +73,9 @@
                 _seconds(durations.mean_ms),
             )
 
-    def is_known(self, route_id: ids.RouteId, is_warm: bool) -> bool:
-        """Tell whether such a request was measured before."""
-        known = self._known_by_route_id.get(route_id)
-        if known is None:
-            return False
-        return (known.warm_s if is_warm else known.cold_s) is not None
+    def is_known(self, route_id: ids.RouteId) -> bool:
+        """Tell whether requests of the route were measured before."""
+        return route_id in self._known_by_route_id
 
     def mean_s(self, route_id: ids.RouteId) -> float:
         """Return the duration of the route's requests as they come."""
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -6,10 +6,10 @@
 import enum
 
 from yuccapitch.catalogue import routes
-from yuccapitch.steering.placement import cold_rate, model
+from yuccapitch.steering.placement import cold_rate, model, warm_capacity
 
-# Objects assumed to stay warm at an endpoint; 33 to 50 are known to.
-WARM_OBJECTS = 32
+# Objects remembered beyond those that an endpoint is taken to keep.
+DROPPED_OBJECTS = 32
 # An object not used for this long is not counted on.
 WARM_S = 60.0
 # First pause after an endpoint proved unreachable; doubles up to the longest.
@@ -44,11 +44,17 @@
     """Use, warmth and health of one endpoint."""
 
     def __init__(
-        self, endpoint: model.Endpoint, service: routes.RoutedService, now: float
+        self,
+        endpoint: model.Endpoint,
+        service: routes.RoutedService,
+        capacity: warm_capacity.WarmCapacity,
+        now: float,
     ) -> None:
         """Begin with an endpoint that nothing is known of."""
         self.endpoint = endpoint
         self.service = service
+        self.capacity = capacity
+        """Shared by the endpoints of a service."""
         self.in_flight = 0
         self.untried_since: float | None = None
         """When the endpoint joined, if it has got no request since."""
@@ -62,6 +68,8 @@
         self._consecutive_unreachable = 0
         self._used_at_by_key: collections.OrderedDict[str, float]
         self._used_at_by_key = collections.OrderedDict()
+        self._dropped_keys: collections.OrderedDict[str, None]
+        self._dropped_keys = collections.OrderedDict()
         if endpoint.cold_left_s > 0:
             self.chill(now, endpoint.cold_left_s, 1.0)
 
@@ -73,6 +81,7 @@
         """Treat the endpoint as cold for this long."""
         self.cold_until = max(self.cold_until, now + duration_s)
         self._used_at_by_key.clear()
+        self._dropped_keys.clear()
         if self._cold_rate is None and self.service.cold_rate_per_s > 0:
             self._cold_rate = cold_rate.ColdRate(
                 self.service.cold_rate_per_s, rate_share, now
@@ -110,19 +119,19 @@
         used_at = self._used_at_by_key.get(key)
         return used_at is not None and now - used_at < WARM_S
 
-    def begin(self, key: str, now: float) -> bool:
-        """Count a request, and tell whether the endpoint knew the object."""
+    def begin(self, key: str, now: float) -> warm_capacity.Visit:
+        """Count a request, and tell what the endpoint knew of its object."""
         self.in_flight += 1
         self.untried_since = None
         if self._cold_rate is not None and self.is_cold(now):
             self._cold_rate.take(now)
-        was_warm = bool(key) and self.is_warm(key, now)
-        if key:
-            self._used_at_by_key[key] = now
-            self._used_at_by_key.move_to_end(key)
-            while len(self._used_at_by_key) > WARM_OBJECTS:
-                self._used_at_by_key.popitem(last=False)
-        return was_warm
+        if not key:
+            return warm_capacity.COLD_VISIT
+        visit = self._visit(key, now)
+        self._used_at_by_key[key] = now
+        self._used_at_by_key.move_to_end(key)
+        self._drop_oldest()
+        return visit
 
     def note_warm(self, key: str, used_at: float) -> None:
         """Take in that the endpoint knew an object at this time."""
@@ -131,8 +140,7 @@
         is_newest = all(at <= used_at for at in self._used_at_by_key.values())
         self._used_at_by_key[key] = used_at
         self._used_at_by_key.move_to_end(key, last=is_newest)
-        while len(self._used_at_by_key) > WARM_OBJECTS:
-            self._used_at_by_key.popitem(last=False)
+        self._drop_oldest()
 
     def end(self, key: str, outcome: model.Outcome, was_warm: bool, now: float) -> None:
         """Count the end of a request."""
@@ -158,6 +166,24 @@
         """Go on from what a former dispatcher learned."""
         self.slowness, self.failure_share = slowness, failure_share
 
+    def _visit(self, key: str, now: float) -> warm_capacity.Visit:
+        if not self.is_warm(key, now):
+            return warm_capacity.Visit(False, was_dropped=key in self._dropped_keys)
+        depth = 0
+        for other in reversed(self._used_at_by_key):
+            if other == key:
+                break
+            depth += 1
+        return warm_capacity.Visit(True, depth)
+
+    def _drop_oldest(self) -> None:
+        while len(self._used_at_by_key) > self.capacity.objects:
+            key, _ = self._used_at_by_key.popitem(last=False)
+            self._dropped_keys[key] = None
+            self._dropped_keys.move_to_end(key)
+        while len(self._dropped_keys) > DROPPED_OBJECTS:
+            self._dropped_keys.popitem(last=False)
+
     def _succeed(self, now: float) -> None:
         self._consecutive_unreachable = 0
         self.failure_share *= 1.0 - FAILURE_WEIGHT
--- a/packages/steering/src/yuccapitch/steering/placement/table.py
+++ b/packages/steering/src/yuccapitch/steering/placement/table.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from yuccapitch.catalogue import ids, routes
-from yuccapitch.steering.placement import endpoint_state, model
+from yuccapitch.steering.placement import endpoint_state, model, warm_capacity
 
 # Assumed round trip to another region before one was measured.
 OTHER_REGION_S = 0.1
@@ -25,6 +25,9 @@
         self.capacity_share = capacity_share
         self.states_by_id: dict[ids.EndpointId, endpoint_state.EndpointState] = {}
         self._states_by_service_id: dict[ids.ServiceId, States] = {}
+        self._capacities_by_service_id: dict[
+            ids.ServiceId, warm_capacity.WarmCapacity
+        ] = {}
         self._evacuated_domains: frozenset[ids.FailureDomainId] = frozenset()
         self._transit_s_by_region_id: dict[ids.RegionId, float] = {region_id: 0.0}
         self._has_endpoints = False
@@ -53,7 +56,8 @@
                 or state.endpoint.service_id != endpoint.service_id
             )
             if state is None or is_new:
-                state = endpoint_state.EndpointState(endpoint, service, now)
+                capacity = self.warm_capacity(endpoint.service_id)
+                state = endpoint_state.EndpointState(endpoint, service, capacity, now)
                 if self._has_endpoints:
                     state.untried_since = now
                     state.chill(now, service.cold_duration_s, self.capacity_share)
@@ -65,6 +69,12 @@
             group.append(state)
         self._has_endpoints = self._has_endpoints or bool(self.states_by_id)
 
+    def warm_capacity(self, service_id: ids.ServiceId) -> warm_capacity.WarmCapacity:
+        """Return how many objects an endpoint of the service keeps."""
+        return self._capacities_by_service_id.setdefault(
+            service_id, warm_capacity.WarmCapacity()
+        )
+
     def allowed(self, request: model.PlaceRequest) -> States:
         """Return the endpoints that may serve a request."""
         homes = request.home_region_ids
--- /dev/null
+++ b/packages/steering/tests/placement/test_warm_capacity.py
@@ -0,0 +1,83 @@
+"""How many objects endpoints keep, learned from the time that requests take.
+
+Pattern: a cache that is smaller, or larger, than was assumed, behind affinity.
+"""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import places
+import pytest
+
+from yuccapitch.steering.placement import model
+
+WARM_S, COLD_S = 0.3, 1.0
+
+
+class Cache:
+    """An endpoint that keeps the objects it used last."""
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self._keys: collections.OrderedDict[str, None] = collections.OrderedDict()
+
+    def serve(self, key: str) -> float:
+        duration_s = WARM_S if key in self._keys else COLD_S
+        self._keys[key] = None
+        self._keys.move_to_end(key)
+        while len(self._keys) > self._size:
+            self._keys.popitem(last=False)
+        return duration_s
+
+
+def run(dispatcher, caches, keys, rng, count, now):
+    """Serve requests one after the other; return the part that took long."""
+    cold = 0
+    for number in range(count):
+        request = places.request(number, str(rng.randrange(keys)), now)
+        granted = dispatcher.place(request, now)
+        assert isinstance(granted, model.Granted)
+        took_s = caches[granted.endpoint.endpoint_id].serve(request.object_id)
+        cold += took_s == COLD_S
+        dispatcher.release(
+            granted.attempt_id, model.Outcome.ANSWERED, None, None, now + took_s
+        )
+        now += 0.02
+    return cold / count, now
+
+
+@pytest.mark.parametrize("size", [10, 50])
+def test_warm_capacity_is_learned_from_durations(size):
+    names = [f"e{n}" for n in range(8)]
+    dispatcher = places.make(*(places.endpoint(n, slots=90) for n in names))
+    caches = {n: Cache(size) for n in names}
+    rng = random.Random(3)
+    run(dispatcher, caches, 8 * 60, rng, 6000, 0.0)
+    learned = dispatcher.table.warm_capacity(places.SERVICE).objects
+    assert size * 0.6 <= learned <= size * 1.3
+
+
+def test_warm_requests_stay_warm_where_endpoints_keep_few_objects():
+    names = [f"e{n}" for n in range(8)]
+    dispatcher = places.make(*(places.endpoint(n, slots=90) for n in names))
+    caches = {n: Cache(10) for n in names}
+    rng = random.Random(3)
+    _, now = run(dispatcher, caches, 64, rng, 3000, 0.0)
+    cold_part, _ = run(dispatcher, caches, 64, rng, 1000, now)
+    assert cold_part < 0.2
+
+
+def test_slow_endpoint_is_not_taken_for_one_that_forgets():
+    dispatcher = places.make(places.endpoint("e1", slots=9))
+    now, key = 0.0, "7"
+    for number in range(60):
+        granted = dispatcher.place(places.request(number, key, now), now)
+        took_s = COLD_S if number == 0 else WARM_S
+        slow = 4.0 if number > 20 else 1.0
+        now += took_s * slow
+        dispatcher.release(granted.attempt_id, model.Outcome.ANSWERED, None, None, now)
+    state = dispatcher.table.states_by_id[granted.endpoint.endpoint_id]
+    assert state.slowness > 3.0
+    assert dispatcher.table.warm_capacity(places.SERVICE).objects == 32.0
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -74,3 +74,13 @@
 @pytest.mark.parametrize("value", ["", "5", "5m", "-1s", 5, None, "s"])
 def test_parse_duration_s_refuses_what_is_no_time(value):
     assert units.parse_duration_s(value) is None
+
+
+def test_read_takes_the_link_that_the_file_states(tmp_path: pathlib.Path):
+    path = tmp_path / "local.toml"
+    path.write_text(TEXT)
+    assert node_file.read(path).unwrap().routed.link_bits_per_s == float("inf")
+    path.write_text(TEXT + "[limits]\nlinkMbps = 2.45\n")
+    assert node_file.read(path).unwrap().routed.link_bits_per_s == 2_450_000
+    path.write_text(TEXT + "[limits]\nlinkMbps = 0\n")
+    assert "limits.linkMbps must be" in node_file.read(path).unwrap_err()
