--- a/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
@@ -24,7 +24,7 @@
 
 # A dispatcher answers at once; this covers the way inside a region and a busy moment.
 ANSWER_TIMEOUT_S = 0.15
-# Bodies on the instance's own link before an answer: two or three uploads of some 60 KB.
+# Bodies on the own link before an answer: two or three uploads of some 60 KB.
 BYTES_BEFORE_ANSWER = 150_000
 BITS_PER_BYTE = 8
 # Time for which a dispatcher that did not answer is not asked.
