Let an entry dispatch where links are fast; a new leader keeps the dispatchers in use

Change: entry instances tell what their link carries; one on a link of 20 Mbit/s or more goes before control instances. Entries tell a leader which dispatcher they use, and it keeps that one for the time in which it must be heard. A dispatcher that has just started learns from those that heard its predecessor.

With it the beginning of the fault soak (tests/soak): real processes, loopback proxies, signals, torn writes, lost disks, endpoints that fail; promises checked from what callers and endpoints see.

--- a/packages/control/src/yuccapitch/control/dispatcher_choice.py
+++ b/packages/control/src/yuccapitch/control/dispatcher_choice.py
@@ -1,8 +1,8 @@
 """Which instance grants the places for a region's requests.
 
-A control instance carries no requests, so that neither bodies on its link nor a stop of
-entry instances hold places up. The leader has other work; an entry instance dispatches
-where a region has no control instance.
+An entry instance goes on when control is lost. Where bodies fill the links of entry
+instances, answers would wait behind them: there a control instance dispatches, rather
+one that does not lead, as the leader has other work.
 """
 
 from __future__ import annotations
@@ -18,9 +18,11 @@
 class Standing(enum.IntEnum):
     """What an instance does beside dispatching; the lowest is preferred."""
 
-    CONTROL = 0
-    LEADER = 1
-    ENTRY = 2
+    ENTRY = 0
+    CONTROL = 1
+    LEADER = 2
+    SLOW_ENTRY = 3
+    """An entry instance on a link that a few bodies fill."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/control/src/yuccapitch/control/fleet.py
+++ b/packages/control/src/yuccapitch/control/fleet.py
@@ -10,6 +10,9 @@
 
 # Silence after which an instance is taken to be gone: four polls.
 SILENCE_S = 2.0
+# Links on which a body of 60 KB, a usual upload, delays what is behind it by more than
+# 25 ms are slow.
+SLOW_LINK_BITS_PER_S = 20_000_000.0
 
 
 @dataclasses.dataclass
@@ -26,6 +29,14 @@
     joined_at: float
 
 
+@dataclasses.dataclass(frozen=True)
+class _Presumed:
+    """A dispatcher that others use, and that was not heard yet."""
+
+    region_id: str
+    until: float
+
+
 class Fleet:
     """Endpoints and instances, each group with a version that rises."""
 
@@ -37,6 +48,7 @@
         self.dispatcher_ids_by_region: dict[str, str] = {}
         self._heard_by_id: dict[str, _Heard] = {}
         self._controls_by_id: dict[str, _Control] = {}
+        self._presumed_by_id: dict[str, _Presumed] = {}
         self._leader_id = ""
         self._demands_by_instance_id: dict[str, tuple[messages.ServiceDemand, ...]] = {}
 
@@ -78,6 +90,7 @@
             request.http_host,
             request.http_port,
             request.is_ready,
+            request.link_bits_per_s < SLOW_LINK_BITS_PER_S,
         )
         self._demands_by_instance_id[request.instance_id] = request.demands
         known = self._heard_by_id.get(request.instance_id)
@@ -91,6 +104,8 @@
                 entry=request.instance_id,
                 domain=request.failure_domain,
             )
+        if request.dispatcher_id:
+            self._presume(request.region_id, request.dispatcher_id, now)
         self._choose_dispatchers(now)
         self.instances_version += 1
         return True
@@ -156,16 +171,15 @@
         self._leader_id = own_id
         for heard in self._heard_by_id.values():
             heard.at = now
-        self._controls_by_id = {
-            instance_id: _Control(region_id, now, now)
-            for region_id, instance_id in self.dispatcher_ids_by_region.items()
-            if instance_id not in self._heard_by_id
-        }
+        self._controls_by_id = {}
+        for region_id, instance_id in self.dispatcher_ids_by_region.items():
+            self._presume(region_id, instance_id, now)
         self._demands_by_instance_id.clear()
         self.instances_version += 1
         self.endpoints_version += 1
 
     def _forget(self, instance_id: str, reason: str, now: float) -> bool:
+        self._presumed_by_id.pop(instance_id, None)
         self._demands_by_instance_id.pop(instance_id, None)
         if self._heard_by_id.pop(instance_id, None) is None:
             return False
@@ -174,14 +188,25 @@
         self.instances_version += 1
         return True
 
+    def _presume(self, region_id: str, instance_id: str, now: float) -> None:
+        """Keep a dispatcher that is in use until it had time to be heard."""
+        if region_id in self.dispatcher_ids_by_region:
+            known_id = self.dispatcher_ids_by_region[region_id]
+            if known_id != instance_id:
+                return
+        self.dispatcher_ids_by_region[region_id] = instance_id
+        presumed = _Presumed(region_id, now + SILENCE_S)
+        self._presumed_by_id.setdefault(instance_id, presumed)
+
     def _forget_control(self, instance_id: str, now: float) -> bool:
         self._demands_by_instance_id.pop(instance_id, None)
         self._controls_by_id.pop(instance_id, None)
+        self._presumed_by_id.pop(instance_id, None)
         return self._choose_dispatchers(now)
 
     def _choose_dispatchers(self, now: float) -> bool:
         chosen = dispatcher_choice.choose(
-            self._candidates(), self.dispatcher_ids_by_region, now
+            self._candidates(now), self.dispatcher_ids_by_region, now
         )
         if chosen == self.dispatcher_ids_by_region:
             return False
@@ -190,14 +215,24 @@
         self.instances_version += 1
         return True
 
-    def _candidates(self) -> Iterator[dispatcher_choice.Candidate]:
+    def _candidates(self, now: float) -> Iterator[dispatcher_choice.Candidate]:
         standing = dispatcher_choice.Standing
+        for instance_id, presumed in self._presumed_by_id.items():
+            is_heard = instance_id in {**self._heard_by_id, **self._controls_by_id}
+            if now < presumed.until and not is_heard:
+                yield dispatcher_choice.Candidate(
+                    instance_id, presumed.region_id, standing.ENTRY, 0.0
+                )
         for instance_id, heard in self._heard_by_id.items():
             if heard.instance.is_ready:
                 yield dispatcher_choice.Candidate(
                     instance_id,
                     heard.instance.region_id,
-                    standing.ENTRY,
+                    (
+                        standing.SLOW_ENTRY
+                        if heard.instance.has_slow_link
+                        else standing.ENTRY
+                    ),
                     heard.joined_at,
                 )
         for instance_id, control in self._controls_by_id.items():
--- a/packages/gateway/src/yuccapitch/gateway/front/place_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/place_service.py
@@ -144,7 +144,9 @@
             self.note_warm(warm)
 
     def _on_summary(self, peer_id: str, message: messages.DispatcherSummary) -> None:
-        if peer_id == self.dispatcher_id:
+        # One that has just started learns from those that heard its predecessor.
+        is_beginner = self.is_dispatcher and not self._own.has_learned
+        if peer_id == self.dispatcher_id or is_beginner:
             self._own.adopt_summary(message, self._clock())
 
     def _tell(self, peer_id: str, decision: model.Decision) -> None:
--- a/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
@@ -83,17 +83,18 @@
         links.handle(messages.PlaceRefusal, self._on_decision)
 
     @property
-    def _dispatcher_id(self) -> ids.InstanceId | None:
+    def dispatcher_id(self) -> ids.InstanceId | None:
+        """The instance that dispatches for the region."""
         return self._service.dispatcher_id
 
     def set_dispatcher(self, dispatcher_id: ids.InstanceId | None) -> None:
         """Use another dispatcher, and tell it of the places held."""
-        if dispatcher_id == self._dispatcher_id:
+        if dispatcher_id == self.dispatcher_id:
             return
         events.event(
             "place.dispatcher-changed",
             dispatcher=dispatcher_id,
-            former=self._dispatcher_id,
+            former=self.dispatcher_id,
             held=len(self._held_by_attempt_id),
         )
         self._service.dispatcher_id = dispatcher_id
@@ -112,12 +113,12 @@
 
     def lose(self, peer_id: str) -> None:
         """Do without the dispatcher for now if the link to it is lost."""
-        if peer_id == self._dispatcher_id:
+        if peer_id == self.dispatcher_id:
             self._avoid("the link is lost")
 
     async def place(self, request: model.PlaceRequest) -> model.Granted | model.Refused:
         """Return a place, once there is one, or a refusal."""
-        dispatcher_id = self._dispatcher_id
+        dispatcher_id = self.dispatcher_id
         is_remote = dispatcher_id not in (None, self._instance_id)
         if is_remote and self._clock() >= self._avoided_until:
             assert dispatcher_id is not None
@@ -196,6 +197,8 @@
             # The link is being opened; the answer to a first query shows that it is.
             self._untold_dispatcher_id = dispatcher_id
             return
+        if self._own.has_learned:
+            self._links.send(dispatcher_id, self._own.summary())
         for held in self._held_by_attempt_id.values():
             if held.dispatcher_id == dispatcher_id:
                 self._links.send(dispatcher_id, self._held_message(held))
@@ -268,7 +271,7 @@
         now = self._clock()
         if now >= self._avoided_until:
             events.event(
-                "place.dispatcher-lost", dispatcher=self._dispatcher_id, reason=reason
+                "place.dispatcher-lost", dispatcher=self.dispatcher_id, reason=reason
             )
         self._avoided_until = now + AVOIDANCE_S
         self._fail_waits()
--- a/packages/gateway/tests/front/test_region_placing.py
+++ b/packages/gateway/tests/front/test_region_placing.py
@@ -258,3 +258,12 @@
         placer.release(granted, model.Outcome.ANSWERED, None, None)
     assert timeouts[0] < 0.2
     assert 0.5 < timeouts[1] < 0.8
+
+
+async def test_set_dispatcher_teaches_one_that_has_just_started():
+    # Control instances that were all killed dispatch again, and know nothing.
+    region = Region("e1")
+    warm = warm_capacity.Visit(True)
+    region.placers[B]._own._durations.observe(ids.RouteId("r"), warm, True, 0.8)
+    region.appoint(A)
+    assert region.placers[A]._own._durations.warm_s(ids.RouteId("r")) == 0.8
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -236,6 +236,8 @@
             endpoints_version=position.endpoints_version,
             instances_version=position.instances_version,
             demands=self._dispatching.demands(),
+            link_bits_per_s=given.link_bits_per_s,
+            dispatcher_id="",
         )
 
     def _on_answer(self, answer: messages.FollowAnswer) -> None:
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -198,6 +198,8 @@
             endpoints_version=position.endpoints_version,
             instances_version=position.instances_version,
             demands=self._region.demands(),
+            link_bits_per_s=given.link_bits_per_s,
+            dispatcher_id=self._placer.dispatcher_id or "",
         )
 
     def _on_answer(self, answer: messages.FollowAnswer) -> None:
--- a/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
@@ -65,6 +65,10 @@
     endpoints_version: int
     instances_version: int
     demands: tuple[ServiceDemand, ...]
+    link_bits_per_s: float
+    """What the sender's link carries; infinite if it is not told."""
+    dispatcher_id: str
+    """The dispatcher that the sender uses; empty without one."""
 
 
 @registry.message(95)
@@ -78,6 +82,7 @@
     http_host: str
     http_port: int
     is_ready: bool
+    has_slow_link: bool
 
 
 @registry.message(96)
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -132,6 +132,11 @@
         if state is not None:
             state.note_warm(warm_object_id, used_at)
 
+    @property
+    def has_learned(self) -> bool:
+        """Whether anything is known of the time that requests take."""
+        return self._durations.has_learned
+
     def summary(self) -> place_messages.DispatcherSummary:
         """Return what was learned, for whoever dispatches next."""
         return place_messages.DispatcherSummary(
--- a/packages/steering/src/yuccapitch/steering/placement/durations.py
+++ b/packages/steering/src/yuccapitch/steering/placement/durations.py
@@ -31,6 +31,11 @@
     def __init__(self) -> None:
         self._known_by_route_id: dict[ids.RouteId, _Known] = {}
 
+    @property
+    def has_learned(self) -> bool:
+        """Whether any request was measured."""
+        return bool(self._known_by_route_id)
+
     def observe(
         self,
         route_id: ids.RouteId,
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,64 @@
+"""Plays seeds of the soak: ``python -m tests.soak --seeds 50``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import pathlib
+import secrets
+import sys
+import tempfile
+
+from tests.soak import run
+
+
+def main() -> int:
+    """Play the seeds and print a report for each; 1 if a promise broke."""
+    parser = argparse.ArgumentParser(prog="python -m tests.soak", description=__doc__)
+    parser.add_argument("--seed", type=int, action="append", help="play this seed")
+    parser.add_argument("--seeds", type=int, default=1, help="count of fresh seeds")
+    parser.add_argument("--seconds", type=float, default=20.0, help="time for faults")
+    parser.add_argument("--controls", type=int, default=5)
+    parser.add_argument("--entries", type=int, default=6)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--faults", type=int, default=3, help="faults at a time")
+    parser.add_argument("--folder", type=pathlib.Path, help="where logs are kept")
+    given = parser.parse_args()
+    folder = given.folder or pathlib.Path(tempfile.mkdtemp(prefix="yuccapitch-soak-"))
+    seeds = given.seed or [secrets.randbelow(10**9) for _ in range(given.seeds)]
+    broken = 0
+    for number, seed in enumerate(seeds, start=1):
+        plan = run.Plan(
+            seed,
+            given.seconds,
+            given.controls,
+            given.entries,
+            given.callers,
+            given.faults,
+        )
+
+        def tell(line: str, seed: int = seed, number: int = number) -> None:
+            print(f"[{number}/{len(seeds)}] seed {seed}: {line}", file=sys.stderr)
+
+        report = asyncio.run(run.run(plan, folder / str(seed), tell))
+        broken += bool(report.violations)
+        print(
+            json.dumps(
+                {
+                    "seed": seed,
+                    "served": report.served,
+                    "attempts": report.attempts,
+                    "faults": dict(sorted(report.faults_by_name.items())),
+                    "checks": dict(sorted(report.checks_by_promise.items())),
+                    "broken": [f"{v.promise}: {v.detail}" for v in report.violations],
+                }
+            ),
+            flush=True,
+        )
+    print(f"{len(seeds)} seeds, {broken} with a broken promise; logs in {folder}")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,160 @@
+"""Callers: they look entries up, keep connections open and judge each answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+import aiohttp
+
+from tests.soak import deployment, endpoints, history, operator
+
+LOOKUP_TIMEOUT_S = 1.0
+DEADLINE_S = 4.0
+PAUSE_S = 0.15
+UPLOAD_BYTES = 40_000
+PROBE_INTERVAL_S = 0.2
+KINDS_BY_PATH = {"/safe/": "safe", "/order/": "unsafe", "/photo/": "upload"}
+
+
+class Caller:
+    """One caller, which sends one request after the other."""
+
+    def __init__(
+        self,
+        number: int,
+        zone: str,
+        controls: list[deployment.Instance],
+        seen: history.History,
+        rng: random.Random,
+    ) -> None:
+        self._number = number
+        self._zone = zone
+        self._controls = controls
+        self._seen = seen
+        self._rng = rng
+        self._count = 0
+        self._addresses: list[str] = []
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                await asyncio.sleep(PAUSE_S * (0.5 + self._rng.random()))
+                if not self._addresses or self._rng.random() < 0.1:
+                    await self._look_up(session)
+                if self._addresses:
+                    path = self._rng.choice(list(KINDS_BY_PATH))
+                    # An address stays the same for a while, with its connection.
+                    address = self._addresses[(self._count // 8) % len(self._addresses)]
+                    await self.send(session, address, path)
+
+    async def send(
+        self, session: aiohttp.ClientSession, address: str, path: str
+    ) -> int | None:
+        """Send one request, and judge its answer."""
+        self._count += 1
+        attempt_id = f"c{self._number}-{self._count}"
+        target = f"{path}{self._rng.randrange(20)}?n={self._count}"
+        kind = KINDS_BY_PATH[path]
+        body = b"" if kind == "safe" else self._rng.randbytes(300)
+        if kind == "upload":
+            body = self._rng.randbytes(UPLOAD_BYTES)
+        loop = asyncio.get_running_loop()
+        attempt = history.Attempt(attempt_id, kind, address, loop.time())
+        self._seen.begin(attempt)
+        status, answer = await request(
+            session, "GET" if kind == "safe" else "POST", address, target, attempt, body
+        )
+        self._seen.end(attempt, status, loop.time())
+        if status == 200:
+            expected = endpoints.answer_body(attempt_id, target, body)
+            self._seen.check("whole answers", answer == expected, f"{attempt}")
+        return status
+
+    async def _look_up(self, session: aiohttp.ClientSession) -> None:
+        control = self._rng.choice(self._controls)
+        region = deployment.ZONES[self._zone]
+        url = f"http://{control.ip}:{deployment.LOOKUP_PORT}/api/resolve"
+        query = {"name": operator.HOST, "region": region, "zone": self._zone}
+        timeout = aiohttp.ClientTimeout(total=LOOKUP_TIMEOUT_S)
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with session.get(url, params=query, timeout=timeout) as answer:
+                if answer.status == 200:
+                    self._addresses = (await answer.json())["addresses"]
+                    self._rng.shuffle(self._addresses)
+
+
+class Prober:
+    """Watches that no entry instance goes back behind a revision it has shown."""
+
+    def __init__(
+        self,
+        entry: deployment.Instance,
+        orders: operator.Operator,
+        seen: history.History,
+    ) -> None:
+        self._entry = entry
+        self._orders = orders
+        self._seen = seen
+        self._newest_by_start: dict[int, int] = {}
+        self._count = 0
+
+    async def run(self) -> None:
+        """Ask for revisions until cancelled."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                await asyncio.sleep(PROBE_INTERVAL_S)
+                # Any revision that was sent may be in force, or one before it.
+                newest = self._orders.revision
+                for revision in range(max(1, newest - 4), newest + 1):
+                    await self.probe(session, revision)
+
+    async def probe(self, session: aiohttp.ClientSession, revision: int) -> int | None:
+        """Ask for the route of a revision."""
+        start, self._count = self._entry.starts, self._count + 1
+        shown = self._newest_by_start.get(start, 0)
+        attempt_id = f"p-{self._entry.name}-{self._count}"
+        loop = asyncio.get_running_loop()
+        address = f"{self._entry.ip}:{deployment.CALLERS_PORT}"
+        attempt = history.Attempt(attempt_id, "safe", address, loop.time())
+        self._seen.begin(attempt)
+        target = f"/only-{revision}/x"
+        status, _ = await request(session, "GET", address, target, attempt, b"")
+        self._seen.end(attempt, status, loop.time())
+        if status == 200 and start == self._entry.starts:
+            detail = f"{self._entry.name} served {revision} after {shown}"
+            self._seen.check("never goes back", revision >= shown, detail)
+            self._newest_by_start[start] = max(shown, revision)
+        return status
+
+
+async def request(
+    session: aiohttp.ClientSession,
+    method: str,
+    address: str,
+    target: str,
+    attempt: history.Attempt,
+    body: bytes,
+) -> tuple[int | None, bytes]:
+    """Return status and body; no status if the connection ended without an answer."""
+    headers = {
+        "Host": operator.HOST,
+        "Attempt-Id": attempt.attempt_id,
+        "Affinity-Key": target.partition("?")[0],
+        "Deadline-Ms": str(round(DEADLINE_S * 1000)),
+    }
+    timeout = aiohttp.ClientTimeout(total=DEADLINE_S + 1.0)
+    try:
+        async with session.request(
+            method,
+            f"http://{address}{target}",
+            headers=headers,
+            data=body or None,
+            timeout=timeout,
+        ) as answer:
+            return answer.status, await answer.read()
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        attempt.detail = repr(error)
+        return None, b""
--- /dev/null
+++ b/tests/soak/deployment.py
@@ -0,0 +1,178 @@
+"""The processes of a run: their settings, starts and ends."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).parents[2]
+INNER_PORT, BOUND_PORT = 7700, 7701
+CALLERS_PORT, READINESS_PORT = 8144, 8140
+CONTROL_PORT, LOOKUP_PORT = 8146, 8147
+LIST_ADDRESS = ("127.42.0.1", 8142)
+ZONES = {"north-a": "north", "north-b": "north", "south-a": "south", "south-b": "south"}
+RESTART_S = 0.3
+GRACE_S = 6.0
+
+
+@dataclasses.dataclass
+class Instance:
+    """One process, which is started again when it ends."""
+
+    name: str
+    role: str
+    ip: str
+    zone: str
+    folder: pathlib.Path
+    seeds: list[str]
+    popen: subprocess.Popen[bytes] | None = None
+    starts: int = 0
+    is_wanted: bool = True
+    """Whether it is started again when it ends."""
+    may_end: bool = False
+    """Whether its end was caused from outside."""
+
+    @property
+    def instance_id(self) -> str:
+        """Inner address by which other instances know it."""
+        return f"{self.ip}:{INNER_PORT}"
+
+    @property
+    def data_dir(self) -> pathlib.Path:
+        """Folder of its disk."""
+        return self.folder / "disk"
+
+    @property
+    def log_path(self) -> pathlib.Path:
+        """Where its lines go."""
+        return self.folder / "log"
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process is there."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def start(self) -> None:
+        """Start the process with the settings of now."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.write_settings()
+        sources = [*ROOT.glob("packages/*/src"), ROOT / "platform" / "src"]
+        packages = next(p for p in sys.path if p.endswith("site-packages"))
+        environment = {
+            **os.environ,
+            "PYTHONPATH": ":".join(map(str, [*sources, packages])),
+            "YUCCAPITCH_NODE_FILE": str(self.folder / "local.toml"),
+        }
+        with self.log_path.open("ab") as log:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-S", "-m", "yuccapitch.platform", self.role],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        self.starts += 1
+        self.may_end = False
+
+    def write_settings(self) -> None:
+        """Write the settings file in the platform's format."""
+        zones = "\n".join(f'{zone} = "{region}"' for zone, region in ZONES.items())
+        listen = f'inner = "{self.ip}:{BOUND_PORT}"\n'
+        if self.role == "control":
+            listen += f'control = "{self.ip}:{CONTROL_PORT}"\n'
+            listen += f'directory = "{self.ip}:{LOOKUP_PORT}"\n'
+        else:
+            listen += f'front = "{self.ip}:{CALLERS_PORT}"\n'
+            listen += f'readiness = "{self.ip}:{READINESS_PORT}"\n'
+        is_first = str(self.starts == 0).lower()
+        disk = f'dataDir = "{self.data_dir}"\n' if self.role == "control" else ""
+        (self.folder / "local.toml").write_text(
+            f'nodeId = "{self.name}"\nip = "{self.ip}"\nzone = "{self.zone}"\n'
+            f'region = "{ZONES[self.zone]}"\nbootstrap = {is_first}\n'
+            f"internalPortRange = [{INNER_PORT},{INNER_PORT + 15}]\n"
+            f"seeds = {self.seeds!r}\n{disk}"
+            f"[zones]\n{zones}\n[listen]\n{listen}"
+            f'[bounds]\ngrace = "{GRACE_S}s"\nretryBudgetRatio = 0.2\n'
+            'budgetWindow = "10s"\nretryBudgetSlack = 60\nttl_max = "5s"\n'
+            f'[cloudApi]\naddress = "{LIST_ADDRESS[0]}:{LIST_ADDRESS[1]}"\n'
+        )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if the process is there."""
+        if self.is_running:
+            assert self.popen is not None
+            if number in (signal.SIGKILL, signal.SIGTERM):
+                self.may_end = True
+            self.popen.send_signal(number)
+
+    async def kill(self) -> None:
+        """Kill the process and wait for its end."""
+        self.send(signal.SIGKILL)
+        if self.popen is not None:
+            await asyncio.to_thread(self.popen.wait)
+
+    def wipe(self) -> None:
+        """Lose the disk of a process that is not there."""
+        shutil.rmtree(self.data_dir, ignore_errors=True)
+
+    def tear(self, size: int) -> None:
+        """Leave a torn write behind the synced end of the log."""
+        segments = sorted(self.data_dir.rglob("*.segment"))
+        if segments:
+            with segments[-1].open("ab") as segment:
+                segment.write(os.urandom(size))
+
+
+class Deployment:
+    """All instances; ends only processes that it started."""
+
+    def __init__(self, folder: pathlib.Path, controls: int, entries: int) -> None:
+        zones = list(ZONES)
+        seeds = [f"127.42.1.{n + 1}:{CONTROL_PORT}" for n in range(min(3, controls))]
+        self.own_ends: list[str] = []
+        """Processes that ended by themselves."""
+        self.instances_by_name: dict[str, Instance] = {}
+        for role, count, net in (("control", controls, 1), ("entry", entries, 2)):
+            for n in range(count):
+                name = f"{role}-{n + 1}"
+                # What a former run of the seed left would look like a lost order.
+                shutil.rmtree(folder / name, ignore_errors=True)
+                self.instances_by_name[name] = Instance(
+                    name,
+                    role,
+                    f"127.42.{net}.{n + 1}",
+                    zones[n % len(zones)],
+                    folder / name,
+                    seeds,
+                )
+
+    def of_role(self, role: str) -> list[Instance]:
+        """Return the instances of a role."""
+        return [i for i in self.instances_by_name.values() if i.role == role]
+
+    async def supervise(self) -> None:
+        """Start what ended again, until cancelled."""
+        while True:
+            await asyncio.sleep(RESTART_S)
+            for instance in self.instances_by_name.values():
+                if instance.is_running or not instance.is_wanted:
+                    continue
+                if instance.popen is not None and not instance.may_end:
+                    code = instance.popen.returncode
+                    ended = f"{instance.name} ended by itself with {code}"
+                    self.own_ends.append(f"{time.time():.3f} {ended}")
+                instance.start()
+
+    async def aclose(self) -> None:
+        """Kill every process."""
+        for instance in self.instances_by_name.values():
+            instance.is_wanted = False
+            instance.send(signal.SIGCONT)
+        for instance in self.instances_by_name.values():
+            await instance.kill()
--- /dev/null
+++ b/tests/soak/network.py
@@ -0,0 +1,152 @@
+"""Loopback proxies before the inner ports: delays, resets, cuts one way, silence."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+CHUNK_BYTES = 65_536
+HEAL_CHECK_S = 0.05
+# SO_LINGER with no time: closing sends a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Network:
+    """All proxies, with the faults that are in force."""
+
+    def __init__(self) -> None:
+        self.cut_pairs: set[tuple[str, str]] = set()
+        """Sender and receiver between which bytes are held up."""
+        self.delay_s = 0.0
+        self._proxies: list[Proxy] = []
+
+    async def add(self, instance_id: str, target: tuple[str, int]) -> None:
+        """Listen at an instance's address and forward to its process."""
+        proxy = Proxy(self, instance_id, target)
+        await proxy.start()
+        self._proxies.append(proxy)
+
+    def ids(self) -> list[str]:
+        """Return the ids of all instances."""
+        return [proxy.instance_id for proxy in self._proxies]
+
+    def connections(self) -> list[Connection]:
+        """Return the open connections."""
+        return [c for proxy in self._proxies for c in proxy.connections]
+
+    def heal(self) -> None:
+        """Let everything pass; what was silenced for good stays so."""
+        self.cut_pairs.clear()
+        self.delay_s = 0.0
+
+    async def aclose(self) -> None:
+        """Close every proxy."""
+        for proxy in self._proxies:
+            await proxy.aclose()
+
+
+class Connection:
+    """One connection between two instances."""
+
+    def __init__(self, network: Network, target_id: str) -> None:
+        self._network = network
+        self._target_id = target_id
+        self._source_id = ""
+        self._writers: list[asyncio.StreamWriter] = []
+        self.is_silenced = False
+
+    def reset(self) -> None:
+        """Reset both ends."""
+        for writer in self._writers:
+            sock = writer.get_extra_info("socket")
+            if sock is not None and not writer.is_closing():
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+
+    async def forward(
+        self,
+        near: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        far: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+    ) -> None:
+        """Pass bytes both ways until one side closes."""
+        self._writers = [near[1], far[1]]
+        pumps = [
+            asyncio.create_task(self._pump(near[0], far[1], is_forth=True)),
+            asyncio.create_task(self._pump(far[0], near[1], is_forth=False)),
+        ]
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            await asyncio.gather(*pumps, return_exceptions=True)
+            self.reset()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_forth: bool
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                if is_forth and not self._source_id:
+                    self._source_id = self._find_source(data)
+                if self._network.delay_s:
+                    await asyncio.sleep(self._network.delay_s)
+                while self.is_silenced or self._is_cut(is_forth):
+                    await asyncio.sleep(HEAL_CHECK_S)
+                writer.write(data)
+                await writer.drain()
+
+    def _is_cut(self, is_forth: bool) -> bool:
+        pair = (self._source_id, self._target_id)
+        return (pair if is_forth else pair[::-1]) in self._network.cut_pairs
+
+    def _find_source(self, greeting: bytes) -> str:
+        # The greeting names the instance that opens the link.
+        known = self._network.ids()
+        return next((i for i in known if i.encode() in greeting), "unknown")
+
+
+class Proxy:
+    """Stands at the address by which other instances reach one instance."""
+
+    def __init__(
+        self, network: Network, instance_id: str, target: tuple[str, int]
+    ) -> None:
+        self.instance_id = instance_id
+        self.connections: set[Connection] = set()
+        self._network = network
+        self._target = target
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server
+
+    async def start(self) -> None:
+        host, _, port = self.instance_id.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+
+    async def aclose(self) -> None:
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        connection = Connection(self._network, self.instance_id)
+        self.connections.add(connection)
+        try:
+            far = await asyncio.open_connection(*self._target)
+            await connection.forward((reader, writer), far)
+        except OSError:
+            # Nobody listens: a reset, as from a machine without the process.
+            writer.transport.abort()
+        except asyncio.CancelledError:
+            return
+        finally:
+            self.connections.discard(connection)
+            self._tasks.discard(task)
--- /dev/null
+++ b/tests/soak/operator.py
@@ -0,0 +1,165 @@
+"""The operator: configurations, evacuations, and what is read back."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from typing import Any
+
+import aiohttp
+
+from tests.soak import deployment, history
+
+HOST = "shop.example"
+SERVICES = ("tienda", "taller")
+CALL_TIMEOUT_S = 1.0
+RESEND_S = 0.1
+# Orders other than configurations are sent again for this long.
+ORDER_TIMEOUT_S = 5.0
+
+
+class Operator:
+    """Sends orders to any control instance and remembers what was acknowledged."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        controls: list[deployment.Instance],
+        seen: history.History,
+        rng: random.Random,
+    ) -> None:
+        self._session = session
+        self._controls = controls
+        self._seen = seen
+        self._rng = rng
+        self._sent_by_revision: dict[int, Any] = {}
+        self.revision = 0
+        self.acknowledged_revision = 0
+        self.acknowledged_at = 0.0
+        self.evacuated: set[str] = set()
+        self.unclear_zones: set[str] = set()
+        """Zones whose last order got no clear answer."""
+
+    async def put(self, timeout_s: float) -> bool:
+        """Send the next configuration until it is acknowledged; false if it is not."""
+        self.revision += self._rng.randrange(1, 4)
+        revision, content = self.revision, configuration(self.revision)
+        self._sent_by_revision[revision] = content
+        status = await self._send("/api/config/put", content, timeout_s)
+        if status == 200 and revision > self.acknowledged_revision:
+            self.acknowledged_revision = revision
+            self.acknowledged_at = asyncio.get_running_loop().time()
+        return status == 200
+
+    async def put_invalid(self) -> None:
+        """Send a configuration that must be refused."""
+        content = configuration(self.revision + 50)
+        content["resources"][0]["spec"]["service"] = "nobody"
+        status = await self._send("/api/config/put", content, CALL_TIMEOUT_S)
+        self._seen.check("invalid is refused", status in (None, 400), f"got {status}")
+
+    async def put_again(self) -> None:
+        """Send a configuration again that was acknowledged."""
+        revision = self.acknowledged_revision
+        if revision in self._sent_by_revision:
+            content = self._sent_by_revision[revision]
+            status = await self._send("/api/config/put", content, CALL_TIMEOUT_S)
+            detail = f"revision {revision} got {status}"
+            self._seen.check("resent is taken", status in (None, 200), detail)
+
+    async def evacuate(self, zone: str, verb: str) -> None:
+        """Start or end the evacuation of a zone."""
+        path = f"/api/evacuations/{zone}/{verb}"
+        status = await self._send(path, None, ORDER_TIMEOUT_S)
+        if status != 200:
+            self.unclear_zones.add(zone)
+            return
+        self.unclear_zones.discard(zone)
+        change = self.evacuated.add if verb == "start" else self.evacuated.discard
+        change(zone)
+
+    async def read(self, control: deployment.Instance) -> int | None:
+        """Read the configuration at one instance, and check it."""
+        least = self.acknowledged_revision
+        status, content = await self._call(control, "GET", "/api/config/get", None)
+        if status != 200:
+            return None
+        revision = content["version"]
+        detail = f"{control.name} read {revision} after {least} was acknowledged"
+        self._seen.check("reads are the newest", revision >= least, detail)
+        is_as_sent = content == self._sent_by_revision.get(revision)
+        detail = f"revision {revision}: {content}"
+        self._seen.check("content is as sent", is_as_sent, detail[:2000])
+        return int(revision)
+
+    async def _send(self, path: str, content: Any, timeout_s: float) -> int | None:
+        loop = asyncio.get_running_loop()
+        end_at = loop.time() + timeout_s
+        while loop.time() < end_at:
+            control = self._rng.choice(self._controls)
+            status, _ = await self._call(control, "POST", path, content)
+            if status is not None and 200 <= status < 500:
+                return status
+            await asyncio.sleep(RESEND_S)
+        return None
+
+    async def _call(
+        self, control: deployment.Instance, method: str, path: str, content: Any
+    ) -> tuple[int | None, Any]:
+        url = f"http://{control.ip}:{deployment.CONTROL_PORT}{path}"
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            async with self._session.request(
+                method, url, json=content, timeout=timeout
+            ) as answer:
+                return answer.status, await answer.json(content_type=None)
+        return None, None
+
+
+def configuration(revision: int) -> dict[str, Any]:
+    """Return a configuration; one of its routes is there in this revision only."""
+    kinds = {"safe": "safe", "order": "unsafe", "photo": "upload"}
+    routes = {f"/{name}/": (kind, name) for name, kind in kinds.items()}
+    routes[f"/only-{revision}/"] = ("safe", "only")
+    resources: list[dict[str, Any]] = [
+        _route(name, prefix, kind, SERVICES[name == "photo"])
+        for prefix, (kind, name) in routes.items()
+    ]
+    limits = {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 67108864,
+        "headerTimeout": "3000ms",
+        "idleTimeout": "15000ms",
+    }
+    resources += [_service(name) for name in SERVICES]
+    resources.append({"resourceKind": "limits", "metadata": {}, "spec": limits})
+    return {"version": revision, "resources": resources}
+
+
+def _route(name: str, prefix: str, kind: str, service: str) -> dict[str, Any]:
+    spec = {
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeout": "2500ms",
+        "targetLatency": "600ms",
+        "priority": 2 if kind == "safe" else 1,
+        "service": service,
+        "maxAttempts": 2,
+        "sticky": True,
+        "homeRegions": [],
+    }
+    return {"resourceKind": "routes", "metadata": {"name": name}, "spec": spec}
+
+
+def _service(name: str) -> dict[str, Any]:
+    spec = {
+        "healthPath": "/health",
+        "maxConns": 300,
+        "protocol": "h1",
+        "tls": False,
+        "coldStart": "1s",
+        "coldPerS": 8.0,
+    }
+    return {"resourceKind": "services", "metadata": {"name": name}, "spec": spec}
