--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -92,6 +92,27 @@
             await process.wait()
 
 
+@pytest.mark.processes
+async def test_process_ignores_a_reload_while_it_imports(tmp_path: pathlib.Path):
+    # Soak seed 540815866: SIGHUP ended a process that had just been started.
+    process = await start(write_settings(tmp_path), "control")
+    try:
+        status = pathlib.Path(f"/proc/{process.pid}/status")
+        while not ignores_hangup(status.read_text()):
+            await asyncio.sleep(0.001)
+            assert process.returncode is None
+        process.send_signal(signal.SIGHUP)
+        await read_until(process, "process.started")
+    finally:
+        process.kill()
+        await process.wait()
+
+
+def ignores_hangup(status: str) -> bool:
+    ignored = next(line for line in status.splitlines() if line.startswith("SigIgn"))
+    return bool(int(ignored.split()[1], 16) & 1 << (signal.SIGHUP - 1))
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize(
     ("text", "arguments", "named"),
