Tell the borrowing region what a lent endpoint knows; keep lucky hits out of the cold time

The borrowing region's dispatcher takes each for one that knows no object, some 30 objects of 0.64 s and more each, and spreads requests over them as over any cold endpoint; hits that it did not expect lowered what it takes for the time without an object.

Change: the dispatcher that lends sends the objects of the endpoint to the one that borrows. An unexpected hit no longer counts as a time without the object.

--- a/packages/gateway/src/yuccapitch/gateway/front/place_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/place_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Callable, Iterable
 
 from yuccapitch.catalogue import ids
@@ -12,9 +13,19 @@
 # Time between two summaries for whoever dispatches next.
 SUMMARY_INTERVAL_S = 2.0
 
+# Time for which a message to another region's dispatcher is worth sending.
+UNTOLD_S = 3.0
+
 _OUTCOMES_BY_VALUE = {outcome.value: outcome for outcome in model.Outcome}
 
 
+@dataclasses.dataclass(frozen=True)
+class _Untold:
+    dispatcher_id: ids.InstanceId
+    message: messages.WarmObjects
+    since: float
+
+
 class PlaceService:
     """The dispatcher's side of the messages about places."""
 
@@ -36,6 +47,7 @@
         self._is_able = is_able
         self._granted_by_attempt_id: dict[model.AttemptId, model.Granted] = {}
         self._peer_ids: frozenset[ids.InstanceId] = frozenset()
+        self._untold: list[_Untold] = []
         self._summary_due_at = clock() + SUMMARY_INTERVAL_S
         self.local = placing.LocalPlacer(own, clock)
         self.dispatcher_id: ids.InstanceId | None = None
@@ -56,10 +68,29 @@
         """Take in the instances that may ask, or dispatch later."""
         self._peer_ids = frozenset(peer_ids) - {self._instance_id}
 
+    def lend(
+        self, endpoint_ids: Iterable[ids.EndpointId], dispatcher_id: ids.InstanceId
+    ) -> None:
+        """Tell another region's dispatcher what the endpoints lent to it know."""
+        if not self.is_dispatcher or dispatcher_id == self._instance_id:
+            return
+        now = self._clock()
+        objects = tuple(
+            messages.WarmObject(object_id, endpoint_id, milliseconds(now - used_at))
+            for endpoint_id in endpoint_ids
+            for object_id, used_at in self._own.warm_objects(endpoint_id, now)
+        )
+        if objects:
+            untold = _Untold(dispatcher_id, messages.WarmObjects(objects), now)
+            self._untold.append(untold)
+            self._tell_untold(now)
+
     def tick(self) -> None:
         """Let the dispatcher act on the passing of time."""
         self.local.tick()
         now = self._clock()
+        if self._untold:
+            self._tell_untold(now)
         if now >= self._summary_due_at:
             self._summary_due_at = now + SUMMARY_INTERVAL_S
             if self.is_dispatcher:
@@ -77,6 +108,15 @@
             self._clock() - warm.age_ms / headers.MS_PER_S,
         )
 
+    def _tell_untold(self, now: float) -> None:
+        # Sending opens a link where there is none, and is tried again.
+        self._untold = [
+            untold
+            for untold in self._untold
+            if now - untold.since < UNTOLD_S
+            and not self._links.send(untold.dispatcher_id, untold.message)
+        ]
+
     def _tell_summary(self) -> None:
         summary = self._own.summary()
         for peer_id in self._peer_ids:
--- a/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
@@ -157,6 +157,12 @@
         """Take in the other entry instances of the region."""
         self._service.set_peers(peer_ids)
 
+    def lend(
+        self, endpoint_ids: Iterable[ids.EndpointId], dispatcher_id: ids.InstanceId
+    ) -> None:
+        """Tell another region's dispatcher what the endpoints lent to it know."""
+        self._service.lend(endpoint_ids, dispatcher_id)
+
     def tick(self) -> None:
         """Let the own dispatcher act on the passing of time."""
         self._service.tick()
--- a/packages/gateway/tests/front/test_region_placing.py
+++ b/packages/gateway/tests/front/test_region_placing.py
@@ -267,3 +267,28 @@
     region.placers[B]._own._durations.observe(ids.RouteId("r"), warm, True, 0.8)
     region.appoint(A)
     assert region.placers[A]._own._durations.warm_s(ids.RouteId("r")) == 0.8
+
+
+async def test_lend_tells_the_other_region_what_the_endpoint_knows():
+    # A region short of slots borrows an endpoint that is full of warm objects.
+    region = Region("e1")
+    region.placers[A].set_dispatcher(A)
+    region.placers[C].set_dispatcher(C)
+    granted = await place(region, A, "first")
+    region.placers[A].release(granted, model.Outcome.ANSWERED, None, None)
+    region.network.silent.add(C)
+    region.placers[A].lend([granted.endpoint.endpoint_id], C)
+    region.network.silent.discard(C)
+    region.placers[A].tick()
+    state = region.placers[C]._own.table.states_by_id[granted.endpoint.endpoint_id]
+    assert state.is_warm("r/7", asyncio.get_running_loop().time())
+
+
+async def test_lend_is_for_the_dispatcher_only():
+    region = Region("e1")
+    region.appoint(A)
+    granted = await place(region, B, "first")
+    region.placers[B].release(granted, model.Outcome.ANSWERED, None, None)
+    region.placers[B].lend([granted.endpoint.endpoint_id], C)
+    state = region.placers[C]._own.table.states_by_id[granted.endpoint.endpoint_id]
+    assert not state.is_warm("r/7", asyncio.get_running_loop().time())
--- a/packages/node/src/yuccapitch/node/routed/control_dispatching.py
+++ b/packages/node/src/yuccapitch/node/routed/control_dispatching.py
@@ -81,8 +81,8 @@
         return places.waiting_count(), places.granted_count()
 
     def _follow_choice(self) -> None:
-        chosen = self._fleet.dispatcher_ids_by_region.get(self._given.region_id)
-        dispatcher_id = None if chosen is None else ids.InstanceId(chosen)
+        self._region.set_dispatchers(self._fleet.dispatchers)
+        dispatcher_id = self._region.dispatcher_id
         if dispatcher_id == self._service.dispatcher_id:
             return
         events.event(
@@ -107,7 +107,10 @@
             self._instances_version = fleet.instances_version
             self._apply_entries(fleet.instances)
         if is_changed and self._table is not None:
-            self._region.refresh(self._table)
+            lent = self._region.refresh(self._table)
+            for dispatcher_id, endpoint_ids in lent.items():
+                following.set_address_by_id(self._links, dispatcher_id)
+                self._service.lend(endpoint_ids, dispatcher_id)
         return self._table is not None and bool(self._region.endpoints)
 
     def _apply_state(self, state: messages.OrderSnapshot) -> bool:
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -221,7 +221,10 @@
         if answer.instances is not None:
             self._apply_instances(answer.instances, answer.dispatchers)
         if is_changed and self._view.table is not None:
-            self._region.refresh(self._view.table)
+            lent = self._region.refresh(self._view.table)
+            for dispatcher_id, endpoint_ids in lent.items():
+                following.set_address_by_id(self._links, dispatcher_id)
+                self._placer.lend(endpoint_ids, dispatcher_id)
 
     def _apply_state(self, state: messages.OrderSnapshot, index: int) -> bool:
         known = self._view.table
@@ -255,11 +258,10 @@
         peers = [i for i in instances if i.region_id == given.region_id]
         for peer in peers:
             following.set_address_by_id(self._links, peer.instance_id)
-        dispatcher_id = None
-        for dispatching in dispatchers:
-            if dispatching.region_id == given.region_id:
-                dispatcher_id = ids.InstanceId(dispatching.instance_id)
-                following.set_address_by_id(self._links, dispatcher_id)
+        self._region.set_dispatchers(dispatchers)
+        dispatcher_id = self._region.dispatcher_id
+        if dispatcher_id is not None:
+            following.set_address_by_id(self._links, dispatcher_id)
         is_own = dispatcher_id == given.instance_id
         share = 1.0 if is_own else 1 / max(1, len(peers))
         self._dispatcher.table.capacity_share = share
--- a/packages/node/src/yuccapitch/node/routed/region_view.py
+++ b/packages/node/src/yuccapitch/node/routed/region_view.py
@@ -22,6 +22,7 @@
         self._endpoints_by_id: dict[ids.EndpointId, model.Endpoint] = {}
         self._domains_by_entry_id: dict[str, ids.FailureDomainId] = {}
         self._evacuated: frozenset[ids.FailureDomainId] = frozenset()
+        self._dispatcher_ids_by_region: dict[ids.RegionId, ids.InstanceId] = {}
         self.dispatcher = dispatcher.Dispatcher(
             given.region_id, self._domain_of_entry, random.Random()
         )
@@ -61,14 +62,38 @@
         }
         return former_ids - set(self._domains_by_entry_id)
 
-    def refresh(self, table: routes.RouteTable) -> None:
-        """Let the dispatcher use what is known now."""
-        self.dispatcher.table.update(
+    def set_dispatchers(self, dispatchers: Iterable[messages.RegionDispatcher]) -> None:
+        """Take in the dispatchers of all regions."""
+        self._dispatcher_ids_by_region = {
+            ids.RegionId(dispatcher.region_id): ids.InstanceId(dispatcher.instance_id)
+            for dispatcher in dispatchers
+        }
+
+    @property
+    def dispatcher_id(self) -> ids.InstanceId | None:
+        """The dispatcher of the own region."""
+        return self._dispatcher_ids_by_region.get(self._given.region_id)
+
+    def refresh(
+        self, table: routes.RouteTable
+    ) -> dict[ids.InstanceId, list[ids.EndpointId]]:
+        """Let the dispatcher use what is known now.
+
+        Returns the endpoints that were lent, by the dispatcher that has them now.
+        """
+        lent = self.dispatcher.table.update(
             self._endpoints_by_id.values(),
             table.services_by_id,
             self._evacuated,
             self._clock(),
         )
+        lent_by_dispatcher: dict[ids.InstanceId, list[ids.EndpointId]] = {}
+        for endpoint_id in lent:
+            region_id = self._endpoints_by_id[endpoint_id].serving_region_id
+            dispatcher_id = self._dispatcher_ids_by_region.get(region_id)
+            if dispatcher_id is not None:
+                lent_by_dispatcher.setdefault(dispatcher_id, []).append(endpoint_id)
+        return lent_by_dispatcher
 
     def demands(self) -> tuple[messages.ServiceDemand, ...]:
         """Return the slots that the requests of the dispatcher need."""
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -124,6 +124,13 @@
         )
         return model.Granted(request.attempt_id, state.endpoint)
 
+    def warm_objects(
+        self, endpoint_id: ids.EndpointId, now: float
+    ) -> list[tuple[str, float]]:
+        """Return the objects that an endpoint knows, with the time of their use."""
+        state = self._table.states_by_id.get(endpoint_id)
+        return [] if state is None else state.warm_objects(now)
+
     def note_warm(
         self, endpoint_id: ids.EndpointId, warm_object_id: str, used_at: float
     ) -> None:
--- a/packages/steering/src/yuccapitch/steering/placement/durations.py
+++ b/packages/steering/src/yuccapitch/steering/placement/durations.py
@@ -15,6 +15,8 @@
 INITIAL_S = 0.3
 # A request that took less than this part of the time without its object had it at hand.
 WARM_RATIO = 0.6
+# Part by which an unexpectedly short request lowers the time taken for usual.
+DOUBT = 0.02
 MS_PER_S = 1000
 
 
@@ -48,8 +50,12 @@
         known.mean_s = _smooth(known.mean_s, duration_s)
         if visit.is_warm and had_object:
             known.warm_s = _smooth(known.warm_s, duration_s)
-        elif not visit.is_warm and not (visit.was_dropped and had_object):
+        elif not visit.is_warm and not had_object:
             known.cold_s = _smooth(known.cold_s, duration_s)
+        elif not visit.is_warm and known.cold_s is not None:
+            # Another region's request left the object there. Where this is said of most
+            # requests, the time without an object was taken to be too long.
+            known.cold_s *= 1.0 - DOUBT
 
     def had_object(
         self, route_id: ids.RouteId, visit: warm_capacity.Visit, duration_s: float
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -119,6 +119,14 @@
         used_at = self._used_at_by_key.get(key)
         return used_at is not None and now - used_at < WARM_S
 
+    def warm_objects(self, now: float) -> list[tuple[str, float]]:
+        """Return the objects that the endpoint knows, with the time of their use."""
+        return [
+            (key, used_at)
+            for key, used_at in self._used_at_by_key.items()
+            if self.is_warm(key, now)
+        ]
+
     def begin(self, key: str, now: float) -> warm_capacity.Visit:
         """Count a request, and tell what the endpoint knew of its object."""
         self.in_flight += 1
--- a/packages/steering/src/yuccapitch/steering/placement/table.py
+++ b/packages/steering/src/yuccapitch/steering/placement/table.py
@@ -38,8 +38,12 @@
         services_by_id: dict[ids.ServiceId, routes.RoutedService],
         evacuated_domains: frozenset[ids.FailureDomainId],
         now: float,
-    ) -> None:
-        """Take in the endpoints, the services and the evacuations in force."""
+    ) -> list[ids.EndpointId]:
+        """Take in the endpoints, the services and the evacuations in force.
+
+        Returns the endpoints that serve another region from now on.
+        """
+        lent: list[ids.EndpointId] = []
         returned = self._evacuated_domains - evacuated_domains
         self._evacuated_domains = evacuated_domains
         former = self.states_by_id
@@ -63,11 +67,14 @@
                     state.chill(now, service.cold_duration_s, self.capacity_share)
             elif endpoint.failure_domain in returned:
                 state.chill(now, service.cold_duration_s, self.capacity_share)
+            elif self._is_lent(state.endpoint, endpoint):
+                lent.append(endpoint.endpoint_id)
             state.update(endpoint, service)
             self.states_by_id[endpoint.endpoint_id] = state
             group = self._states_by_service_id.setdefault(endpoint.service_id, [])
             group.append(state)
         self._has_endpoints = self._has_endpoints or bool(self.states_by_id)
+        return lent
 
     def warm_capacity(self, service_id: ids.ServiceId) -> warm_capacity.WarmCapacity:
         """Return how many objects an endpoint of the service keeps."""
@@ -166,3 +173,7 @@
     def transit_s(self, region_id: ids.RegionId) -> float:
         """Return the round trip to a region."""
         return self._transit_s_by_region_id.get(region_id, OTHER_REGION_S)
+
+    def _is_lent(self, former: model.Endpoint, endpoint: model.Endpoint) -> bool:
+        was_own = former.serving_region_id == self.region_id
+        return was_own and endpoint.serving_region_id != self.region_id
--- a/packages/steering/tests/placement/test_dispatcher.py
+++ b/packages/steering/tests/placement/test_dispatcher.py
@@ -313,3 +313,11 @@
         regions[is_large].append(grant(dispatcher, request).endpoint.region_id)
     assert set(regions[True]) == {places.NORTH}
     assert places.SOUTH in regions[False]
+
+
+def test_update_names_the_endpoints_that_were_lent():
+    dispatcher = places.make(places.endpoint("e1"), places.endpoint("e2"))
+    services = {places.SERVICE: places.service()}
+    listed = [places.endpoint("e1", serving=places.SOUTH), places.endpoint("e2")]
+    assert dispatcher.table.update(listed, services, frozenset(), 1.0) == ["e1"]
+    assert dispatcher.table.update(listed, services, frozenset(), 2.0) == []
