Count a replica's silence from the start of its process; hold followers until a leader stands

A replica waited a whole election timeout after its log was read, though its process had begun 0.7 to 1.0 s before and the one before it had ended earlier still; and entries asked in turns of 0.1 s.

Change: the core is told when its process began. An instance that knows no leader holds a follower's request up to 0.3 s until one is there. Ruled out: serving from the last routes on disk before a leader stands, as they may be older than what was acknowledged. Tests: test_restart_counts_the_silence_from_the_start_of_the_process, test_follow_waits_for_a_leader_that_is_being_elected; the simulation of the core restarts replicas with the time of their end as the start, the worst case.

--- a/packages/consensus/src/yuccapitch/consensus/core.py
+++ b/packages/consensus/src/yuccapitch/consensus/core.py
@@ -45,6 +45,8 @@
     peer_ids: tuple[str, ...]
     is_founder: bool
     timing: core_state.Timing = core_state.Timing()
+    started_at_s: float | None = None
+    """When the process began, by the core's clock; before it answered nobody."""
 
 
 class Core:
@@ -62,6 +64,7 @@
         own_log = core_log.Log(snapshot)
         for entry in recovered.entries:
             own_log.append(entry)
+        began_s = now if settings.started_at_s is None else settings.started_at_s
         is_fresh = recovered.hard_state == effects.HardState(0, None)
         self._state = core_state.State(
             instance_id=settings.instance_id,
@@ -75,14 +78,14 @@
             term=recovered.hard_state.term,
             voted_for=recovered.hard_state.voted_for,
             commit_index=own_log.base_index,
-            # A replica that restarts may have just answered a leader.
-            last_heard_s=float("-inf") if is_fresh else now,
+            # Just before its start, a replica may have answered a leader.
+            last_heard_s=float("-inf") if is_fresh else min(began_s, now),
             election_deadline_s=now,
         )
         if snapshot:
             self._state.effects.append(effects.Restore(snapshot))
         if self._state.is_formed and not self._is_sole_voter():
-            core_state.reset_election_deadline(self._state, now)
+            core_state.reset_election_deadline(self._state, min(began_s, now))
 
     @property
     def identity(self) -> str:
--- a/packages/consensus/tests/simulation.py
+++ b/packages/consensus/tests/simulation.py
@@ -32,6 +32,7 @@
     core: core.Core | None = None
     generation: int = 1
     chain: int = 0
+    ended_at: float = 0.0
     applied_index: int = 0
     snapshot_index: int = 0
     crashes_in_next_flush: bool = False
@@ -85,7 +86,10 @@
     def start(self, instance_id):
         node = self.nodes[instance_id]
         peers = tuple(i for i in self.nodes if i != instance_id)
-        own_settings = core.Settings(instance_id, peers, instance_id == "c0", TIMING)
+        # A process begins after the end of the one before it.
+        own_settings = core.Settings(
+            instance_id, peers, instance_id == "c0", TIMING, node.local_s(node.ended_at)
+        )
         node.chain = node.applied_index = node.snapshot_index = 0
         node.proposals, node.barriers = {}, {}
         node.core = core.Core(
@@ -99,6 +103,7 @@
     def kill(self, instance_id):
         node = self.nodes[instance_id]
         node.core = None
+        node.ended_at = self.now
         node.disk.crash()
 
     def can_lose_disk(self, instance_id):
--- a/packages/consensus/tests/test_core_scenarios.py
+++ b/packages/consensus/tests/test_core_scenarios.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import random
 from unittest import mock
 
 import pytest
@@ -13,6 +14,7 @@
     effects,
     election,
     leadership,
+    membership,
     replication,
     state as core_state,
 )
@@ -260,3 +262,29 @@
     run, faults, patch = SCENARIOS[name]
     with patch, pytest.raises(AssertionError):
         run(faults)
+
+
+def make_restarted(now, started_at_s):
+    """Return a replica of a group of three that was started again."""
+    members = membership.Membership(
+        tuple(membership.Member(f"c{n}", f"id-{n}", True) for n in range(3))
+    )
+    formed = messages.LogEntry(
+        1, 1, messages.EntryKind.MEMBERSHIP, membership.encode(members)
+    )
+    recovered = core.Recovered("id-0", effects.HardState(1, None), None, (formed,))
+    own_settings = core.Settings(
+        "c0", ("c1", "c2"), False, simulation.TIMING, started_at_s
+    )
+    return core.Core(own_settings, recovered, random.Random(1), now)
+
+
+@pytest.mark.parametrize("started_at_s", [None, 6.0])
+def test_restart_counts_the_silence_from_the_start_of_the_process(started_at_s):
+    # Until then it answered nobody; the imports take longer than an election waits.
+    replica = make_restarted(9.0, started_at_s)
+    replica.tick(9.1)
+    taken = replica.take_effects(9.1)
+    sent = [effect.message for effect in taken if isinstance(effect, effects.Send)]
+    stands = any(isinstance(message, messages.PreVoteRequest) for message in sent)
+    assert stands is (started_at_s is not None)
--- a/packages/control/src/yuccapitch/control/coordinator.py
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -6,7 +6,7 @@
 import collections
 import time
 import typing
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import result
 
@@ -34,6 +34,12 @@
 FORWARD_TIMEOUT_S = 0.85
 LEADER_CHECK_INTERVAL_S = 0.1
 ALLOCATION_INTERVAL_S = 2.0
+# Longest time for which a follower waits here for a leader; well below its time-out.
+HOLD_S = 0.3
+HOLD_CHECK_INTERVAL_S = 0.02
+
+
+FollowReply = messages.FollowAnswer | messages.FollowRefusal
 
 
 class EndpointSource(typing.Protocol):
@@ -219,15 +225,31 @@
 
     def _on_follow(
         self, peer_id: str, request: messages.FollowRequest
-    ) -> messages.FollowAnswer | messages.FollowRefusal:
+    ) -> FollowReply | Awaitable[FollowReply]:
+        if self.is_leader or self._other_leader_id() is not None:
+            return self._reply(peer_id, request)
+        return self._reply_once_led(peer_id, request)
+
+    async def _reply_once_led(
+        self, peer_id: str, request: messages.FollowRequest
+    ) -> FollowReply:
+        # After the loss of all control instances every entry instance waits for this.
+        if request.is_entry:
+            # Look-ups are answered from this until a leader says what is so.
+            self.fleet.hear(request, self._clock())
+        give_up_at = self._clock() + HOLD_S
+        while self._clock() < give_up_at:
+            await asyncio.sleep(HOLD_CHECK_INTERVAL_S)
+            if self.is_leader or self._other_leader_id() is not None:
+                break
+        return self._reply(peer_id, request)
+
+    def _reply(self, peer_id: str, request: messages.FollowRequest) -> FollowReply:
         now = self._clock()
         if not self.is_leader:
-            leader_id = self._replica.leader_id
             if request.is_entry:
-                # Look-ups are answered from this until a leader says what is so.
                 self.fleet.hear(request, now)
-            known = "" if leader_id in (None, self._instance_id) else leader_id or ""
-            return messages.FollowRefusal(known)
+            return messages.FollowRefusal(self._other_leader_id() or "")
         self._ensure_lead(now)
         following.set_address_by_id(self._links, peer_id)
         hear = self.fleet.hear if request.is_entry else self.fleet.hear_control
@@ -235,6 +257,10 @@
             self._notify()
         return self._answer(request, now)
 
+    def _other_leader_id(self) -> str | None:
+        leader_id = self._replica.leader_id
+        return None if leader_id == self._instance_id else leader_id
+
     def _answer(
         self, request: messages.FollowRequest, now: float
     ) -> messages.FollowAnswer:
--- a/packages/control/tests/test_coordinator.py
+++ b/packages/control/tests/test_coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import time
 import types
@@ -53,6 +54,9 @@
         )
         self.coordinator.attach(self.replica, self.sign_of_life)
 
+    def pass_time(self, duration_s: float) -> None:
+        self.now += duration_s
+
     def sign_of_life(self) -> messages.FollowRequest:
         return messages.FollowRequest(
             A,
@@ -100,11 +104,12 @@
     assert [i.instance_id for i in answer.instances] == [B]
 
 
-def test_follow_is_refused_by_a_leader_that_was_suspended():
+async def test_follow_is_refused_by_a_leader_that_was_suspended():
     control = Control()
     # The clock counts the time for which the machine was suspended.
     control.now = 60.0
-    assert isinstance(control.follow(), messages.FollowRefusal)
+    asyncio.get_running_loop().call_later(0.05, control.pass_time, 1.0)
+    assert isinstance(await control.follow(), messages.FollowRefusal)
     assert not control.coordinator.is_leader
 
 
@@ -157,10 +162,30 @@
     assert B in [peer_id for peer_id, _ in control.links.sent]
 
 
-def test_follow_makes_an_entry_known_where_no_leader_is():
+async def test_follow_waits_for_a_leader_that_is_being_elected():
+    # Every instance was lost at once; each round of asking costs callers.
     control = Control()
     control.replica.leadership_confirmed_until = 0.0
-    control.follow()
+    control.replica.leader_id = None
+    waiting = asyncio.ensure_future(control.follow())
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    control.replica.leader_id = "10.0.0.3:7000"
+    assert await waiting == messages.FollowRefusal("10.0.0.3:7000")
+    control.replica.leader_id = A
+    waiting = asyncio.ensure_future(control.follow())
+    await asyncio.sleep(0)
+    control.replica.leadership_confirmed_until = 10.0
+    assert isinstance(await waiting, messages.FollowAnswer)
+
+
+async def test_follow_makes_an_entry_known_where_no_leader_is():
+    control = Control()
+    control.replica.leadership_confirmed_until = 0.0
+    waiting = asyncio.ensure_future(control.follow())
+    await asyncio.sleep(0)
+    control.pass_time(1.0)
+    await waiting
     assert [i.instance_id for i in control.coordinator.fleet.instances] == [B]
 
 
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -162,6 +162,7 @@
                 and bool(seeds)
                 and seeds[0] == given.instance_id,
                 timing=TIMING,
+                started_at_s=given.started_at_s,
             ),
             recovered,
             random.Random(),
--- a/packages/node/src/yuccapitch/node/routed/settings.py
+++ b/packages/node/src/yuccapitch/node/routed/settings.py
@@ -43,6 +43,8 @@
     retry_allowance: request_path.RetryAllowance
     link_bits_per_s: float = float("inf")
     """What the instance's own link carries each way."""
+    started_at_s: float | None = None
+    """When the process began, by the clock that counts suspensions."""
     data_dir: pathlib.Path | None = None
     callers: Listen | None = None
     readiness: Listen | None = None
