Read the list once elected; share endpoints out anew while instances are still being heard

Change: an elected leader reads the list before it is confirmed, beside its other work; one that knew no list shares out by the instances heard for 3 s; callers that meet no list are asked back in 0.3 s. Tests: test_read_list_shares_out_anew_until_every_instance_was_heard, test_run_list_reads_for_a_leader_that_is_not_confirmed, test_place_without_a_list_asks_callers_back_when_it_was_read.

--- a/packages/control/src/yuccapitch/control/coordinator.py
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -34,6 +34,9 @@
 FORWARD_TIMEOUT_S = 0.85
 LEADER_CHECK_INTERVAL_S = 0.1
 ALLOCATION_INTERVAL_S = 2.0
+# Time from the first reading of the list by a leader that knew none, in which the
+# endpoints are shared out by what instances are heard.
+SETTLE_S = 3.0
 # Longest time for which a follower waits here for a leader; well below its time-out.
 HOLD_S = 0.3
 HOLD_CHECK_INTERVAL_S = 0.02
@@ -70,6 +73,7 @@
         self._lead_term: int | None = None
         self._list_is_failing = False
         self._allocated_at = float("-inf")
+        self._unsettled_until = float("-inf")
         self.fleet = control_fleet.Fleet()
         links.handle(messages.FollowRequest, self._on_follow)
         links.handle(messages.SubmitRequest, self._on_submit)
@@ -115,7 +119,6 @@
 
     async def run(self) -> None:
         """Do the leader's periodic work until cancelled."""
-        next_list_at = 0.0
         while True:
             await asyncio.sleep(LEADER_CHECK_INTERVAL_S)
             now = self._clock()
@@ -127,8 +130,15 @@
             silence_s = max(LEAST_SILENCE_S, SILENT_POLLS * self._poll_interval_s())
             if self.fleet.expire(now, silence_s) or is_changed:
                 self._notify()
-            if now >= next_list_at:
-                next_list_at = now + LIST_INTERVAL_S
+
+    async def run_list(self) -> None:
+        """Read the platform's list while leading, until cancelled."""
+        next_at = 0.0
+        while True:
+            await asyncio.sleep(HOLD_CHECK_INTERVAL_S)
+            # An elected leader reads it before it is confirmed: callers wait for both.
+            if self._replica.is_leader and self._clock() >= next_at:
+                next_at = self._clock() + LIST_INTERVAL_S
                 await self._read_list()
 
     async def submit(self, command: bytes) -> result.Result[None, str]:
@@ -341,7 +351,7 @@
         if self._list_is_failing:
             events.event("list.read-again", endpoints=len(outcome.ok_value))
         self._list_is_failing = False
-        if not self.is_leader:
+        if not self._replica.is_leader:
             return
         records = self._allocate(outcome.ok_value, now)
         if self.fleet.list_endpoints(records, now):
@@ -350,15 +360,17 @@
     def _allocate(
         self, records: tuple[messages.EndpointRecord, ...], now: float
     ) -> tuple[messages.EndpointRecord, ...]:
-        may_move = now - self._allocated_at >= ALLOCATION_INTERVAL_S
-        if may_move:
-            self._allocated_at = now
-        if not may_move:
-            return allocation.assign(records, self.fleet.endpoints_by_id, {}, {})
+        if self.fleet.endpoints_read_at is None:
+            self._unsettled_until = now + SETTLE_S
         weights = collections.Counter(i.region_id for i in self.fleet.instances)
-        return allocation.assign(
-            records, self.fleet.endpoints_by_id, self.fleet.demands(), weights
-        )
+        if now < self._unsettled_until:
+            # Nothing is known of former loans, and not every instance was heard yet.
+            return allocation.assign(records, {}, {}, weights)
+        former = self.fleet.endpoints_by_id
+        if now - self._allocated_at < ALLOCATION_INTERVAL_S:
+            return allocation.assign(records, former, {}, {})
+        self._allocated_at = now
+        return allocation.assign(records, former, self.fleet.demands(), weights)
 
 
 def _visible(
--- a/packages/control/tests/test_coordinator.py
+++ b/packages/control/tests/test_coordinator.py
@@ -7,6 +7,8 @@
 import time
 import types
 
+import result
+
 from yuccapitch.control import coordinator, orders
 from yuccapitch.protocol import subscription_messages as messages
 
@@ -35,6 +37,25 @@
         return True
 
 
+class Source:
+    """A platform's list with four endpoints in the south and none in the north."""
+
+    def __init__(self) -> None:
+        self.reads = 0
+
+    async def read(self):
+        self.reads += 1
+        return result.Ok(
+            tuple(
+                messages.EndpointRecord(
+                    f"e{n}", "orders", "10.0.1.1", 80, "south-a", 4, False, 0, 0,
+                    "south",
+                )
+                for n in range(4)
+            )
+        )  # fmt: skip
+
+
 class Control:
     """A coordinator whose leadership is confirmed until 10 s."""
 
@@ -43,7 +64,7 @@
         self.links = Links()
         self.state = orders.OrderState()
         self.coordinator = coordinator.Coordinator(
-            A, self.state, self.links, None, lambda: self.now
+            A, self.state, self.links, Source(), lambda: self.now
         )
         members = types.SimpleNamespace(members=())
         self.replica = types.SimpleNamespace(
@@ -189,6 +210,29 @@
     assert [i.instance_id for i in control.coordinator.fleet.instances] == [B]
 
 
+async def test_read_list_shares_out_anew_until_every_instance_was_heard():
+    # All instances were lost: the first to be heard are all of one region.
+    control = Control()
+    control.follow(instance_id="10.0.0.3:7000", region_id="south")
+    await control.coordinator._read_list()
+    control.follow(instance_id="10.0.0.4:7000", region_id="north")
+    control.pass_time(0.5)
+    await control.coordinator._read_list()
+    endpoints = control.coordinator.fleet.endpoints
+    assert [e.serving_region_id for e in endpoints].count("north") == 2
+
+
+async def test_run_list_reads_for_a_leader_that_is_not_confirmed():
+    control = Control()
+    control.replica.leadership_confirmed_until = 0.0
+    source = control.coordinator._source
+    running = asyncio.ensure_future(control.coordinator.run_list())
+    while not source.reads:
+        await asyncio.sleep(0.01)
+    running.cancel()
+    assert control.coordinator.fleet.endpoints_read_at is not None
+
+
 def test_boot_time_counts_while_suspended():
     before = time.clock_gettime(time.CLOCK_BOOTTIME)
     now = coordinator.boot_time_s()
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -129,6 +129,7 @@
         self._stack.push_async_callback(self._replica.aclose)
         tasks.start(self._replica.wait_stopped(), self._stack, self._on_failed)
         tasks.start(self._coordinator.run(), self._stack, self._on_failed)
+        tasks.start(self._coordinator.run_list(), self._stack, self._on_failed)
         tasks.start(self._follow(), self._stack, self._on_failed)
         tasks.start(self._dispatching.run(), self._stack, self._on_failed)
         self._add_gauges()
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -77,7 +77,9 @@
         self._count_demand(request, now)
         allowed = self._table.allowed(request)
         if not allowed:
-            return self._refuse(request, model.RefusalReason.NO_ENDPOINT, 1.0)
+            return self._refuse(
+                request, model.RefusalReason.NO_ENDPOINT, self._table.expected_in_s()
+            )
         preferred, others = self._sides(request, allowed, now)
         found = self._chooser.choose(request, preferred, now, takes_cold=False)
         flow = self._flows_by_service_id[request.service_id]
--- a/packages/steering/src/yuccapitch/steering/placement/table.py
+++ b/packages/steering/src/yuccapitch/steering/placement/table.py
@@ -10,6 +10,10 @@
 
 # Assumed round trip to another region before one was measured.
 OTHER_REGION_S = 0.1
+# Time until endpoints are there: of a list that was not read yet, and of a service that
+# has none now.
+FIRST_LIST_S = 0.3
+NEXT_ENDPOINT_S = 1.0
 # Slots used beyond the own ones, as a part of them, while requests are on the way.
 MAX_TRANSIT_FACTOR = 0.5
 
@@ -101,6 +105,10 @@
         # shares what others use.
         return serving or usable
 
+    def expected_in_s(self) -> float:
+        """Return when to ask again where no endpoint may serve a request."""
+        return NEXT_ENDPOINT_S if self._has_endpoints else FIRST_LIST_S
+
     def may_use(self, endpoint: model.Endpoint) -> bool:
         """Tell whether an endpoint is neither leaving nor evacuated."""
         return (
--- a/packages/steering/tests/placement/test_dispatcher.py
+++ b/packages/steering/tests/placement/test_dispatcher.py
@@ -66,6 +66,16 @@
     assert decision.reason is model.RefusalReason.NO_ENDPOINT
 
 
+def test_place_without_a_list_asks_callers_back_when_it_was_read():
+    # All instances started again; the leader reads the list within a moment.
+    refused = places.make().place(places.request(1), 0.0)
+    assert refused.retry_after_s < 0.5
+    others = places.endpoint("e1", service_id=ids.ServiceId("another"))
+    known = places.make(places.endpoint("e2"), others)
+    request = places.request(1, service_id=ids.ServiceId("another"))
+    assert known.place(request, 0.0).retry_after_s >= 1.0
+
+
 def test_release_gives_the_slot_to_the_most_urgent():
     dispatcher = places.make(places.endpoint("e1", slots=1))
     held = grant(dispatcher, places.request(1))
