Send routes compressed and once; let only dispatchers tick; wait longer on slow links

Every entry instance looked at all endpoints 50 times a second once it had heard a dispatcher's summary. Routes were sent whole with each change, also with an evacuation, and an answer that stands behind uploads for 0.6 s counted as the loss of the leader, which made the entry ask elsewhere and get all of it again.

Change: an entry that does not dispatch and holds nothing does not tick; the share sent elsewhere is moved 10 times a second. Routes are compressed and left out where the follower has the revision. A follower on a slow link waits 0.6 s and the time of 150 KB. Test: test_follow_sends_the_routes_compressed_and_once.

--- a/packages/control/src/yuccapitch/control/coordinator.py
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -6,6 +6,7 @@
 import collections
 import time
 import typing
+import zlib
 from collections.abc import Awaitable, Callable
 
 import result
@@ -72,6 +73,7 @@
         self._sign_of_life: Callable[[], messages.FollowRequest]
         self._lead_term: int | None = None
         self._list_is_failing = False
+        self._compressed = (orders.NO_REVISION, b"")
         self._allocated_at = float("-inf")
         self._unsettled_until = float("-inf")
         self.fleet = control_fleet.Fleet()
@@ -286,11 +288,7 @@
         return messages.FollowAnswer(
             term=term,
             state_index=self._state.index,
-            state=(
-                None
-                if request.state_index >= self._state.index
-                else self._state.message()
-            ),
+            state=self._state_for(request),
             endpoints_version=fleet.endpoints_version,
             endpoints=endpoints,
             endpoints_age_ms=-1 if read_at is None else round((now - read_at) * 1000),
@@ -305,6 +303,24 @@
             entry_count=len(instances),
         )
 
+    def _state_for(
+        self, request: messages.FollowRequest
+    ) -> messages.StateUpdate | None:
+        if request.state_index >= self._state.index:
+            return None
+        state = self._state.message()
+        content = b""
+        if request.revision != state.revision:
+            content = self._compress(state)
+        return messages.StateUpdate(state.revision, content, state.evacuated_domains)
+
+    def _compress(self, state: messages.OrderSnapshot) -> bytes:
+        revision, content = self._compressed
+        if revision != state.revision:
+            content = zlib.compress(state.content)
+            self._compressed = (state.revision, content)
+        return content
+
     def _endpoints_for(
         self, request: messages.FollowRequest, is_same_term: bool
     ) -> tuple[
--- a/packages/control/src/yuccapitch/control/following.py
+++ b/packages/control/src/yuccapitch/control/following.py
@@ -17,6 +17,9 @@
 
 # A round trip between regions, one lost packet, and the work of the leader.
 REQUEST_TIMEOUT_S = 0.6
+# Bodies on the own link before an answer: two or three uploads of some 60 KB.
+BYTES_BEFORE_ANSWER = 150_000
+BITS_PER_BYTE = 8
 RETRY_DELAY_S = 0.1
 
 
@@ -40,8 +43,10 @@
         request: Callable[[Position], messages.FollowRequest],
         on_answer: Callable[[messages.FollowAnswer], None],
         clock: Callable[[], float],
+        link_bits_per_s: float = float("inf"),
     ) -> None:
         """Ask with what ``request`` builds and hand answers to ``on_answer``."""
+        self._timeout_s = REQUEST_TIMEOUT_S + wait_on_link_s(link_bits_per_s)
         self._links = links
         self._control_ids = list(seed_ids)
         self._request = request
@@ -99,7 +104,7 @@
         sent_at = self._clock()
         self._wake.clear()
         reply = await self._links.request(
-            target_id, self._request(self.position), REQUEST_TIMEOUT_S
+            target_id, self._request(self.position), self._timeout_s
         )
         if isinstance(reply, result.Err):
             self._lose(target_id, str(reply.err_value))
@@ -164,6 +169,11 @@
             self._wake.set()
 
 
+def wait_on_link_s(link_bits_per_s: float) -> float:
+    """Return how long an answer may stand behind bodies on the instance's own link."""
+    return BYTES_BEFORE_ANSWER * BITS_PER_BYTE / link_bits_per_s
+
+
 def set_address_by_id(links: inner_peers.Peers, instance_id: str) -> None:
     """Tell the links where an instance listens; its id is its inner address."""
     host, _, port = instance_id.rpartition(":")
--- a/packages/control/tests/test_coordinator.py
+++ b/packages/control/tests/test_coordinator.py
@@ -6,11 +6,12 @@
 import math
 import time
 import types
+import zlib
 
 import result
 
 from yuccapitch.control import coordinator, orders
-from yuccapitch.protocol import subscription_messages as messages
+from yuccapitch.protocol import codec, subscription_messages as messages
 
 A, B = "10.0.0.1:7000", "10.0.0.2:7000"
 
@@ -113,6 +114,7 @@
             "demands": (),
             "link_bits_per_s": math.inf,
             "dispatcher_id": "",
+            "revision": -1,
         }
         request = messages.FollowRequest(**{**fields, **changes})
         handler = self.links.handlers_by_type[messages.FollowRequest]
@@ -165,6 +167,21 @@
     assert control.follow(**{**position, "term": 1}).endpoints is not None
 
 
+def test_follow_sends_the_routes_compressed_and_once():
+    # Routes of 100 KB take a third of a second on a link of 2.45 Mbit/s.
+    control = Control()
+    content = b'{"pathPrefix": "/orders/"}' * 4000
+    order = messages.RouteDeclaration(3, content)
+    control.state.apply(1, codec.encode(order))
+    update = control.follow().state
+    assert zlib.decompress(update.compressed_content) == content
+    assert len(update.compressed_content) < len(content) / 50
+    evacuation = messages.EvacuationOrder("north-a", True)
+    control.state.apply(2, codec.encode(evacuation))
+    update = control.follow(state_index=1, revision=3).state
+    assert update == messages.StateUpdate(3, b"", ("north-a",))
+
+
 def test_follow_tells_an_entry_of_its_region_only():
     control = Control()
     control.follow(instance_id="10.0.0.3:7000", region_id="south")
--- a/packages/control/tests/test_fleet.py
+++ b/packages/control/tests/test_fleet.py
@@ -12,7 +12,7 @@
 def sign_of_life(instance_id: str, **changes: object) -> messages.FollowRequest:
     request = messages.FollowRequest(
         instance_id, True, "north", "north-a", "10.0.0.1", 80, True, False, 0, 0, 0, 0,
-        (), math.inf, "",
+        (), math.inf, "", -1,
     )  # fmt: skip
     return dataclasses.replace(request, **changes)  # type: ignore[arg-type]
 
--- a/packages/control/tests/test_following.py
+++ b/packages/control/tests/test_following.py
@@ -115,7 +115,7 @@
 
 async def test_poll_keeps_its_position_where_nothing_is_new():
     followed = Followed(A)
-    state = messages.OrderSnapshot(3, b"", ())
+    state = messages.StateUpdate(3, b"", ())
     followed.links.replies_by_id[A] = answer(state=state, state_index=9)
     await followed.follower.poll()
     followed.links.replies_by_id[A] = answer(state_index=9)
--- a/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
@@ -14,6 +14,7 @@
 import result
 
 from yuccapitch.catalogue import ids
+from yuccapitch.control import following
 from yuccapitch.gateway.front import headers, place_service
 from yuccapitch.protocol import (
     events,
@@ -24,9 +25,6 @@
 
 # A dispatcher answers at once; this covers the way inside a region and a busy moment.
 ANSWER_TIMEOUT_S = 0.15
-# Bodies on the own link before an answer: two or three uploads of some 60 KB.
-BYTES_BEFORE_ANSWER = 150_000
-BITS_PER_BYTE = 8
 # Time for which a dispatcher that did not answer is not asked.
 AVOIDANCE_S = 1.0
 
@@ -67,9 +65,8 @@
         self._local = self._service.local
         self._find_endpoint = find_endpoint
         self._clock = clock
-        self._answer_timeout_s = (
-            ANSWER_TIMEOUT_S + BYTES_BEFORE_ANSWER * BITS_PER_BYTE / link_bits_per_s
-        )
+        on_link_s = following.wait_on_link_s(link_bits_per_s)
+        self._answer_timeout_s = ANSWER_TIMEOUT_S + on_link_s
         self._avoided_until = float("-inf")
         self._untold_dispatcher_id: ids.InstanceId | None = None
         self._held_by_attempt_id: dict[model.AttemptId, _Held] = {}
@@ -164,8 +161,9 @@
         self._service.lend(endpoint_ids, dispatcher_id)
 
     def tick(self) -> None:
-        """Let the own dispatcher act on the passing of time."""
-        self._service.tick()
+        """Let the own dispatcher act on the passing of time, where it has work."""
+        if self._service.is_dispatcher or self._own.is_busy:
+            self._service.tick()
 
     def forget_entry(self, entry_id: ids.InstanceId) -> None:
         """Free what an entry instance that is gone held."""
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -240,6 +240,7 @@
             demands=self._dispatching.demands(),
             link_bits_per_s=given.link_bits_per_s,
             dispatcher_id="",
+            revision=self._state.revision,
         )
 
     def _on_answer(self, answer: messages.FollowAnswer) -> None:
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import contextlib
+import zlib
 
 import result
 
 from yuccapitch.catalogue import ids, routes
-from yuccapitch.control import coordinator, following
+from yuccapitch.control import coordinator, following, orders
 from yuccapitch.gateway.front import region_placing, request_path, sending, view
 from yuccapitch.gateway.http1 import messages as http_messages, server as http_server
 from yuccapitch.node import tasks
@@ -52,7 +53,12 @@
         self._meters = metrics.Meters()
         self._links = inner_peers.Peers(given.instance_id, timing.LINK_TIMING)
         self._follower = following.Follower(
-            self._links, given.seed_ids, self._request, self._on_answer, self._clock
+            self._links,
+            given.seed_ids,
+            self._request,
+            self._on_answer,
+            self._clock,
+            given.link_bits_per_s,
         )
         self._region = region_view.RegionView(given, self._clock)
         self._dispatcher = self._region.dispatcher
@@ -140,7 +146,7 @@
         meters.gauge(
             "revision",
             "Revision of the routes in use; -1 without any.",
-            lambda: -1 if view_.table is None else view_.table.revision,
+            lambda: _revision(view_),
         )
         meters.gauge(
             "confirmed_seconds",
@@ -200,6 +206,7 @@
             demands=self._region.demands(),
             link_bits_per_s=given.link_bits_per_s,
             dispatcher_id=self._placer.dispatcher_id or "",
+            revision=_revision(self._view),
         )
 
     def _on_answer(self, answer: messages.FollowAnswer) -> None:
@@ -226,10 +233,10 @@
                 following.set_address_by_id(self._links, dispatcher_id)
                 self._placer.lend(endpoint_ids, dispatcher_id)
 
-    def _apply_state(self, state: messages.OrderSnapshot, index: int) -> bool:
-        known = self._view.table
-        if state.content and (known is None or state.revision > known.revision):
-            decoded = self._adapter.decode_routes(state.content)
+    def _apply_state(self, state: messages.StateUpdate, index: int) -> bool:
+        if state.compressed_content and state.revision > _revision(self._view):
+            content = zlib.decompress(state.compressed_content)
+            decoded = self._adapter.decode_routes(content)
             if isinstance(decoded, result.Err):
                 events.event(
                     "routes.refused",
@@ -269,3 +276,7 @@
         self._placer.set_dispatcher(dispatcher_id)
         for gone_id in gone_ids:
             self._placer.forget_entry(ids.InstanceId(gone_id))
+
+
+def _revision(state: view.View) -> int:
+    return orders.NO_REVISION if state.table is None else state.table.revision
--- a/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
@@ -35,6 +35,17 @@
     evacuated_domains: tuple[str, ...]
 
 
+@registry.message(106)
+@dataclasses.dataclass(frozen=True)
+class StateUpdate:
+    """The replicated state for a follower on what may be a slow link."""
+
+    revision: int
+    compressed_content: bytes
+    """In zlib's format; empty where the follower has the revision."""
+    evacuated_domains: tuple[str, ...]
+
+
 @registry.message(93)
 @dataclasses.dataclass(frozen=True)
 class ServiceDemand:
@@ -69,6 +80,8 @@
     """What the sender's link carries; infinite if it is not told."""
     dispatcher_id: str
     """The dispatcher that the sender uses; empty without one."""
+    revision: int
+    """Revision of the routes that the sender has; -1 for none."""
 
 
 @registry.message(95)
@@ -130,7 +143,7 @@
 
     term: int
     state_index: int
-    state: OrderSnapshot | None
+    state: StateUpdate | None
     endpoints_version: int
     endpoints: tuple[EndpointRecord, ...] | None
     endpoints_age_ms: int
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -31,6 +31,8 @@
 # Longest queue of a service as a multiple of its slots.
 MAX_QUEUE_PER_SLOT = 4
 MIN_RETRY_AFTER_S = 0.1
+# Time between two changes of the share sent elsewhere, a small step each.
+SPILL_INTERVAL_S = 0.1
 # Objects that every endpoint with a cache keeps.
 SURE_DEPTH = 4
 # Time after a request's deadline at which its slot is taken to be free.
@@ -64,6 +66,7 @@
         self._queues_by_service_id: dict[ids.ServiceId, waiting.Queue] = {}
         self._grants_by_attempt_id: dict[model.AttemptId, _Grant] = {}
         self._flows_by_service_id: dict[ids.ServiceId, spill.Flow] = {}
+        self._spill_due_at = float("-inf")
 
     @property
     def table(self) -> table.EndpointTable:
@@ -216,11 +219,16 @@
                     self._refuse(item.request, model.RefusalReason.EXPIRED, 0.0)
                 )
             decisions += self._place_waiting(queue, now)
-        for service_id, flow in self._flows_by_service_id.items():
-            own, other = self._table.serving_slots(service_id, now)
-            flow.spill.update(flow.demand.busy_slots(now), own, other, now)
+        if now >= self._spill_due_at:
+            self._spill_due_at = now + SPILL_INTERVAL_S
+            self._update_spill(now)
         return decisions
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether any request waits or has a place."""
+        return bool(self._grants_by_attempt_id) or self.waiting_count() > 0
+
     def demands(self, now: float) -> dict[ids.ServiceId, float]:
         """Return the slots that each service's requests need."""
         return {
@@ -236,6 +244,11 @@
         """Return the number of slots in use."""
         return len(self._grants_by_attempt_id)
 
+    def _update_spill(self, now: float) -> None:
+        for service_id, flow in self._flows_by_service_id.items():
+            own, other = self._table.serving_slots(service_id, now)
+            flow.spill.update(flow.demand.busy_slots(now), own, other, now)
+
     def _sides(
         self,
         request: model.PlaceRequest,
