--- a/packages/gateway/tests/front/test_region_placing.py
+++ b/packages/gateway/tests/front/test_region_placing.py
@@ -284,6 +284,22 @@
     assert state.is_warm("r/7", asyncio.get_running_loop().time())
 
 
+async def test_tick_rests_where_an_entry_neither_dispatches_nor_holds():
+    # Sixty entries that look at all endpoints 50 times a second cost whole cores.
+    region = Region("e1")
+    region.appoint(A)
+    ticked: list[str] = []
+    for entry_id, placer in region.placers.items():
+        placer._own.tick = lambda now, entry_id=entry_id: ticked.append(entry_id) or ()
+    for placer in region.placers.values():
+        placer.tick()
+    assert ticked == [A]
+    region.network.silent.add(A)
+    await place(region, B, "without a dispatcher")
+    region.placers[B].tick()
+    assert ticked == [A, B]
+
+
 async def test_lend_is_for_the_dispatcher_only():
     region = Region("e1")
     region.appoint(A)
