--- a/packages/catalogue/src/yuccapitch/catalogue/audit.py
+++ b/packages/catalogue/src/yuccapitch/catalogue/audit.py
@@ -140,6 +140,7 @@
     try:
         record = AuditRecord.model_validate(json.loads(line))
     except ValueError:
+        # Reported as a finding with its line.
         return None
     return record
 
--- a/packages/control/src/yuccapitch/control/lease_client.py
+++ b/packages/control/src/yuccapitch/control/lease_client.py
@@ -131,6 +131,7 @@
                 async with asyncio.timeout(delay_s * self._rng.uniform(0.9, 1.0)):
                     await self._wake.wait()
             except TimeoutError:
+                # Nothing woke it: the usual time of the next renewal has come.
                 continue
 
     async def _renew(self) -> bool:
--- a/packages/gateway/src/yuccapitch/gateway/front/place_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/place_service.py
@@ -118,7 +118,7 @@
         ]
 
     def _tell_summary(self) -> None:
-        summary = self._own.summary()
+        summary = self._own.learned.summary()
         for peer_id in self._peer_ids:
             # Sending opens the link by which a request that waits gets its place.
             self._links.send(peer_id, summary)
@@ -185,9 +185,9 @@
 
     def _on_summary(self, peer_id: str, message: messages.DispatcherSummary) -> None:
         # One that has just started learns from those that heard its predecessor.
-        is_beginner = self.is_dispatcher and not self._own.has_learned
+        is_beginner = self.is_dispatcher and self._own.learned.is_empty
         if peer_id == self.dispatcher_id or is_beginner:
-            self._own.adopt_summary(message, self._clock())
+            self._own.learned.adopt(message, self._clock())
 
     def _tell(self, peer_id: str, decision: model.Decision) -> None:
         if not self._links.send(peer_id, self._encode(decision)):
--- a/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
@@ -201,8 +201,8 @@
             # The link is being opened; the answer to a first query shows that it is.
             self._untold_dispatcher_id = dispatcher_id
             return
-        if self._own.has_learned:
-            self._links.send(dispatcher_id, self._own.summary())
+        if not self._own.learned.is_empty:
+            self._links.send(dispatcher_id, self._own.learned.summary())
         for held in self._held_by_attempt_id.values():
             if held.dispatcher_id == dispatcher_id:
                 self._links.send(dispatcher_id, self._held_message(held))
--- a/packages/gateway/tests/front/test_region_placing.py
+++ b/packages/gateway/tests/front/test_region_placing.py
@@ -176,15 +176,17 @@
     for placer in region.placers.values():
         placer.set_peers([A, B, C])
     own = region.placers[A]._own
-    own._durations.observe(ids.RouteId("r"), warm_capacity.Visit(True), True, 0.8)
-    own._flow(SERVICE, 0.0).spill.adopt(0.4, 0.0)
+    own.learned.durations.observe(
+        ids.RouteId("r"), warm_capacity.Visit(True), True, 0.8
+    )
+    own.learned.flow(SERVICE, 0.0).spill.adopt(0.4, 0.0)
     own.table.states_by_id[ids.EndpointId("e2")].adopt_health(4.0, 0.0)
     region.placers[A]._service._summary_due_at = 0.0
     region.placers[A].tick()
     region.appoint(C)
     heir = region.placers[C]._own
-    assert heir._durations.warm_s(ids.RouteId("r")) == 0.8
-    assert heir._flow(SERVICE, 0.0).spill.share == 0.4
+    assert heir.learned.durations.warm_s(ids.RouteId("r")) == 0.8
+    assert heir.learned.flow(SERVICE, 0.0).spill.share == 0.4
     assert heir.table.states_by_id[ids.EndpointId("e2")].slowness == 4.0
 
 
@@ -192,11 +194,11 @@
     region = Region("e1")
     region.appoint(A)
     region.placers[B].set_peers([A, B, C])
-    region.placers[B]._own._durations.observe(
+    region.placers[B]._own.learned.durations.observe(
         ids.RouteId("r"), warm_capacity.Visit(True), True, 0.8
     )
     region.placers[B]._service._tell_summary()
-    assert not region.placers[C]._own._durations.is_known(ids.RouteId("r"))
+    assert not region.placers[C]._own.learned.durations.is_known(ids.RouteId("r"))
 
 
 async def test_place_does_without_a_dispatcher_that_knows_too_little():
@@ -264,9 +266,9 @@
     # Control instances that were all killed dispatch again, and know nothing.
     region = Region("e1")
     warm = warm_capacity.Visit(True)
-    region.placers[B]._own._durations.observe(ids.RouteId("r"), warm, True, 0.8)
+    region.placers[B]._own.learned.durations.observe(ids.RouteId("r"), warm, True, 0.8)
     region.appoint(A)
-    assert region.placers[A]._own._durations.warm_s(ids.RouteId("r")) == 0.8
+    assert region.placers[A]._own.learned.durations.warm_s(ids.RouteId("r")) == 0.8
 
 
 async def test_lend_tells_the_other_region_what_the_endpoint_knows():
--- a/packages/node/src/yuccapitch/node/routed/region_view.py
+++ b/packages/node/src/yuccapitch/node/routed/region_view.py
@@ -99,7 +99,9 @@
         """Return the slots that the requests of the dispatcher need."""
         return tuple(
             messages.ServiceDemand(service_id, self._given.region_id, slots)
-            for service_id, slots in self.dispatcher.demands(self._clock()).items()
+            for service_id, slots in self.dispatcher.learned.demands(
+                self._clock()
+            ).items()
         )
 
     def _add(self, records: Iterable[messages.EndpointRecord], age_ms: int) -> None:
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -60,6 +60,11 @@
     Level.WARNING,
 )
 declare("link.opened", "An inner link to or from another instance is open.")
+declare(
+    "link.failed",
+    "An inner link did not open; told once until it does.",
+    Level.WARNING,
+)
 declare("link.closed", "An inner link has closed.")
 declare(
     "link.refused",
--- a/packages/protocol/src/yuccapitch/protocol/peers.py
+++ b/packages/protocol/src/yuccapitch/protocol/peers.py
@@ -43,6 +43,7 @@
         self._links_by_id: dict[str, inner_link.Link] = {}
         self._connects_by_id: dict[str, asyncio.Task[inner_link.Link | None]] = {}
         self._retry_at_by_id: dict[str, float] = {}
+        self._failing_ids: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._exit_stack = contextlib.AsyncExitStack()
         self.on_lost: Callable[[str], None] = lambda peer_id: None
@@ -107,6 +108,7 @@
             async with asyncio.timeout(timeout_s):
                 return await asyncio.shield(task)
         except TimeoutError:
+            # The attempt goes on, and tells by itself why it fails.
             return None
 
     def _connect(self, peer_id: str) -> asyncio.Task[inner_link.Link | None] | None:
@@ -132,7 +134,8 @@
                 reader, writer = await asyncio.open_connection(
                     address.host, address.port, ssl=context
                 )
-        except (OSError, TimeoutError):  # ssl.SSLError is an OSError
+        except (OSError, TimeoutError) as error:  # ssl.SSLError is an OSError
+            self._note_failed(peer_id, repr(error))
             return None
         link = self._new_link(reader, writer)
         greeting = await link.greet(self._may_be)
@@ -147,10 +150,17 @@
             link.close()
             return None
         self._links_by_id[peer_id] = link
+        self._failing_ids.discard(peer_id)
         events.event("link.opened", peer=peer_id, direction="out")
         self._spawn(self._run(link, is_outgoing=True))
         return link
 
+    def _note_failed(self, peer_id: str, reason: str) -> None:
+        # Tried again five times a second; the first failure of a row is told.
+        if peer_id not in self._failing_ids:
+            self._failing_ids.add(peer_id)
+            events.event("link.failed", peer=peer_id, reason=reason)
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/packages/steering/src/yuccapitch/steering/lookup_table.py
+++ b/packages/steering/src/yuccapitch/steering/lookup_table.py
@@ -175,6 +175,7 @@
             return Address(int.from_bytes(socket.inet_pton(socket.AF_INET6, text)))
         ipv4 = int.from_bytes(socket.inet_pton(socket.AF_INET, text))
     except (OSError, ValueError):
+        # Whoever asks says which text is no address.
         return None
     return Address(_MAPPED_PREFIX << IPV4_BITS | ipv4)
 
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -7,14 +7,12 @@
 from collections.abc import Callable, Sequence
 
 from yuccapitch.catalogue import ids
-from yuccapitch.protocol import place_messages
 from yuccapitch.steering.placement import (
     choice,
-    durations,
     endpoint_state,
     hashing,
+    learned,
     model,
-    spill,
     table,
     waiting,
     warm_capacity,
@@ -33,8 +31,6 @@
 MIN_RETRY_AFTER_S = 0.1
 # Time between two changes of the share sent elsewhere, a small step each.
 SPILL_INTERVAL_S = 0.1
-# Objects that every endpoint with a cache keeps.
-SURE_DEPTH = 4
 # Time after a request's deadline at which its slot is taken to be free.
 OVERDUE_S = 1.0
 MAX_RETRY_AFTER_S = 5.0
@@ -60,12 +56,13 @@
     ) -> None:
         """Serve a region; ``capacity_share`` of the slots may be used."""
         self._rng = rng
-        self._durations = durations.Durations()
         self._table = table.EndpointTable(region_id, capacity_share)
-        self._chooser = choice.Chooser(self._table, self._durations, domain_of_entry)
+        self.learned = learned.Learned(self._table)
+        self._chooser = choice.Chooser(
+            self._table, self.learned.durations, domain_of_entry
+        )
         self._queues_by_service_id: dict[ids.ServiceId, waiting.Queue] = {}
         self._grants_by_attempt_id: dict[model.AttemptId, _Grant] = {}
-        self._flows_by_service_id: dict[ids.ServiceId, spill.Flow] = {}
         self._spill_due_at = float("-inf")
 
     @property
@@ -77,7 +74,7 @@
         self, request: model.PlaceRequest, now: float
     ) -> model.Granted | model.Refused | None:
         """Grant a place or refuse one; None if the request waits."""
-        self._count_demand(request, now)
+        self.learned.count(request, now)
         allowed = self._table.allowed(request)
         if not allowed:
             return self._refuse(
@@ -85,8 +82,8 @@
             )
         preferred, others = self._sides(request, allowed, now)
         found = self._chooser.choose(request, preferred, now, takes_cold=False)
-        flow = self._flows_by_service_id[request.service_id]
-        if found is None and others and flow.spill.may_overflow():
+        spilled = self.learned.flow(request.service_id, now).spill
+        if found is None and others and spilled.may_overflow():
             found = self._chooser.choose(request, others, now, takes_cold=False)
         if found is not None:
             return self._grant(request, found, now)
@@ -108,7 +105,8 @@
         duration_s = now - grant.granted_at
         transit_s = self._table.transit_s(state.endpoint.region_id)
         if outcome is model.Outcome.ANSWERED:
-            self._observe_duration(grant, max(0.0, duration_s - transit_s), now)
+            worked_s = max(0.0, duration_s - transit_s)
+            self.learned.observe(request.route_id, state, grant.visit, worked_s, now)
         if connect_s is not None:
             self._table.observe_transit(state.endpoint.region_id, connect_s)
         state.end(request.object_id, outcome, grant.visit.is_warm, now)
@@ -144,46 +142,6 @@
         if state is not None:
             state.note_warm(warm_object_id, used_at)
 
-    @property
-    def has_learned(self) -> bool:
-        """Whether anything is known of the time that requests take."""
-        return self._durations.has_learned
-
-    def summary(self) -> place_messages.DispatcherSummary:
-        """Return what was learned, for whoever dispatches next."""
-        return place_messages.DispatcherSummary(
-            self._durations.summary(),
-            tuple(
-                place_messages.ServiceSummary(
-                    service_id,
-                    flow.spill.share,
-                    self._table.warm_capacity(service_id).objects,
-                )
-                for service_id, flow in self._flows_by_service_id.items()
-            ),
-            tuple(
-                place_messages.EndpointHealth(
-                    endpoint_id, state.slowness, state.failure_share
-                )
-                for endpoint_id, state in self._table.states_by_id.items()
-                if state.is_unhealthy()
-            ),
-        )
-
-    def adopt_summary(
-        self, summary: place_messages.DispatcherSummary, now: float
-    ) -> None:
-        """Go on from what another dispatcher learned."""
-        self._durations.adopt(summary.durations)
-        for service in summary.services:
-            service_id = ids.ServiceId(service.service_id)
-            self._flow(service_id, now).spill.adopt(service.spill_share, now)
-            self._table.warm_capacity(service_id).objects = service.warm_objects
-        for health in summary.unhealthy:
-            state = self._table.states_by_id.get(ids.EndpointId(health.endpoint_id))
-            if state is not None:
-                state.adopt_health(health.slowness, health.failure_share)
-
     def cancel(self, attempt_id: model.AttemptId) -> None:
         """Forget a request that waits."""
         for queue in self._queues_by_service_id.values():
@@ -221,7 +179,7 @@
             decisions += self._place_waiting(queue, now)
         if now >= self._spill_due_at:
             self._spill_due_at = now + SPILL_INTERVAL_S
-            self._update_spill(now)
+            self.learned.update_spill(now)
         return decisions
 
     @property
@@ -229,13 +187,6 @@
         """Whether any request waits or has a place."""
         return bool(self._grants_by_attempt_id) or self.waiting_count() > 0
 
-    def demands(self, now: float) -> dict[ids.ServiceId, float]:
-        """Return the slots that each service's requests need."""
-        return {
-            service_id: flow.demand.busy_slots(now)
-            for service_id, flow in self._flows_by_service_id.items()
-        }
-
     def waiting_count(self) -> int:
         """Return the number of requests that wait."""
         return sum(len(queue) for queue in self._queues_by_service_id.values())
@@ -244,11 +195,6 @@
         """Return the number of slots in use."""
         return len(self._grants_by_attempt_id)
 
-    def _update_spill(self, now: float) -> None:
-        for service_id, flow in self._flows_by_service_id.items():
-            own, other = self._table.serving_slots(service_id, now)
-            flow.spill.update(flow.demand.busy_slots(now), own, other, now)
-
     def _sides(
         self,
         request: model.PlaceRequest,
@@ -263,10 +209,8 @@
             return other, own
         if not self._table.open_slots(other, now):
             return own, other
-        if (
-            self._position(request)
-            < self._flows_by_service_id[request.service_id].spill.share
-        ):
+        share = self.learned.flow(request.service_id, now).spill.share
+        if self._position(request) < share:
             return other, own
         return own, other
 
@@ -302,8 +246,8 @@
         now: float,
     ) -> model.Refused | None:
         queue = self._queue(request.service_id)
-        warm_s = self._durations.warm_s(request.route_id)
-        mean_s = self._durations.mean_s(request.route_id)
+        warm_s = self.learned.durations.warm_s(request.route_id)
+        mean_s = self.learned.durations.mean_s(request.route_id)
         slots = max(1, self._table.open_slots(states, now))
         last_start = request.objective_at - choice.RETURN_S - warm_s
         is_late = now > last_start
@@ -429,40 +373,11 @@
         in_flight = sum(state.in_flight for state in states)
         slots = sum(self._table.limit(state) for state in states)
         waiting_count = len(self._queue(request.service_id))
-        mean_ms = round(self._durations.mean_s(request.route_id) * 1000)
+        mean_ms = round(self.learned.durations.mean_s(request.route_id) * 1000)
         return (
             f"endpoints {len(states)}, in use {in_flight}/{slots},"
             f" waiting {waiting_count}, mean {mean_ms} ms, rank {request.rank}"
         )
 
-    def _count_demand(self, request: model.PlaceRequest, now: float) -> None:
-        flow = self._flow(request.service_id, now)
-        flow.demand.add(self._durations.mean_s(request.route_id), now)
-        flow.spill.count()
-
-    def _flow(self, service_id: ids.ServiceId, now: float) -> spill.Flow:
-        flow = self._flows_by_service_id.get(service_id)
-        if flow is None:
-            flow = spill.Flow(spill.Demand(now), spill.Spill(0.0))
-            self._flows_by_service_id[service_id] = flow
-        return flow
-
     def _queue(self, service_id: ids.ServiceId) -> waiting.Queue:
         return self._queues_by_service_id.setdefault(service_id, waiting.Queue())
-
-    def _observe_duration(self, grant: _Grant, duration_s: float, now: float) -> None:
-        route_id, state, visit = grant.request.route_id, grant.state, grant.visit
-        known = self._durations
-        usual_s = duration_s / max(1.0, state.slowness)
-        had_object = known.had_object(route_id, visit, usual_s)
-        if known.is_known(route_id):
-            # An object used just before is there: what takes longer is slow.
-            is_warm = visit.is_warm and (had_object or visit.depth < SURE_DEPTH)
-            expected_s = known.warm_s(route_id) if is_warm else known.cold_s(route_id)
-            state.observe_duration(expected_s, duration_s)
-        if state.is_cold(now):
-            return
-        if state.slowness < endpoint_state.UNHEALTHY_SLOWNESS:
-            state.capacity.observe(visit, had_object)
-        # A slow endpoint must not raise what counts as usual.
-        known.observe(route_id, visit, had_object, usual_s)
