--- a/packages/node/src/yuccapitch/node/routed/control_dispatching.py
+++ b/packages/node/src/yuccapitch/node/routed/control_dispatching.py
@@ -75,10 +75,13 @@
             return ()
         return self._region.demands()
 
-    def counts(self) -> tuple[int, int]:
-        """Return how many requests wait for a place, and how many have one."""
-        places = self._region.dispatcher
-        return places.waiting_count(), places.granted_count()
+    def waiting_count(self) -> int:
+        """Return how many requests wait for a place."""
+        return self._region.dispatcher.waiting_count()
+
+    def granted_count(self) -> int:
+        """Return how many requests have a place."""
+        return self._region.dispatcher.granted_count()
 
     def _follow_choice(self) -> None:
         self._region.set_dispatchers(self._fleet.dispatchers)
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -205,6 +205,16 @@
         meters.gauge(
             "revision", "Revision of the routes.", lambda: self._state.revision
         )
+        meters.gauge(
+            "places_waiting",
+            "Requests that wait for a place of this dispatcher.",
+            self._dispatching.waiting_count,
+        )
+        meters.gauge(
+            "places_granted",
+            "Places that this dispatcher has granted and not got back.",
+            self._dispatching.granted_count,
+        )
         meters.gauge("entries", "Entry instances known.", lambda: len(fleet.instances))
         meters.gauge(
             "endpoints", "Endpoints listed.", lambda: len(fleet.endpoints_by_id)
