--- a/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placing.py
@@ -160,9 +160,14 @@
         """Tell another region's dispatcher what the endpoints lent to it know."""
         self._service.lend(endpoint_ids, dispatcher_id)
 
+    @property
+    def has_work(self) -> bool:
+        """Whether the own dispatcher has to act on the passing of time."""
+        return self._service.is_dispatcher or self._own.is_busy
+
     def tick(self) -> None:
         """Let the own dispatcher act on the passing of time, where it has work."""
-        if self._service.is_dispatcher or self._own.is_busy:
+        if self.has_work:
             self._service.tick()
 
     def forget_entry(self, entry_id: ids.InstanceId) -> None:
--- a/packages/node/src/yuccapitch/node/routed/control_dispatching.py
+++ b/packages/node/src/yuccapitch/node/routed/control_dispatching.py
@@ -22,9 +22,6 @@
     subscription_messages as messages,
 )
 
-# How often an instance that does not dispatch looks whether it was chosen.
-REST_S = 0.1
-
 
 class ControlDispatching:
     """Dispatches where the leader chose this control instance."""
@@ -67,7 +64,7 @@
                 self._service.tick()
                 await asyncio.sleep(timing.TICK_INTERVAL_S)
             else:
-                await asyncio.sleep(REST_S)
+                await asyncio.sleep(timing.REST_INTERVAL_S)
 
     def demands(self) -> tuple[messages.ServiceDemand, ...]:
         """Return the slots that the requests of the dispatcher need."""
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -184,7 +184,10 @@
 
     async def _tick(self) -> None:
         while True:
-            await asyncio.sleep(timing.TICK_INTERVAL_S)
+            has_work = self._placer.has_work
+            await asyncio.sleep(
+                timing.TICK_INTERVAL_S if has_work else timing.REST_INTERVAL_S
+            )
             self._placer.tick()
 
     def _request(self, position: following.Position) -> messages.FollowRequest:
