Presume the dispatchers in use anew when an instance leads again

Cause, from reading: the time for which a presumed dispatcher is kept was counted from the first time that it was presumed, so that a second leadership dropped it at once. Test: test_begin_lead_again_keeps_the_dispatchers_as_long_as_at_first failed before.

--- a/packages/control/src/yuccapitch/control/fleet.py
+++ b/packages/control/src/yuccapitch/control/fleet.py
@@ -186,6 +186,7 @@
         for heard in self._heard_by_id.values():
             heard.at = now
         self._controls_by_id = {}
+        self._presumed_by_id = {}
         for region_id, instance_id in self.dispatcher_ids_by_region.items():
             self._presume(region_id, instance_id, now)
         self._demands_by_instance_id.clear()
--- a/packages/control/tests/test_fleet.py
+++ b/packages/control/tests/test_fleet.py
@@ -166,3 +166,11 @@
     assert dispatchers(fleet) == ["gone"]
     fleet.hear_control(sign_of_life("control"), 2.1)
     assert dispatchers(fleet) == ["a"]
+
+
+def test_begin_lead_again_keeps_the_dispatchers_as_long_as_at_first():
+    fleet = control_fleet.Fleet()
+    fleet.hear(sign_of_life("a", dispatcher_id="b"), 0.0)
+    fleet.begin_lead("control", 20.0)
+    fleet.hear_control(sign_of_life("control"), 20.1)
+    assert dispatchers(fleet) == ["b"]
