--- /dev/null
+++ b/packages/node/tests/test_control_dispatching.py
@@ -0,0 +1,151 @@
+"""A control instance that grants the places of its region."""
+
+from __future__ import annotations
+
+import pathlib
+
+import pytest
+import result
+
+from yuccapitch.catalogue import ids, routes
+from yuccapitch.control import fleet as control_fleet, orders
+from yuccapitch.gateway.front import request_path
+from yuccapitch.node.routed import control_dispatching, settings
+from yuccapitch.protocol import (
+    codec,
+    place_messages,
+    subscription_messages as messages,
+)
+
+OWN, ENTRY = "10.0.0.1:7000", "10.0.1.1:7000"
+DOMAIN, REGION = ids.FailureDomainId("north-a"), ids.RegionId("north")
+SERVICE = ids.ServiceId("orders")
+
+
+class Links:
+    def __init__(self) -> None:
+        self.handlers_by_type: dict[type, object] = {}
+        self.sent: list[tuple[str, object]] = []
+
+    def handle(self, message_type, handler) -> None:
+        self.handlers_by_type[message_type] = handler
+
+    def set_address(self, peer_id, address) -> None:
+        return
+
+    def send(self, peer_id, message) -> bool:
+        self.sent.append((peer_id, message))
+        return True
+
+
+class Adapter:
+    def decode_routes(self, content):
+        if content != b"routes":
+            return result.Err("unreadable")
+        service = routes.RoutedService(SERVICE, "/health", 9, 0.0, 0.0)
+        table = routes.RouteTable(
+            routes.Revision(1), [], [service], routes.CallerLimits()
+        )
+        return result.Ok(table)
+
+
+def record(name: str, **changes: object) -> messages.EndpointRecord:
+    fields: dict[str, object] = {
+        "endpoint_id": name,
+        "service_id": SERVICE,
+        "host": "10.0.2.1",
+        "port": 80,
+        "failure_domain": DOMAIN,
+        "slots": 1,
+        "is_leaving": False,
+        "cold_left_ms": 0,
+        "incarnation": 0,
+        "serving_region_id": REGION,
+    }
+    return messages.EndpointRecord(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+class Control:
+    """A control instance whose fleet and orders the test sets."""
+
+    def __init__(self) -> None:
+        listen = settings.Listen("10.0.0.1", 7000)
+        given = settings.RoutedSettings(
+            ids.InstanceId(OWN), "control-1", listen, REGION, DOMAIN, {DOMAIN: REGION},
+            (), False, 6.0, 1.0, request_path.RetryAllowance(0.2, 60.0, 10.0),
+            data_dir=pathlib.Path(),
+        )  # fmt: skip
+        self.now = 0.0
+        self.links = Links()
+        self.fleet = control_fleet.Fleet()
+        self.state = orders.OrderState()
+        self.dispatching = control_dispatching.ControlDispatching(
+            given, Adapter(), self.links, self.fleet, self.state, lambda: self.now
+        )
+
+    def declare(self, content: bytes) -> None:
+        order = messages.RouteDeclaration(self.state.revision + 1, content)
+        self.state.apply(self.state.index + 1, codec.encode(order))
+
+    def ask(self, name: str = "1"):
+        query = place_messages.PlaceQuery(
+            name, SERVICE, "read", "7", 1, (), 1000, 5000, (), 0
+        )
+        return self.links.handlers_by_type[type(query)](ENTRY, query)
+
+
+@pytest.fixture
+def control() -> Control:
+    made = Control()
+    made.declare(b"routes")
+    made.fleet.list_endpoints([record("e1")], 0.0)
+    return made
+
+
+def test_query_is_granted_by_what_the_instance_follows(control):
+    assert control.ask() == place_messages.PlaceGrant("1", "e1")
+    assert control.ask("2") == place_messages.PlaceWait("2")
+    assert control.dispatching.granted_count() == 1
+    assert control.dispatching.waiting_count() == 1
+
+
+@pytest.mark.parametrize("missing", ["routes", "endpoints"])
+def test_query_is_not_taken_by_one_that_has_just_started(missing):
+    control = Control()
+    if missing == "routes":
+        control.fleet.list_endpoints([record("e1")], 0.0)
+    else:
+        control.declare(b"routes")
+    assert control.ask() == place_messages.PlaceUnable("1")
+
+
+def test_query_gets_no_place_in_an_evacuated_domain(control):
+    control.ask()
+    evacuation = messages.EvacuationOrder(DOMAIN, True)
+    control.state.apply(control.state.index + 1, codec.encode(evacuation))
+    refused = control.ask("2")
+    assert isinstance(refused, place_messages.PlaceRefusal)
+
+
+def test_query_goes_by_the_routes_before_those_that_cannot_be_read(control):
+    control.ask()
+    control.declare(b"nonsense")
+    assert control.ask("2") == place_messages.PlaceWait("2")
+
+
+def test_demands_are_told_by_the_dispatcher_only(control):
+    control.ask()
+    assert control.dispatching.demands() == ()
+    control.fleet.dispatcher_ids_by_region = {REGION: OWN}
+    control.dispatching._follow_choice()
+    assert [d.service_id for d in control.dispatching.demands()] == [SERVICE]
+
+
+def test_lent_endpoint_is_told_to_the_borrowing_region(control):
+    control.fleet.dispatcher_ids_by_region = {REGION: OWN, "south": "10.9.0.1:7000"}
+    control.dispatching._follow_choice()
+    control.ask()
+    control.fleet.list_endpoints([record("e1", serving_region_id="south")], 1.0)
+    control.ask("2")
+    told = [m for peer_id, m in control.links.sent if peer_id == "10.9.0.1:7000"]
+    assert [w.object_id for m in told for w in m.objects] == ["read/7"]
