Ask another control instance beside one that is silent; believe no hint of a silent leader

An entry asked one instance after the other and waited 1.1 s for each that is silent, and those that had not noticed the loss named the suspended leader again.

Change: without a leader another instance is asked after 0.15 s beside the first, three at most; one that was silent is asked last for 3 s and not believed to lead; a notice names its sender as the leader. Tests: test_poll_asks_another_beside_one_that_is_silent, test_poll_does_not_return_to_a_silent_leader_by_a_hint, test_notice_names_the_leader_to_one_that_knows_none.

--- a/packages/control/src/yuccapitch/control/following.py
+++ b/packages/control/src/yuccapitch/control/following.py
@@ -11,6 +11,7 @@
 
 from yuccapitch.protocol import (
     events,
+    link as inner_link,
     peers as inner_peers,
     subscription_messages as messages,
 )
@@ -21,6 +22,12 @@
 BYTES_BEFORE_ANSWER = 150_000
 BITS_PER_BYTE = 8
 RETRY_DELAY_S = 0.1
+# A round trip between regions, after which another instance is asked beside the first.
+ASK_ANOTHER_AFTER_S = 0.15
+MAX_ASKED = 3
+# Time for which an instance that did not answer is asked last, and is not believed to
+# lead; a suspended leader is replaced within it.
+SILENT_S = 3.0
 
 
 @dataclasses.dataclass
@@ -33,6 +40,15 @@
     instances_version: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class _Asked:
+    """What became of one question to a control instance."""
+
+    target_id: str
+    sent_at: float
+    reply: result.Result[object, inner_link.LinkError]
+
+
 class Follower:
     """Polls the leader, at once when it says that there is something new."""
 
@@ -53,7 +69,9 @@
         self._on_answer = on_answer
         self._clock = clock
         self._leader_id: str | None = None
-        self._next_index = itertools.count()
+        self._silent_until_by_id: dict[str, float] = {}
+        self._next_number = itertools.count(1)
+        self._asked_numbers_by_id: dict[str, int] = {}
         self._wake = asyncio.Event()
         self.position = Position()
         self.confirmed_at = float("-inf")
@@ -97,24 +115,71 @@
 
     async def poll(self) -> float:
         """Ask once and return the time to wait before the next."""
-        target_id = self._leader_id or self._next_target()
-        if target_id is None:
-            return RETRY_DELAY_S
+        self._wake.clear()
+        if self._leader_id is not None:
+            self._asked_numbers_by_id[self._leader_id] = next(self._next_number)
+            asked = await self._ask(self._leader_id)
+        else:
+            found = await self._search()
+            if found is None:
+                return RETRY_DELAY_S
+            asked = found
+        return self._settle(asked)
+
+    async def _ask(self, target_id: str) -> _Asked:
         set_address_by_id(self._links, target_id)
         sent_at = self._clock()
-        self._wake.clear()
         reply = await self._links.request(
             target_id, self._request(self.position), self._timeout_s
         )
+        if isinstance(reply, result.Err):
+            self._silent_until_by_id[target_id] = self._clock() + SILENT_S
+        return _Asked(target_id, sent_at, reply)
+
+    async def _search(self) -> _Asked | None:
+        """Ask one instance, and others beside it while none answers.
+
+        Returns None without an instance to ask, or when a leader made itself known.
+        """
+        targets_by_task: dict[asyncio.Task[_Asked], str] = {}
+        woken = asyncio.ensure_future(self._wake.wait())
+        try:
+            while not woken.done():
+                target_id = self._next_target(set(targets_by_task.values()))
+                may_ask = target_id is not None and len(targets_by_task) < MAX_ASKED
+                if target_id is not None and may_ask:
+                    self._asked_numbers_by_id[target_id] = next(self._next_number)
+                    task = asyncio.ensure_future(self._ask(target_id))
+                    targets_by_task[task] = target_id
+                if not targets_by_task:
+                    return None
+                done, _ = await asyncio.wait(
+                    {*targets_by_task, woken},
+                    timeout=ASK_ANOTHER_AFTER_S if may_ask else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for task in targets_by_task.keys() & done:
+                    del targets_by_task[task]
+                    asked = task.result()
+                    if isinstance(asked.reply, result.Ok) or not targets_by_task:
+                        return asked
+            return None
+        finally:
+            for pending in (*targets_by_task, woken):
+                pending.cancel()
+
+    def _settle(self, asked: _Asked) -> float:
+        target_id, reply = asked.target_id, asked.reply
         if isinstance(reply, result.Err):
             self._lose(target_id, str(reply.err_value))
             return RETRY_DELAY_S
         match reply.ok_value:
             case messages.FollowAnswer() as answer:
-                return self._take(target_id, answer, sent_at)
+                return self._take(target_id, answer, asked.sent_at)
             case messages.FollowRefusal(leader_id):
                 self._lose(target_id, "not the leader")
-                if leader_id and leader_id != target_id:
+                # Others may name a leader for a while that has fallen silent.
+                if leader_id not in ("", target_id) and not self._is_silent(leader_id):
                     self._leader_id = leader_id
                 return RETRY_DELAY_S
             case other:
@@ -159,14 +224,25 @@
             return None
         return round((self._clock() - self.confirmed_at) * 1000)
 
-    def _next_target(self) -> str | None:
-        if not self._control_ids:
-            return None
-        return self._control_ids[next(self._next_index) % len(self._control_ids)]
+    def _next_target(self, excluded: set[str]) -> str | None:
+        """Return the instance asked longest ago, rather one that was not silent."""
+        candidates = [i for i in self._control_ids if i not in excluded]
+        return min(candidates, key=self._search_order, default=None)
+
+    def _search_order(self, instance_id: str) -> tuple[bool, int]:
+        asked_number = self._asked_numbers_by_id.get(instance_id, 0)
+        return self._is_silent(instance_id), asked_number
+
+    def _is_silent(self, instance_id: str) -> bool:
+        return self._clock() < self._silent_until_by_id.get(instance_id, 0.0)
 
     def _on_notice(self, peer_id: str, notice: messages.FollowNotice) -> None:
-        if notice.term >= self.position.term:
-            self._wake.set()
+        if notice.term < self.position.term:
+            return
+        if self._leader_id is None:
+            # Only a leader sends notices.
+            self._leader_id = peer_id
+        self._wake.set()
 
 
 def wait_on_link_s(link_bits_per_s: float) -> float:
--- a/packages/control/tests/test_following.py
+++ b/packages/control/tests/test_following.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import result
 
 from yuccapitch.control import following
@@ -35,6 +37,8 @@
     def __init__(self) -> None:
         self.replies_by_id: dict[str, object] = {}
         self.asked: list[str] = []
+        self.hanging: set[str] = set()
+        """Those that never answer, as suspended machines."""
         self.handlers_by_type: dict[type, object] = {}
 
     def handle(self, message_type, handler) -> None:
@@ -45,6 +49,8 @@
 
     async def request(self, peer_id, message, timeout_s):
         self.asked.append(peer_id)
+        if peer_id in self.hanging:
+            await asyncio.Event().wait()
         reply = self.replies_by_id.get(peer_id)
         if reply is None:
             return result.Err(inner_link.LinkError(inner_link.LinkFault.TIMEOUT))
@@ -95,6 +101,40 @@
     assert followed.follower.leader_id == C
 
 
+async def test_poll_asks_another_beside_one_that_is_silent():
+    # The leader is suspended; an instance that waits for it has old routes.
+    followed = Followed(A, B)
+    followed.links.hanging = {A}
+    followed.links.replies_by_id[B] = answer()
+    await followed.follower.poll()
+    assert followed.links.asked == [A, B]
+    assert followed.follower.leader_id == B
+
+
+async def test_poll_does_not_return_to_a_silent_leader_by_a_hint():
+    followed = Followed(A)
+    followed.links.replies_by_id[A] = answer(control_ids=(A, B, C))
+    await followed.follower.poll()
+    followed.links.replies_by_id = {B: messages.FollowRefusal(A), C: answer(term=2)}
+    for _ in range(3):
+        await followed.follower.poll()
+    assert followed.links.asked == [A, A, B, C]
+    assert followed.follower.leader_id == C
+
+
+async def test_notice_names_the_leader_to_one_that_knows_none():
+    followed = Followed(A, B)
+    followed.links.hanging = {A, B}
+    searching = asyncio.ensure_future(followed.follower.poll())
+    await asyncio.sleep(0)
+    notice = followed.links.handlers_by_type[messages.FollowNotice]
+    notice(C, messages.FollowNotice(3))
+    await searching
+    followed.links.replies_by_id[C] = answer(term=3)
+    await followed.follower.poll()
+    assert followed.follower.leader_id == C
+
+
 async def test_poll_refuses_the_answer_of_a_term_that_is_over():
     followed = Followed(A, B)
     followed.links.replies_by_id = {A: answer(term=5)}
