--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,11 +6,12 @@
 import collections
 import contextlib
 import dataclasses
+import functools
 import pathlib
 import random
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
 
 import aiohttp
 
@@ -65,36 +66,12 @@
     injected: collections.Counter[str] = collections.Counter()
     async with contextlib.AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
-        machines = deployment.Deployment(folder, plan.controls, plan.entries)
-        stack.push_async_callback(machines.aclose)
-        links = network.Network()
-        stack.push_async_callback(links.aclose)
-        for instance in machines.instances_by_name.values():
-            await links.add(instance.instance_id, (instance.ip, deployment.BOUND_PORT))
-        listed = await _start_endpoints(machines.endpoint_net, seen, rng, stack)
-        platform = endpoints.PlatformList(listed)
-        runner = await platform.start(machines.list_host, deployment.LIST_PORT)
-        stack.push_async_callback(runner.cleanup)
-        orders = operator.Operator(session, machines.of_role("control"), seen, rng)
-        _spawn(machines.supervise(), stack)
-        world = faults.World(machines, links, listed, platform, orders, rng)
-        await _until(lambda: orders.put(5.0), "the first configuration is taken")
-        crowd = [
-            callers.Caller(
-                n, list(deployment.ZONES)[n % 4], machines.of_role("control"), seen, rng
-            )
-            for n in range(plan.callers)
-        ]
-        probers = [
-            callers.Prober(entry, orders, seen) for entry in machines.of_role("entry")
-        ]
-        for each in (*crowd, *probers):
-            _spawn(each.run(), stack)
-        _spawn(_read_often(orders, machines, rng), stack)
+        world = await _start_world(plan, folder, session, seen, rng, stack)
+        caller = _start_observers(plan, world, seen, rng, stack)
         _spawn(_tell_progress(seen, injected, tell), stack)
         await _inject(world, plan, injected)
-        await _recover(world, seen, crowd[0], session)
-        for ended in machines.own_ends:
+        await _recover(world, seen, caller, session)
+        for ended in world.machines.own_ends:
             seen.check("no process ends by itself", False, ended)
     seen.checks_by_promise["no process ends by itself"] += plan.controls + plan.entries
     return Report(
@@ -107,6 +84,53 @@
     )
 
 
+async def _start_world(
+    plan: Plan,
+    folder: pathlib.Path,
+    session: aiohttp.ClientSession,
+    seen: history.History,
+    rng: random.Random,
+    stack: contextlib.AsyncExitStack,
+) -> faults.World:
+    """Start all processes and what stands around them, with a first configuration."""
+    machines = deployment.Deployment(folder, plan.controls, plan.entries)
+    stack.push_async_callback(machines.aclose)
+    links = network.Network()
+    stack.push_async_callback(links.aclose)
+    for instance in machines.instances_by_name.values():
+        await links.add(instance.instance_id, (instance.ip, deployment.BOUND_PORT))
+    listed = await _start_endpoints(machines.endpoint_net, seen, rng, stack)
+    platform = endpoints.PlatformList(listed)
+    runner = await platform.start(machines.list_host, deployment.LIST_PORT)
+    stack.push_async_callback(runner.cleanup)
+    orders = operator.Operator(session, machines.of_role("control"), seen, rng)
+    _spawn(machines.supervise(), stack)
+    await _until(lambda: orders.put(5.0), "the first configuration is taken")
+    return faults.World(machines, links, listed, platform, orders, rng)
+
+
+def _start_observers(
+    plan: Plan,
+    world: faults.World,
+    seen: history.History,
+    rng: random.Random,
+    stack: contextlib.AsyncExitStack,
+) -> callers.Caller:
+    """Start the callers and all that watches; return one of the callers."""
+    controls = world.machines.of_role("control")
+    zones = list(deployment.ZONES)
+    crowd = [
+        callers.Caller(n, zones[n % len(zones)], controls, seen, rng)
+        for n in range(plan.callers)
+    ]
+    for caller in crowd:
+        _spawn(caller.run(), stack)
+    for entry in world.machines.of_role("entry"):
+        _spawn(callers.Prober(entry, world.orders, seen).run(), stack)
+    _spawn(_read_often(world.orders, world.machines, rng), stack)
+    return crowd[0]
+
+
 async def _start_endpoints(
     net: str,
     seen: history.History,
@@ -178,24 +202,27 @@
     holds = await _reached(reads_back)
     seen.check("what was acknowledged is kept", holds, "not read back everywhere")
     for path in callers.KINDS_BY_PATH:
-        holds = await _reached(lambda path=path: serves(path))
+        holds = await _reached(functools.partial(serves, path))
         seen.check("service comes back", holds, f"{path} is not served everywhere")
     holds = await _reached(lambda: orders.put(1.0))
     seen.check("service comes back", holds, "no order is taken")
 
 
-async def _reached(check: Callable[[], object]) -> bool:
+async def _reached(check: Callable[[], Awaitable[bool]]) -> bool:
     try:
-        await _until(check, "")
+        await _until(check, "a check at the end")
     except TimeoutError:
         return False
     return True
 
 
-async def _until(check: Callable[[], object], what: str) -> None:
-    async with asyncio.timeout(RECOVERY_TIMEOUT_S):
-        while not await check():  # type: ignore[misc]
-            await asyncio.sleep(0.2)
+async def _until(check: Callable[[], Awaitable[bool]], what: str) -> None:
+    try:
+        async with asyncio.timeout(RECOVERY_TIMEOUT_S):
+            while not await check():
+                await asyncio.sleep(0.2)
+    except TimeoutError:
+        raise TimeoutError(f"not reached in {RECOVERY_TIMEOUT_S} s: {what}") from None
 
 
 async def _read_often(
@@ -220,8 +247,10 @@
         )
 
 
-def _spawn(coroutine: object, stack: contextlib.AsyncExitStack) -> None:
-    task = asyncio.ensure_future(coroutine)  # type: ignore[arg-type]
+def _spawn(
+    coroutine: Coroutine[object, object, None], stack: contextlib.AsyncExitStack
+) -> None:
+    task = asyncio.ensure_future(coroutine)
 
     async def end() -> None:
         task.cancel()
