--- /dev/null
+++ b/bench/routed_idle.py
@@ -0,0 +1,109 @@
+"""Processor time and control traffic of idle routed instances, as real processes.
+
+Run ``python -m bench.routed_idle``: five control and eleven entry instances without
+callers, behind proxies that count the bytes between them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import os
+import pathlib
+import random
+import statistics
+import tempfile
+
+import aiohttp
+
+from tests.soak import deployment, endpoints, history, network, operator
+
+CONTROLS, ENTRIES = 5, 11
+SETTLE_S, MEASURED_S = 8.0, 20.0
+ENDPOINTS_PER_SERVICE = 17
+
+
+async def main() -> None:
+    """Start the instances, let them rest, and print what they use."""
+    rng, seen = random.Random(1), history.History()
+    async with contextlib.AsyncExitStack() as stack:
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        machines = deployment.Deployment(pathlib.Path(folder), CONTROLS, ENTRIES)
+        stack.push_async_callback(machines.aclose)
+        links = network.Network()
+        stack.push_async_callback(links.aclose)
+        for instance in machines.instances_by_name.values():
+            bound = (instance.ip, deployment.BOUND_PORT)
+            await links.add(instance.instance_id, bound)
+        listed = _endpoints(machines.endpoint_net, seen, rng)
+        runner = await endpoints.PlatformList(listed).start(
+            machines.list_host, deployment.LIST_PORT
+        )
+        stack.push_async_callback(runner.cleanup)
+        for instance in machines.instances_by_name.values():
+            instance.start()
+        controls = machines.of_role("control")
+        orders = operator.Operator(session, controls, seen, rng)
+        async with asyncio.timeout(60):
+            while not await orders.put(5.0):
+                await asyncio.sleep(0.2)
+        await asyncio.sleep(SETTLE_S)
+        before_s, before = _used(machines), links.bytes_by_instance_id.copy()
+        await asyncio.sleep(MEASURED_S)
+        _report(machines, before_s, before, _used(machines), links)
+
+
+def _endpoints(
+    net: str, seen: history.History, rng: random.Random
+) -> list[endpoints.Endpoint]:
+    zones = list(deployment.ZONES)
+    return [
+        endpoints.Endpoint(
+            f"i-{n}", service, zones[n % len(zones)], f"{net}.{n + 1}", 8080, seen, rng
+        )
+        for n in range(ENDPOINTS_PER_SERVICE)
+        for service in operator.SERVICES
+    ]
+
+
+def _used(machines: deployment.Deployment) -> dict[str, float]:
+    """Return the processor time of each process, in seconds."""
+    ticks_per_s = os.sysconf("SC_CLK_TCK")
+    used_s = {}
+    for name, instance in machines.instances_by_name.items():
+        assert instance.popen is not None
+        fields = pathlib.Path(f"/proc/{instance.popen.pid}/stat").read_text()
+        user, system = fields.rpartition(")")[2].split()[11:13]
+        used_s[name] = (int(user) + int(system)) / ticks_per_s
+    return used_s
+
+
+def _report(
+    machines: deployment.Deployment,
+    before_s: dict[str, float],
+    before: collections.Counter[str],
+    after_s: dict[str, float],
+    links: network.Network,
+) -> None:
+    for role in ("control", "entry"):
+        instances = machines.of_role(role)
+        shares = [
+            100 * (after_s[i.name] - before_s[i.name]) / MEASURED_S for i in instances
+        ]
+        rates = [
+            (links.bytes_by_instance_id[i.instance_id] - before[i.instance_id])
+            / MEASURED_S
+            / 1000
+            for i in instances
+        ]
+        print(
+            f"{role}: {statistics.mean(shares):.2f} % of a core (most"
+            f" {max(shares):.2f} %), {statistics.mean(rates):.2f} KB/s both ways"
+            f" (most {max(rates):.2f})"
+        )
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/tests/soak/network.py
+++ b/tests/soak/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import socket
 import struct
@@ -20,6 +21,8 @@
         self.cut_pairs: set[tuple[str, str]] = set()
         """Sender and receiver between which bytes are held up."""
         self.delay_s = 0.0
+        self.bytes_by_instance_id: collections.Counter[str] = collections.Counter()
+        """Bytes that each instance has sent or received."""
         self._proxies: list[Proxy] = []
 
     async def add(self, instance_id: str, target: tuple[str, int]) -> None:
@@ -91,6 +94,9 @@
             while data := await reader.read(CHUNK_BYTES):
                 if is_forth and not self._source_id:
                     self._source_id = self._find_source(data)
+                counts = self._network.bytes_by_instance_id
+                counts[self._source_id] += len(data)
+                counts[self._target_id] += len(data)
                 if self._network.delay_s:
                     await asyncio.sleep(self._network.delay_s)
                 while self.is_silenced or self._is_cut(is_forth):
