--- a/packages/gateway/src/yuccapitch/gateway/front/place_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/place_service.py
@@ -210,6 +210,7 @@
 
 
 def query_of(request: model.PlaceRequest, now: float) -> messages.PlaceQuery:
+    """Return a request as a message, with its times counted from now."""
     return messages.PlaceQuery(
         request.attempt_id,
         request.service_id,
@@ -227,6 +228,7 @@
 def request_of(
     query: messages.PlaceQuery, entry_id: ids.InstanceId, now: float
 ) -> model.PlaceRequest:
+    """Return the request of a message that has just arrived."""
     return model.PlaceRequest(
         model.AttemptId(query.attempt_id),
         entry_id,
@@ -243,4 +245,5 @@
 
 
 def milliseconds(duration_s: float) -> int:
+    """Return a time as messages hold it."""
     return round(duration_s * headers.MS_PER_S)
