Log which entry instances are behind an order, and each failed poll

A search for the leader logs why each poll failed (follow.poll-failed).

The record is not used for decisions yet. CLOCK_DRIFT_FACTOR moves to a module of its own, so that routed roles need not import the share ledger.

--- a/packages/control/src/yuccapitch/control/coordinator.py
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -16,7 +16,12 @@
 import result
 
 from yuccapitch.consensus import effects, replica as consensus_replica
-from yuccapitch.control import fleet as control_fleet, leader_polling, orders
+from yuccapitch.control import (
+    fleet as control_fleet,
+    leader_polling,
+    orders,
+    state_leases,
+)
 from yuccapitch.protocol import (
     codec,
     events,
@@ -48,6 +53,8 @@
 # timeout of the poll.
 ELECTION_WAIT_S = 0.3
 ELECTION_CHECK_INTERVAL_S = 0.02
+# Instances named in a log line that may concern the whole fleet.
+MAX_LOGGED_INSTANCES = 5
 
 
 PollReply = messages.PollResponse | messages.PollRefusal
@@ -84,7 +91,9 @@
         self._allocated_at = float("-inf")
         self._warm_up_until = float("-inf")
         self.fleet = control_fleet.Fleet()
+        self.leases = state_leases.StateLeases()
         links.handle(messages.PollRequest, self._on_poll)
+        links.handle(messages.StateApplied, self._on_state_applied)
         links.handle(messages.SubmitRequest, self._on_submit)
         links.handle(messages.ReadRequest, self._on_read)
 
@@ -134,6 +143,7 @@
             if not self.is_leader:
                 continue
             self._ensure_leadership_begun(now)
+            self.leases.expire(now)
             # The leader polls nobody, so it records its own heartbeat here.
             is_changed = self.fleet.record_control_heartbeat(
                 self._build_heartbeat(), now
@@ -195,6 +205,7 @@
         except TimeoutError:
             outcome = None
         if isinstance(outcome, result.Ok):
+            self._log_instances_behind(self._state.index)
             return result.Ok(None)
         detail = (
             "no quorum in time" if outcome is None else _error_text(outcome.err_value)
@@ -203,6 +214,23 @@
         events.event("order.failed", reason=detail, waited_ms=waited_ms)
         return result.Err(detail)
 
+    def instances_behind(self) -> list[str]:
+        """Return the entry instances that may act on an older state."""
+        return self.leases.holders_behind(self._state.index, self._clock())
+
+    def _log_instances_behind(self, state_index: int) -> None:
+        now = self._clock()
+        behind = self.leases.holders_behind(state_index, now)
+        in_force_at = self.leases.in_force_at(state_index, now)
+        if in_force_at > now:
+            events.event(
+                "order.behind",
+                index=state_index,
+                instances=len(behind),
+                names=behind[:MAX_LOGGED_INSTANCES],
+                in_force_in_ms=round((in_force_at - now) * 1000),
+            )
+
     async def _read_locally(self) -> result.Result[messages.StateSnapshot, str]:
         try:
             async with asyncio.timeout(FORWARD_TIMEOUT_S):
@@ -286,8 +314,15 @@
         )
         if record_heartbeat(request, now):
             self._notify_followers()
+        if request.is_entry:
+            self.leases.grant(
+                request.instance_id, request.state_index, self._state.index, now
+            )
         return self._build_answer(request, now)
 
+    def _on_state_applied(self, peer_id: str, message: messages.StateApplied) -> None:
+        self.leases.record_applied(peer_id, message.state_index)
+
     def _other_leader_id(self) -> str | None:
         leader_id = self._replica.leader_id
         return None if leader_id == self._instance_id else leader_id
@@ -362,6 +397,7 @@
         if self._leadership_term != term:
             self._leadership_term = term
             self.fleet.begin_leadership(self._instance_id, now)
+            self.leases.begin_leadership(self._state.index, now)
 
     def _notify_followers(self) -> None:
         if self._leadership_term is None:
--- a/packages/control/src/yuccapitch/control/leader_polling.py
+++ b/packages/control/src/yuccapitch/control/leader_polling.py
@@ -139,8 +139,27 @@
             self._unresponsive_until_by_id[target_id] = (
                 self._clock() + UNRESPONSIVE_PENALTY_S
             )
+            self._log_failed_poll(target_id, reply.err_value, sent_at)
+        elif not isinstance(reply.ok_value, messages.PollResponse):
+            self._log_failed_poll(target_id, reply.ok_value, sent_at)
         return _PollResult(target_id, sent_at, reply)
 
+    def _log_failed_poll(self, target_id: str, reply: object, sent_at: float) -> None:
+        match reply:
+            case inner_link.LinkError(code, detail):
+                reason = f"{code.value} {detail}".strip()
+            case messages.PollRefusal(leader_id):
+                reason = f"the leader is {leader_id or 'unknown'}"
+            case _:
+                reason = f"unexpected reply {type(reply).__name__}"
+        events.event(
+            "follow.poll-failed",
+            asked=target_id,
+            reason=reason,
+            waited_ms=round((self._clock() - sent_at) * 1000),
+            confirmed_ms_ago=self._ms_since_confirmation(),
+        )
+
     async def _search_leader(self) -> _PollResult | None:
         """Poll one instance, and others in parallel while none answers.
 
--- a/packages/control/src/yuccapitch/control/leases.py
+++ b/packages/control/src/yuccapitch/control/leases.py
@@ -16,7 +16,7 @@
     state as catalogue_state,
 )
 from yuccapitch.protocol import node_messages, slot_messages
-from yuccapitch.steering import ledger, owners, pool_ownership, resources
+from yuccapitch.steering import clock_drift, ledger, owners, pool_ownership, resources
 
 SEQUENCE_NUMBERS_PER_TERM = 2**32
 _HOLDER_LISTS = pydantic.TypeAdapter(tuple[claim_holders.HolderList, ...])
@@ -84,7 +84,7 @@
         self._state = state
         self._lease_duration_s = lease_duration_s
         self._earlier_leases_expire_at = (
-            now + lease_duration_s * ledger.CLOCK_DRIFT_FACTOR**2
+            now + lease_duration_s * clock_drift.CLOCK_DRIFT_FACTOR**2
         )
         self._holders_by_id: dict[ids.InstanceId, _Holder] = {}
         self._live_sequence = 1
@@ -206,7 +206,7 @@
         known = self._holders_by_id.get(instance_id)
         if known is None or known.instance != instance:
             self._live_sequence += 1
-        expires_at = now + self._lease_duration_s * ledger.CLOCK_DRIFT_FACTOR
+        expires_at = now + self._lease_duration_s * clock_drift.CLOCK_DRIFT_FACTOR
         expires_at_by_version = {} if known is None else known.expires_at_by_version
         expires_at_by_version = {
             version: expires_at
--- a/packages/gateway/src/yuccapitch/gateway/share_use.py
+++ b/packages/gateway/src/yuccapitch/gateway/share_use.py
@@ -6,7 +6,7 @@
 
 from yuccapitch.catalogue import ids, model
 from yuccapitch.gateway import admissions
-from yuccapitch.steering import ledger, limiters, ramp, resources, share_holder
+from yuccapitch.steering import clock_drift, limiters, ramp, resources, share_holder
 
 LinkIdsByRegions = dict[tuple[ids.RegionId, ids.RegionId], resources.ResourceId]
 
@@ -58,7 +58,9 @@
             return self
         # The new limiter does not know the units that the old one admitted, so it
         # admits nothing until the old window has passed.
-        return ResourceUse(resource, now + old.window_s * ledger.CLOCK_DRIFT_FACTOR)
+        return ResourceUse(
+            resource, now + old.window_s * clock_drift.CLOCK_DRIFT_FACTOR
+        )
 
     def record_demand(self, units: int, is_admitted: bool, now: float) -> None:
         """Record the units that a request needed, whether it was admitted or not."""
--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -32,7 +32,7 @@
 )
 from yuccapitch.node import entry_views, http_server, settings_table, tasks
 from yuccapitch.protocol import events, peers as inner_peers, slot_messages
-from yuccapitch.steering import entry_choice, health, ledger, resources
+from yuccapitch.steering import clock_drift, entry_choice, health, resources
 
 CONNECTIONS_PER_ENDPOINT = 64
 LOAD_REPORT_INTERVAL_S = 0.5
@@ -212,7 +212,7 @@
         instance may not know of it: an instance without a lease refuses lookups.
         """
         settings = self._dependencies.settings
-        longest_s = settings.lease_duration_s * ledger.CLOCK_DRIFT_FACTOR**2
+        longest_s = settings.lease_duration_s * clock_drift.CLOCK_DRIFT_FACTOR**2
         while self._dependencies.clock() < started_at + longest_s:
             if self.lease.is_stop_propagated:
                 return
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -224,6 +224,11 @@
         routed_metrics.add_gauge(
             "revision", "Revision of the routes.", lambda: self._state.revision
         )
+        routed_metrics.add_gauge(
+            "instances_behind",
+            "Entry instances that may act on an older state; 0 unless leading.",
+            lambda: float(len(self._coordinator.instances_behind())),
+        )
         routed_metrics.add_gauge(
             "places_waiting",
             "Requests that wait for a place of this dispatcher.",
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -253,6 +253,9 @@
                 response.endpoint_changes, response.endpoints_age_ms
             )
             is_changed = True
+        if response.state is not None and self._leader_poller.leader_id is not None:
+            applied = messages.StateApplied(self._routing_state.state_index)
+            self._links.send(self._leader_poller.leader_id, applied)
         if is_changed:
             self._sender.close_unlisted(self._dispatcher_inputs.endpoints)
         self._routing_state.instance_count = max(1, response.entry_count)
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -196,6 +196,11 @@
 declare(
     "order.failed", "An order was not committed by a quorum in time.", Level.WARNING
 )
+declare(
+    "order.behind",
+    "A committed order is not in force yet: instances may act on an older state.",
+)
+declare("follow.poll-failed", "A control instance did not answer a poll as the leader.")
 declare("follow.leader-found", "A leader responds; the state is current again.")
 declare(
     "follow.leader-lost",
--- a/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
@@ -180,6 +180,14 @@
     term: int
 
 
+@registry.message(107)
+@dataclasses.dataclass(frozen=True)
+class StateApplied:
+    """Reports to the leader that the sender acts on a state from now on."""
+
+    state_index: int
+
+
 @registry.message(100)
 @dataclasses.dataclass(frozen=True)
 class SubmitRequest:
--- a/packages/steering/src/yuccapitch/steering/claim_placement.py
+++ b/packages/steering/src/yuccapitch/steering/claim_placement.py
@@ -9,12 +9,13 @@
 import xxhash
 
 from yuccapitch.catalogue import ids
-from yuccapitch.steering import claim_keys, ledger
+from yuccapitch.steering import claim_keys, clock_drift, ledger
 
 HOLDERS_PER_KEY = 3
 MIN_HOME_REGION_HOLDERS = 2
 MEMBER_LIST_OVERLAP_S = (
-    ledger.LEASE_DURATION_S * ledger.CLOCK_DRIFT_FACTOR + 2 * claim_keys.CLOCK_SKEW_S
+    ledger.LEASE_DURATION_S * clock_drift.CLOCK_DRIFT_FACTOR
+    + 2 * claim_keys.CLOCK_SKEW_S
 )
 """Time during which a superseded list still applies to new keys.
 
--- a/packages/steering/src/yuccapitch/steering/ledger.py
+++ b/packages/steering/src/yuccapitch/steering/ledger.py
@@ -10,14 +10,11 @@
 import result
 
 from yuccapitch.protocol import lease_messages
-from yuccapitch.steering import fair_shares, resources
+from yuccapitch.steering import clock_drift, fair_shares, resources
 
 LEASE_DURATION_S = 4.0
 ROTATION_INTERVAL_S = 10.0
 """Interval at which units that do not divide evenly go to other holders."""
-MAX_CLOCK_DRIFT = 0.01
-CLOCK_DRIFT_FACTOR = (1 + MAX_CLOCK_DRIFT) / (1 - MAX_CLOCK_DRIFT)
-"""Largest ratio between the rates of two clocks that drift within the bound."""
 
 
 class HolderKey(typing.NamedTuple):
@@ -189,7 +186,7 @@
             for resource_id, share in lease.shares_by_resource.items():
                 window_s = self._window_s(resource_id)
                 if window_s > 0 and share > 0:
-                    ends_at = now + window_s * CLOCK_DRIFT_FACTOR**2
+                    ends_at = now + window_s * clock_drift.CLOCK_DRIFT_FACTOR**2
                     holder.past_uses.append(_ShareUse(resource_id, share, ends_at))
         for lease in holder.leases:
             if lease.grant_seq == renewal.grant_seq:
@@ -299,7 +296,8 @@
             _ShareUse(
                 resource_id,
                 share,
-                lease.expires_at + self._linger_s(resource_id) * CLOCK_DRIFT_FACTOR,
+                lease.expires_at
+                + self._linger_s(resource_id) * clock_drift.CLOCK_DRIFT_FACTOR,
             )
             for resource_id, share in lease.shares_by_resource.items()
             if share > 0
@@ -309,7 +307,9 @@
         if self._is_first_term:
             # No earlier leader can have granted shares.
             return False
-        recovery_s = (self.lease_duration_s + resource.linger_s) * CLOCK_DRIFT_FACTOR**2
+        recovery_s = (
+            self.lease_duration_s + resource.linger_s
+        ) * clock_drift.CLOCK_DRIFT_FACTOR**2
         return now < self._started_at + recovery_s
 
     def _resource(
@@ -318,7 +318,7 @@
         return self._resources_by_id.get(resources.ResourceId(report.resource_id))
 
     def _expiry_time(self, now: float) -> float:
-        return now + self.lease_duration_s * CLOCK_DRIFT_FACTOR
+        return now + self.lease_duration_s * clock_drift.CLOCK_DRIFT_FACTOR
 
     def _window_s(self, resource_id: resources.ResourceId) -> float:
         resource = self._resources_by_id.get(resource_id)
--- a/packages/steering/src/yuccapitch/steering/limiters.py
+++ b/packages/steering/src/yuccapitch/steering/limiters.py
@@ -9,7 +9,7 @@
 
 import result
 
-from yuccapitch.steering import ledger, resources
+from yuccapitch.steering import clock_drift, resources
 
 CONCURRENCY_RETRY_AFTER_S = 0.5
 NO_SHARE_RETRY_AFTER_S = 1.0
@@ -164,7 +164,7 @@
         # On a fast clock the window would end too early, so it is extended by the
         # largest clock drift.
         self._window = _SlidingWindow(
-            resource.window_s * ledger.CLOCK_DRIFT_FACTOR, 0.0
+            resource.window_s * clock_drift.CLOCK_DRIFT_FACTOR, 0.0
         )
 
     def admit(self, share: int, units: int, now: float) -> Admission:
@@ -188,7 +188,7 @@
 
     def __init__(self, resource: resources.Resource) -> None:
         super().__init__(resource)
-        window_s = resource.window_s * ledger.CLOCK_DRIFT_FACTOR
+        window_s = resource.window_s * clock_drift.CLOCK_DRIFT_FACTOR
         self._window = _SlidingWindow(window_s, window_s / WINDOW_BUCKETS)
         self._fraction = 1.0
         self._fraction_at = 0.0
--- a/packages/steering/src/yuccapitch/steering/pool_ownership.py
+++ b/packages/steering/src/yuccapitch/steering/pool_ownership.py
@@ -11,7 +11,7 @@
 
 from yuccapitch.catalogue import ids
 from yuccapitch.protocol import slot_messages
-from yuccapitch.steering import ledger, owners
+from yuccapitch.steering import clock_drift, owners
 
 ADOPTED_GRANT = 0
 """Grant number of pools granted by an earlier leader and reported by their owner."""
@@ -63,7 +63,9 @@
         self._lease_duration_s = lease_duration_s
         # Owners from an earlier leader's term become known when they report. The
         # leases of those that do not report have expired by this time.
-        self._adoption_ends_at = now + lease_duration_s * ledger.CLOCK_DRIFT_FACTOR**2
+        self._adoption_ends_at = (
+            now + lease_duration_s * clock_drift.CLOCK_DRIFT_FACTOR**2
+        )
         self._regions_by_pool: dict[owners.Pool, ids.RegionId] = {}
         self._ownerships_by_pool: dict[owners.Pool, _Ownership] = {}
         self._vacancies_by_pool: dict[owners.Pool, _Vacancy] = {}
@@ -203,7 +205,7 @@
         return {pool: keys_by_id[owner] for pool, owner in assigned.items()}
 
     def _lease_s(self) -> float:
-        return self._lease_duration_s * ledger.CLOCK_DRIFT_FACTOR
+        return self._lease_duration_s * clock_drift.CLOCK_DRIFT_FACTOR
 
 
 def _subtract_age(
