--- a/packages/control/tests/test_coordinator.py
+++ b/packages/control/tests/test_coordinator.py
@@ -10,7 +10,7 @@
 
 import result
 
-from yuccapitch.control import coordinator, orders
+from yuccapitch.control import coordinator, orders, state_leases
 from yuccapitch.protocol import codec, subscription_messages as messages
 
 A, B = "10.0.0.1:7000", "10.0.0.2:7000"
@@ -73,9 +73,24 @@
             is_leader=True,
             leader_id=A,
             leader_lease_expires_at=10.0,
+            propose=self.propose,
         )
         self.coordinator.attach(self.replica, self.heartbeat)
 
+    async def propose(self, command: bytes):
+        """Commit at once, like a group whose majority answers."""
+        return result.Ok(self.state.apply(self.state.index + 1, command))
+
+    def declare(self, revision: int) -> asyncio.Task:
+        """Start to submit routes with a revision."""
+        order = messages.RouteDeclaration(revision, b"routes")
+        return asyncio.ensure_future(self.coordinator.submit(codec.encode(order)))
+
+    def report_applied(self, instance_id: str, state_index: int) -> None:
+        """Deliver the report that an instance acts on a state."""
+        handler = self.links.handlers_by_type[messages.StateApplied]
+        handler(instance_id, messages.StateApplied(state_index))
+
     def advance_clock(self, duration_s: float) -> None:
         self.now += duration_s
 
@@ -252,6 +267,45 @@
     assert harness.coordinator.fleet.endpoints_read_at is not None
 
 
+# Guards against an acknowledged change that entry instances do not act on yet.
+async def test_submit_awaits_the_entries_that_may_act_on_an_older_state():
+    harness = CoordinatorHarness()
+    assert await harness.declare(1) == result.Ok(None)
+    harness.poll(state_index=1, revision=1)
+    submitted = harness.declare(2)
+    await asyncio.sleep(0.05)
+    assert harness.state.revision == 2
+    assert not submitted.done()
+    harness.report_applied(B, 2)
+    assert await submitted == result.Ok(None)
+
+
+# Guards against a repeated call that acknowledges what is not in force yet.
+async def test_submit_of_a_held_revision_awaits_the_same_entries():
+    harness = CoordinatorHarness()
+    await harness.declare(1)
+    harness.poll(state_index=1, revision=1)
+    submitted, repeated = harness.declare(2), harness.declare(2)
+    await asyncio.sleep(0.05)
+    assert not submitted.done() and not repeated.done()
+    harness.report_applied(B, 2)
+    assert await repeated == result.Ok(None)
+
+
+# Guards against a new leader that acknowledges a change unknown to entry instances that
+# still act on the state of its predecessor.
+async def test_submit_awaits_the_leases_of_an_earlier_leader():
+    harness = CoordinatorHarness()
+    await harness.declare(1)
+    harness.replica.core.term = 4
+    submitted = harness.declare(2)
+    await asyncio.sleep(0.05)
+    assert not submitted.done()
+    harness.advance_clock(1.1 * state_leases.LEASE_DURATION_S)
+    harness.report_applied(B, 2)
+    assert await submitted == result.Ok(None)
+
+
 def test_boot_time_includes_suspended_time():
     before = time.clock_gettime(time.CLOCK_BOOTTIME)
     now = coordinator.boot_time_s()
--- a/packages/control/tests/test_leader_polling.py
+++ b/packages/control/tests/test_leader_polling.py
@@ -10,6 +10,8 @@
 from yuccapitch.protocol import link as inner_link, subscription_messages as messages
 
 A, B, C = "10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"
+# Longest election timeout of the routed control group.
+MAX_LEADER_REPLACEMENT_S = 1.0
 
 
 def answer(term: int = 1, **changes: object) -> messages.PollResponse:
@@ -37,6 +39,8 @@
     def __init__(self) -> None:
         self.replies_by_id: dict[str, object] = {}
         self.polled_ids: list[str] = []
+        self.unconnected_ids: set[str] = set()
+        """Instances without an open link."""
         self.hanging_ids: set[str] = set()
         """Instances that never answer, like suspended machines."""
         self.handlers_by_type: dict[type, object] = {}
@@ -51,6 +55,8 @@
         self.polled_ids.append(peer_id)
         if peer_id in self.hanging_ids:
             await asyncio.Event().wait()
+        if peer_id in self.unconnected_ids:
+            return result.Err(inner_link.LinkError(inner_link.LinkErrorCode.CLOSED))
         reply = self.replies_by_id.get(peer_id)
         if reply is None:
             return result.Err(inner_link.LinkError(inner_link.LinkErrorCode.TIMEOUT))
@@ -127,6 +133,32 @@
     assert harness.poller.leader_id == C
 
 
+# Guards against an entry instance that ignores the new leader for seconds, because it
+# had no link to it when it first polled it.
+async def test_poll_believes_a_refusal_that_names_an_instance_without_a_link():
+    harness = PollerHarness(A, B)
+    harness.links.unconnected_ids = {A}
+    harness.links.replies_by_id[B] = messages.PollRefusal(A)
+    await harness.poller.poll()
+    harness.links.unconnected_ids = set()
+    harness.links.replies_by_id[A] = answer()
+    await harness.poller.poll()
+    assert harness.poller.leader_id == A
+
+
+# Guards against an entry instance that ignores the leader for longer than the control
+# instances need to replace it, because one poll was lost.
+async def test_poll_believes_refusals_once_a_silent_leader_would_be_replaced():
+    harness = PollerHarness(A, B)
+    harness.links.replies_by_id = {B: messages.PollRefusal(A)}
+    await harness.poller.poll()
+    harness.links.replies_by_id[A] = answer()
+    harness.now += MAX_LEADER_REPLACEMENT_S
+    await harness.poller.poll()
+    await harness.poller.poll()
+    assert harness.poller.leader_id == A
+
+
 async def test_notice_identifies_the_leader_during_a_search():
     harness = PollerHarness(A, B)
     harness.links.hanging_ids = {A, B}
--- a/packages/gateway/tests/front/test_request_path.py
+++ b/packages/gateway/tests/front/test_request_path.py
@@ -8,6 +8,7 @@
 import pytest
 
 from yuccapitch.catalogue import ids, routes
+from yuccapitch.control import state_leases
 from yuccapitch.gateway.front import (
     endpoint_sender,
     headers,
@@ -17,6 +18,8 @@
 from yuccapitch.gateway.http1 import messages
 from yuccapitch.steering.placement import model
 
+# Age at which the state of these tests is too old to serve requests.
+MAX_AGE_S = 10.0
 NAMES = headers.HeaderNames(
     b"request-id", b"time-left", b"object", b"proof", b"expected", b"load", b"not-run"
 )
@@ -93,14 +96,18 @@
         return self.results.pop(0)
 
 
-def make_request_path(placer, sender, route=ROUTE) -> request_path.RequestPath:
+def make_request_path(
+    placer, sender, route=ROUTE, state_age_s=0.0
+) -> request_path.RequestPath:
     service = routes.RoutedService(ids.ServiceId("s"), "/health", 9, 0.0, 0.0)
     table = routes.RouteTable(
         routes.Revision(1), [route], [service], routes.CallerLimits()
     )
     loop = asyncio.get_running_loop()
     return request_path.RequestPath(
-        ids.InstanceId("i"), NAMES, routing_state.RoutingState(table), placer, sender,
+        ids.InstanceId("i"), NAMES,
+        routing_state.RoutingState(table, confirmed_at=loop.time() - state_age_s),
+        placer, sender,
         request_path.FleetRetryBudget(0.2, 10.0, 10.0), loop.time,
         Meter(),
     )  # fmt: skip
@@ -139,6 +146,30 @@
     assert (await path.handle(request(target=b"/b/"))).status == 404
 
 
+# Guards against a 404 for a route that was added while the instance had no leader.
+async def test_handle_returns_503_without_a_route_if_the_state_is_unconfirmed():
+    age_s = 1.1 * state_leases.LEASE_DURATION_S
+    path = make_request_path(Placer(0), Sender(), state_age_s=age_s)
+    response = await path.handle(request(target=b"/b/"))
+    assert response.status == 503
+    assert response.header(b"retry-after") is not None
+
+
+# Guards against requests that run by a route which was changed long ago.
+async def test_handle_refuses_requests_if_the_state_is_too_old():
+    age_s = 1.1 * MAX_AGE_S
+    path = make_request_path(Placer(1), Sender(ANSWERED), state_age_s=age_s)
+    response = await path.handle(request())
+    assert response.status == 503
+    assert response.header(b"retry-after") is not None
+
+
+async def test_handle_serves_by_an_unconfirmed_state_until_it_is_too_old():
+    age_s = 1.1 * state_leases.LEASE_DURATION_S
+    path = make_request_path(Placer(1), Sender(ANSWERED), state_age_s=age_s)
+    assert await path.handle(request()) is OK
+
+
 async def test_handle_returns_503_before_routes_are_received():
     path = make_request_path(Placer(0), Sender())
     path._state.table = None
--- /dev/null
+++ b/packages/node/tests/test_entry_node.py
@@ -0,0 +1,93 @@
+"""Tests of an entry instance's use of the leader's answers, without connections."""
+
+from __future__ import annotations
+
+import contextlib
+import zlib
+
+import pytest
+import result
+
+from yuccapitch.catalogue import ids, routes
+from yuccapitch.gateway.front import headers, request_path
+from yuccapitch.node.routed import entry_node, settings
+from yuccapitch.protocol import subscription_messages as messages
+
+LEADER = "10.0.0.9:7000"
+NAMES = headers.HeaderNames(
+    b"request-id", b"time-left", b"object", b"proof", b"expected", b"load", b"not-run"
+)
+
+
+class FakeAdapter:
+    """Adapter that can decode one declaration only."""
+
+    header_names = NAMES
+
+    def decode_routes(self, content):
+        if content != b"routes":
+            return result.Err("unreadable")
+        table = routes.RouteTable(routes.Revision(1), [], [], routes.CallerLimits())
+        return result.Ok(table)
+
+
+@pytest.fixture
+def node() -> entry_node.EntryNode:
+    address = settings.ListenAddress("10.0.0.1", 7000)
+    node_settings = settings.RoutedSettings(
+        instance_id=ids.InstanceId("10.0.0.1:7000"),
+        name="entry-1",
+        inner_address=address,
+        region_id=ids.RegionId("north"),
+        failure_domain=ids.FailureDomainId("north-a"),
+        region_by_domain={},
+        seed_ids=(ids.InstanceId(LEADER),),
+        is_bootstrap=False,
+        stop_grace_s=6.0,
+        lookup_ttl_s=1.0,
+        retry_budget=request_path.FleetRetryBudget(0.2, 60.0, 10.0),
+        caller_address=settings.ListenAddress("10.0.0.1", 80),
+    )
+    stack = contextlib.AsyncExitStack()
+    return entry_node.EntryNode(node_settings, FakeAdapter(), stack, print)
+
+
+def answer(content: bytes, state_index: int) -> messages.PollResponse:
+    return messages.PollResponse(
+        term=1,
+        state_index=state_index,
+        state=messages.StateUpdate(state_index, zlib.compress(content), ()),
+        endpoints_version=0,
+        endpoints=None,
+        endpoints_age_ms=-1,
+        instances_version=0,
+        instances=None,
+        control_ids=(),
+        poll_interval_ms=500,
+        dispatchers=(),
+        endpoint_changes=None,
+        entry_count=1,
+    )
+
+
+def deliver(node, response: messages.PollResponse, sent_at: float) -> None:
+    node._leader_poller._accept_answer(LEADER, response, sent_at)
+
+
+def next_request(node) -> messages.PollRequest:
+    return node._build_poll_request(node._leader_poller.position)
+
+
+async def test_poll_request_reports_the_state_that_was_applied(node):
+    deliver(node, answer(b"routes", 4), sent_at=1.0)
+    assert next_request(node).state_index == 4
+    assert node._routing_state.confirmed_at == 1.0
+
+
+# Guards against an instance that tells the leader that it acts on a state which it
+# could not decode, and is never sent that state again.
+async def test_poll_request_does_not_report_a_state_that_was_refused(node):
+    deliver(node, answer(b"routes", 4), sent_at=1.0)
+    deliver(node, answer(b"of a later release", 5), sent_at=2.0)
+    assert next_request(node).state_index == 4
+    assert node._routing_state.confirmed_at == 1.0
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -16,7 +16,7 @@
 from yuccapitch.gateway.http1 import client, messages
 from yuccapitch.node.routed import control_node, entry_node, settings
 from yuccapitch.platform import declaration, handlers, headers
-from yuccapitch.protocol import subscription_messages
+from yuccapitch.protocol import link as inner_link, subscription_messages
 
 HOST = "127.0.0.1"
 DOMAIN = ids.FailureDomainId("north-a")
@@ -244,6 +244,17 @@
     return response
 
 
+def cut_off(instance: Instance) -> None:
+    """Let every message from an instance to other instances be lost."""
+
+    async def lose(peer_id, message, timeout_s):
+        await asyncio.sleep(timeout_s)
+        return result.Err(inner_link.LinkError(inner_link.LinkErrorCode.TIMEOUT))
+
+    links = instance.node._links
+    links.request, links.send = lose, lambda peer_id, message: True
+
+
 async def wait_until(condition: Callable[[], object], description: str) -> None:
     """Wait for a condition; the long timeout only ends a test that hangs."""
     try:
--- a/tests/test_routed_group.py
+++ b/tests/test_routed_group.py
@@ -10,6 +10,7 @@
 import pytest
 
 from tests import routed
+from yuccapitch.control import coordinator, state_leases
 
 
 @pytest.fixture
@@ -243,6 +244,24 @@
         assert (await send(entry, "q2")).status == 200
 
 
+# Guards against an acknowledged change while an entry instance that is cut off from the
+# leader still acts on the state before it.
+async def test_configuration_is_acknowledged_once_a_cut_off_entry_lost_its_lease(group):
+    async with serving(group, "e1") as (seed, entry, _):
+        await routed.wait_for_status(200, lambda: send(entry, "q1"), "a response")
+        routed.cut_off(entry)
+        await routed.wait_for_status(
+            200, lambda: put(seed, configuration(2, "/b/")), "a second configuration"
+        )
+        state = entry.node._routing_state
+        age_s = coordinator.boot_time_s() - state.confirmed_at
+        assert age_s > state_leases.LEASE_DURATION_S
+        # Neither a route that was dropped nor one that was added is answered by the
+        # older state for long.
+        assert (await send(entry, "q2", "/b/1")).status == 503
+        await routed.wait_for_status(503, lambda: send(entry, "q3"), "a refusal")
+
+
 async def test_entry_finds_the_leader_after_a_reload_of_seeds(group):
     async with serving(group, "e1") as (seed, _, _):
         late = group.entry()
