Report the state that an entry instance acts on, not the one it was sent

Callers saw: an instance whose release cannot read a declaration would have answered by the older one for as long as it ran. Cause: the poller moved its position on before the state was decoded, so that the leader took the instance to be current, and sent nothing again. Change: polls report the index of the routing state.

--- a/packages/control/src/yuccapitch/control/leader_polling.py
+++ b/packages/control/src/yuccapitch/control/leader_polling.py
@@ -35,10 +35,9 @@
 
 @dataclasses.dataclass
 class Position:
-    """Versions of the leader's state that this instance has."""
+    """Versions of the leader's lists that this instance has."""
 
     term: int = 0
-    state_index: int = 0
     endpoints_version: int = 0
     instances_version: int = 0
 
@@ -230,8 +229,6 @@
         self.confirmed_at = sent_at
         position = self.position
         position.term = answer.term
-        if answer.state is not None:
-            position.state_index = max(position.state_index, answer.state_index)
         if answer.endpoints is not None or answer.endpoint_changes is not None:
             position.endpoints_version = answer.endpoints_version
         if answer.instances is not None:
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -226,7 +226,7 @@
             is_ready=self._is_ready(),
             is_stopping=self._is_stopping,
             term=position.term,
-            state_index=position.state_index,
+            state_index=self._routing_state.state_index,
             endpoints_version=position.endpoints_version,
             instances_version=position.instances_version,
             demands=self._dispatcher_inputs.service_demands(),
@@ -236,13 +236,14 @@
         )
 
     def _on_poll_response(self, response: messages.PollResponse) -> None:
-        self._routing_state.confirmed_at = self._leader_poller.confirmed_at
+        state = self._routing_state
         is_changed = False
-        if (
-            response.state is not None
-            and response.state_index > self._routing_state.state_index
-        ):
+        if response.state is not None and response.state_index > state.state_index:
             is_changed = self._apply_state(response.state, response.state_index)
+            if is_changed:
+                self._report_applied_state()
+        if state.state_index >= response.state_index:
+            state.confirmed_at = self._leader_poller.confirmed_at
         if response.endpoints is not None:
             self._dispatcher_inputs.set_endpoints(
                 response.endpoints, response.endpoints_age_ms
@@ -253,9 +254,8 @@
                 response.endpoint_changes, response.endpoints_age_ms
             )
             is_changed = True
-        if response.state is not None and self._leader_poller.leader_id is not None:
-            applied = messages.StateApplied(self._routing_state.state_index)
-            self._links.send(self._leader_poller.leader_id, applied)
+        if self._routing_state.state_index >= response.state_index:
+            self._routing_state.confirmed_at = self._leader_poller.confirmed_at
         if is_changed:
             self._sender.close_unlisted(self._dispatcher_inputs.endpoints)
         self._routing_state.instance_count = max(1, response.entry_count)
@@ -291,6 +291,13 @@
         )
         return True
 
+    def _report_applied_state(self) -> None:
+        # The next poll reports it as well, so a lost message only delays the leader.
+        leader_id = self._leader_poller.leader_id
+        if leader_id is not None:
+            applied = messages.StateApplied(self._routing_state.state_index)
+            self._links.send(leader_id, applied)
+
     def _apply_instances(
         self,
         instances: tuple[messages.EntryInstance, ...],
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import zlib
 
 import pytest
@@ -84,6 +85,14 @@
     assert node._routing_state.confirmed_at == 1.0
 
 
+async def test_poll_response_without_a_newer_state_confirms_the_state(node):
+    deliver(node, answer(b"routes", 4), sent_at=1.0)
+    repeated = dataclasses.replace(answer(b"routes", 4), state=None)
+    deliver(node, repeated, sent_at=2.0)
+    assert node._routing_state.confirmed_at == 2.0
+    assert next_request(node).state_index == 4
+
+
 # Guards against an instance that tells the leader that it acts on a state which it
 # could not decode, and is never sent that state again.
 async def test_poll_request_does_not_report_a_state_that_was_refused(node):
