Search for the leader until it answers or is named

Cause: a poll that failed because its link was not open yet counted as silence, so that the new leader was not believed for 3 s although others named it; a single lost poll did the same; and each answer of an instance without a leader cancelled the polls that were still pending, also the one to the new leader over a slow link. Change: only a time-out is silence, for the longest election timeout; a search goes on until the leader answers or is named. Why it works: a control instance that noticed a leader's silence does not name it, and the others notice within one election timeout. This shortens the gap without a leader. It can't close it.

--- a/packages/control/src/yuccapitch/control/leader_polling.py
+++ b/packages/control/src/yuccapitch/control/leader_polling.py
@@ -28,9 +28,10 @@
 # time, which covers a round trip between regions.
 HEDGE_DELAY_S = 0.15
 MAX_CONCURRENT_POLLS = 3
-# For this time after a failed poll, an instance is polled last, and refusals that name
-# it as the leader do not count. A suspended leader is replaced within this time.
-UNRESPONSIVE_PENALTY_S = 3.0
+# For this time after a poll that timed out, an instance is polled last, and refusals
+# that name it as the leader do not count. The other control instances notice within
+# this time that a leader is silent: it is the longest election timeout of their group.
+UNRESPONSIVE_PENALTY_S = 1.0
 
 
 @dataclasses.dataclass
@@ -135,9 +136,11 @@
             target_id, self._build_request(self.position), self._timeout_s
         )
         if isinstance(reply, result.Err):
-            self._unresponsive_until_by_id[target_id] = (
-                self._clock() + UNRESPONSIVE_PENALTY_S
-            )
+            if reply.err_value.code is inner_link.LinkErrorCode.TIMEOUT:
+                # Other failures do not show that the instance is silent.
+                self._unresponsive_until_by_id[target_id] = (
+                    self._clock() + UNRESPONSIVE_PENALTY_S
+                )
             self._log_failed_poll(target_id, reply.err_value, sent_at)
         elif not isinstance(reply.ok_value, messages.PollResponse):
             self._log_failed_poll(target_id, reply.ok_value, sent_at)
@@ -160,12 +163,14 @@
         )
 
     async def _search_leader(self) -> _PollResult | None:
-        """Poll one instance, and others in parallel while none answers.
+        """Poll one instance, and others in parallel while none names the leader.
 
         Return None if there is no instance to poll or if a leader sent a notice.
         """
         targets_by_task: dict[asyncio.Task[_PollResult], str] = {}
         wake_task = asyncio.ensure_future(self._wake.wait())
+        loop = asyncio.get_running_loop()
+        next_poll_at = loop.time()
         try:
             while not wake_task.done():
                 target_id = self._next_target(set(targets_by_task.values()))
@@ -173,7 +178,8 @@
                     target_id is not None
                     and len(targets_by_task) < MAX_CONCURRENT_POLLS
                 )
-                if target_id is not None and may_poll:
+                if target_id is not None and may_poll and loop.time() >= next_poll_at:
+                    next_poll_at = loop.time() + HEDGE_DELAY_S
                     self._poll_numbers_by_id[target_id] = next(self._poll_counter)
                     task = asyncio.ensure_future(self._send_poll(target_id))
                     targets_by_task[task] = target_id
@@ -181,19 +187,35 @@
                     return None
                 done, _ = await asyncio.wait(
                     {*targets_by_task, wake_task},
-                    timeout=HEDGE_DELAY_S if may_poll else None,
+                    timeout=max(0.0, next_poll_at - loop.time()) if may_poll else None,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 for task in targets_by_task.keys() & done:
                     del targets_by_task[task]
                     poll_result = task.result()
-                    if isinstance(poll_result.reply, result.Ok) or not targets_by_task:
+                    pending_ids = set(targets_by_task.values())
+                    if not pending_ids or self._ends_search(poll_result, pending_ids):
                         return poll_result
             return None
         finally:
             for pending in (*targets_by_task, wake_task):
                 pending.cancel()
 
+    def _ends_search(self, poll_result: _PollResult, pending_ids: set[str]) -> bool:
+        """Whether a reply is the leader's or names one that is not being polled yet."""
+        reply = poll_result.reply.ok()
+        if isinstance(reply, messages.PollRefusal):
+            named_id = self._credible_leader(reply.leader_id, poll_result.target_id)
+            return named_id is not None and named_id not in pending_ids
+        return reply is not None
+
+    def _credible_leader(self, leader_id: str, namer_id: str) -> str | None:
+        """Return the leader that an instance names, unless it can't be the leader."""
+        # Instances that have not detected a leader's failure still name it.
+        if leader_id in ("", namer_id) or self._is_unresponsive(leader_id):
+            return None
+        return leader_id
+
     def _handle_result(self, poll_result: _PollResult) -> float:
         target_id, reply = poll_result.target_id, poll_result.reply
         if isinstance(reply, result.Err):
@@ -204,11 +226,7 @@
                 return self._accept_answer(target_id, answer, poll_result.sent_at)
             case messages.PollRefusal(leader_id):
                 self._clear_leader(target_id, "not the leader")
-                # Instances that have not detected a leader's failure still name it.
-                if leader_id not in ("", target_id) and not self._is_unresponsive(
-                    leader_id
-                ):
-                    self._leader_id = leader_id
+                self._leader_id = self._credible_leader(leader_id, target_id)
                 return RETRY_DELAY_S
             case other:
                 self._clear_leader(
--- a/packages/control/tests/test_leader_polling.py
+++ b/packages/control/tests/test_leader_polling.py
@@ -42,7 +42,8 @@
         self.unconnected_ids: set[str] = set()
         """Instances without an open link."""
         self.hanging_ids: set[str] = set()
-        """Instances that never answer, like suspended machines."""
+        """Instances that answer only once ``hang`` is set, like suspended machines."""
+        self.hang = asyncio.Event()
         self.handlers_by_type: dict[type, object] = {}
 
     def handle(self, message_type, handler) -> None:
@@ -54,7 +55,7 @@
     async def request(self, peer_id, message, timeout_s):
         self.polled_ids.append(peer_id)
         if peer_id in self.hanging_ids:
-            await asyncio.Event().wait()
+            await self.hang.wait()
         if peer_id in self.unconnected_ids:
             return result.Err(inner_link.LinkError(inner_link.LinkErrorCode.CLOSED))
         reply = self.replies_by_id.get(peer_id)
@@ -159,6 +160,22 @@
     assert harness.poller.leader_id == A
 
 
+# Guards against a search that gives up its poll of the new leader over a slow link each
+# time another instance answers that it knows no leader.
+async def test_search_awaits_a_pending_poll_if_others_know_no_leader():
+    harness = PollerHarness(A, B)
+    harness.links.hanging_ids = {A}
+    harness.links.replies_by_id = {A: answer(), B: messages.PollRefusal("")}
+    searching = asyncio.ensure_future(harness.poller.poll())
+    while harness.links.polled_ids != [A, B]:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.01)
+    assert not searching.done()
+    harness.links.hang.set()
+    await searching
+    assert harness.poller.leader_id == A
+
+
 async def test_notice_identifies_the_leader_during_a_search():
     harness = PollerHarness(A, B)
     harness.links.hanging_ids = {A, B}
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -254,8 +254,6 @@
                 response.endpoint_changes, response.endpoints_age_ms
             )
             is_changed = True
-        if self._routing_state.state_index >= response.state_index:
-            self._routing_state.confirmed_at = self._leader_poller.confirmed_at
         if is_changed:
             self._sender.close_unlisted(self._dispatcher_inputs.endpoints)
         self._routing_state.instance_count = max(1, response.entry_count)
--- a/packages/protocol/src/yuccapitch/protocol/peers.py
+++ b/packages/protocol/src/yuccapitch/protocol/peers.py
@@ -85,13 +85,10 @@
         """Send a message and return its reply; open a link if there is none."""
         deadline = asyncio.get_running_loop().time() + timeout_s
         link = await self._open_link(peer_id, timeout_s)
-        if link is None:
-            error = inner_link.LinkError(
-                inner_link.LinkErrorCode.CLOSED, "not connected"
-            )
-            return result.Err(error)
+        if isinstance(link, result.Err):
+            return link
         remaining_s = deadline - asyncio.get_running_loop().time()
-        return await link.request(message, remaining_s)
+        return await link.ok_value.request(message, remaining_s)
 
     async def aclose(self) -> None:
         """Close every link and the server."""
@@ -99,19 +96,22 @@
 
     async def _open_link(
         self, peer_id: str, timeout_s: float
-    ) -> inner_link.Link | None:
+    ) -> result.Result[inner_link.Link, inner_link.LinkError]:
         link = self._links_by_id.get(peer_id)
         if link is not None and link.is_open:
-            return link
+            return result.Ok(link)
+        codes = inner_link.LinkErrorCode
         task = self._start_connecting(peer_id)
-        if task is None:
-            return None
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await asyncio.shield(task)
-        except TimeoutError:
-            # The connection attempt continues in the background and logs a failure.
-            return None
+        if task is not None:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    link = await asyncio.shield(task)
+            except TimeoutError:
+                # The connection attempt continues in the background and logs a failure.
+                return result.Err(inner_link.LinkError(codes.TIMEOUT, "not connected"))
+            if link is not None:
+                return result.Ok(link)
+        return result.Err(inner_link.LinkError(codes.CLOSED, "not connected"))
 
     def _start_connecting(
         self, peer_id: str
