Bound the age of the state that an entry instance acts on

Callers saw: 404 for routes that a newer, acknowledged version had, and requests run by routes that it had dropped, at instances that had lost the leader. Cause: the age of the state (confirmed_at) was logged and exported, but no decision read it. Change: an instance whose lease on its state has expired says 503 instead of 404, and serves matched requests on for the platform's configApply; then it refuses all and is not ready. Why it works: the leader acknowledges an order no earlier than that lease expires, so that no request is handled by an older state later than configApply after an acknowledgement, whatever broke the contact.

--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -123,13 +123,19 @@
     async def handle(self, request: messages.Request) -> messages.Response:
         """Return the response to a client's request."""
         request_id = (request.header(self._names.request_id) or b"").decode("latin-1")
+        now = self._clock()
         table = self._state.table
         if table is None:
-            reason = "no routes are known yet"
-            self._meter.count_refusal(reason)
-            events.event("request.refused", request=request_id, reason=reason)
-            return self._not_executed_response(request_id, NO_ROUTES_RETRY_AFTER_S)
+            reason, retry_after_s = "no routes are known yet", NO_ROUTES_RETRY_AFTER_S
+            return self._unroutable_response(request_id, reason, retry_after_s)
+        if not self._state.is_usable(now):
+            reason = "no leader has confirmed the routes for too long"
+            return self._unroutable_response(request_id, reason, DEFAULT_RETRY_AFTER_S)
         route = _find_route(table, request)
+        if route is None and not self._state.is_confirmed(now):
+            # A newer declaration may have the route.
+            reason = "no route matches, and the routes are not confirmed"
+            return self._unroutable_response(request_id, reason, DEFAULT_RETRY_AFTER_S)
         if route is None:
             events.event(
                 "request.unmatched",
@@ -390,6 +396,18 @@
             "confirmed_ms_ago": _to_ms(self._clock() - self._state.confirmed_at),
         }
 
+    def _unroutable_response(
+        self, request_id: str, reason: str, retry_after_s: float
+    ) -> messages.Response:
+        self._meter.count_refusal(reason)
+        events.event(
+            "request.refused",
+            request=request_id,
+            reason=reason,
+            **self._routing_state_fields(),
+        )
+        return self._not_executed_response(request_id, retry_after_s)
+
     def _not_executed_response(
         self, request_id: str, retry_after_s: float
     ) -> messages.Response:
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -53,7 +53,9 @@
         self._stack = stack
         self._on_failed = on_failed
         self._clock = coordinator.boot_time_s
-        self._routing_state = routing_state.RoutingState()
+        self._routing_state = routing_state.RoutingState(
+            max_age_s=routing_state.max_state_age_s(node_settings.order_apply_limit_s)
+        )
         self._is_stopping = False
         self._metrics = metrics.RoutedMetrics()
         self._links = inner_peers.Peers(node_settings.instance_id, timing.LINK_TIMING)
@@ -158,7 +160,8 @@
         return await self._path.handle(request)
 
     def _is_ready(self) -> bool:
-        return self._routing_state.table is not None and not self._is_stopping
+        is_usable = self._routing_state.is_usable(self._clock())
+        return is_usable and not self._is_stopping
 
     def _add_gauges(self) -> None:
         state, routed_metrics = self._routing_state, self._metrics
--- a/packages/node/src/yuccapitch/node/routed/settings.py
+++ b/packages/node/src/yuccapitch/node/routed/settings.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 
 from yuccapitch.catalogue import ids
-from yuccapitch.gateway.front import request_path
+from yuccapitch.gateway.front import request_path, routing_state
 
 RegionsByDomain = Mapping[ids.FailureDomainId, ids.RegionId]
 
@@ -42,6 +42,8 @@
     lookup_ttl_s: float
     """Time for which clients may cache a lookup response."""
     retry_budget: request_path.FleetRetryBudget
+    order_apply_limit_s: float = routing_state.DEFAULT_ORDER_APPLY_LIMIT_S
+    """Time after the acknowledgement of an order until which it has to be in force."""
     link_bits_per_s: float = float("inf")
     """Bandwidth of the machine's link in each direction."""
     started_at_s: float | None = None
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from yuccapitch.gateway.front import routing_state
 from yuccapitch.platform import node_file, units
 
 TEXT = """
@@ -46,6 +47,22 @@
     assert platform_settings.list_address == ("10.200.0.4", 8142)
 
 
+@pytest.mark.parametrize(
+    ("line", "seconds"),
+    [("", routing_state.DEFAULT_ORDER_APPLY_LIMIT_S), ('configApply = "3000ms"', 3.0)],
+)
+def test_read_decodes_the_limit_on_applying_orders(tmp_path, line, seconds):
+    path = tmp_path / "local.toml"
+    path.write_text(TEXT.replace("[bounds]", f"[bounds]\n{line}"))
+    assert node_file.read(path).unwrap().routed.order_apply_limit_s == seconds
+
+
+def test_read_rejects_a_malformed_limit_on_applying_orders(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text(TEXT.replace("[bounds]", "[bounds]\nconfigApply = 3"))
+    assert "configApply" in node_file.read(path).unwrap_err()
+
+
 def test_read_reports_all_errors(tmp_path: pathlib.Path):
     path = tmp_path / "local.toml"
     path.write_text(
