Answer polls only once all committed orders are applied

Callers saw: nothing that was observed; found while looking for the incident's cause elsewhere, by reading. Cause: an elected leader counts as confirmed at the commit of its first entry, one turn of the event loop before the orders committed with it are applied. A poll handled in between was answered with the state before them, as confirmed, although they had been acknowledged by the leader before. Evidence: test_poll_is_answered_once_the_committed_orders_are_applied failed before (the poll was answered at once). Change: an instance counts as the leader once it has applied what is committed; the poll waits like one during an election.

--- a/packages/control/src/yuccapitch/control/coordinator.py
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -110,8 +110,10 @@
 
     @property
     def is_leader(self) -> bool:
-        """Whether this instance leads and its leader lease has not expired."""
-        return self._clock() < self._replica.leader_lease_expires_at
+        """Whether this instance leads and its state is the latest committed one."""
+        replica = self._replica
+        has_applied_all = replica.applied_index >= replica.core.commit_index
+        return self._clock() < replica.leader_lease_expires_at and has_applied_all
 
     def on_effect(self, effect: effects.Effect) -> None:
         """React to changes of leadership and members and to applied orders."""
--- a/packages/control/tests/test_coordinator.py
+++ b/packages/control/tests/test_coordinator.py
@@ -69,7 +69,8 @@
         )
         members = types.SimpleNamespace(members=())
         self.replica = types.SimpleNamespace(
-            core=types.SimpleNamespace(term=3, members=members),
+            core=types.SimpleNamespace(term=3, members=members, commit_index=0),
+            applied_index=0,
             is_leader=True,
             leader_id=A,
             leader_lease_expires_at=10.0,
@@ -158,6 +159,18 @@
     assert harness.poll() == messages.PollRefusal(B)
 
 
+# Guards against a new leader that confirms an older state in the moment between the
+# commit of its predecessor's orders and their application.
+async def test_poll_is_answered_once_the_committed_orders_are_applied():
+    harness = CoordinatorHarness()
+    harness.replica.core.commit_index = 7
+    waiting = asyncio.ensure_future(harness.poll())
+    await asyncio.sleep(0.05)
+    assert not waiting.done()
+    harness.replica.applied_index = 7
+    assert isinstance(await waiting, messages.PollResponse)
+
+
 def test_poll_answer_contains_only_what_changed():
     harness = CoordinatorHarness()
     first = harness.poll()
