Apply evacuations that come with unreadable routes

Callers saw: nothing that was observed; read from the code while looking for the incident's cause elsewhere. An instance whose release cannot read a declaration would have gone on to send requests to the endpoints of domains evacuated later, after the evacuation was acknowledged. Cause: entry and dispatching control instances applied the evacuations of a state only after its routes had been decoded. Evidence: test_query_gets_no_place_in_an_evacuated_domain_with_unreadable_routes and test_poll_response_with_refused_routes_applies_evacuations failed before. Change: evacuations are applied first; they do not depend on the routes.

--- a/packages/node/src/yuccapitch/node/routed/control_dispatching.py
+++ b/packages/node/src/yuccapitch/node/routed/control_dispatching.py
@@ -100,7 +100,8 @@
         fleet, is_changed = self._fleet, False
         if self._state_index != self._state.index:
             self._state_index = self._state.index
-            is_changed = self._apply_state(self._state.message())
+            self._apply_state(self._state.message())
+            is_changed = True
         if self._endpoints_version != fleet.endpoints_version:
             self._endpoints_version = fleet.endpoints_version
             self._dispatcher_inputs.set_endpoints(fleet.endpoints, self._list_age_ms())
@@ -115,16 +116,16 @@
                 self._service.send_warm_objects(endpoint_ids, dispatcher_id)
         return self._route_table is not None and bool(self._dispatcher_inputs.endpoints)
 
-    def _apply_state(self, state: messages.StateSnapshot) -> bool:
+    def _apply_state(self, state: messages.StateSnapshot) -> None:
+        # Evacuations hold even if the routes are of a release that cannot be read here.
+        self._dispatcher_inputs.set_evacuated_domains(state.evacuated_domains)
         decoded = self._adapter.decode_routes(state.content)
         if isinstance(decoded, result.Err):
             events.event(
                 "routes.refused", revision=state.revision, reason=decoded.err_value
             )
-            return False
+            return
         self._route_table = decoded.ok_value
-        self._dispatcher_inputs.set_evacuated_domains(state.evacuated_domains)
-        return True
 
     def _list_age_ms(self) -> int:
         read_at = self._fleet.endpoints_read_at
--- a/packages/node/src/yuccapitch/node/routed/dispatcher_inputs.py
+++ b/packages/node/src/yuccapitch/node/routed/dispatcher_inputs.py
@@ -36,6 +36,11 @@
         """Return an endpoint by id, or None if it is not in the list."""
         return self._endpoints_by_id.get(endpoint_id)
 
+    @property
+    def evacuated_domains(self) -> frozenset[ids.FailureDomainId]:
+        """The evacuated failure domains."""
+        return self._evacuated_domains
+
     def set_evacuated_domains(self, domains: Iterable[str]) -> None:
         """Set the evacuated failure domains."""
         self._evacuated_domains = frozenset(
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -242,8 +242,8 @@
         state = self._routing_state
         is_changed = False
         if response.state is not None and response.state_index > state.state_index:
-            is_changed = self._apply_state(response.state, response.state_index)
-            if is_changed:
+            is_changed = True
+            if self._apply_state(response.state, response.state_index):
                 self._report_applied_state()
         if state.state_index >= response.state_index:
             state.confirmed_at = self._leader_poller.confirmed_at
@@ -271,6 +271,8 @@
                 self._placer.send_warm_objects(endpoint_ids, dispatcher_id)
 
     def _apply_state(self, state: messages.StateUpdate, index: int) -> bool:
+        """Apply a state; return whether its routes could be read."""
+        self._dispatcher_inputs.set_evacuated_domains(state.evacuated_domains)
         if state.compressed_content and state.revision > _revision(self._routing_state):
             content = zlib.decompress(state.compressed_content)
             decoded = self._adapter.decode_routes(content)
@@ -283,7 +285,6 @@
                 return False
             self._routing_state.table = decoded.ok_value
         self._routing_state.state_index = index
-        self._dispatcher_inputs.set_evacuated_domains(state.evacuated_domains)
         events.event(
             "routes.applied",
             revision=state.revision,
--- a/packages/node/tests/test_control_dispatching.py
+++ b/packages/node/tests/test_control_dispatching.py
@@ -133,6 +133,17 @@
     assert isinstance(response, place_messages.PlaceRefusal)
 
 
+# Guards against an evacuation that a dispatcher ignores because the routes in use are
+# ones that its release cannot read.
+def test_query_gets_no_place_in_an_evacuated_domain_with_unreadable_routes(control):
+    control.send_query()
+    control.declare(b"nonsense")
+    evacuation = messages.EvacuationOrder(DOMAIN, True)
+    control.state.apply(control.state.index + 1, codec.encode(evacuation))
+    response = control.send_query("2")
+    assert isinstance(response, place_messages.PlaceRefusal)
+
+
 def test_query_uses_the_previous_routes_when_new_ones_are_invalid(control):
     control.send_query()
     control.declare(b"nonsense")
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -53,11 +53,13 @@
     return entry_node.EntryNode(node_settings, FakeAdapter(), stack, print)
 
 
-def answer(content: bytes, state_index: int) -> messages.PollResponse:
+def answer(
+    content: bytes, state_index: int, evacuated: tuple[str, ...] = ()
+) -> messages.PollResponse:
     return messages.PollResponse(
         term=1,
         state_index=state_index,
-        state=messages.StateUpdate(state_index, zlib.compress(content), ()),
+        state=messages.StateUpdate(state_index, zlib.compress(content), evacuated),
         endpoints_version=0,
         endpoints=None,
         endpoints_age_ms=-1,
@@ -100,3 +102,11 @@
     deliver(node, answer(b"of a later release", 5), sent_at=2.0)
     assert next_request(node).state_index == 4
     assert node._routing_state.confirmed_at == 1.0
+
+
+# Guards against an evacuation that an instance ignores because the routes that come
+# with it are ones that its release cannot read.
+async def test_poll_response_with_refused_routes_applies_evacuations(node):
+    deliver(node, answer(b"routes", 4), sent_at=1.0)
+    deliver(node, answer(b"of a later release", 5, ("north-a",)), sent_at=2.0)
+    assert node._dispatcher_inputs.evacuated_domains == {"north-a"}
