End responses of endpoints that send bytes without end

Callers saw: nothing yet; the users announced endpoints that send bytes which are no answer until the connection is closed. Cause: only the body of one response was bounded, by 64 MB. A head, its interim responses, chunk extensions and trailers were read without a bound until the request's deadline, and several bodies below the limit could exceed an instance's memory together. Change: at most 256 KB before the body of a final response; the raw bytes of all incomplete responses of an instance share a budget of 64 MB, above which the largest is ended.

--- a/packages/gateway/src/yuccapitch/gateway/front/endpoint_sender.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/endpoint_sender.py
@@ -51,6 +51,7 @@
     def __init__(self, names: headers.HeaderNames, clock: Callable[[], float]) -> None:
         self._names = names
         self._clock = clock
+        self._budget = client.ResponseBudget()
         self._pools_by_id: dict[tuple[ids.EndpointId, int, str, int], client.Pool] = {}
 
     @property
@@ -182,7 +183,7 @@
         pool_id = _pool_id(endpoint)
         pool = self._pools_by_id.get(pool_id)
         if pool is None:
-            pool = client.Pool(endpoint.host, endpoint.port, self._clock)
+            pool = client.Pool(endpoint.host, endpoint.port, self._clock, self._budget)
             self._pools_by_id[pool_id] = pool
         return pool
 
--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -19,7 +19,12 @@
 DEFAULT_KEEP_ALIVE_TIMEOUT_S = 5.0
 # Time that sent data may stay unacknowledged before the kernel drops the connection.
 TCP_USER_TIMEOUT_MS = 1500
+# Limit on the bytes before the body of a response, with its interim responses.
+MAX_HEAD_BYTES = 256 * 1024
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Limit on the bytes of all incomplete responses together, a third of the memory of a
+# small instance.
+MAX_INCOMPLETE_BYTES = 64 * 1024 * 1024
 
 
 class Fault(enum.Enum):
@@ -46,11 +51,42 @@
 """Returns whether a response belongs to the request; others are discarded."""
 
 
+class ResponseBudget:
+    """Limit on the memory that incomplete responses of many connections use."""
+
+    def __init__(self, max_bytes: int = MAX_INCOMPLETE_BYTES) -> None:
+        """Allow ``max_bytes`` of incomplete responses together."""
+        self._max_bytes = max_bytes
+        self._bytes_by_connection: dict[Connection, int] = {}
+        self.used_bytes = 0
+
+    def record(self, connection: Connection, byte_count: int) -> None:
+        """Record bytes of a response; fail the largest ones above the limit."""
+        received = self._bytes_by_connection.get(connection, 0) + byte_count
+        self._bytes_by_connection[connection] = received
+        self.used_bytes += byte_count
+        if received > MAX_RESPONSE_BYTES:
+            connection.fail("response exceeds the size limit")
+        while self.used_bytes > self._max_bytes:
+            largest = max(
+                self._bytes_by_connection, key=self._bytes_by_connection.__getitem__
+            )
+            largest.fail("response is the largest of too many incomplete bytes")
+
+    def release(self, connection: Connection) -> None:
+        """Forget the bytes of a response that has ended."""
+        self.used_bytes -= self._bytes_by_connection.pop(connection, 0)
+
+
 class Connection(asyncio.Protocol):
     """Connection to an endpoint."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], budget: ResponseBudget | None = None
+    ) -> None:
         self._clock = clock
+        self._budget = budget or ResponseBudget()
+        self._head_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser
         self._future: asyncio.Future[messages.Response | Failure] | None = None
@@ -60,6 +96,7 @@
         self._body = bytearray()
         self._is_self_delimited = True
         self._has_headers = False
+        self._has_final_headers = False
         self._is_in_message = False
         self._unwritten = False
         self.is_usable = False
@@ -85,6 +122,7 @@
             return Failure(Fault.BROKEN, False, "closed while idle", True)
         self._future = asyncio.get_running_loop().create_future()
         self._matches_request, self._is_head = matches_request, is_head
+        self._head_bytes, self._has_final_headers = 0, False
         was_reused = self.use_count > 0
         self.use_count += 1
         self._transport.write(data)
@@ -95,6 +133,7 @@
             raise
         finally:
             self._future = None
+            self._budget.release(self)
         if isinstance(outcome, Failure):
             self.close()
             return dataclasses.replace(outcome, connection_was_reused=was_reused)
@@ -111,17 +150,29 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self, reason: str) -> None:
+        """End the exchange in progress and close the connection."""
+        self._fail(Fault.MALFORMED, reason)
+        self._budget.release(self)
+        self._body = bytearray()
+        self.close()
+
     def data_received(self, data: bytes) -> None:
         """Parse response bytes; close the connection if no request is pending."""
         if self._future is None or self._future.done():
             self.close()
             return
+        self._budget.record(self, len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # The response itself may be complete and only the bytes after it invalid.
             self.is_usable = False
             self._fail(Fault.MALFORMED, repr(error))
+        if not self._has_final_headers:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self.fail("response head exceeds the size limit")
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
@@ -146,6 +197,7 @@
             self.is_usable = False
         self._headers, self._body = [], bytearray()
         self._is_in_message, self._has_headers = True, False
+        self._has_final_headers = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
@@ -155,6 +207,7 @@
         """Determine how the end of the response is delimited."""
         status = self._parser.get_status_code()
         self._has_headers = True
+        self._has_final_headers = status >= 200
         self._is_self_delimited = (
             status in (204, 304)
             or status < 200
@@ -166,10 +219,8 @@
             self._complete()
 
     def on_body(self, body: bytes) -> None:
-        """Append a body chunk, up to the size limit."""
+        """Append a body chunk."""
         self._body += body
-        if len(self._body) > MAX_RESPONSE_BYTES:
-            self._fail(Fault.MALFORMED, "response body exceeds the size limit")
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is an interim one (1xx)."""
@@ -209,10 +260,18 @@
 class Pool:
     """Connection pool of one endpoint address."""
 
-    def __init__(self, host: str, port: int, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        clock: Callable[[], float],
+        budget: ResponseBudget | None = None,
+    ) -> None:
+        """Create a pool; ``budget`` limits the responses of several pools together."""
         self._host = host
         self._port = port
         self._clock = clock
+        self.budget = budget or ResponseBudget()
         self._idle: list[Connection] = []
         self.connect_count = 0
 
@@ -234,7 +293,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._clock), self._host, self._port
+                    lambda: Connection(self._clock, self.budget), self._host, self._port
                 )
         except (OSError, TimeoutError) as error:
             return Failure(Fault.CONNECT, False, repr(error))
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -140,3 +140,95 @@
     assert outcome.body == b"ok"
     assert not connection.is_usable
     tcp_server.close()
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nId: 1\r\n"
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# More than any limit of the client, and little enough for a test machine.
+ENDLESS_BYTES = 160 * 1024 * 1024
+
+
+class EndlessEndpoint:
+    """Endpoint whose responses never end."""
+
+    def __init__(self, beginning: bytes, repeated: bytes) -> None:
+        self.pool: client.Pool
+        self.sent_bytes = 0
+        self.is_closed = asyncio.Event()
+        self._beginning = beginning
+        self._repeated = repeated * (65536 // len(repeated) + 1)
+
+    async def handle(self, reader, writer) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._beginning)
+            while self.sent_bytes < ENDLESS_BYTES:
+                writer.write(self._repeated)
+                self.sent_bytes += len(self._repeated)
+                await writer.drain()
+            await reader.read()
+        self.is_closed.set()
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def endless(beginning: bytes, repeated: bytes, **pool_arguments: object):
+    source = EndlessEndpoint(beginning, repeated)
+    tcp_server = await asyncio.start_server(source.handle, "127.0.0.1", 0)
+    loop = asyncio.get_running_loop()
+    port = tcp_server.sockets[0].getsockname()[1]
+    source.pool = client.Pool("127.0.0.1", port, loop.time, **pool_arguments)
+    try:
+        yield source
+    finally:
+        tcp_server.close()
+
+
+# Guards against an endpoint that fills the memory of an entry instance with bytes that
+# are no answer.
+@pytest.mark.parametrize(
+    ("beginning", "repeated"),
+    [
+        (HEAD + b"Padding: ", b"x"),
+        (HEAD, b"Padding: x\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"", b"\r\n"),
+        (b"HTTP/1.1 200 ", b"x"),
+        (CHUNKED_HEAD, b"1;padding=x\r\ny\r\n"),
+        (CHUNKED_HEAD + b"1;", b"x"),
+        (CHUNKED_HEAD + b"0\r\n", b"Padding: x\r\n"),
+        (HEAD + b"\r\n", b"x"),
+        (HEAD + b"Content-Length: 99999999999\r\n\r\n", b"x"),
+    ],
+    ids=[
+        "header", "headers", "interim", "blank", "reason", "chunks", "extension", "trailers",
+        "close-delimited", "length",
+    ],
+)  # fmt: skip
+async def test_exchange_ends_a_response_without_end(beginning, repeated):
+    async with endless(beginning, repeated) as source:
+        outcome = await send(source.pool)
+        assert isinstance(outcome, client.Failure)
+        assert outcome.fault is client.Fault.MALFORMED
+        async with asyncio.timeout(20):
+            await source.is_closed.wait()
+        assert source.sent_bytes < ENDLESS_BYTES
+
+
+# Guards against several endpoints that fill the memory together, each below the limit
+# of one response.
+async def test_exchange_ends_the_largest_response_when_all_exceed_the_budget():
+    budget = client.ResponseBudget(4 * 1024 * 1024)
+    body = bytes(2 * 1024 * 1024)
+    regular = HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    async with (
+        endless(CHUNKED_HEAD, b"1\r\nx\r\n", budget=budget) as first,
+        endless(HEAD + b"\r\n", b"x", budget=budget) as second,
+        endpoint(regular) as third,
+    ):
+        third.budget = budget
+        outcomes = await asyncio.gather(*map(send, (first.pool, second.pool, third)))
+    assert isinstance(outcomes[0], client.Failure)
+    assert isinstance(outcomes[1], client.Failure)
+    assert outcomes[2].body == body
+    assert budget.used_bytes == 0
