Test that orders outlast power lost everywhere with lost disks

The simulation keeps acknowledged entries for 3, 5 and 11 instances with one or two lost disks, and the new scenario fails without the identity of the lost disk being given up (keeps-identity-over-power-loss). A group of processes' worth of instances keeps a configuration and an evacuation. No fault was found.

--- a/packages/consensus/tests/test_core_scenarios.py
+++ b/packages/consensus/tests/test_core_scenarios.py
@@ -64,6 +64,31 @@
     cluster.run(1.0)
 
 
+def run_power_loss_with_lost_disks(faults, size=5, lost_disks=1):
+    """Right after an acknowledgement, some lose their disks and all lose power."""
+    cluster, leader_id, others = form_group(size, faults=faults)
+    cluster.in_flight = []
+    cluster.propose(leader_id)
+    holders = (leader_id, *others[: size // 2])
+    cluster.deliver_between(*holders, times=2)
+    acknowledged_index = cluster.acknowledged_index
+    assert acknowledged_index == cluster.nodes[leader_id].applied_index
+    lost = holders[:lost_disks]
+    for instance_id in cluster.nodes:
+        if instance_id in lost:
+            cluster.lose_disk(instance_id)
+        else:
+            cluster.kill(instance_id)
+    cluster.in_flight = []
+    for instance_id in cluster.nodes:
+        cluster.start(instance_id)
+    cluster.now += 3.0
+    cluster.elect(others[-1], *lost, *others[size // 2 : -1])
+    cluster.run(20.0)
+    assert cluster.has_converged()
+    assert cluster.acknowledged_index >= acknowledged_index
+
+
 def run_vote_for_shorter_log(faults):
     """A candidate without an acknowledged entry asks a follower that has it to vote."""
     cluster, leader_id, (second_id, third_id) = form_group(faults=faults)
@@ -226,6 +251,11 @@
         simulation.Faults(keeps_identity_of_lost_disk=True),
         NO_PATCH,
     ),
+    "keeps-identity-over-power-loss": (
+        run_power_loss_with_lost_disks,
+        simulation.Faults(keeps_identity_of_lost_disk=True),
+        NO_PATCH,
+    ),
     "votes-for-shorter-log": (
         run_vote_for_shorter_log,
         NO_FAULTS,
@@ -282,6 +312,15 @@
         run(faults)
 
 
+# Guards against the loss of an acknowledged order when all instances lose power at the
+# moment at which as many as are tolerated lose their disks.
+@pytest.mark.parametrize(("size", "lost_disks"), [(3, 1), (5, 1), (5, 2), (11, 2)])
+def test_core_keeps_acknowledged_entries_over_power_loss_with_lost_disks(
+    size, lost_disks
+):
+    run_power_loss_with_lost_disks(NO_FAULTS, size, lost_disks)
+
+
 def make_restarted(now, started_at_s):
     """Return a restarted replica of a group of three."""
     members = membership.Membership(
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -201,8 +201,8 @@
         (HEAD + b"Content-Length: 99999999999\r\n\r\n", b"x"),
     ],
     ids=[
-        "header", "headers", "interim", "blank", "reason", "chunks", "extension", "trailers",
-        "close-delimited", "length",
+        "header", "headers", "interim", "blank", "reason", "chunks", "extension",
+        "trailers", "close-delimited", "length",
     ],
 )  # fmt: skip
 async def test_exchange_ends_a_response_without_end(beginning, repeated):
--- a/tests/test_routed_group.py
+++ b/tests/test_routed_group.py
@@ -136,6 +136,36 @@
     assert response.body == body
 
 
+# Guards against the loss of what was acknowledged when a disk is lost while all other
+# instances, entry instances too, end at the same moment.
+async def test_group_keeps_orders_when_all_end_and_one_loses_its_disk(group):
+    seeds = group.seeds(3)
+    entry = group.entry()
+    await group.start()
+    body = configuration(4)
+    await routed.wait_for_status(200, lambda: put(seeds[0], body), "a configuration")
+    target = "/api/evacuations/north-a/start"
+    address = seeds[1].node_settings.operator_address
+    await routed.wait_for_status(
+        200, lambda: routed.call(address, "POST", target), "an evacuation"
+    )
+    for instance in (*seeds, entry):
+        await instance.kill()
+    shutil.rmtree(seeds[0].node_settings.data_dir)
+    for seed in seeds:
+        seed.node_settings = routed.replace_fields(
+            seed.node_settings, is_bootstrap=False
+        )
+    await group.start()
+    for seed in seeds:
+        response = await routed.wait_for_status(200, lambda: get(seed), "a read")
+        assert response.body == body
+    await routed.wait_until(
+        lambda: entry.node._dispatcher_inputs.evacuated_domains == {"north-a"},
+        "the evacuation at the entry instance",
+    )
+
+
 async def test_group_rejects_reads_without_a_quorum(group):
     seeds = group.seeds(3)
     await group.start()
