Give the process tests an address of their own

Cause: both runs used 127.0.0.1, where the port of metrics is fixed (9464), so that the later process could not bind it. Evidence: with that port held by another process, this test and test_process_starts_reloads_and_stops fail in the same way each time. Change: each test reserves a loopback address; the failure now names what the process wrote. What is checked is unchanged.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -3,30 +3,30 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import signal
+import socket
 import sys
 
 import pytest
 
-from tests import routed
-
 ROOT = pathlib.Path(__file__).parents[2]
 SETTINGS = """
 nodeId = "control-1"
-ip = "127.0.0.1"
+ip = "{host}"
 zone = "north-a"
 region = "north"
 internalPortRange = [{inner},{inner}]
-seeds = ["127.0.0.1:{control}"]
+seeds = ["{host}:{control}"]
 bootstrap = true
 dataDir = "{folder}"
 [zones]
 north-a = "north"
 [listen]
-control = "127.0.0.1:{control}"
-directory = "127.0.0.1:{directory}"
+control = "{host}:{control}"
+directory = "{host}:{directory}"
 [bounds]
 grace = "6s"
 retryBudgetRatio = 0.2
@@ -34,19 +34,47 @@
 retryBudgetSlack = 62
 ttl_max = "5s"
 [cloudApi]
-address = "127.0.0.1:1"
+address = "{host}:1"
 """
 
 
-def write_settings(folder: pathlib.Path) -> pathlib.Path:
-    path = folder / "local.toml"
-    ports = [routed.free_port() for _ in range(3)]
-    path.write_text(
-        SETTINGS.format(
-            inner=ports[0], control=ports[1], directory=ports[2], folder=folder
+LOCK_PORT, INNER_PORT, CONTROL_PORT, DIRECTORY_PORT = 6999, 7000, 7001, 7002
+FIRST_NETWORK, NETWORK_COUNT = 100, 100
+
+
+@contextlib.contextmanager
+def reserved_host():
+    """Reserve a loopback address of its own, as the port of metrics is fixed.
+
+    The lock on an unused port of the address excludes other runs on the machine.
+    """
+    for offset in range(NETWORK_COUNT):
+        number = FIRST_NETWORK + (os.getpid() + offset) % NETWORK_COUNT
+        host = f"127.{number}.0.1"
+        with contextlib.closing(socket.socket()) as lock:
+            try:
+                lock.bind((host, LOCK_PORT))
+            except OSError:
+                continue
+            yield host
+            return
+    raise AssertionError("every loopback address is reserved")
+
+
+@pytest.fixture
+def settings_path(tmp_path: pathlib.Path):
+    with reserved_host() as host:
+        path = tmp_path / "local.toml"
+        path.write_text(
+            SETTINGS.format(
+                host=host,
+                inner=INNER_PORT,
+                control=CONTROL_PORT,
+                directory=DIRECTORY_PORT,
+                folder=tmp_path,
+            )
         )
-    )
-    return path
+        yield path
 
 
 async def start(path: pathlib.Path, *arguments: str) -> asyncio.subprocess.Process:
@@ -69,18 +97,19 @@
         while line := (await process.stdout.readline()).decode():
             if f"event={event} " in line:
                 return line
-    raise AssertionError(f"the process ended without {event}")
+    assert process.stderr is not None
+    errors = (await process.stderr.read()).decode()
+    raise AssertionError(f"the process ended without {event}: {errors}")
 
 
 @pytest.mark.processes
-async def test_process_starts_reloads_and_stops(tmp_path: pathlib.Path):
-    path = write_settings(tmp_path)
-    process = await start(path, "control")
+async def test_process_starts_reloads_and_stops(settings_path: pathlib.Path):
+    process = await start(settings_path, "control")
     try:
         await read_until(process, "process.started")
         process.send_signal(signal.SIGHUP)
         await read_until(process, "settings.reloaded")
-        path.write_text("nonsense")
+        settings_path.write_text("nonsense")
         assert "cannot be read" in await read_until(process, "settings.reload-failed")
         process.send_signal(signal.SIGTERM)
         await read_until(process, "process.stopped")
@@ -93,10 +122,10 @@
 
 
 @pytest.mark.processes
-async def test_process_ignores_a_reload_while_it_imports(tmp_path: pathlib.Path):
+async def test_process_ignores_a_reload_while_it_imports(settings_path: pathlib.Path):
     # Without a handler, SIGHUP during the imports of the startup ends the process
     # (seen in a soak run with seed 540815866).
-    process = await start(write_settings(tmp_path), "control")
+    process = await start(settings_path, "control")
     try:
         status = pathlib.Path(f"/proc/{process.pid}/status")
         while not ignores_hangup(status.read_text()):
@@ -105,8 +134,9 @@
         process.send_signal(signal.SIGHUP)
         await read_until(process, "process.started")
     finally:
-        process.kill()
-        await process.wait()
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
 
 
 def ignores_hangup(status: str) -> bool:
