--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -116,6 +116,7 @@
     async def probe(self, session: aiohttp.ClientSession, revision: int) -> int | None:
         """Request the route that only one revision has; return the status."""
         start, self._count = self._entry.starts, self._count + 1
+        acknowledged = self._config_operator.last_acknowledgement
         newest_served = self._newest_served_by_start.get(start, 0)
         attempt_id = f"p-{self._entry.name}-{self._count}"
         loop = asyncio.get_running_loop()
@@ -125,6 +126,7 @@
         target = f"/only-{revision}/x"
         status, _ = await request(session, "GET", address, target, attempt, b"")
         self._observations.record_end(attempt, status, loop.time())
+        self._check_in_force(acknowledged, attempt, revision)
         if status == 200 and start == self._entry.starts:
             detail = f"{self._entry.name} served {revision} after {newest_served}"
             self._observations.check(
@@ -133,6 +135,26 @@
             self._newest_served_by_start[start] = max(newest_served, revision)
         return status
 
+    def _check_in_force(
+        self,
+        acknowledged: operator.Acknowledgement,
+        attempt: history.Attempt,
+        revision: int,
+    ) -> None:
+        """Check that a probe was not answered by a state older than it may be."""
+        if attempt.sent_at < acknowledged.received_at + deployment.ORDER_APPLY_LIMIT_S:
+            return
+        is_dropped = revision < acknowledged.revision
+        # A later revision that was sent may be in force as well.
+        is_newest = revision == acknowledged.revision == self._config_operator.revision
+        detail = f"{attempt} for revision {revision}, {acknowledged}"
+        self._observations.check(
+            "acknowledged changes are in force",
+            not (is_dropped and attempt.status == 200)
+            and not (is_newest and attempt.status == 404),
+            detail,
+        )
+
 
 async def request(
     session: aiohttp.ClientSession,
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -26,6 +26,8 @@
 FIRST_NETWORK, NETWORK_COUNT = 32, 200
 ZONES = {"north-a": "north", "north-b": "north", "south-a": "south", "south-b": "south"}
 RESTART_DELAY_S = 0.3
+# Time after an acknowledgement within which a change has to be in force everywhere.
+ORDER_APPLY_LIMIT_S = 2.5
 STOP_GRACE_S = 6.0
 # Before the interpreter has started, SIGHUP terminates the process.
 INTERPRETER_START_S = 1.0
@@ -110,7 +112,8 @@
             f"internalPortRange = [{INNER_PORT},{INNER_PORT + 15}]\n"
             f"seeds = {self.seeds!r}\n{disk}"
             f"[zones]\n{zones}\n[listen]\n{listen}"
-            f'[bounds]\ngrace = "{STOP_GRACE_S}s"\nretryBudgetRatio = 0.2\n'
+            f'[bounds]\nconfigApply = "{ORDER_APPLY_LIMIT_S}s"\n'
+            f'grace = "{STOP_GRACE_S}s"\nretryBudgetRatio = 0.2\n'
             'budgetWindow = "10s"\nretryBudgetSlack = 60\nttl_max = "5s"\n'
             f'[cloudApi]\naddress = "{self.list_host}:{LIST_PORT}"\n'
         )
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 from typing import Any
 
@@ -19,6 +20,14 @@
 EVACUATION_TIMEOUT_S = 5.0
 
 
+@dataclasses.dataclass(frozen=True)
+class Acknowledgement:
+    """The newest acknowledged revision, and when its operator knew of it."""
+
+    revision: int
+    received_at: float
+
+
 class Operator:
     """Sends changes to random control instances and records acknowledgements."""
 
@@ -35,12 +44,16 @@
         self._rng = rng
         self._sent_by_revision: dict[int, Any] = {}
         self.revision = 0
-        self.acknowledged_revision = 0
-        self.acknowledged_at = 0.0
+        self.last_acknowledgement = Acknowledgement(0, float("inf"))
         self.evacuated: set[str] = set()
         self.undetermined_zones: set[str] = set()
         """Zones whose last evacuation request has an unknown outcome."""
 
+    @property
+    def acknowledged_revision(self) -> int:
+        """The newest acknowledged revision."""
+        return self.last_acknowledgement.revision
+
     async def put_configuration(self, timeout_s: float) -> bool:
         """Send the next configuration; return whether it was acknowledged in time."""
         self.revision += self._rng.randrange(1, 4)
@@ -48,8 +61,8 @@
         self._sent_by_revision[revision] = content
         status = await self._send("/api/config/put", content, timeout_s)
         if status == 200 and revision > self.acknowledged_revision:
-            self.acknowledged_revision = revision
-            self.acknowledged_at = asyncio.get_running_loop().time()
+            now = asyncio.get_running_loop().time()
+            self.last_acknowledgement = Acknowledgement(revision, now)
         return status == 200
 
     async def put_invalid_configuration(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import pathlib
+import types
 
 import pytest
 
-from tests.soak import history, run
+from tests.soak import callers, history, operator, run
 
 SIGHUP_DURING_IMPORT = "SIGHUP ended a process that was still importing modules"
 # Seeds that caused a violation, each with its cause, and the default seed.
@@ -37,6 +38,28 @@
     return history.Attempt("1", kind, "10.0.0.1:80", 0.0)
 
 
+@pytest.mark.parametrize(
+    ("revision", "status", "delay_s", "holds"),
+    [
+        (4, 200, 3.0, False),
+        (4, 200, 1.0, True),
+        (4, 503, 3.0, True),
+        (5, 404, 3.0, False),
+        (5, 404, 1.0, True),
+        (5, 503, 3.0, True),
+        (5, 200, 3.0, True),
+    ],
+)
+def test_prober_detects_answers_by_an_older_revision(revision, status, delay_s, holds):
+    observations = history.History()
+    acknowledged = operator.Acknowledgement(5, 100.0)
+    config_operator = types.SimpleNamespace(revision=5)
+    prober = callers.Prober(None, config_operator, observations)
+    probe = history.Attempt("1", "safe", "10.0.0.1:80", 100.0 + delay_s, status=status)
+    prober._check_in_force(acknowledged, probe, revision)
+    assert (observations.violations == []) is holds
+
+
 def test_history_detects_repeated_execution():
     observations, repeated = history.History(), attempt("unsafe")
     observations.record_start(repeated)
