Send changes of orders and endpoints to followers instead of asking them to poll

Orders took 2 to 2.7 s to be in force. A change took four passes of an entry instance's busy link: notice, poll, answer, report. Besides, the list's age was counted from the end of its reading, which takes 0.5 s. Change: the leader keeps each follower's last poll and sends the answer that it would get now, in one pass. Such changes confirm nothing, and an older answer that they overtake does not undo them. Notices remain for changes of instances, which polls coalesce. What remains: an instance that has lost its dispatcher places by a list of any age.

--- a/packages/control/src/yuccapitch/control/coordinator.py
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -94,6 +94,7 @@
         self.fleet = control_fleet.Fleet()
         self.leases = state_leases.StateLeases()
         self._leases_changed = asyncio.Event()
+        self._last_polls_by_id: dict[str, messages.PollRequest] = {}
         links.handle(messages.PollRequest, self._on_poll)
         links.handle(messages.StateApplied, self._on_state_applied)
         links.handle(messages.SubmitRequest, self._on_submit)
@@ -128,7 +129,7 @@
                 if role is not effects.Role.LEADER:
                     self._leadership_term = None
             case effects.Apply() | effects.Restore():
-                self._notify_followers()
+                self._push_changes()
             case effects.JoinRequested(instance_id, identity):
                 events.event(
                     "consensus.members-changed",
@@ -347,6 +348,7 @@
             return messages.PollRefusal(self._other_leader_id() or "")
         self._ensure_leadership_begun(now)
         leader_polling.set_address_from_id(self._links, peer_id)
+        self._last_polls_by_id[peer_id] = request
         record_heartbeat = (
             self.fleet.record_entry_heartbeat
             if request.is_entry
@@ -440,18 +442,41 @@
             self._leadership_term = term
             self.fleet.begin_leadership(self._instance_id, now)
             self.leases.begin_leadership(self._state.index, now)
+            self._last_polls_by_id.clear()
 
     def _notify_followers(self) -> None:
+        """Ask every follower to poll."""
+        if self._leadership_term is not None:
+            notice = messages.PollNotice(self._leadership_term)
+            for follower_id in self._follower_ids():
+                self._links.send(follower_id, notice)
+
+    def _push_changes(self) -> None:
+        """Send every follower what has changed since its last poll.
+
+        On a busy link, a poll would delay it by a round trip. A follower that has not
+        polled this leader yet is asked to poll.
+        """
         if self._leadership_term is None:
             return
-        notice = messages.PollNotice(self._leadership_term)
-        for instance in self.fleet.instances:
-            self._links.send(instance.instance_id, notice)
-        for member in self._replica.core.members.members:
-            if member.instance_id != self._instance_id:
-                self._links.send(member.instance_id, notice)
+        now = self._clock()
+        for follower_id in self._follower_ids():
+            message: object = messages.PollNotice(self._leadership_term)
+            if follower_id in self._last_polls_by_id:
+                request = self._last_polls_by_id[follower_id]
+                message = self._build_answer(request, now)
+            self._links.send(follower_id, message)
+
+    def _follower_ids(self) -> list[str]:
+        member_ids = [m.instance_id for m in self._replica.core.members.members]
+        return [
+            *(instance.instance_id for instance in self.fleet.instances),
+            *(i for i in member_ids if i != self._instance_id),
+        ]
 
     async def _update_endpoints(self) -> None:
+        # A change during the reading may be missing from the pages read before it.
+        read_at = self._clock()
         outcome = await self._source.read()
         now = self._clock()
         if isinstance(outcome, result.Err):
@@ -465,8 +490,8 @@
         if not self._replica.is_leader:
             return
         records = self._allocate(outcome.ok_value, now)
-        if self.fleet.update_endpoints(records, now):
-            self._notify_followers()
+        if self.fleet.update_endpoints(records, read_at):
+            self._push_changes()
 
     def _allocate(
         self, records: tuple[messages.EndpointRecord, ...], now: float
--- a/packages/control/src/yuccapitch/control/leader_polling.py
+++ b/packages/control/src/yuccapitch/control/leader_polling.py
@@ -80,6 +80,7 @@
         self.confirmed_at = float("-inf")
         """Send time of the last request that a leader answered."""
         links.handle(messages.PollNotice, self._on_notice)
+        links.handle(messages.PollResponse, self._on_changes)
 
     @property
     def leader_id(self) -> str | None:
@@ -245,14 +246,26 @@
         self._leader_id = target_id
         self._control_ids = sorted({*self._control_ids, *answer.control_ids})
         self.confirmed_at = sent_at
+        self._apply(answer)
+        return answer.poll_interval_ms / 1000
+
+    def _apply(self, answer: messages.PollResponse) -> None:
+        """Move the position on and pass on the parts that are newer than it."""
         position = self.position
+        if answer.term == position.term:
+            # Changes that the leader sent by itself may overtake an earlier answer.
+            if answer.endpoints_version <= position.endpoints_version:
+                answer = dataclasses.replace(
+                    answer, endpoints=None, endpoint_changes=None
+                )
+            if answer.instances_version <= position.instances_version:
+                answer = dataclasses.replace(answer, instances=None, dispatchers=())
         position.term = answer.term
         if answer.endpoints is not None or answer.endpoint_changes is not None:
             position.endpoints_version = answer.endpoints_version
         if answer.instances is not None:
             position.instances_version = answer.instances_version
         self._on_answer(answer)
-        return answer.poll_interval_ms / 1000
 
     def _clear_leader(self, target_id: str, reason: str) -> None:
         if self._leader_id is not None:
@@ -282,6 +295,16 @@
     def _is_unresponsive(self, instance_id: str) -> bool:
         return self._clock() < self._unresponsive_until_by_id.get(instance_id, 0.0)
 
+    def _on_changes(self, peer_id: str, answer: messages.PollResponse) -> None:
+        """Apply changes that the leader sent by itself; they confirm nothing."""
+        if answer.term != self.position.term:
+            self._on_notice(peer_id, messages.PollNotice(answer.term))
+            return
+        if self._leader_id is None:
+            self._leader_id = peer_id
+            self._wake.set()
+        self._apply(answer)
+
     def _on_notice(self, peer_id: str, notice: messages.PollNotice) -> None:
         if notice.term < self.position.term:
             return
--- a/packages/control/src/yuccapitch/control/state_leases.py
+++ b/packages/control/src/yuccapitch/control/state_leases.py
@@ -50,10 +50,11 @@
         expiries[current_index] = now + _leader_lease_s()
 
     def record_applied(self, holder_id: str, applied_index: int) -> None:
-        """End an instance's leases on states older than the one it has applied."""
+        """Replace an instance's leases on older states by one on the applied state."""
         expiries = self._expiries_by_holder_id.get(holder_id, {})
         for index in [index for index in expiries if index < applied_index]:
-            del expiries[index]
+            expires_at = max(expiries.pop(index), expiries.get(applied_index, 0.0))
+            expiries[applied_index] = expires_at
 
     def expire(self, now: float) -> None:
         """Remove the leases that have expired."""
--- a/packages/control/tests/test_coordinator.py
+++ b/packages/control/tests/test_coordinator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import math
 import time
 import types
@@ -10,6 +11,7 @@
 
 import result
 
+from yuccapitch.consensus import effects
 from yuccapitch.control import coordinator, orders, state_leases
 from yuccapitch.protocol import codec, subscription_messages as messages
 
@@ -43,18 +45,18 @@
 
     def __init__(self) -> None:
         self.reads = 0
+        self.before_answer = lambda: None
+        self.records = tuple(
+            messages.EndpointRecord(
+                f"e{n}", "orders", "10.0.1.1", 80, "south-a", 4, False, 0, 0, "south"
+            )
+            for n in range(4)
+        )
 
     async def read(self):
         self.reads += 1
-        return result.Ok(
-            tuple(
-                messages.EndpointRecord(
-                    f"e{n}", "orders", "10.0.1.1", 80, "south-a", 4, False, 0, 0,
-                    "south",
-                )
-                for n in range(4)
-            )
-        )  # fmt: skip
+        self.before_answer()
+        return result.Ok(self.records)
 
 
 class CoordinatorHarness:
@@ -195,6 +197,46 @@
     assert harness.poll(**{**position, "term": 1}).endpoints is not None
 
 
+# Guards against requests to an endpoint that is leaving, from an instance whose polls
+# are delayed by bodies on its link.
+async def test_endpoint_changes_are_sent_without_a_poll():
+    harness = CoordinatorHarness()
+    harness.replica.is_leader = True
+    await harness.coordinator._update_endpoints()
+    first = harness.poll()
+    known = {"term": first.term, "endpoints_version": first.endpoints_version}
+    harness.poll(**known, instances_version=first.instances_version)
+    harness.links.sent.clear()
+    leaving = [dataclasses.replace(e, is_leaving=True) for e in first.endpoints]
+    harness.coordinator._source.records = tuple(leaving)
+    await harness.coordinator._update_endpoints()
+    ((peer_id, changes),) = harness.links.sent
+    assert peer_id == B
+    assert all(e.is_leaving for e in changes.endpoint_changes.changed)
+    assert changes.instances is None
+
+
+def test_applied_order_is_sent_without_a_poll():
+    harness = CoordinatorHarness()
+    harness.poll()
+    harness.links.sent.clear()
+    order = messages.RouteDeclaration(3, b"routes")
+    harness.state.apply(1, codec.encode(order))
+    harness.coordinator.on_effect(effects.Apply(()))
+    ((peer_id, changes),) = harness.links.sent
+    assert peer_id == B
+    assert changes.state.revision == 3
+
+
+async def test_endpoint_list_counts_its_age_from_the_start_of_the_reading():
+    # Pages that were read first may lack what changed during the reading.
+    harness = CoordinatorHarness()
+    source = harness.coordinator._source
+    source.before_answer = lambda: harness.advance_clock(0.4)
+    await harness.coordinator._update_endpoints()
+    assert harness.poll().endpoints_age_ms == 400
+
+
 def test_poll_answer_contains_compressed_routes_once():
     # Uncompressed routes of 100 KB take a third of a second on a link of 2.45 Mbit/s.
     harness = CoordinatorHarness()
--- a/packages/control/tests/test_leader_polling.py
+++ b/packages/control/tests/test_leader_polling.py
@@ -216,6 +216,46 @@
     assert harness.poller.position.instances_version == 9
 
 
+def push(harness: PollerHarness, changes: messages.PollResponse) -> None:
+    harness.links.handlers_by_type[messages.PollResponse](A, changes)
+
+
+async def test_changes_sent_by_the_leader_are_applied_without_a_confirmation():
+    harness = PollerHarness(A)
+    harness.links.replies_by_id[A] = answer(endpoints=(), endpoints_version=1)
+    harness.now = 7.0
+    await harness.poller.poll()
+    harness.now = 9.0
+    changes = messages.EndpointChanges((), ("e1",))
+    push(harness, answer(endpoint_changes=changes, endpoints_version=2))
+    assert harness.answers[-1].endpoint_changes == changes
+    assert harness.poller.position.endpoints_version == 2
+    assert harness.poller.confirmed_at == 7.0
+
+
+async def test_answer_that_changes_have_overtaken_does_not_undo_them():
+    harness = PollerHarness(A)
+    harness.links.replies_by_id[A] = answer(endpoints=(), endpoints_version=1)
+    await harness.poller.poll()
+    changes = messages.EndpointChanges((), ("e1",))
+    push(harness, answer(endpoint_changes=changes, endpoints_version=3))
+    older = messages.EndpointChanges((), ("e0",))
+    harness.links.replies_by_id[A] = answer(endpoint_changes=older, endpoints_version=2)
+    await harness.poller.poll()
+    assert harness.answers[-1].endpoint_changes is None
+    assert harness.poller.position.endpoints_version == 3
+
+
+async def test_changes_of_another_term_only_wake_the_poller():
+    harness = PollerHarness(A)
+    harness.links.replies_by_id[A] = answer(term=2, endpoints=(), endpoints_version=5)
+    await harness.poller.poll()
+    for term in (1, 3):
+        push(harness, answer(term=term, endpoints=(), endpoints_version=9))
+    assert len(harness.answers) == 1
+    assert harness.poller.position.endpoints_version == 5
+
+
 def test_set_seeds_adds_to_the_known_instances():
     harness = PollerHarness(A)
     harness.poller.set_seeds([A, B])
--- a/packages/control/tests/test_state_leases.py
+++ b/packages/control/tests/test_state_leases.py
@@ -64,6 +64,15 @@
     assert leases.in_force_at(1, now=10.1) == 10.1
 
 
+def test_record_applied_keeps_the_lease_of_a_state_that_was_not_polled():
+    # The leader sent state 5 by itself; the instance acts on it under its last lease.
+    leases = state_leases.StateLeases()
+    leases.grant(A, 4, 4, now=0.0)
+    leases.record_applied(A, 5)
+    assert leases.holders_behind(6, now=LEASE_S) == [A]
+    assert leases.holders_behind(6, now=DRIFTED_LEASE_S) == []
+
+
 def test_expire_removes_leases_that_have_expired():
     leases = state_leases.StateLeases()
     leases.grant(A, 4, 4, now=0.0)
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -245,7 +245,7 @@
 
 
 def cut_off(instance: Instance) -> None:
-    """Let every message from an instance to other instances be lost."""
+    """Let every message between an instance and other instances be lost."""
 
     async def lose(peer_id, message, timeout_s):
         await asyncio.sleep(timeout_s)
@@ -253,6 +253,8 @@
 
     links = instance.node._links
     links.request, links.send = lose, lambda peer_id, message: True
+    # Messages without a handler are dropped.
+    links._handlers_by_type.clear()
 
 
 async def wait_until(condition: Callable[[], object], description: str) -> None:
