--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -10,6 +10,7 @@
 import result
 
 from yuccapitch.catalogue import ids, routes
+from yuccapitch.control import coordinator
 from yuccapitch.gateway.front import headers, request_path
 from yuccapitch.node.routed import entry_node, settings
 from yuccapitch.protocol import subscription_messages as messages
@@ -87,6 +88,14 @@
     assert node._routing_state.confirmed_at == 1.0
 
 
+async def test_instance_is_not_ready_once_its_state_is_too_old(node):
+    now = coordinator.boot_time_s()
+    deliver(node, answer(b"routes", 4), sent_at=now)
+    assert node._is_ready()
+    node._routing_state.confirmed_at = now - 2 * node._routing_state.max_age_s
+    assert not node._is_ready()
+
+
 async def test_poll_response_without_a_newer_state_confirms_the_state(node):
     deliver(node, answer(b"routes", 4), sent_at=1.0)
     repeated = dataclasses.replace(answer(b"routes", 4), state=None)
--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -74,20 +74,35 @@
     assert received[:2] == frames.MAGIC and reply.unwrap().version == 4
 
 
-async def test_peers_request_to_silent_peer_fails(pair: Pair) -> None:
+@pytest.fixture
+async def silent_port() -> AsyncIterator[int]:
+    """Yield the port of a peer that accepts connections and sends nothing."""
+
     async def accept(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         await asyncio.Event().wait()
 
     server = await asyncio.start_server(accept, "127.0.0.1", 0)
-    port = server.sockets[0].getsockname()[1]
-    pair.a.set_address("silent", peers.Address("127.0.0.1", port))
-    reply = await pair.a.request("silent", node_messages.RenewalNotice(1, 0), 30)
+    yield server.sockets[0].getsockname()[1]
     server.close()
+
+
+async def test_peers_request_to_silent_peer_fails(pair: Pair, silent_port: int) -> None:
+    pair.a.set_address("silent", peers.Address("127.0.0.1", silent_port))
+    reply = await pair.a.request("silent", node_messages.RenewalNotice(1, 0), 30)
     assert reply.unwrap_err().code is link.LinkErrorCode.CLOSED
 
 
+async def test_peers_request_times_out_while_a_link_is_being_opened(
+    pair: Pair, silent_port: int
+) -> None:
+    # Unlike a refused connection, this shows that the peer is silent.
+    pair.a.set_address("silent", peers.Address("127.0.0.1", silent_port))
+    reply = await pair.a.request("silent", node_messages.RenewalNotice(1, 0), 0.05)
+    assert reply.unwrap_err().code is link.LinkErrorCode.TIMEOUT
+
+
 async def test_peers_count_the_bytes_of_both_sides(pair: Pair) -> None:
     pair.b.handle(node_messages.RenewalNotice, lambda peer, message: message)
     before = pair.a.traffic.sent_bytes
