Test that the product's own path ends responses without end

Endpoints that never end a header, the headers, interim responses, chunks or a body up to the close.

--- a/tests/single_process.py
+++ b/tests/single_process.py
@@ -23,6 +23,8 @@
     """An endpoint that sends fixed bytes and records the requests it receives."""
 
     response: bytes = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    repeated: bytes = b""
+    """Sent after the response without end, until the connection is closed."""
     reads_body: bool = True
     heads: list[bytes] = dataclasses.field(default_factory=list)
     bodies: list[bytes] = dataclasses.field(default_factory=list)
@@ -38,6 +40,9 @@
                 self.bodies.append(await reader.readexactly(_content_length(head)))
             writer.write(self.response)
             await writer.drain()
+            while self.repeated and not writer.is_closing():
+                writer.write(self.repeated * 1000)
+                await writer.drain()
         writer.close()
 
 
--- a/tests/test_endpoint_faults.py
+++ b/tests/test_endpoint_faults.py
@@ -41,6 +41,7 @@
         shop.set_behaviour(**behaviour.Behaviour().model_dump())
     started.scripted.response = single_process.ScriptedEndpoint().response
     started.scripted.reads_body = True
+    started.scripted.repeated = b""
 
     async def serves() -> bool:
         results = [await send(started, "GET", "shop/") for _ in range(4)]
@@ -334,6 +335,31 @@
         assert b"content-length" not in received.lower()
 
 
+# Guards against an endpoint that fills the memory of the instance with bytes that are
+# no answer.
+@pytest.mark.parametrize(
+    ("beginning", "repeated"),
+    [
+        (b"HTTP/1.1 200 OK\r\nPadding: ", b"x"),
+        (b"HTTP/1.1 200 OK\r\n", b"Padding: x\r\n"),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n"),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    ],
+    ids=["header", "headers", "interim", "chunks", "close-delimited"],
+)
+async def test_response_without_end_ends_at_the_deadline(
+    deployment: single_process.Deployment, beginning: bytes, repeated: bytes
+) -> None:
+    deployment.scripted.response = beginning
+    deployment.scripted.repeated = repeated
+    # A response that goes on after the deadline fails with the timeout.
+    async with asyncio.timeout(30):
+        result = await send(deployment, "GET", "raw/", {"Request-Timeout-Ms": "500"})
+    assert result[0] in ("cut", "unknown"), result[:2]
+    assert deployment.rss_mb() < RSS_BOUND_MB
+
+
 async def test_response_before_the_body_is_read_is_forwarded(
     deployment: single_process.Deployment,
 ) -> None:
