--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -7,7 +7,7 @@
 import pytest
 
 from yuccapitch.gateway.front import routing_state
-from yuccapitch.platform import node_file, units
+from yuccapitch.platform import node_file, startup, units
 
 TEXT = """
 nodeId = "control-north-a-1"
@@ -76,6 +76,23 @@
         assert name in reason
 
 
+# Guards against a process that ends because it reads its settings while they are written.
+def test_startup_reads_a_file_that_is_being_written_again(tmp_path, monkeypatch):
+    path = tmp_path / "local.toml"
+    path.write_text("")
+    monkeypatch.setattr(startup.time, "sleep", lambda delay_s: path.write_text(TEXT))
+    assert startup._read_settings(path).is_ok()
+
+
+def test_startup_gives_up_on_settings_that_stay_invalid(tmp_path, monkeypatch):
+    path = tmp_path / "local.toml"
+    path.write_text("")
+    delays: list[float] = []
+    monkeypatch.setattr(startup.time, "sleep", delays.append)
+    assert startup._read_settings(path).is_err()
+    assert len(delays) == startup.READ_ATTEMPTS - 1
+
+
 def test_read_names_the_variable_of_a_missing_file(tmp_path: pathlib.Path):
     reason = node_file.read(tmp_path / "none").unwrap_err()
     assert node_file.NODE_FILE_VARIABLE in reason
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,7 @@
     67705928: SIGHUP_DURING_IMPORT,
     476417562: SIGHUP_DURING_IMPORT,
     674041778: SIGHUP_DURING_IMPORT,
+    874358358: "a process read its settings file while it was being written",
     990515772: "the injected torn write was not a prefix of a valid record",
 }
 
