--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -76,7 +76,7 @@
         assert name in reason
 
 
-# Guards against a process that ends because it reads its settings while they are written.
+# Guards against a process that ends because it read settings that were being written.
 def test_startup_reads_a_file_that_is_being_written_again(tmp_path, monkeypatch):
     path = tmp_path / "local.toml"
     path.write_text("")
