--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from tests.soak import callers, history, operator, run
 
 SIGHUP_DURING_IMPORT = "SIGHUP ended a process that was still importing modules"
+SETTINGS_DURING_WRITE = "a process read its settings file while it was being written"
 # Seeds that caused a violation, each with its cause, and the default seed.
 REGRESSION_SEEDS = {
     20261204: "no failure",
@@ -20,7 +21,8 @@
     67705928: SIGHUP_DURING_IMPORT,
     476417562: SIGHUP_DURING_IMPORT,
     674041778: SIGHUP_DURING_IMPORT,
-    874358358: "a process read its settings file while it was being written",
+    874358358: SETTINGS_DURING_WRITE,
+    33741540: SETTINGS_DURING_WRITE,
     990515772: "the injected torn write was not a prefix of a valid record",
 }
 
