--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -235,10 +235,10 @@
 declare("operator.refused", "An operator's request was refused.", Level.WARNING)
 declare(
     "operator.unavailable",
-    "An operator's request was not confirmed by a quorum.",
+    "An operator's request was not confirmed by a quorum, or is not in force yet.",
     Level.WARNING,
 )
-declare("operator.acknowledged", "An operator's order was committed.")
+declare("operator.acknowledged", "An operator's order is committed and in force.")
 declare(
     "lookup.empty",
     "No entry instance is available for a lookup response.",
