Leader: notices of a fleet's start at intervals, lists encoded once for all

Cause: each instance that joined, or became ready, made the leader ask all others to poll, and each poll was answered with the instances of its region, encoded anew: 185 instances at once made some 34,000 notices and as many answers (test_start_of_the_fleet_sends_each_instance_few_notices failed). Polls timed out, followers searched for another leader, and only 24 of 185 entry instances were ready when traffic began.

Change: notices at most each 0.5 s, at once only for a change of dispatchers; lists of endpoints and instances are encoded and compressed once a version (and region), which also serves a new leader's first answers.

--- a/packages/control/src/yuccapitch/control/coordinator.py
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -18,6 +18,7 @@
 
 from yuccapitch.consensus import effects, replica as consensus_replica
 from yuccapitch.control import (
+    compressed_lists,
     fleet as control_fleet,
     leader_polling,
     orders,
@@ -45,6 +46,9 @@
 # of one second after which a client stops waiting for this instance.
 FORWARD_TIMEOUT_S = 0.85
 LEADER_CHECK_INTERVAL_S = 0.1
+# Shortest time between two notices of changed instances. In a start of hundreds of
+# instances, a notice for each that joins would make all others poll each time.
+INSTANCE_NOTICE_INTERVAL_S = 0.5
 ALLOCATION_INTERVAL_S = 2.0
 # A leader that starts without an endpoint list knows no former allocation. For this
 # time after its first read of the list, it allocates the endpoints by the number of
@@ -91,6 +95,10 @@
         self._leadership_term: int | None = None
         self._has_list_read_failed = False
         self._compressed_routes = (orders.NO_REVISION, b"")
+        self._compressed_lists = compressed_lists.CompressedLists()
+        self._has_unnoticed_change = False
+        self._noticed_at = float("-inf")
+        self._noticed_dispatchers: tuple[messages.RegionDispatcher, ...] = ()
         self._allocated_at = float("-inf")
         self._warm_up_until = float("-inf")
         self.fleet = control_fleet.Fleet()
@@ -175,8 +183,9 @@
             silence_s = max(
                 MIN_SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_POLLS * self._poll_interval_s()
             )
-            if self.fleet.expire(now, silence_s) or is_changed:
-                self._notify_followers()
+            self._has_unnoticed_change |= self.fleet.expire(now, silence_s)
+            self._has_unnoticed_change |= is_changed
+            self._notify_of_instances(now)
 
     async def run_endpoint_updates(self) -> None:
         """Read the platform's endpoint list periodically while leading."""
@@ -391,7 +400,8 @@
             else self.fleet.record_control_heartbeat
         )
         if record_heartbeat(request, now):
-            self._notify_followers()
+            self._has_unnoticed_change = True
+            self._notify_of_instances(now)
         if request.is_entry:
             self.leases.grant(
                 request.instance_id, request.state_index, self._state.index, now
@@ -416,25 +426,47 @@
         has_instances = (
             is_same_term and request.instances_version == fleet.instances_version
         )
-        endpoints, changes = self._endpoints_for(request, is_same_term)
+        needs_endpoints, changes = self._endpoints_for(request, is_same_term)
         read_at = fleet.endpoints_read_at
-        instances = fleet.instances
         return messages.PollResponse(
             term=term,
             state_index=self._state.index,
             state=self._state_for(request),
             endpoints_version=fleet.endpoints_version,
-            endpoints=endpoints,
+            endpoints=None,
             endpoints_age_ms=-1 if read_at is None else round((now - read_at) * 1000),
             instances_version=fleet.instances_version,
-            instances=None if has_instances else _visible_instances(instances, request),
+            instances=None,
             control_ids=tuple(
                 m.instance_id for m in self._replica.core.members.members
             ),
             poll_interval_ms=round(self._poll_interval_s() * 1000),
             dispatchers=() if has_instances else fleet.dispatchers,
             endpoint_changes=changes,
-            entry_count=len(instances),
+            entry_count=len(fleet.instances),
+            compressed_endpoints=(
+                self._compress_endpoints() if needs_endpoints else b""
+            ),
+            compressed_instances=(
+                b"" if has_instances else self._compress_instances(request)
+            ),
+        )
+
+    def _compress_endpoints(self) -> bytes:
+        return self._compressed_lists.get(
+            messages.EndpointList,
+            self.fleet.endpoints_version,
+            lambda: messages.EndpointList(self.fleet.endpoints),
+        )
+
+    def _compress_instances(self, request: messages.PollRequest) -> bytes:
+        region_id = request.region_id if request.is_entry else None
+        return self._compressed_lists.get(
+            (messages.InstanceList, region_id),
+            self.fleet.instances_version,
+            lambda: messages.InstanceList(
+                _visible_instances(self.fleet.instances, region_id)
+            ),
         )
 
     def _state_for(self, request: messages.PollRequest) -> messages.StateUpdate | None:
@@ -455,18 +487,17 @@
 
     def _endpoints_for(
         self, request: messages.PollRequest, is_same_term: bool
-    ) -> tuple[
-        tuple[messages.EndpointRecord, ...] | None, messages.EndpointChanges | None
-    ]:
+    ) -> tuple[bool, messages.EndpointChanges | None]:
+        """Return whether the whole list is needed, or the changes that suffice."""
         fleet = self.fleet
         if fleet.endpoints_read_at is None:
-            return None, None
+            return False, None
         if is_same_term and request.endpoints_version == fleet.endpoints_version:
-            return None, None
+            return False, None
         changes = None
         if is_same_term:
             changes = fleet.endpoint_changes(request.endpoints_version)
-        return (fleet.endpoints, None) if changes is None else (None, changes)
+        return changes is None, changes
 
     def _poll_interval_s(self) -> float:
         followers = len(self.fleet.instances) + len(self._replica.core.members.members)
@@ -479,9 +510,20 @@
             self.fleet.begin_leadership(self._instance_id, now)
             self.leases.begin_leadership(self._state.index, now)
             self._last_polls_by_id.clear()
-
-    def _notify_followers(self) -> None:
-        """Ask every follower to poll."""
+            self._compressed_lists.clear()
+
+    def _notify_of_instances(self, now: float) -> None:
+        """Ask every follower to poll if instances or dispatchers have changed."""
+        dispatchers = self.fleet.dispatchers
+        is_due = (
+            now - self._noticed_at >= INSTANCE_NOTICE_INTERVAL_S
+            # Requests wait for a dispatcher that is gone.
+            or dispatchers != self._noticed_dispatchers
+        )
+        if not self._has_unnoticed_change or not is_due:
+            return
+        self._has_unnoticed_change = False
+        self._noticed_at, self._noticed_dispatchers = now, dispatchers
         if self._leadership_term is not None:
             notice = messages.PollNotice(self._leadership_term)
             for follower_id in self._follower_ids():
@@ -559,11 +601,12 @@
 
 
 def _visible_instances(
-    instances: tuple[messages.EntryInstance, ...], request: messages.PollRequest
+    instances: tuple[messages.EntryInstance, ...], region_id: str | None
 ) -> tuple[messages.EntryInstance, ...]:
-    if not request.is_entry:
+    """Return the instances of one region, or of all regions if it is None."""
+    if region_id is None:
         return instances
-    return tuple(i for i in instances if i.region_id == request.region_id)
+    return tuple(i for i in instances if i.region_id == region_id)
 
 
 def boot_time_s() -> float:
--- a/packages/control/src/yuccapitch/control/fleet.py
+++ b/packages/control/src/yuccapitch/control/fleet.py
@@ -48,6 +48,10 @@
         self.instances_version = 0
         self.dispatcher_ids_by_region: dict[str, str] = {}
         self._entries_by_id: dict[str, _TrackedEntry] = {}
+        self._sorted_instances: tuple[int, tuple[messages.EntryInstance, ...]] = (
+            -1,
+            (),
+        )
         self._controls_by_id: dict[str, _TrackedControl] = {}
         self._unconfirmed_by_id: dict[str, _UnconfirmedDispatcher] = {}
         self._history = endpoint_history.EndpointHistory()
@@ -57,9 +61,13 @@
     @property
     def instances(self) -> tuple[messages.EntryInstance, ...]:
         """The entry instances, sorted by id."""
-        return tuple(
-            tracked.instance for _, tracked in sorted(self._entries_by_id.items())
-        )
+        # Every change counts the version up. The leader reads this at each poll.
+        version, instances = self._sorted_instances
+        if version != self.instances_version:
+            tracked = sorted(self._entries_by_id.items())
+            instances = tuple(entry.instance for _, entry in tracked)
+            self._sorted_instances = (self.instances_version, instances)
+        return instances
 
     @property
     def dispatchers(self) -> tuple[messages.RegionDispatcher, ...]:
--- a/packages/control/src/yuccapitch/control/leader_polling.py
+++ b/packages/control/src/yuccapitch/control/leader_polling.py
@@ -9,6 +9,7 @@
 
 import result
 
+from yuccapitch.control import compressed_lists
 from yuccapitch.protocol import (
     events,
     link as inner_link,
@@ -258,9 +259,21 @@
         # Changes that the leader sent by itself may overtake an earlier answer.
         if answer.endpoints_version <= position.endpoints_version:
             self._log_outdated(answer)
-            answer = dataclasses.replace(answer, endpoints=None, endpoint_changes=None)
+            answer = dataclasses.replace(
+                answer,
+                endpoints=None,
+                endpoint_changes=None,
+                compressed_endpoints=b"",
+            )
         if answer.instances_version <= position.instances_version:
-            answer = dataclasses.replace(answer, instances=None, dispatchers=())
+            answer = dataclasses.replace(
+                answer, instances=None, dispatchers=(), compressed_instances=b""
+            )
+        expanded = compressed_lists.expand(answer)
+        if isinstance(expanded, result.Err):
+            events.event("follow.answer-unreadable", reason=expanded.err_value)
+            return
+        answer = expanded.ok_value
         if answer.endpoints is not None or answer.endpoint_changes is not None:
             position.endpoints_version = answer.endpoints_version
         if answer.instances is not None:
@@ -268,8 +281,10 @@
         self._on_answer(answer)
 
     def _log_outdated(self, answer: messages.PollResponse) -> None:
-        has_endpoints = (
-            answer.endpoints is not None or answer.endpoint_changes is not None
+        has_endpoints = bool(
+            answer.endpoints is not None
+            or answer.endpoint_changes is not None
+            or answer.compressed_endpoints
         )
         held_version = self.position.endpoints_version
         # The answer to a poll often has what the leader has sent by itself meanwhile.
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -228,6 +228,11 @@
     "No leader was elected: not enough of the voters granted this one their vote.",
     Level.WARNING,
 )
+declare(
+    "follow.answer-unreadable",
+    "The lists in an answer of the leader cannot be decoded; the answer is ignored.",
+    Level.ERROR,
+)
 declare(
     "follow.answer-outdated",
     "Endpoints in a leader's answer were ignored as older than the list in use.",
--- a/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
@@ -136,6 +136,22 @@
     instance_id: str
 
 
+@registry.message(108)
+@dataclasses.dataclass(frozen=True)
+class EndpointList:
+    """All endpoints, compressed for many followers at once."""
+
+    endpoints: tuple[EndpointRecord, ...]
+
+
+@registry.message(109)
+@dataclasses.dataclass(frozen=True)
+class InstanceList:
+    """The entry instances that one region's followers are told of, compressed."""
+
+    instances: tuple[EntryInstance, ...]
+
+
 @registry.message(97)
 @dataclasses.dataclass(frozen=True)
 class PollResponse:
@@ -161,6 +177,10 @@
     """Sent instead of `endpoints` if the leader has the polling instance's version."""
     entry_count: int
     """Number of entry instances in all regions."""
+    compressed_endpoints: bytes = b""
+    """An ``EndpointList`` in zlib format, sent instead of `endpoints`."""
+    compressed_instances: bytes = b""
+    """An ``InstanceList`` in zlib format, sent instead of `instances`."""
 
 
 @registry.message(98)
