Links: one-way messages use the link that the peer has opened

Cause: a leader connected to each of its followers to send notices and changes, though each of them had a link to it: twice the connections, heartbeats and handshakes, and the first message to each was lost.

Change: a peer without an outgoing link is sent to over its incoming one.

Result: a test fails without it; request and reply are unchanged.

--- a/packages/protocol/src/yuccapitch/protocol/peers.py
+++ b/packages/protocol/src/yuccapitch/protocol/peers.py
@@ -1,4 +1,8 @@
-"""All links of one instance: a listener for incoming and one outgoing per peer."""
+"""All links of one instance: incoming ones, and one outgoing per peer that is asked.
+
+One-way messages to a peer without an outgoing link use its incoming one, so that a
+leader with hundreds of followers does not connect to each of them.
+"""
 
 from __future__ import annotations
 
@@ -41,6 +45,7 @@
         self._handlers_by_type: dict[type, inner_link.Handler] = {}
         self._addresses_by_id: dict[str, Address] = {}
         self._links_by_id: dict[str, inner_link.Link] = {}
+        self._accepted_links_by_id: dict[str, inner_link.Link] = {}
         self._connect_tasks_by_id: dict[str, asyncio.Task[inner_link.Link | None]] = {}
         self._retry_at_by_id: dict[str, float] = {}
         self._unreachable_ids: set[str] = set()
@@ -73,9 +78,10 @@
 
     def send(self, peer_id: str, message: object) -> bool:
         """Send a one-way message; return False if the peer has no open link."""
-        link = self._links_by_id.get(peer_id)
-        if link is not None and link.is_open:
-            return link.send(message)
+        for links_by_id in (self._links_by_id, self._accepted_links_by_id):
+            link = links_by_id.get(peer_id)
+            if link is not None and link.is_open:
+                return link.send(message)
         self._start_connecting(peer_id)
         return False
 
@@ -183,6 +189,7 @@
             events.event("link.refused", peer="unknown", reason=reason)
             link.close()
             return
+        self._accepted_links_by_id[link.peer_id] = link
         self._spawn(self._run_link(link, is_outgoing=False))
 
     async def _run_link(self, link: inner_link.Link, is_outgoing: bool) -> None:
@@ -192,6 +199,8 @@
             if is_outgoing and self._links_by_id.get(link.peer_id) is link:
                 del self._links_by_id[link.peer_id]
                 self.on_link_closed(link.peer_id)
+            if self._accepted_links_by_id.get(link.peer_id) is link:
+                del self._accepted_links_by_id[link.peer_id]
             direction = "out" if is_outgoing else "in"
             events.event("link.closed", peer=link.peer_id, direction=direction)
 
--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -134,3 +134,24 @@
         await pair.a.aclose()
     assert kinds.count(frames.Kind.ONE_WAY) > 20
     assert kinds.count(frames.Kind.HEARTBEAT) <= 1
+
+
+# Guards against a leader that connects to each of its hundreds of followers.
+async def test_peers_send_uses_the_link_that_the_peer_opened(pair: Pair) -> None:
+    received: asyncio.Queue[object] = asyncio.Queue()
+    pair.a.handle(node_messages.RenewalNotice, lambda peer, m: received.put_nowait(m))
+    pair.b.handle(node_messages.RenewalNotice, lambda peer, message: message)
+    await pair.a.request("b", node_messages.RenewalNotice(1, 0), 5)
+    # B doesn't know an address of A.
+    assert pair.b.send("a", node_messages.RenewalNotice(2, 0))
+    async with asyncio.timeout(5):
+        assert await received.get() == node_messages.RenewalNotice(2, 0)
+
+
+async def test_peers_send_fails_once_the_peer_has_closed_its_link(pair: Pair) -> None:
+    pair.b.handle(node_messages.RenewalNotice, lambda peer, message: message)
+    await pair.a.request("b", node_messages.RenewalNotice(1, 0), 5)
+    await pair.a.aclose()
+    async with asyncio.timeout(5):
+        while pair.b.send("a", node_messages.RenewalNotice(2, 0)):
+            await asyncio.sleep(0)
