Dispatcher: keep the lists of eligible endpoints and the work that waits

Cause: each release looked through the service's endpoints once for each of 16 waiting requests, each tick selected for all of them though no slot was free, and each new request summed up the whole queue.

Change: lists by service and homes are kept until endpoints, evacuations or announcements change; membership is a look-up; a tick without a free slot selects nothing; the queue keeps sums; limits are kept by region.

--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -9,6 +9,7 @@
 from yuccapitch.catalogue import ids
 from yuccapitch.steering.placement import (
     cache_capacity,
+    eligibility,
     endpoint_selector,
     endpoint_state,
     estimates,
@@ -83,7 +84,7 @@
         """Return a grant or a refusal, or None if the request is queued."""
         self.estimates.count(request, now)
         eligible = self._table.eligible(request)
-        if not eligible:
+        if not eligible.all:
             return self._refuse(
                 request,
                 model.RefusalReason.NO_ENDPOINT,
@@ -246,13 +247,12 @@
     def _partition_by_preference(
         self,
         request: model.PlacementRequest,
-        eligible: list[endpoint_state.EndpointState],
+        eligible: eligibility.EligibleEndpoints,
         now: float,
     ) -> tuple[list[endpoint_state.EndpointState], list[endpoint_state.EndpointState]]:
-        local = [s for s in eligible if s.endpoint.region_id == self._table.region_id]
-        remote = [s for s in eligible if s.endpoint.region_id != self._table.region_id]
+        local, remote = eligible.local, eligible.remote
         if not local or not remote:
-            return eligible, []
+            return eligible.all, []
         if not self._table.usable_slots(local, now):
             return remote, local
         if not self._table.usable_slots(remote, now):
@@ -358,15 +358,25 @@
         """Return the endpoints that may serve a queued request."""
         eligible = self._table.eligible(item.request)
         if item.region_scope is request_queue.RegionScope.ANY:
-            return eligible
+            return eligible.all
         is_local = item.region_scope is request_queue.RegionScope.LOCAL_REGION
-        matching = [
-            state
-            for state in eligible
-            if (state.endpoint.region_id == self._table.region_id) is is_local
-        ]
         # If all endpoints of that scope left after the request was queued, use any.
-        return matching or eligible
+        return (eligible.local if is_local else eligible.remote) or eligible.all
+
+    def _may_serve(
+        self,
+        state: endpoint_state.EndpointState,
+        item: request_queue.QueuedRequest,
+    ) -> bool:
+        """Return whether an endpoint is among those that may serve a request."""
+        eligible = self._table.eligible(item.request)
+        if state.endpoint.endpoint_id not in eligible.endpoint_ids:
+            return False
+        if item.region_scope is request_queue.RegionScope.ANY:
+            return True
+        is_local = item.region_scope is request_queue.RegionScope.LOCAL_REGION
+        is_in_scope = (state.endpoint.region_id == self._table.region_id) is is_local
+        return is_in_scope or not (eligible.local if is_local else eligible.remote)
 
     def _assign_free_slots(
         self, state: endpoint_state.EndpointState, now: float
@@ -399,7 +409,7 @@
         for item in queue.first(MAX_SCANNED_REQUESTS):
             if cold_candidate is not None and item.order != cold_candidate.order:
                 break
-            if state not in self._eligible_endpoints(item):
+            if not self._may_serve(state, item):
                 continue
             if not item.request.key or state.is_warm(item.request.object_id, now):
                 return item
@@ -412,6 +422,7 @@
     ) -> Sequence[model.Decision]:
         """Decide the most urgent requests that can start now or never can."""
         decisions: list[model.Decision] = []
+        has_free_endpoint: dict[ids.ServiceId, bool] = {}
         for item in queue.first(MAX_SCANNED_REQUESTS):
             accepts_cold = now >= item.accepts_cold_at
             eligible = self._eligible_endpoints(item)
@@ -422,6 +433,11 @@
                 delay_s = self._table.no_endpoint_retry_s()
                 decisions.append(self._refuse(item.request, reason, delay_s))
                 continue
+            service_id = item.request.service_id
+            if service_id not in has_free_endpoint:
+                has_free_endpoint[service_id] = self._table.has_free(service_id, now)
+            if not has_free_endpoint[service_id]:
+                continue
             state = self._selector.select(item.request, eligible, now, accepts_cold)
             if state is None:
                 continue
@@ -457,7 +473,7 @@
         )
 
     def _describe(self, request: model.PlacementRequest) -> str:
-        states = self._table.eligible(request)
+        states = self._table.eligible(request).all
         in_flight = sum(state.in_flight for state in states)
         slots = sum(self._table.limit(state) for state in states)
         waiting_count = len(self._queue(request.service_id))
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_notices.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_notices.py
@@ -37,6 +37,8 @@
         """Create a record without notices."""
         self._leaving_tracker = leaving.LeavingTracker()
         self._pauses_by_id: dict[ids.EndpointId, _Pause] = {}
+        self.leaving_version = 0
+        """Counts the announcements, for those who keep what follows from them."""
 
     def update(self, endpoints: Iterable[model.Endpoint]) -> None:
         """Forget the notices about endpoints that the list names as restarted."""
@@ -50,6 +52,7 @@
         """Record that an endpoint is leaving; return whether this is news."""
         was_leaving = self.is_leaving(endpoint)
         self._record(endpoint, _ANNOUNCED_SEQUENCE, is_leaving=True)
+        self.leaving_version += 1
         return not was_leaving and self.is_leaving(endpoint)
 
     def record_pause(
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_selector.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_selector.py
@@ -59,18 +59,20 @@
         is_warm_endpoint_busy = False
         used_slots, total_slots = 0, 0.0
         median_rate = self._table.median_failure_rate(request.service_id)
+        object_id = request.object_id
+        can_finish = self._finish_checker(request, now)
         for state in states:
             limit = self._table.limit(state)
-            if _is_due_for_trial(state, now):
-                availability = state.availability(now, limit, median_rate)
-                if availability is endpoint_state.Availability.FREE:
-                    return state
-            if not self._can_finish(request, state, now):
+            availability = state.availability(now, limit, median_rate)
+            if availability is endpoint_state.Availability.FREE and _is_due_for_trial(
+                state, now
+            ):
+                return state
+            is_warm = state.is_warm(object_id, now)
+            if not can_finish(state.endpoint.region_id, is_warm):
                 continue
             used_slots += state.in_flight
-            total_slots += state.usable_slots(limit, self._table.rate_share(state))
-            is_warm = state.is_warm(request.object_id, now)
-            availability = state.availability(now, limit, median_rate)
+            total_slots += self._table.usable_limit(state, limit)
             if availability is endpoint_state.Availability.FREE:
                 cost = self._cost(request, state, is_warm, now)
                 if best is None or cost < best_cost:
@@ -94,25 +96,31 @@
             return None
         return best
 
-    def _can_finish(
-        self,
-        request: model.PlacementRequest,
-        state: endpoint_state.EndpointState,
-        now: float,
-    ) -> bool:
-        """Return whether a response is likely before the deadline."""
-        estimates = self._durations
-        is_warm = state.is_warm(request.object_id, now)
-        if is_warm:
-            duration_s = estimates.warm_s(request.route_id)
-        else:
-            duration_s = estimates.cold_s(request.route_id)
-        round_trip_s = self._table.round_trip_s(state.endpoint.region_id)
-        # Durations vary, so a request may finish sooner than expected. With less than
-        # this fraction of its duration left, the work would most likely be wasted.
-        return (
-            now + MIN_TIME_LEFT_RATIO * duration_s + round_trip_s < request.deadline_at
-        )
+    def _finish_checker(
+        self, request: model.PlacementRequest, now: float
+    ) -> Callable[[ids.RegionId, bool], bool]:
+        """Return whether a response is likely before the deadline.
+
+        The returned function takes the region of an endpoint and whether it caches the
+        object. Its answers are the same for all endpoints alike in both.
+        """
+        warm_s = self._durations.warm_s(request.route_id)
+        cold_s = self._durations.cold_s(request.route_id)
+        answers: dict[tuple[ids.RegionId, bool], bool] = {}
+
+        def can_finish(region_id: ids.RegionId, is_warm: bool) -> bool:
+            key = (region_id, is_warm)
+            answer = answers.get(key)
+            if answer is None:
+                # Durations vary, so a request may finish sooner than expected. With
+                # less than this fraction left, the work would most likely be wasted.
+                needed_s = MIN_TIME_LEFT_RATIO * (warm_s if is_warm else cold_s)
+                round_trip_s = self._table.round_trip_s(region_id)
+                answer = now + needed_s + round_trip_s < request.deadline_at
+                answers[key] = answer
+            return answer
+
+        return can_finish
 
     def _cost(
         self,
--- a/packages/steering/src/yuccapitch/steering/placement/request_queue.py
+++ b/packages/steering/src/yuccapitch/steering/placement/request_queue.py
@@ -5,7 +5,6 @@
 import bisect
 import dataclasses
 import enum
-import itertools
 from collections.abc import Iterable
 
 from yuccapitch.catalogue import ids
@@ -46,6 +45,9 @@
 
     def __init__(self) -> None:
         self._items: list[QueuedRequest] = []
+        # Summed up as requests come and go: a new one is refused by its expected wait,
+        # and hundreds wait in front of it under overload.
+        self._work_by_order: dict[tuple[bool, int], _Work] = {}
 
     def __len__(self) -> int:
         """Return the number of queued requests."""
@@ -55,6 +57,9 @@
         """Insert a request after those of the same urgency."""
         index = bisect.bisect_right(self._items, item.order, key=_order)
         self._items.insert(index, item)
+        work = self._work_by_order.setdefault(item.order, _Work())
+        work.count += 1
+        work.duration_s += item.duration_s
 
     def first(self, count: int) -> list[QueuedRequest]:
         """Return up to ``count`` of the most urgent requests."""
@@ -68,10 +73,11 @@
         self, rank: int, is_late: bool, slots: float, duration_s: float
     ) -> float:
         """Return the expected wait of a new request while all slots are in use."""
-        ahead = itertools.takewhile(
-            lambda item: item.order <= (is_late, rank), self._items
+        work_s = sum(
+            work.duration_s
+            for order, work in self._work_by_order.items()
+            if order <= (is_late, rank)
         )
-        work_s = sum(item.duration_s for item in ahead)
         # With all slots in use, one becomes free after about ``duration_s / slots``.
         return (work_s + duration_s) / slots
 
@@ -80,13 +86,31 @@
         for index, item in enumerate(self._items):
             if item.request.attempt_id == attempt_id:
                 del self._items[index]
+                self._subtract(item)
                 return True
         return False
 
     def remove_requests_of(self, entry_id: ids.InstanceId) -> None:
         """Remove all requests of an entry instance."""
+        for item in self._items:
+            if item.request.entry_id == entry_id:
+                self._subtract(item)
         self._items = _without(self._items, entry_id)
 
+    def _subtract(self, item: QueuedRequest) -> None:
+        work = self._work_by_order[item.order]
+        work.count -= 1
+        # Without requests there is no work, whatever the rounding has left.
+        work.duration_s = work.duration_s - item.duration_s if work.count else 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Work:
+    """The queued requests of one urgency."""
+
+    count: int = 0
+    duration_s: float = 0.0
+
 
 def _order(item: QueuedRequest) -> tuple[bool, int]:
     return item.order
--- a/packages/steering/src/yuccapitch/steering/placement/table.py
+++ b/packages/steering/src/yuccapitch/steering/placement/table.py
@@ -8,6 +8,7 @@
 from yuccapitch.catalogue import ids, routes
 from yuccapitch.steering.placement import (
     cache_capacity,
+    eligibility,
     endpoint_notices,
     endpoint_state,
     model,
@@ -26,8 +27,6 @@
 # not assigned. They use it only for requests that no endpoint of their own may serve.
 OTHER_REGIONS_RATE_SHARE = 0.2
 
-States = list[endpoint_state.EndpointState]
-
 
 class EndpointTable:
     """Endpoints by service, with eligibility, slot limits and round trips."""
@@ -38,7 +37,7 @@
         self.capacity_share = capacity_share
         self.notices = endpoint_notices.EndpointNotices()
         self.states_by_id: dict[ids.EndpointId, endpoint_state.EndpointState] = {}
-        self._states_by_service_id: dict[ids.ServiceId, States] = {}
+        self._states_by_service_id: dict[ids.ServiceId, eligibility.States] = {}
         self._capacities_by_service_id: dict[
             ids.ServiceId, cache_capacity.CacheCapacity
         ] = {}
@@ -46,6 +45,12 @@
         self._round_trip_s_by_region_id: dict[ids.RegionId, float] = {region_id: 0.0}
         self._region_ids: frozenset[ids.RegionId] = frozenset((region_id,))
         self._has_endpoints = False
+        # Kept until endpoints change: requests are hundreds of times as frequent.
+        self._eligible_by_scope: dict[
+            tuple[ids.ServiceId, frozenset[ids.RegionId]], eligibility.EligibleEndpoints
+        ] = {}
+        self._eligible_version = -1
+        self._limits: dict[tuple[int, ids.RegionId, float], int] = {}
 
     def update(
         self,
@@ -99,6 +104,7 @@
             )
         )
         self._has_endpoints = self._has_endpoints or bool(self.states_by_id)
+        self._eligible_by_scope.clear()
         return reassigned
 
     def cache_capacity(self, service_id: ids.ServiceId) -> cache_capacity.CacheCapacity:
@@ -107,24 +113,25 @@
             service_id, cache_capacity.CacheCapacity()
         )
 
-    def eligible(self, request: model.PlacementRequest) -> States:
+    def eligible(
+        self, request: model.PlacementRequest
+    ) -> eligibility.EligibleEndpoints:
         """Return the endpoints that may serve a request."""
-        homes = request.home_region_ids
-        usable = [
-            state
-            for state in self._states_by_service_id.get(request.service_id, ())
-            if self.is_usable(state.endpoint)
-            and state.endpoint.endpoint_id not in request.excluded_endpoint_ids
-            and (not homes or state.endpoint.region_id in homes)
-        ]
-        serving = [
-            state
-            for state in usable
-            if state.endpoint.serving_region_id == self.region_id
-        ]
-        # If no eligible endpoint is assigned to this region, for example because the
-        # home regions are remote, the region shares those of other regions.
-        return serving or usable
+        if request.excluded_endpoint_ids:
+            return self._find_eligible(
+                request.service_id,
+                request.home_region_ids,
+                request.excluded_endpoint_ids,
+            )
+        if self._eligible_version != self.notices.leaving_version:
+            self._eligible_version = self.notices.leaving_version
+            self._eligible_by_scope.clear()
+        scope = (request.service_id, request.home_region_ids)
+        eligible = self._eligible_by_scope.get(scope)
+        if eligible is None:
+            eligible = self._find_eligible(*scope, frozenset())
+            self._eligible_by_scope[scope] = eligible
+        return eligible
 
     def no_endpoint_retry_s(self) -> float:
         """Return the retry delay for a request that has no eligible endpoint."""
@@ -143,7 +150,7 @@
     ) -> float:
         """Return the slots that requests can use at endpoints that are not closed."""
         return sum(
-            state.usable_slots(self.limit(state), self.rate_share(state))
+            self.usable_limit(state, self.limit(state))
             for state in states
             # A limit that is never reached: busy endpoints count as well.
             if state.availability(now, 1 << 30)
@@ -165,7 +172,7 @@
                 is endpoint_state.Availability.CLOSED
             ):
                 continue
-            slots = state.usable_slots(endpoint.slots, self.rate_share(state))
+            slots = self.usable_limit(state, endpoint.slots)
             if endpoint.region_id == self.region_id:
                 local_slots += slots
             else:
@@ -174,8 +181,18 @@
 
     def limit(self, state: endpoint_state.EndpointState) -> int:
         """Return how many requests an endpoint may have in flight."""
-        slots = state.endpoint.slots * self.capacity_share
-        round_trip_s = self.round_trip_s(state.endpoint.region_id)
+        endpoint = state.endpoint
+        key = (endpoint.slots, endpoint.region_id, self.capacity_share)
+        limit = self._limits.get(key)
+        if limit is None:
+            limit = self._limits[key] = self._find_limit(*key)
+        return limit
+
+    def _find_limit(
+        self, slots: float, region_id: ids.RegionId, capacity_share: float
+    ) -> int:
+        slots *= capacity_share
+        round_trip_s = self.round_trip_s(region_id)
         if round_trip_s > 0:
             # A request in transit does not occupy a slot yet. The number of extra
             # requests per slot is the round trip in seconds, as if each request took
@@ -183,6 +200,12 @@
             slots *= 1.0 + min(MAX_IN_TRANSIT_RATIO, round_trip_s)
         return max(1, int(slots))
 
+    def usable_limit(self, state: endpoint_state.EndpointState, limit: int) -> float:
+        """Return how many of ``limit`` requests an endpoint's rate limit allows."""
+        if state.rate_limit_per_s is None:
+            return limit
+        return state.usable_slots(limit, self.rate_share(state))
+
     def rate_share(self, state: endpoint_state.EndpointState) -> float:
         """Return the fraction of an endpoint's rate limit that this table may use.
 
@@ -205,6 +228,15 @@
         ]
         return statistics.median_low(failure_rates) if failure_rates else 0.0
 
+    def has_free(self, service_id: ids.ServiceId, now: float) -> bool:
+        """Return whether any endpoint of a service may get a request now."""
+        median_rate = self.median_failure_rate(service_id)
+        free = endpoint_state.Availability.FREE
+        return any(
+            state.availability(now, self.limit(state), median_rate) is free
+            for state in self._states_by_service_id.get(service_id, ())
+        )
+
     def availability(
         self, state: endpoint_state.EndpointState, now: float
     ) -> endpoint_state.Availability:
@@ -222,11 +254,38 @@
             connect_s if shortest_known_s is None else min(shortest_known_s, connect_s)
         )
         self._round_trip_s_by_region_id[region_id] = shortest_s
+        self._limits.clear()
 
     def round_trip_s(self, region_id: ids.RegionId) -> float:
         """Return the round-trip time to a region."""
         return self._round_trip_s_by_region_id.get(region_id, DEFAULT_ROUND_TRIP_S)
 
+    def _find_eligible(
+        self,
+        service_id: ids.ServiceId,
+        home_region_ids: frozenset[ids.RegionId],
+        excluded_ids: frozenset[ids.EndpointId],
+    ) -> eligibility.EligibleEndpoints:
+        usable = [
+            state
+            for state in self._states_by_service_id.get(service_id, ())
+            if self.is_usable(state.endpoint)
+            and state.endpoint.endpoint_id not in excluded_ids
+            and (not home_region_ids or state.endpoint.region_id in home_region_ids)
+        ]
+        serving = [
+            state
+            for state in usable
+            if state.endpoint.serving_region_id == self.region_id
+        ]
+        # If no eligible endpoint is assigned to this region, for example because the
+        # home regions are remote, the region shares those of other regions.
+        states = serving or usable
+        local = [s for s in states if s.endpoint.region_id == self.region_id]
+        remote = [s for s in states if s.endpoint.region_id != self.region_id]
+        endpoint_ids = frozenset(s.endpoint.endpoint_id for s in states)
+        return eligibility.EligibleEndpoints(states, local, remote, endpoint_ids)
+
     def _is_reassigned(
         self, previous: model.Endpoint, endpoint: model.Endpoint
     ) -> bool:
