Planned stop: refuse late requests that may not end in time

Change: requests received later than 3 s after the signal (or once it stops listening, if that is sooner) are served only if their deadline and the route's timeout end before the process; else they are refused at once as not run, to be sent to another instance.

--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -31,6 +31,8 @@
 MAX_UNREACHABLE_ENDPOINTS = 3
 # Retry-After if there is no estimate of when the request can be served.
 DEFAULT_RETRY_AFTER_S = 0.5
+# Retry-After where another instance can serve the request at once.
+MIN_RETRY_AFTER_S = 0.05
 # Retry-After of an instance that has no routes yet because it has just started. After a
 # start of the whole system, a leader is elected and replies after about this time.
 NO_ROUTES_RETRY_AFTER_S = 1.5
@@ -54,6 +56,22 @@
     window_s: float
 
 
+@dataclasses.dataclass(frozen=True)
+class StopSchedule:
+    """Times of a planned stop."""
+
+    late_from: float
+    """Requests received from then on are served only if they end in time for sure."""
+    no_places_from: float
+    """No request is granted a place from then on."""
+    ends_at: float
+    """The process ends and cuts what is still in progress."""
+
+    def may_start(self, received_at: float, deadline_at: float) -> bool:
+        """Return whether a request with this deadline is still to be served."""
+        return received_at < self.late_from or deadline_at <= self.ends_at
+
+
 class Meter(typing.Protocol):
     """Interface that counts the outcomes of requests."""
 
@@ -113,14 +131,14 @@
         self._traffic_split = traffic_split.WeightedRoundRobin()
         self._attempt_numbers = itertools.count(1)
         self._longest_deadline_s_by_route_id: dict[ids.RouteId, float] = {}
-        self._stop_at: float | None = None
+        self._stop_schedule: StopSchedule | None = None
         self._place_timeouts: set[asyncio.Timeout] = set()
 
-    def stop(self, at: float) -> None:
-        """Refuse the requests that are not granted a place before ``at``."""
-        self._stop_at = at
+    def stop(self, schedule: StopSchedule) -> None:
+        """Refuse the requests that would not end before the process does."""
+        self._stop_schedule = schedule
         loop = asyncio.get_running_loop()
-        remaining_s = max(0.0, at - self._clock())
+        remaining_s = max(0.0, schedule.no_places_from - self._clock())
         for timeout in self._place_timeouts:
             timeout.reschedule(loop.time() + remaining_s)
 
@@ -174,6 +192,14 @@
     async def _serve(self, routed: _RoutedRequest) -> messages.Response:
         self._retry_budget(routed.service_id).record_first_attempt()
         while True:
+            if not self._may_start(routed):
+                # Another instance can serve it; here it would be cut without an answer.
+                refused = model.Refused(
+                    model.AttemptId(routed.request_id),
+                    model.RefusalReason.STOPPING,
+                    MIN_RETRY_AFTER_S,
+                )
+                return self._refused_response(routed, refused)
             decision = await self._place(routed)
             if isinstance(decision, model.Refused):
                 return self._refused_response(routed, decision)
@@ -205,11 +231,17 @@
                 sends=routed.sends,
             )
 
+    def _may_start(self, routed: _RoutedRequest) -> bool:
+        schedule = self._stop_schedule
+        received_at = routed.request.headers_received_at
+        return schedule is None or schedule.may_start(received_at, routed.deadline_at)
+
     async def _place(self, routed: _RoutedRequest) -> model.Granted | model.Refused:
         request = self._build_placement_request(routed)
         remaining_s = routed.deadline_at - self._clock()
-        if self._stop_at is not None:
-            remaining_s = min(remaining_s, max(0.0, self._stop_at - self._clock()))
+        if self._stop_schedule is not None:
+            stops_in_s = self._stop_schedule.no_places_from - self._clock()
+            remaining_s = min(remaining_s, max(0.0, stops_in_s))
         timeout = asyncio.timeout(remaining_s)
         self._place_timeouts.add(timeout)
         try:
--- a/packages/gateway/tests/front/test_request_path.py
+++ b/packages/gateway/tests/front/test_request_path.py
@@ -270,10 +270,42 @@
     waiting = asyncio.create_task(path.handle(request()))
     while not placer.requests:
         await asyncio.sleep(0)
-    path.stop(asyncio.get_running_loop().time())
+    path.stop(stop_schedule(late_in_s=0.0, ends_in_s=0.0))
     assert (await waiting).status == 503
 
 
+def stop_schedule(late_in_s: float, ends_in_s: float) -> request_path.StopSchedule:
+    now = asyncio.get_running_loop().time()
+    ends_at = now + ends_in_s
+    return request_path.StopSchedule(now + late_in_s, ends_at, ends_at)
+
+
+# Guards against orders that are taken late in a planned stop, passed on, and cut
+# without an answer when the process ends.
+@pytest.mark.parametrize("route", [ROUTE, AT_MOST_ONCE])
+async def test_stop_refuses_late_requests_that_may_not_end_in_time(route):
+    placer, sender = Placer(1), Sender(ANSWERED)
+    path = make_request_path(placer, sender, route)
+    path.stop(stop_schedule(late_in_s=-0.1, ends_in_s=1.0))
+    response = await path.handle(request())
+    assert response.status == 503
+    assert not placer.requests and not sender.sent
+    retry_after_s = float(response.header(b"retry-after") or b"0")
+    assert retry_after_s <= 0.1
+
+
+async def test_stop_serves_late_requests_that_end_in_time():
+    path = make_request_path(Placer(1), Sender(ANSWERED))
+    path.stop(stop_schedule(late_in_s=-0.1, ends_in_s=60.0))
+    assert (await path.handle(request())).status == 200
+
+
+async def test_stop_serves_requests_that_were_sent_before_clients_knew():
+    path = make_request_path(Placer(1), Sender(ANSWERED))
+    path.stop(stop_schedule(late_in_s=30.0, ends_in_s=1.0))
+    assert (await path.handle(request())).status == 200
+
+
 async def test_handle_counts_the_objective_from_the_first_attempt():
     placer = Placer(0)
     path = make_request_path(placer, Sender())
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -36,6 +36,9 @@
 # Part of the grace period that is reserved for closing connections.
 STOP_MARGIN_S = 0.5
 STOP_CHECK_INTERVAL_S = 0.05
+# Time after the stop signal within which requests are taken without regard to whether
+# they end in time. Clients that follow the lookup send few later ones.
+MAX_UNCHECKED_STOP_S = 3.0
 
 
 class EntryNode:
@@ -145,10 +148,17 @@
         self._is_stopping = True
         self._leader_poller.wake()
         self._server.drain()
-        self._path.stop(end_at - STOP_MARGIN_S)
         cache_lifetime_s = MAX_CACHED_TTLS * self._node_settings.lookup_ttl_s
         # At least half of the grace period is left for the requests in flight.
-        await asyncio.sleep(min(cache_lifetime_s, self._node_settings.stop_grace_s / 2))
+        listens_for_s = min(cache_lifetime_s, self._node_settings.stop_grace_s / 2)
+        self._path.stop(
+            request_path.StopSchedule(
+                late_from=started_at + min(listens_for_s, MAX_UNCHECKED_STOP_S),
+                no_places_from=end_at - STOP_MARGIN_S,
+                ends_at=end_at,
+            )
+        )
+        await asyncio.sleep(listens_for_s)
         self._server.stop_listening()
         self._server.close_idle()
         while self._server.requests_in_flight and self._clock() < end_at:
--- a/packages/steering/src/yuccapitch/steering/placement/model.py
+++ b/packages/steering/src/yuccapitch/steering/placement/model.py
@@ -36,6 +36,7 @@
     LATE = "no place is expected in time"
     QUEUE_FULL = "too many requests wait"
     EXPIRED = "no place came free in time"
+    STOPPING = "the instance stops before it would end"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
