Lending: a fraction of a service's endpoints at a time, not one

Cause: the leader lent or took back one endpoint a service and region every 2 s, whatever their number. With 230 endpoints a region that needed 50 more got them after minutes, and the allocation of a new leader went through all endpoints once for each of them though nothing changed any more.

Change: up to 4 in 100 of the service's endpoints at a time, one at least; stop when nothing changes. What requests change their region is bounded by the spillover share as before.

Result: test_assign_follows_demand_as_fast_with_hundreds_of_endpoints failed before.

--- a/packages/steering/src/yuccapitch/steering/allocation.py
+++ b/packages/steering/src/yuccapitch/steering/allocation.py
@@ -21,6 +21,10 @@
 # Capacity of a borrowed slot relative to a local one: it is also held while requests
 # and responses travel between the regions.
 BORROWED_SLOT_EFFICIENCY = 0.75
+# Fraction of a service's endpoints that each region may borrow or return in one call,
+# though at least one: a service of hundreds of endpoints has to follow its traffic as
+# fast as one of twenty. How fast requests move is bounded by the spillover share.
+MAX_MOVED_FRACTION = 0.04
 
 SlotDemands = Mapping[tuple[str, str], float]
 """Required slots by service ID and region ID."""
@@ -35,9 +39,9 @@
     """Return the endpoint records with updated serving regions.
 
     The serving region of each given record is the region where the endpoint runs. A
-    call reassigns at most one endpoint for each service and region, so that traffic
-    moves between regions gradually. While there is no traffic, the expected demand
-    follows ``weights_by_region``.
+    call reassigns few endpoints for each service and region, so that traffic moves
+    between regions gradually. While there is no traffic, the expected demand follows
+    ``weights_by_region``.
     """
     own_regions_by_id: dict[str, str] = {}
     records_by_service: dict[str, list[messages.EndpointRecord]]
@@ -59,12 +63,12 @@
         service = _ServiceAssignment(service_records, own_regions_by_id)
         total_slots = sum(record.slots for record in service_records)
         if sum(demand_by_region.values()) > IDLE_UTILIZATION * total_slots:
-            service.rebalance(demand_by_region)
+            steps = max(1, int(MAX_MOVED_FRACTION * len(service_records)))
+            service.rebalance_repeatedly(demand_by_region, steps)
         elif sum(weights_by_region.values()) > 0:
             unit = TARGET_UTILIZATION * total_slots / sum(weights_by_region.values())
             expected = {r: unit * weight for r, weight in weights_by_region.items()}
-            for _ in service_records:
-                service.rebalance(expected)
+            service.rebalance_repeatedly(expected, len(service_records))
         assigned += service.records
     return tuple(assigned)
 
@@ -84,6 +88,16 @@
     def records(self) -> list[messages.EndpointRecord]:
         return list(self._records_by_id.values())
 
+    def rebalance_repeatedly(
+        self, demand_by_region: Mapping[str, float], steps: int
+    ) -> None:
+        """Rebalance up to ``steps`` times, while endpoints are reassigned."""
+        for _ in range(steps):
+            former = dict(self._records_by_id)
+            self.rebalance(demand_by_region)
+            if self._records_by_id == former:
+                return
+
     def rebalance(self, demand_by_region: Mapping[str, float]) -> None:
         """Lend or return at most one endpoint for each region, as demand requires."""
         own_slots = self._slots_by_region(self._own_regions_by_id)
--- a/packages/steering/tests/test_allocation.py
+++ b/packages/steering/tests/test_allocation.py
@@ -93,3 +93,31 @@
     assert assign_repeatedly(demand_by_region, 20) == assign_repeatedly(
         demand_by_region, 21
     )
+
+
+# Pattern: traffic that moves between regions within seconds, at the size of hundreds of
+# endpoints. One endpoint a call took minutes to follow it.
+def test_assign_follows_demand_as_fast_with_hundreds_of_endpoints():
+    def rounds_to_follow(scale: int) -> int:
+        records = [make_record(f"n{n}", "north") for n in range(2 * scale)]
+        records += [make_record(f"s{n}", "south") for n in range(8 * scale)]
+        records += [make_record(f"w{n}", "west") for n in range(10 * scale)]
+        demands = {("orders", r): 12.0 * scale for r in ("north", "south", "west")}
+        former = {}
+        for number in range(200):
+            assigned = allocation.assign_serving_regions(records, former, demands, {})
+            former = {r.endpoint_id: r for r in assigned}
+            if slots_by_region(former)["north"] >= 16 * scale:
+                return number
+        raise AssertionError("the region never got the slots that it needs")
+
+    assert rounds_to_follow(12) <= 2 * rounds_to_follow(1) + 2
+
+
+def test_assign_moves_a_small_fraction_of_a_large_service_at_a_time():
+    records = [make_record(f"n{n:03}", "north") for n in range(50)]
+    records += [make_record(f"s{n:03}", "south") for n in range(150)]
+    demands = {("orders", "north"): 300.0, ("orders", "south"): 10.0}
+    assigned = allocation.assign_serving_regions(records, {}, demands, {})
+    moved = [r for r in assigned if r.endpoint_id[0] != r.serving_region_id[0]]
+    assert 1 < len(moved) <= allocation.MAX_MOVED_FRACTION * len(records)
