Build: install libraries anew on another kind of machine

Cause: the stamp named the requirements only; a folder carried over from an x86-64 machine to arm64 kept compiled libraries that can't be loaded.

Change: the stamp names the interpreter's binary interface as well.

Result: with a stamp that says x86_64, the folder is built anew; with its own, it is kept (run by hand on arm64; x86-64 was not run).

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,12 +3,17 @@
 set -eu
 cd "$(dirname "$0")/.."
 stamp=target/deps/.requirements
-if ! cat deploy/requirements.txt constraints.txt | cmp -s - "$stamp"; then
+# Compiled libraries of another kind of machine or interpreter can't be loaded.
+describe() {
+    cat deploy/requirements.txt constraints.txt
+    python3 -c 'import sysconfig; print(sysconfig.get_config_var("SOABI"))'
+}
+if [ "$(describe)" != "$(cat "$stamp" 2> /dev/null)" ]; then
     rm -rf target/deps
     mkdir -p target/deps
     python3 -m pip install -q --disable-pip-version-check --target target/deps \
         -r deploy/requirements.txt -c constraints.txt
-    cat deploy/requirements.txt constraints.txt > "$stamp"
+    describe > "$stamp"
 fi
 rm -rf target/deps/yuccapitch
 mkdir -p target/deps/yuccapitch
