Leader: send the state to the followers only when it has changed

Cause: every applied entry of the log made the leader build and send an answer for each follower, also those that change the members of the group: 15 control instances that join make 30 of them, times 185 followers.

Change: the state is sent when its index or the term differs from what was sent last. A new leader asks the followers that it can reach to poll.

Result: test_log_entries_that_change_no_order_are_not_sent_to_the_followers failed before.

--- a/packages/control/src/yuccapitch/control/coordinator.py
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -95,6 +95,8 @@
         self._leadership_term: int | None = None
         self._has_list_read_failed = False
         self._compressed_routes = (orders.NO_REVISION, b"")
+        # Term and state index that the followers were sent last.
+        self._pushed: tuple[int, int] = (0, 0)
         self._compressed_lists = compressed_lists.CompressedLists()
         self._has_unnoticed_change = False
         self._noticed_at = float("-inf")
@@ -140,7 +142,7 @@
                 if role is not effects.Role.LEADER:
                     self._leadership_term = None
             case effects.Apply() | effects.Restore():
-                self._push_changes()
+                self._push_state()
             case effects.MembersChanged(index, members):
                 events.event(
                     "consensus.voters-changed",
@@ -511,6 +513,8 @@
             self.leases.begin_leadership(self._state.index, now)
             self._last_polls_by_id.clear()
             self._compressed_lists.clear()
+            # The followers still poll the leader before, or search one.
+            self._has_unnoticed_change = True
 
     def _notify_of_instances(self, now: float) -> None:
         """Ask every follower to poll if instances or dispatchers have changed."""
@@ -529,6 +533,18 @@
             for follower_id in self._follower_ids():
                 self._links.send(follower_id, notice)
 
+    def _push_state(self) -> None:
+        """Send every follower the state if it has changed.
+
+        Most log entries of a start change the members of the group only.
+        """
+        if self._leadership_term is None:
+            return
+        current = (self._leadership_term, self._state.index)
+        if current != self._pushed:
+            self._pushed = current
+            self._push_changes()
+
     def _push_changes(self) -> None:
         """Send every follower what has changed since its last poll.
 
--- a/packages/control/tests/test_fleet_start.py
+++ b/packages/control/tests/test_fleet_start.py
@@ -11,6 +11,7 @@
 import pytest
 from hypothesis import given, settings, strategies
 
+from yuccapitch.consensus import effects
 from yuccapitch.control import compressed_lists, coordinator
 from yuccapitch.protocol import codec, subscription_messages as messages
 
@@ -128,3 +129,32 @@
     assert [i.instance_id for i in listed if not i.is_ready] == [instance_id(0)]
     join(harness, 1, is_stopping=True)
     assert len(harness.coordinator.fleet.instances) == count - 1
+
+
+# Guards against a leader that sends the state to all followers for each control
+# instance that joins: with 15 of them and 185 others, some 6,000 messages in a start.
+async def test_log_entries_that_change_no_order_are_not_sent_to_the_followers():
+    harness = coordinator_harness.CoordinatorHarness()
+    for number in range(INSTANCES):
+        join(harness, number)
+    harness.coordinator.on_effect(effects.Apply(()))
+    harness.links.sent.clear()
+    for _ in range(30):
+        harness.coordinator.on_effect(effects.Apply(()))
+    assert not harness.links.sent
+    await harness.declare(1)
+    harness.coordinator.on_effect(effects.Apply(()))
+    pushed = {peer_id for peer_id, _ in harness.links.sent}
+    assert len(pushed) == INSTANCES
+
+
+def test_new_leader_asks_its_followers_to_poll():
+    harness = coordinator_harness.CoordinatorHarness()
+    for number in range(4):
+        join(harness, number)
+    harness.links.sent.clear()
+    harness.replica.core.term += 1
+    harness.advance_clock(coordinator.INSTANCE_NOTICE_INTERVAL_S)
+    harness.coordinator._ensure_leadership_begun(harness.now)
+    harness.coordinator._notify_of_instances(harness.now)
+    assert len(notices(harness)) == 4
