Notices of endpoints: compare incarnations instead of recording each list

Cause: each change of the list was recorded for all endpoints in the tracker of leaving, 1.5 of 2.1 ms with 813 endpoints, on each of 185 instances, while hardly any endpoint announces anything.

Change: the incarnation that announced its leaving is kept by id and compared with that in use. The daemon's tracker of three sources is unchanged.

--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_notices.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_notices.py
@@ -6,18 +6,12 @@
 from collections.abc import Iterable
 
 from yuccapitch.catalogue import ids
-from yuccapitch.steering import leaving
 from yuccapitch.steering.placement import model
 
 # Longest pause that is kept to. A longer one is more likely a faulty value, which would
 # take an endpoint out of use until it restarts.
 MAX_PAUSE_S = 3600.0
 
-# Sequence numbers of the notices about one incarnation: a response that announces the
-# leaving is newer than the list's entry, which does not mention it yet.
-_LISTED_SEQUENCE = 0
-_ANNOUNCED_SEQUENCE = 1
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Pause:
@@ -35,25 +29,28 @@
 
     def __init__(self) -> None:
         """Create a record without notices."""
-        self._leaving_tracker = leaving.LeavingTracker()
+        self._leaving_incarnations_by_id: dict[ids.EndpointId, int] = {}
         self._pauses_by_id: dict[ids.EndpointId, _Pause] = {}
         self.leaving_version = 0
         """Counts the announcements, for those who keep what follows from them."""
 
     def update(self, endpoints: Iterable[model.Endpoint]) -> None:
-        """Forget the notices about endpoints that the list names as restarted."""
+        """Forget the pauses of endpoints that the list names as restarted."""
+        if not self._pauses_by_id:
+            return
         for endpoint in endpoints:
-            self._record(endpoint, _LISTED_SEQUENCE, is_leaving=False)
             pause = self._pauses_by_id.get(endpoint.endpoint_id)
             if pause is not None and pause.endpoint.incarnation != endpoint.incarnation:
                 del self._pauses_by_id[endpoint.endpoint_id]
 
     def record_leaving(self, endpoint: model.Endpoint) -> bool:
         """Record that an endpoint is leaving; return whether this is news."""
-        was_leaving = self.is_leaving(endpoint)
-        self._record(endpoint, _ANNOUNCED_SEQUENCE, is_leaving=True)
+        if self.is_leaving(endpoint):
+            return False
+        # A lower incarnation than the one that was announced is leaving already.
+        self._leaving_incarnations_by_id[endpoint.endpoint_id] = endpoint.incarnation
         self.leaving_version += 1
-        return not was_leaving and self.is_leaving(endpoint)
+        return True
 
     def record_pause(
         self, endpoint: model.Endpoint, duration_s: float, now: float
@@ -71,7 +68,8 @@
 
     def is_leaving(self, endpoint: model.Endpoint) -> bool:
         """Return whether an endpoint has announced that it is leaving."""
-        return self._leaving_tracker.is_leaving(endpoint.endpoint_id)
+        announced = self._leaving_incarnations_by_id.get(endpoint.endpoint_id)
+        return announced is not None and announced >= endpoint.incarnation
 
     def may_send(self, endpoint: model.Endpoint, now: float) -> bool:
         """Return whether this instance may send a request to an endpoint now."""
@@ -98,11 +96,3 @@
                 del self._pauses_by_id[endpoint_id]
         pauses = self._pauses_by_id.values()
         return [p for p in pauses if p.endpoint.service_id == service_id]
-
-    def _record(
-        self, endpoint: model.Endpoint, sequence: int, is_leaving: bool
-    ) -> None:
-        notice = leaving.EndpointNotice(
-            endpoint.endpoint_id, endpoint.incarnation, sequence, is_leaving
-        )
-        self._leaving_tracker.record_endpoint_notice(notice)
