Logs: the connection of each request, and what the end of a stop cuts

A request that was lost beside a planned stop had its answer ready 2.7 s before the process ended. No line named the connection of a request or its place on it, connections that the process itself ended with responses due were not logged, and nothing listed what the end of a stop cuts.

request.* events now name connection and position, caller.connection-lost is also logged for own closes and counts responses that wait behind others, and entry.connection-cut lists per connection what is due or not sent when the stop ends. The test of caller.connection-lost expected no line after an own close; it now expects the reason instead.

--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -278,6 +278,8 @@
         events.event(
             "request.placed",
             request=routed.request_id,
+            connection=routed.request.connection_id,
+            position=routed.request.position,
             endpoint=endpoint.endpoint_id,
             address=f"{endpoint.host}:{endpoint.port}",
             waited_ms=_to_ms(self._clock() - routed.request.headers_received_at),
@@ -485,6 +487,8 @@
         self._meter.count_request(outcome, duration_s)
         return {
             "request": routed.request_id,
+            "connection": routed.request.connection_id,
+            "position": routed.request.position,
             "route": routed.route.route_id,
             "service": routed.service_id,
             "sends": routed.sends,
--- a/packages/gateway/src/yuccapitch/gateway/http1/messages.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/messages.py
@@ -36,6 +36,10 @@
     body: bytes
     headers_received_at: float
     """Time at which the last byte of the header section was received."""
+    connection_id: int = 0
+    """Number of the client's connection, unique in the process."""
+    position: int = 0
+    """Number of the request on its connection, from 1."""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with this lower-case name."""
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import dataclasses
+import itertools
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import httptools
 
@@ -41,6 +42,22 @@
     is_stopping: bool = False
     connections: set[Connection] = dataclasses.field(default_factory=set)
     requests_in_flight: int = 0
+    connection_ids: Iterator[int] = dataclasses.field(
+        default_factory=lambda: itertools.count(1)
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class UnfinishedConnection:
+    """Connection on which responses are due or not sent yet."""
+
+    connection_id: int
+    unanswered_positions: list[int]
+    """Positions of the requests without a response."""
+    undelivered_positions: list[int]
+    """Positions of the requests whose response waits for an earlier one."""
+    unsent_bytes: int
+    """Size of the responses that the transport still holds."""
 
 
 class Connection(asyncio.Protocol):
@@ -48,6 +65,8 @@
 
     def __init__(self, state: ServerState) -> None:
         self._state = state
+        self._id = next(state.connection_ids)
+        self._request_count = 0
         self._transport: asyncio.Transport
         self._parser = httptools.HttpRequestParser(self)
         self._target = b""
@@ -103,13 +122,30 @@
         is_own_close, self._is_closing = self._is_closing, True
         self._state.connections.discard(self)
         self._disarm_timer()
-        unanswered = sum(p.response is None for p in self._pending_responses)
-        if unanswered and not is_own_close:
+        if self._pending_responses:
             reason = "closed by the client" if exc is None else repr(exc)
-            events.event("caller.connection-lost", reason=reason, unanswered=unanswered)
+            events.event(
+                "caller.connection-lost",
+                connection=self._id,
+                reason="closed by this instance" if is_own_close else reason,
+                unanswered=len(self._positions(has_response=False)),
+                undelivered=len(self._positions(has_response=True)),
+            )
         for task in self._tasks:
             task.cancel()
 
+    def find_unfinished(self) -> UnfinishedConnection | None:
+        """Return what the connection still owes its client, None if nothing."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if not self._pending_responses and not unsent_bytes:
+            return None
+        return UnfinishedConnection(
+            self._id,
+            self._positions(has_response=False),
+            self._positions(has_response=True),
+            unsent_bytes,
+        )
+
     def close_if_idle(self) -> None:
         """Close the connection if it has no request in progress."""
         if not self._pending_responses and not self._is_in_message:
@@ -163,12 +199,15 @@
         self._is_in_message = False
         if self._is_closing:
             return
+        self._request_count += 1
         request = messages.Request(
             self._parser.get_method(),
             self._target,
             self._headers,
             bytes(self._body),
             self._headers_received_at,
+            self._id,
+            self._request_count,
         )
         self._body = bytearray()
         pending = _PendingResponse(request, self._parser.should_keep_alive())
@@ -199,6 +238,13 @@
             pending.response = messages.Response(500, [], b"")
             self._write_ready_responses()
 
+    def _positions(self, has_response: bool) -> list[int]:
+        return [
+            pending.request.position
+            for pending in self._pending_responses
+            if (pending.response is not None) == has_response
+        ]
+
     def _write_ready_responses(self) -> None:
         while (
             self._pending_responses and self._pending_responses[0].response is not None
@@ -342,6 +388,11 @@
         for connection in list(self._state.connections):
             connection.close_if_idle()
 
+    def find_unfinished(self) -> list[UnfinishedConnection]:
+        """Return the connections that still owe their clients something."""
+        found = (connection.find_unfinished() for connection in self._state.connections)
+        return [unfinished for unfinished in found if unfinished is not None]
+
     async def aclose(self) -> None:
         """Stop listening and close the connections without a request in progress."""
         self.stop_listening()
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -134,24 +134,69 @@
             await cancelled.wait()
 
 
+@pytest.fixture
+def logged_fields(monkeypatch) -> list[dict[str, object]]:
+    """The fields of the events that the server has logged."""
+    logged: list[dict[str, object]] = []
+    monkeypatch.setattr(
+        server.events, "event", lambda name, **fields: logged.append(fields)
+    )
+    return logged
+
+
+def pending_response(position: int, response=None) -> server._PendingResponse:
+    request = messages.Request(b"", b"", [], b"", 0.0, 1, position)
+    return server._PendingResponse(request, True, response)
+
+
+@pytest.mark.parametrize("is_own_close", [False, True])
 @pytest.mark.parametrize(
     ("error", "reason"),
     [(None, "closed by the client"), (TimeoutError("x"), "TimeoutError('x')")],
 )
-async def test_lost_connection_is_logged_with_its_reason(error, reason, monkeypatch):
-    logged: list[object] = []
-    monkeypatch.setattr(
-        server.events, "event", lambda name, **fields: logged.append(fields)
-    )
+async def test_lost_connection_is_logged_with_its_reason(
+    error, reason, is_own_close, logged_fields
+):
     state = server.ServerState(echo, lambda: 0.0, lambda: LIMITS)
     connection = server.Connection(state)
     connection.connection_lost(error)
-    assert not logged
-    pending = server._PendingResponse(messages.Request(b"", b"", [], b"", 0.0), True)
+    assert not logged_fields
     connection = server.Connection(state)
-    connection._pending_responses.append(pending)
+    connection._is_closing = is_own_close
+    connection._pending_responses += [
+        pending_response(1),
+        pending_response(2, messages.Response(200, [], b"")),
+        pending_response(3),
+    ]
     connection.connection_lost(error)
-    assert logged == [{"reason": reason, "unanswered": 1}]
+    assert logged_fields == [
+        {
+            "connection": 2,
+            "reason": "closed by this instance" if is_own_close else reason,
+            "unanswered": 2,
+            "undelivered": 1,
+        }
+    ]
+
+
+async def test_find_unfinished_lists_responses_that_are_due_or_not_sent():
+    is_first_answered = asyncio.Event()
+
+    async def delay_first(request):
+        if request.target == b"/0":
+            await is_first_answered.wait()
+        return await echo(request)
+
+    async with serving(delay_first) as (http_server, port):
+        task = asyncio.create_task(exchange(port, get("/0") + get("/1", CLOSE)))
+        while http_server.requests_in_flight != 1:
+            await asyncio.sleep(0)
+        assert http_server.find_unfinished() == [
+            server.UnfinishedConnection(1, [1], [2], 0)
+        ]
+        is_first_answered.set()
+        await task
+        assert http_server.find_unfinished() == []
 
 
 async def test_drain_announces_the_close_and_finishes_pending_requests():
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -163,6 +163,14 @@
         self._server.close_idle()
         while self._server.requests_in_flight and self._clock() < end_at:
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+        for unfinished in self._server.find_unfinished():
+            events.event(
+                "entry.connection-cut",
+                connection=unfinished.connection_id,
+                unanswered_positions=unfinished.unanswered_positions,
+                undelivered_positions=unfinished.undelivered_positions,
+                unsent_bytes=unfinished.unsent_bytes,
+            )
         events.event(
             "entry.drain-finished",
             in_flight=self._server.requests_in_flight,
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -129,7 +129,15 @@
     "entry.drain-started",
     "The instance is removed from lookup responses and starts to drain.",
 )
-declare("entry.drain-finished", "No request is in flight any more.")
+declare(
+    "entry.drain-finished",
+    "No request is in flight any more, or the time to complete them is over.",
+)
+declare(
+    "entry.connection-cut",
+    "A connection on which responses are due or not sent yet ends with the process.",
+    Level.WARNING,
+)
 declare("share.granted", "A share of a limit was leased.", Level.DEBUG)
 declare("share.lapsed", "A share of a limit expired without renewal.", Level.WARNING)
 declare(
@@ -195,7 +203,7 @@
 declare("endpoints.applied", "The instance applied a newer list of endpoints.")
 declare(
     "caller.connection-lost",
-    "A client's connection ended with requests that have no response yet.",
+    "A client's connection ended with requests whose response was not sent.",
 )
 declare(
     "caller.refused",
