Planned stop: answer the requests in progress before the process ends

Cause: the responses of a connection go out in order. A request that was still in progress at the end of the stop was cut with its connection, and all that lay ready behind it went with it.

Requests in progress now get their final response when the stop ends: 503 if they were never sent, 504 otherwise, which promises nothing, like the closed connection before. What lies ready behind them follows. The instance waits for that within the margin that was reserved for closing connections, and keeps 0.2 s of the grace for its exit.

test_drain_delivers_responses_behind_a_request_in_progress failed before with unanswered_positions=[1] undelivered_positions=[2], and both cases of test_stop_answers_requests_in_progress_when_it_ends ran into their time limit.

--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -14,6 +14,7 @@
     headers,
     placers,
     routing_state,
+    timeouts,
     traffic_split,
 )
 from yuccapitch.gateway.http1 import messages
@@ -65,7 +66,7 @@
     no_places_from: float
     """No request is granted a place from then on."""
     ends_at: float
-    """The process ends and cuts what is still in progress."""
+    """Requests still in progress get their final response; the process ends."""
 
     def may_start(self, received_at: float, deadline_at: float) -> bool:
         """Return whether a request with this deadline is still to be served."""
@@ -132,15 +133,19 @@
         self._attempt_numbers = itertools.count(1)
         self._longest_deadline_s_by_route_id: dict[ids.RouteId, float] = {}
         self._stop_schedule: StopSchedule | None = None
-        self._place_timeouts: set[asyncio.Timeout] = set()
+        self._place_timeouts = timeouts.TimeoutGroup()
+        self._response_timeouts = timeouts.TimeoutGroup()
 
     def stop(self, schedule: StopSchedule) -> None:
-        """Refuse the requests that would not end before the process does."""
+        """Refuse the requests that would not end before the process does.
+
+        The others are answered when the stop ends, at the latest: a request that is cut
+        with its connection takes the responses that wait behind it along.
+        """
         self._stop_schedule = schedule
-        loop = asyncio.get_running_loop()
-        remaining_s = max(0.0, schedule.no_places_from - self._clock())
-        for timeout in self._place_timeouts:
-            timeout.reschedule(loop.time() + remaining_s)
+        now = self._clock()
+        self._place_timeouts.shorten(schedule.no_places_from - now)
+        self._response_timeouts.shorten(schedule.ends_at - now)
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Return the response to a client's request."""
@@ -175,18 +180,25 @@
         return response
 
     async def _serve_before_deadline(self, routed: _RoutedRequest) -> messages.Response:
+        remaining_s = routed.deadline_at - self._clock()
+        if self._stop_schedule is not None:
+            ends_in_s = self._stop_schedule.ends_at - self._clock()
+            remaining_s = min(remaining_s, ends_in_s)
         try:
-            async with asyncio.timeout(routed.deadline_at - self._clock()):
+            async with self._response_timeouts.timeout(remaining_s):
                 return await self._serve(routed)
         except TimeoutError:
+            is_expired = self._clock() >= routed.deadline_at
             if not routed.sends:
                 fields = self._record_end(routed, "expired")
-                events.event("request.refused", reason="deadline expired", **fields)
+                reason = "deadline expired" if is_expired else "the instance stops"
+                events.event("request.refused", reason=reason, **fields)
                 return self._not_executed_response(
                     routed.request_id, DEFAULT_RETRY_AFTER_S
                 )
             fields = self._record_end(routed, "timeout")
-            events.event("request.failed", reason="response timed out", **fields)
+            reason = "response timed out" if is_expired else "the instance stops"
+            events.event("request.failed", reason=reason, **fields)
             return self._local_response(504, routed.request_id)
 
     async def _serve(self, routed: _RoutedRequest) -> messages.Response:
@@ -259,17 +271,13 @@
         remaining_s = routed.deadline_at - self._clock()
         if self._stop_schedule is not None:
             stops_in_s = self._stop_schedule.no_places_from - self._clock()
-            remaining_s = min(remaining_s, max(0.0, stops_in_s))
-        timeout = asyncio.timeout(remaining_s)
-        self._place_timeouts.add(timeout)
+            remaining_s = min(remaining_s, stops_in_s)
         try:
-            async with timeout:
+            async with self._place_timeouts.timeout(remaining_s):
                 return await self._placer.place(request)
         except TimeoutError:
             reason = model.RefusalReason.EXPIRED
             return model.Refused(request.attempt_id, reason, DEFAULT_RETRY_AFTER_S)
-        finally:
-            self._place_timeouts.discard(timeout)
 
     async def _send(
         self, routed: _RoutedRequest, granted: model.Granted
--- a/packages/gateway/tests/front/test_request_path.py
+++ b/packages/gateway/tests/front/test_request_path.py
@@ -306,6 +306,29 @@
     assert (await path.handle(request())).status == 200
 
 
+PATIENT = dataclasses.replace(ROUTE, timeout_s=60.0)
+
+
+# Guards against a request that is cut with its connection when a planned stop ends, and
+# with it the responses that wait behind it.
+@pytest.mark.parametrize("is_stopped_before", [False, True])
+async def test_stop_answers_requests_in_progress_when_it_ends(is_stopped_before):
+    placer = Placer(1)
+    path = make_request_path(placer, Sender(), PATIENT)
+    schedule = stop_schedule(late_in_s=30.0, ends_in_s=0.2)
+    if is_stopped_before:
+        path.stop(schedule)
+    serving = asyncio.create_task(path.handle(request(b"60000")))
+    while not placer.requests:
+        await asyncio.sleep(0)
+    if not is_stopped_before:
+        path.stop(schedule)
+    async with asyncio.timeout(20):
+        response = await serving
+    assert response.status == 504
+    assert placer.released == [model.Outcome.ABANDONED]
+
+
 async def test_handle_counts_the_objective_from_the_first_attempt():
     placer = Placer(0)
     path = make_request_path(placer, Sender())
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -33,8 +33,11 @@
 
 # Clients may use a cached lookup response for up to three times its TTL.
 MAX_CACHED_TTLS = 3
-# Part of the grace period that is reserved for closing connections.
+# Part of the grace period that is reserved for the last responses and closing
+# connections.
 STOP_MARGIN_S = 0.5
+# Part of it in which the process ends, which takes longer on a busy machine.
+EXIT_MARGIN_S = 0.2
 STOP_CHECK_INTERVAL_S = 0.05
 # Time after the stop signal within which requests are taken without regard to whether
 # they end in time. Clients that follow the lookup send few later ones.
@@ -161,7 +164,8 @@
         await asyncio.sleep(listens_for_s)
         self._server.stop_listening()
         self._server.close_idle()
-        while self._server.requests_in_flight and self._clock() < end_at:
+        cuts_at = started_at + self._node_settings.stop_grace_s - EXIT_MARGIN_S
+        while self._server.requests_in_flight and self._clock() < cuts_at:
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         for unfinished in self._server.find_unfinished():
             events.event(
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import dataclasses
 import zlib
@@ -11,9 +12,11 @@
 
 from yuccapitch.catalogue import ids, routes
 from yuccapitch.control import coordinator
-from yuccapitch.gateway.front import headers, request_path
+from yuccapitch.gateway.front import endpoint_sender, headers, request_path
+from yuccapitch.gateway.http1 import messages as http_messages
 from yuccapitch.node.routed import entry_node, settings
 from yuccapitch.protocol import subscription_messages as messages
+from yuccapitch.steering.placement import model
 
 LEADER = "10.0.0.9:7000"
 NAMES = headers.HeaderNames(
@@ -149,3 +152,88 @@
     )
     deliver(node, without_list, sent_at=2.0)
     assert node._routing_state.confirmed_at == 2.0
+
+
+ROUTE = routes.Route(
+    ids.RouteId("r"), "h", "/", routes.Repeatability.IDEMPOTENT, 60.0, 60.0, 1,
+    (routes.ServiceShare(ids.ServiceId("s"), 1.0),), 1, True, frozenset(),
+)  # fmt: skip
+SERVICE = routes.RoutedService(ids.ServiceId("s"), "/health", 9, 0.0, 0.0)
+# The long one does not fit into the buffers of a connection.
+BODIES_BY_TARGET = {b"/short": b"done", b"/long": bytes(16 * 1024 * 1024)}
+
+
+class FakePlacer:
+    """Grants a place to every request."""
+
+    async def place(self, request):
+        region = ids.RegionId("north")
+        endpoint = model.Endpoint(
+            ids.EndpointId("e"), ids.ServiceId("s"), "h", 80,
+            ids.FailureDomainId("north-a"), region, 4, False, 0.0, 0, region,
+        )  # fmt: skip
+        return model.Granted(request.attempt_id, endpoint)
+
+    def release(self, *args, **fields):
+        return
+
+
+class FakeSender:
+    """Answers ``/short`` and ``/long``, and other requests never."""
+
+    async def send(self, request, endpoint, deadline_at, is_idempotent):
+        if request.target not in BODIES_BY_TARGET:
+            await asyncio.Event().wait()
+        body = BODIES_BY_TARGET[request.target]
+        response = http_messages.Response(200, [], body)
+        return endpoint_sender.SendResult(
+            model.Outcome.ANSWERED,
+            endpoint_sender.Execution.POSSIBLE,
+            response,
+            None,
+            None,
+            "",
+        )
+
+
+@contextlib.asynccontextmanager
+async def stopping_after(node, monkeypatch, *targets: bytes):
+    """Send requests on one connection, then stop the node."""
+    # Time for a busy machine to send what is due when the requests have ended.
+    monkeypatch.setattr(entry_node, "STOP_MARGIN_S", 20.0)
+    node_settings = dataclasses.replace(
+        node._node_settings, stop_grace_s=21.0, lookup_ttl_s=0.1
+    )
+    node.reload(node_settings)
+    node._path._placer, node._path._sender = FakePlacer(), FakeSender()
+    node._routing_state.table = routes.RouteTable(
+        routes.Revision(1), [ROUTE], [SERVICE], routes.CallerLimits()
+    )
+    node._routing_state.confirmed_at = coordinator.boot_time_s()
+    port = await node._server.start("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    for target in targets:
+        writer.write(b"GET %s HTTP/1.1\r\nHost: h\r\ntime-left: 60000\r\n\r\n" % target)
+    while node._routing_state.budgets_by_service_id == {}:
+        await asyncio.sleep(0)
+    drain = asyncio.create_task(node.drain())
+    try:
+        async with asyncio.timeout(60):
+            yield reader, drain
+    finally:
+        drain.cancel()
+        writer.close()
+        await node._server.aclose()
+
+
+# Guards against an answer that is lost at the end of a planned stop because a request
+# before it on its connection is still in progress.
+async def test_drain_delivers_responses_behind_a_request_in_progress(node, monkeypatch):
+    targets = (b"/held", b"/short")
+    async with stopping_after(node, monkeypatch, *targets) as (reader, drain):
+        received = asyncio.create_task(reader.read(-1))
+        await drain
+        assert node._server.find_unfinished() == []
+        response = await received
+    assert response.startswith(b"HTTP/1.1 504")
+    assert response.endswith(BODIES_BY_TARGET[b"/short"])
