Planned stop: wait until the last responses are sent

A process that is stopped could end with responses that its transports still held, or whose connection was still read so that a reset does not discard them: the stop waited for the handlers of requests only.

An upload that is being read when the last response has gone is read to its end as well.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -146,6 +146,12 @@
             unsent_bytes,
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read, answered, or its response delivered."""
+        # Until a closing connection is lost, its last response may be on its way.
+        return bool(self._pending_responses) or self._is_in_message or self._is_closing
+
     def close_if_idle(self) -> None:
         """Close the connection if it has no request in progress."""
         if not self._pending_responses and not self._is_in_message:
@@ -356,6 +362,16 @@
         """Number of requests that have been read and not yet answered."""
         return self._state.requests_in_flight
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether connections are accepted."""
+        return self._server is not None and self._server.is_serving()
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether responses are due or may not have reached their clients."""
+        return any(connection.is_busy for connection in self._state.connections)
+
     @property
     def connection_count(self) -> int:
         """Number of open client connections."""
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -165,7 +165,7 @@
         self._server.stop_listening()
         self._server.close_idle()
         cuts_at = started_at + self._node_settings.stop_grace_s - EXIT_MARGIN_S
-        while self._server.requests_in_flight and self._clock() < cuts_at:
+        while self._server.is_busy and self._clock() < cuts_at:
             await asyncio.sleep(STOP_CHECK_INTERVAL_S)
         for unfinished in self._server.find_unfinished():
             events.event(
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -237,3 +237,17 @@
         response = await received
     assert response.startswith(b"HTTP/1.1 504")
     assert response.endswith(BODIES_BY_TARGET[b"/short"])
+
+
+# Guards against an answer that is lost at a planned stop because the process ends
+# before a slow link has taken it.
+async def test_drain_waits_for_responses_that_are_not_sent_yet(node, monkeypatch):
+    async with stopping_after(node, monkeypatch, b"/long") as (reader, drain):
+        while node._server.is_listening:
+            await asyncio.sleep(0)
+        assert node._server.requests_in_flight == 0
+        assert not drain.done()
+        received = asyncio.create_task(reader.read(-1))
+        await drain
+        assert node._server.find_unfinished() == []
+        assert (await received).endswith(BODIES_BY_TARGET[b"/long"])
