Planned stop: send nothing that is not expected to end before the stop does

An order that is cut leaves its client without knowing whether it ran.

The instance now measures the response times of each route with the estimator of TCP's retransmission timer (RFC 6298). While it stops, a request is sent only if it is expected to end before the stop does, by the mean for requests that may be repeated and by the bound for others. The rest is refused at once, truly not run, so that its client returns to another instance. Requests whose deadline lies before the end of the stop are served as ever.

--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import itertools
 import typing
@@ -19,7 +20,7 @@
 )
 from yuccapitch.gateway.http1 import messages
 from yuccapitch.protocol import events
-from yuccapitch.steering import retry_budget
+from yuccapitch.steering import response_times, retry_budget
 from yuccapitch.steering.placement import endpoint_notices, model
 
 # Deadline of a request without a deadline header; the longest time that a client is
@@ -64,13 +65,22 @@
     late_from: float
     """Requests received from then on are served only if they end in time for sure."""
     no_places_from: float
-    """No request is granted a place from then on."""
+    """No request is granted a place from then on, unless it ends in time for sure."""
     ends_at: float
     """Requests still in progress get their final response; the process ends."""
 
-    def may_start(self, received_at: float, deadline_at: float) -> bool:
-        """Return whether a request with this deadline is still to be served."""
-        return received_at < self.late_from or deadline_at <= self.ends_at
+    def latest_start_at(
+        self, received_at: float, deadline_at: float, expected_s: float
+    ) -> float:
+        """Return the time until which a request may be sent to an endpoint.
+
+        ``expected_s`` is the time that the endpoint is expected to take.
+        """
+        if deadline_at <= self.ends_at:
+            return deadline_at
+        if received_at >= self.late_from:
+            return float("-inf")
+        return min(self.no_places_from, self.ends_at - expected_s)
 
 
 class Meter(typing.Protocol):
@@ -133,8 +143,9 @@
         self._attempt_numbers = itertools.count(1)
         self._longest_deadline_s_by_route_id: dict[ids.RouteId, float] = {}
         self._stop_schedule: StopSchedule | None = None
-        self._place_timeouts = timeouts.TimeoutGroup()
-        self._response_timeouts = timeouts.TimeoutGroup()
+        self._response_times = response_times.ResponseTimes()
+        self._place_timeouts = timeouts.TimeoutGroup[_RoutedRequest]()
+        self._response_timeouts = timeouts.TimeoutGroup[_RoutedRequest]()
 
     def stop(self, schedule: StopSchedule) -> None:
         """Refuse the requests that would not end before the process does.
@@ -143,9 +154,8 @@
         with its connection takes the responses that wait behind it along.
         """
         self._stop_schedule = schedule
-        now = self._clock()
-        self._place_timeouts.shorten(schedule.no_places_from - now)
-        self._response_timeouts.shorten(schedule.ends_at - now)
+        self._place_timeouts.shorten(self._max_place_wait_s)
+        self._response_timeouts.shorten(self._max_duration_s)
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Return the response to a client's request."""
@@ -180,12 +190,9 @@
         return response
 
     async def _serve_before_deadline(self, routed: _RoutedRequest) -> messages.Response:
-        remaining_s = routed.deadline_at - self._clock()
-        if self._stop_schedule is not None:
-            ends_in_s = self._stop_schedule.ends_at - self._clock()
-            remaining_s = min(remaining_s, ends_in_s)
+        max_duration_s = self._max_duration_s(routed)
         try:
-            async with self._response_timeouts.timeout(remaining_s):
+            async with self._response_timeouts.timeout(routed, max_duration_s):
                 return await self._serve(routed)
         except TimeoutError:
             is_expired = self._clock() >= routed.deadline_at
@@ -204,14 +211,6 @@
     async def _serve(self, routed: _RoutedRequest) -> messages.Response:
         self._retry_budget(routed.service_id).record_first_attempt()
         while True:
-            if not self._may_start(routed):
-                # Another instance can serve it; here it would be cut without an answer.
-                refused = model.Refused(
-                    model.AttemptId(routed.request_id),
-                    model.RefusalReason.STOPPING,
-                    MIN_RETRY_AFTER_S,
-                )
-                return self._refused_response(routed, refused)
             decision = await self._place(routed)
             if isinstance(decision, model.Refused):
                 return self._refused_response(routed, decision)
@@ -247,10 +246,30 @@
                 sends=routed.sends,
             )
 
-    def _may_start(self, routed: _RoutedRequest) -> bool:
-        schedule = self._stop_schedule
-        received_at = routed.request.headers_received_at
-        return schedule is None or schedule.may_start(received_at, routed.deadline_at)
+    def _max_duration_s(self, routed: _RoutedRequest) -> float:
+        """Return the time within which the request gets its final response."""
+        ends_at = routed.deadline_at
+        if self._stop_schedule is not None:
+            ends_at = min(ends_at, self._stop_schedule.ends_at)
+        return ends_at - self._clock()
+
+    def _max_place_wait_s(self, routed: _RoutedRequest) -> float:
+        """Return the time for which the request may wait for a place."""
+        latest_start_at = routed.deadline_at
+        if self._stop_schedule is not None:
+            latest_start_at = self._stop_schedule.latest_start_at(
+                routed.request.headers_received_at,
+                routed.deadline_at,
+                self._expected_response_time_s(routed),
+            )
+        return latest_start_at - self._clock()
+
+    def _expected_response_time_s(self, routed: _RoutedRequest) -> float:
+        route = routed.route
+        if route.repeatability is routes.Repeatability.IDEMPOTENT:
+            return self._response_times.mean_s(route.route_id)
+        # A client that never learns whether its request ran can't send it again.
+        return self._response_times.bound_s(route.route_id)
 
     def _find_expired_permission(
         self, routed: _RoutedRequest, granted: model.Granted
@@ -268,16 +287,17 @@
 
     async def _place(self, routed: _RoutedRequest) -> model.Granted | model.Refused:
         request = self._build_placement_request(routed)
-        remaining_s = routed.deadline_at - self._clock()
-        if self._stop_schedule is not None:
-            stops_in_s = self._stop_schedule.no_places_from - self._clock()
-            remaining_s = min(remaining_s, stops_in_s)
-        try:
-            async with self._place_timeouts.timeout(remaining_s):
-                return await self._placer.place(request)
-        except TimeoutError:
-            reason = model.RefusalReason.EXPIRED
-            return model.Refused(request.attempt_id, reason, DEFAULT_RETRY_AFTER_S)
+        max_wait_s = self._max_place_wait_s(routed)
+        if max_wait_s > 0:
+            with contextlib.suppress(TimeoutError):
+                async with self._place_timeouts.timeout(routed, max_wait_s):
+                    return await self._placer.place(request)
+        if self._stop_schedule is not None and self._clock() < routed.deadline_at:
+            # Another instance can serve it; here it would not end before the stop does.
+            stopping = model.RefusalReason.STOPPING
+            return model.Refused(request.attempt_id, stopping, MIN_RETRY_AFTER_S)
+        expired = model.RefusalReason.EXPIRED
+        return model.Refused(request.attempt_id, expired, DEFAULT_RETRY_AFTER_S)
 
     async def _send(
         self, routed: _RoutedRequest, granted: model.Granted
@@ -294,6 +314,7 @@
         )
         outcome = model.Outcome.ABANDONED
         send_result: endpoint_sender.SendResult | None = None
+        sent_at = self._clock()
         # Counted before the exchange: if it is cancelled, bytes may have been sent.
         routed.sends += 1
         try:
@@ -318,7 +339,10 @@
         routed.may_have_executed |= (
             send_result.execution is endpoint_sender.Execution.POSSIBLE
         )
-        routed.fallback_response = send_result.response or routed.fallback_response
+        if send_result.response is not None:
+            routed.fallback_response = send_result.response
+            response_time_s = self._clock() - sent_at
+            self._response_times.observe(routed.route.route_id, response_time_s)
         return send_result
 
     def _return_place(self, routed: _RoutedRequest, granted: model.Granted) -> None:
--- a/packages/gateway/tests/front/test_request_path.py
+++ b/packages/gateway/tests/front/test_request_path.py
@@ -329,6 +329,59 @@
     assert placer.released == [model.Outcome.ABANDONED]
 
 
+def measured_path(placer, sender, route) -> request_path.RequestPath:
+    """Return a path whose requests took 10 s or 50 s so far."""
+    path = make_request_path(placer, sender, route)
+    for response_time_s in (10.0, 50.0) * 20:
+        path._response_times.observe(ROUTE.route_id, response_time_s)
+    return path
+
+
+# Guards against requests that wait for a place through a planned stop, get it too late,
+# and are cut while their endpoint is at work.
+@pytest.mark.parametrize("is_waiting", [False, True])
+async def test_stop_refuses_at_once_what_would_not_end_before_it(is_waiting):
+    placer, sender = Placer(0, waits=True), Sender()
+    path = measured_path(placer, sender, PATIENT)
+    schedule = stop_schedule(late_in_s=25.0, ends_in_s=25.0)
+    if not is_waiting:
+        path.stop(schedule)
+    serving = asyncio.create_task(path.handle(request(b"60000")))
+    if is_waiting:
+        while not placer.requests:
+            await asyncio.sleep(0)
+        path.stop(schedule)
+    async with asyncio.timeout(20):
+        response = await serving
+    assert response.status == 503
+    assert float(response.header(b"retry-after") or b"1") <= 0.1
+    assert not sender.sent
+
+
+async def test_stop_sends_what_must_not_run_twice_only_if_it_ends_almost_surely():
+    schedule = stop_schedule(late_in_s=40.0, ends_in_s=40.0)
+    for repeatability, status in (
+        (routes.Repeatability.IDEMPOTENT, 200),
+        (routes.Repeatability.AT_MOST_ONCE, 503),
+    ):
+        route = dataclasses.replace(PATIENT, repeatability=repeatability)
+        path = measured_path(Placer(1), Sender(ANSWERED), route)
+        path.stop(schedule)
+        assert (await path.handle(request(b"60000"))).status == status
+
+
+async def test_stop_serves_requests_whose_deadline_is_before_its_end():
+    path = measured_path(Placer(1), Sender(ANSWERED), PATIENT)
+    path.stop(stop_schedule(late_in_s=0.0, ends_in_s=5.0))
+    assert (await path.handle(request(b"4000"))).status == 200
+
+
+async def test_handle_measures_the_response_times_of_endpoints():
+    path = make_request_path(Placer(2), Sender(SHED, ANSWERED))
+    await path.handle(request())
+    assert 0.0 < path._response_times.mean_s(ROUTE.route_id) < 20.0
+
+
 async def test_handle_counts_the_objective_from_the_first_attempt():
     placer = Placer(0)
     path = make_request_path(placer, Sender())
