Planned stop: keep the end that was set when it began

The time at which the stop gives up waiting was computed from the settings at the end of listening, while the time at which requests get their final response was set at the start. A settings file with a shorter grace, written during the stop, ended the process before those responses were due.

test_drain_keeps_its_end_if_the_settings_change failed before with unanswered_positions=[1] undelivered_positions=[2].

--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -147,6 +147,7 @@
         """
         started_at = self._clock()
         end_at = started_at + self._node_settings.stop_grace_s - STOP_MARGIN_S
+        cuts_at = started_at + self._node_settings.stop_grace_s - EXIT_MARGIN_S
         self._is_stopping = True
         self._leader_poller.wake()
         self._server.drain()
@@ -161,7 +162,6 @@
             )
         )
         await asyncio.sleep(listens_for_s)
-        cuts_at = started_at + self._node_settings.stop_grace_s - EXIT_MARGIN_S
         await self._server.finish(cuts_at)
         for unfinished in self._server.find_unfinished():
             events.event(
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -279,3 +279,16 @@
     with client:
         client.settimeout(20)
         assert client.recv(1000).startswith(b"HTTP/1.1 200")
+
+
+# Guards against a stop whose end is moved by settings that are changed meanwhile.
+async def test_drain_keeps_its_end_if_the_settings_change(node, monkeypatch):
+    targets = (b"/held", b"/short")
+    async with stopping_after(node, monkeypatch, *targets) as (reader, drain):
+        while not node._server._state.is_stopping:
+            await asyncio.sleep(0)
+        node.reload(dataclasses.replace(node._node_settings, stop_grace_s=0.1))
+        received = asyncio.create_task(reader.read(-1))
+        await drain
+        assert node._server.find_unfinished() == []
+        assert (await received).endswith(BODIES_BY_TARGET[b"/short"])
