Server: linger after a response has been sent, not after it was written

A closed connection is read for a second more, since closing a socket with unread bytes sends a reset that may discard the last response. The second began when the response was handed to the transport. On a slow link the connection was closed for reading while the response was still being sent, and one more request in the pipeline reset it.

The second now begins once the transport holds nothing more. test_close_reads_on_until_a_long_response_is_sent failed before with a ConnectionResetError.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -114,6 +114,11 @@
         except httptools.HttpParserError as error:
             self._reject(400, str(error))
 
+    def resume_writing(self) -> None:
+        """Begin the lingering close once the last response has been sent."""
+        if self._is_closing and not self._transport.is_closing():
+            self._linger()
+
     def eof_received(self) -> bool:
         """Close the connection; half-closed connections are not supported."""
         return False
@@ -310,6 +315,12 @@
             self._transport.resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
+        # Without a limit above 0, writing resumes once everything has been sent.
+        self._transport.set_write_buffer_limits(0)
+        if not self._transport.get_write_buffer_size():
+            self._linger()
+
+    def _linger(self) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(LINGER_S, self._transport.close)
 
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -261,6 +261,12 @@
     def write_eof(self) -> None:
         self.calls.append("write_eof")
 
+    def set_write_buffer_limits(self, high=None, low=None) -> None:
+        return
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def close(self) -> None:
         self.calls.append("close")
 
@@ -349,3 +355,28 @@
             await http_server.finish(asyncio.get_running_loop().time() + 0.2)
         assert http_server.connection_count == 1
         writer.close()
+
+
+# Guards against a response that a reset discards because the connection was closed
+# with unread bytes while the response was still being sent.
+async def test_close_reads_on_until_a_long_response_is_sent(monkeypatch):
+    monkeypatch.setattr(server, "LINGER_S", 0.3)
+    body = bytes(16 * 1024 * 1024)
+
+    async def respond(request):
+        return messages.Response(200, [], body)
+
+    async with serving(respond) as (http_server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(get("/", CLOSE))
+        # A slow client: the lingering close would be over if it had begun already.
+        while not http_server.find_unfinished():
+            await asyncio.sleep(0)
+        await asyncio.sleep(3 * server.LINGER_S)
+        writer.write(get("/"))
+        received = 0
+        async with asyncio.timeout(20):
+            while data := await reader.read(65536):
+                received += len(data)
+        writer.close()
+    assert received > len(body)
