Server: one response to a request that asks for an upgrade

Such a request was passed to the handler, which could send it to an endpoint, and then rejected as well: the client got a 200 and a 501 that belongs to no request. Found by review. It is now rejected when its headers are complete.

The new case of test_serve_rejects_invalid_requests_and_exceeded_limits failed before with both responses; all its cases now count them.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -104,8 +104,6 @@
             self._arm_timer(self._state.limits().header_timeout_s)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(501, "upgrades are not supported")
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if not isinstance(cause, _RequestRejected):
@@ -187,6 +185,8 @@
         length = messages.find_header(self._headers, b"content-length")
         if length is not None and int(length) > limits.max_body_bytes:
             raise _RequestRejected(413, f"the body is {int(length)} bytes")
+        if self._parser.should_upgrade():
+            raise _RequestRejected(501, "upgrades are not supported")
         if sum(1 for name, _ in self._headers if name == b"host") != 1:
             raise _RequestRejected(400, "one Host header is needed")
         self._headers_received_at = self._state.clock()
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -92,6 +92,7 @@
         (b"GET / HTTP/1.1\r\n\r\n", 400),
         (b"GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400),
         (b"nonsense\r\n\r\n", 400),
+        (get("/", "Connection: upgrade\r\nUpgrade: other\r\n"), 501),
         (
             b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
             b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
@@ -104,6 +105,7 @@
     async with serving() as (_, port):
         response = await exchange(port, data)
     assert response.startswith(b"HTTP/1.1 %d " % status)
+    assert response.count(b"HTTP/1.1 ") == 1
     assert b"connection: close" in response
 
 
