Server: answer 500 to a request whose handler ends with a cancellation

A CancelledError that a handler let out left its request without a response, and so all that were read behind it on the connection. No handler is known to do so; found by review. The case of test_serve_answers_500_when_the_handler_raises timed out before.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -238,9 +238,14 @@
     def _on_served(self, task: asyncio.Task[None], pending: _PendingResponse) -> None:
         self._state.requests_in_flight -= 1
         self._tasks.remove(task)
+        error: BaseException | None
         if task.cancelled():
-            return
-        error = task.exception()
+            if self._is_closing:
+                return
+            # Nobody else cancels a handler, so that this is an error of its own.
+            error = asyncio.CancelledError()
+        else:
+            error = task.exception()
         if error is not None:
             events.event("request.crashed", reason=repr(error))
             pending.response = messages.Response(500, [], b"")
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -220,13 +220,18 @@
     assert b"connection: close" in response
 
 
-async def test_serve_answers_500_when_the_handler_raises():
-    async def broken(request):
-        raise ZeroDivisionError
+# An error of a handler must not keep the responses behind it from being sent.
+@pytest.mark.parametrize("error", [ZeroDivisionError, asyncio.CancelledError])
+async def test_serve_answers_500_when_the_handler_raises(error):
+    async def break_first(request):
+        if request.target == b"/0":
+            raise error
+        return await echo(request)
 
-    async with serving(broken) as (_, port):
-        response = await exchange(port, get("/", CLOSE))
+    async with serving(break_first) as (_, port):
+        response = await exchange(port, get("/0") + get("/1", CLOSE))
     assert response.startswith(b"HTTP/1.1 500")
+    assert b"x-target: /1" in response
 
 
 async def test_drain_answers_every_pipelined_request_that_was_read():
