Server: ignore what follows a rejected request

Each further packet behind a rejected request added a rejection, which the client never gets but entry.connection-cut and caller.connection-lost would count. test_reject_ignores_what_follows failed before with two of them.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -80,6 +80,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._pending_responses: list[_PendingResponse] = []
         self._is_closing = False
+        self._is_rejected = False
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
         self._is_paused = False
@@ -96,7 +97,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse request bytes and reject invalid ones."""
-        if self._is_closing:
+        if self._is_closing or self._is_rejected:
             return
         if self._is_in_headers or not self._is_in_message:
             self._header_bytes += len(data)
@@ -283,6 +284,7 @@
             self._start_idle_time()
 
     def _reject(self, status: int, reason: str) -> None:
+        self._is_rejected = True
         events.event("caller.refused", status=status, reason=reason)
         self._disarm_timer()
         pending = _PendingResponse(messages.Request(b"", b"", [], b"", 0.0), False)
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -387,3 +387,26 @@
                 received += len(data)
         writer.close()
     assert received > len(body)
+
+
+async def test_reject_ignores_what_follows():
+    is_first_answered = asyncio.Event()
+
+    async def delay(request):
+        await is_first_answered.wait()
+        return await echo(request)
+
+    async with serving(delay) as (http_server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(get("/0") + b"nonsense\r\n\r\n")
+        while not http_server.find_unfinished():
+            await asyncio.sleep(0)
+        writer.write(b"more")
+        await asyncio.sleep(0.05)
+        (unfinished,) = http_server.find_unfinished()
+        assert len(unfinished.undelivered_positions) == 1
+        is_first_answered.set()
+        async with asyncio.timeout(20):
+            received = await reader.read(-1)
+        writer.close()
+    assert received.count(b"HTTP/1.1 ") == 2
