Planned stop: response times of slow and unmeasured routes

The estimates that decide what a stopping instance still sends did not count requests that were given up, counted fast failures as answers, and took an unmeasured route for one that needs no time, so that they were too low just where requests are slow.

A request that was given up now counts with the time it had taken, if that is above the mean; failures don't count; and a request that must not run twice isn't sent on an unmeasured route unless its deadline lies before the end of the stop. A request that the end of the stop refuses may return at once, like others that a stopping instance refuses.

The tests of this commit failed before, but for the case that was right.

--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -195,16 +195,17 @@
             async with self._response_timeouts.timeout(routed, max_duration_s):
                 return await self._serve(routed)
         except TimeoutError:
-            is_expired = self._clock() >= routed.deadline_at
+            is_stop = self._is_ended_by_stop(routed)
+            if not routed.sends and is_stop:
+                return self._refused_response(routed, self._late_refusal(routed))
             if not routed.sends:
                 fields = self._record_end(routed, "expired")
-                reason = "deadline expired" if is_expired else "the instance stops"
-                events.event("request.refused", reason=reason, **fields)
+                events.event("request.refused", reason="deadline expired", **fields)
                 return self._not_executed_response(
                     routed.request_id, DEFAULT_RETRY_AFTER_S
                 )
             fields = self._record_end(routed, "timeout")
-            reason = "response timed out" if is_expired else "the instance stops"
+            reason = "the instance stops" if is_stop else "response timed out"
             events.event("request.failed", reason=reason, **fields)
             return self._local_response(504, routed.request_id)
 
@@ -292,12 +293,20 @@
             with contextlib.suppress(TimeoutError):
                 async with self._place_timeouts.timeout(routed, max_wait_s):
                     return await self._placer.place(request)
-        if self._stop_schedule is not None and self._clock() < routed.deadline_at:
+        return self._late_refusal(routed)
+
+    def _late_refusal(self, routed: _RoutedRequest) -> model.Refused:
+        """Return why a request that got no place can't get one any more."""
+        attempt_id = model.AttemptId(routed.request_id)
+        if self._is_ended_by_stop(routed):
             # Another instance can serve it; here it would not end before the stop does.
             stopping = model.RefusalReason.STOPPING
-            return model.Refused(request.attempt_id, stopping, MIN_RETRY_AFTER_S)
+            return model.Refused(attempt_id, stopping, MIN_RETRY_AFTER_S)
         expired = model.RefusalReason.EXPIRED
-        return model.Refused(request.attempt_id, expired, DEFAULT_RETRY_AFTER_S)
+        return model.Refused(attempt_id, expired, DEFAULT_RETRY_AFTER_S)
+
+    def _is_ended_by_stop(self, routed: _RoutedRequest) -> bool:
+        return self._stop_schedule is not None and self._clock() < routed.deadline_at
 
     async def _send(
         self, routed: _RoutedRequest, granted: model.Granted
@@ -326,6 +335,7 @@
             )
             outcome = send_result.outcome
         finally:
+            self._record_response_time(routed, send_result, self._clock() - sent_at)
             load = None if send_result is None else send_result.load
             connect_s = None if send_result is None else send_result.connect_s
             rate_limit = None if send_result is None else send_result.rate_limit
@@ -339,12 +349,23 @@
         routed.may_have_executed |= (
             send_result.execution is endpoint_sender.Execution.POSSIBLE
         )
-        if send_result.response is not None:
-            routed.fallback_response = send_result.response
-            response_time_s = self._clock() - sent_at
-            self._response_times.observe(routed.route.route_id, response_time_s)
+        routed.fallback_response = send_result.response or routed.fallback_response
         return send_result
 
+    def _record_response_time(
+        self,
+        routed: _RoutedRequest,
+        send_result: endpoint_sender.SendResult | None,
+        elapsed_s: float,
+    ) -> None:
+        """Record the time of a send; the result is None if it was given up."""
+        route_id = routed.route.route_id
+        if send_result is None:
+            self._response_times.observe_unfinished(route_id, elapsed_s)
+        elif send_result.outcome is model.Outcome.ANSWERED:
+            # A failure may be fast because nothing was done.
+            self._response_times.observe(route_id, elapsed_s)
+
     def _return_place(self, routed: _RoutedRequest, granted: model.Granted) -> None:
         """Give back a place that is not used."""
         endpoint = granted.endpoint
--- a/packages/gateway/tests/front/test_request_path.py
+++ b/packages/gateway/tests/front/test_request_path.py
@@ -376,10 +376,35 @@
     assert (await path.handle(request(b"4000"))).status == 200
 
 
-async def test_handle_measures_the_response_times_of_endpoints():
-    path = make_request_path(Placer(2), Sender(SHED, ANSWERED))
-    await path.handle(request())
-    assert 0.0 < path._response_times.mean_s(ROUTE.route_id) < 20.0
+# Guards against an order that is sent just before the end of a stop, on a route whose
+# response times the instance doesn't know.
+async def test_stop_sends_no_unmeasured_request_that_must_not_run_twice():
+    route = dataclasses.replace(
+        PATIENT, repeatability=routes.Repeatability.AT_MOST_ONCE
+    )
+    placer = Placer(1)
+    path = make_request_path(placer, Sender(ANSWERED), route)
+    path.stop(stop_schedule(late_in_s=30.0, ends_in_s=30.0))
+    assert (await path.handle(request(b"60000"))).status == 503
+    assert not placer.requests
+
+
+FAILED = send_result(
+    model.Outcome.FAILED,
+    endpoint_sender.Execution.POSSIBLE,
+    messages.Response(500, [(b"proof", b"x")], b""),
+)
+
+
+# Guards against estimates that are too low where requests fail or run into timeouts.
+@pytest.mark.parametrize(
+    ("sender", "is_measured"),
+    [(Sender(ANSWERED), True), (Sender(), True), (Sender(FAILED, FAILED), False)],
+)
+async def test_handle_measures_the_response_times_of_endpoints(sender, is_measured):
+    path = make_request_path(Placer(2), sender)
+    await path.handle(request(b"30"))
+    assert (path._response_times.mean_s(ROUTE.route_id) > 0.0) == is_measured
 
 
 async def test_handle_counts_the_objective_from_the_first_attempt():
--- a/packages/steering/src/yuccapitch/steering/response_times.py
+++ b/packages/steering/src/yuccapitch/steering/response_times.py
@@ -40,14 +40,22 @@
         estimate.deviation_s += DEVIATION_WEIGHT * change_s
         estimate.mean_s += MEAN_WEIGHT * error_s
 
+    def observe_unfinished(self, route_id: ids.RouteId, elapsed_s: float) -> None:
+        """Record how long an endpoint had not answered a request that was given up.
+
+        Shorter than expected, it says nothing about the time of an answer.
+        """
+        if elapsed_s > self.mean_s(route_id):
+            self.observe(route_id, elapsed_s)
+
     def mean_s(self, route_id: ids.RouteId) -> float:
         """Return the mean; 0 before the first observation."""
         estimate = self._estimates_by_route_id.get(route_id)
         return 0.0 if estimate is None else estimate.mean_s
 
     def bound_s(self, route_id: ids.RouteId) -> float:
-        """Return what few responses exceed; 0 before the first observation."""
+        """Return what few responses exceed; infinite before the first observation."""
         estimate = self._estimates_by_route_id.get(route_id)
         if estimate is None:
-            return 0.0
+            return float("inf")
         return estimate.mean_s + BOUND_DEVIATIONS * estimate.deviation_s
--- a/packages/steering/tests/test_response_times.py
+++ b/packages/steering/tests/test_response_times.py
@@ -11,10 +11,21 @@
 ROUTE, OTHER = ids.RouteId("r"), ids.RouteId("other")
 
 
-def test_estimates_are_zero_before_the_first_observation():
+def test_estimates_bound_nothing_before_the_first_observation():
     times = response_times.ResponseTimes()
     times.observe(OTHER, 2.0)
-    assert times.mean_s(ROUTE) == times.bound_s(ROUTE) == 0.0
+    assert times.mean_s(ROUTE) == 0.0
+    assert times.bound_s(ROUTE) == float("inf")
+
+
+def test_observe_unfinished_counts_only_what_took_longer_than_expected():
+    times = response_times.ResponseTimes()
+    times.observe_unfinished(ROUTE, 4.0)
+    assert times.mean_s(ROUTE) == 4.0
+    times.observe_unfinished(ROUTE, 1.0)
+    assert times.mean_s(ROUTE) == 4.0
+    times.observe_unfinished(ROUTE, 8.0)
+    assert times.mean_s(ROUTE) > 4.0
 
 
 def test_estimates_of_steady_times_converge_to_them():
