Control: answer what was read before a planned stop ends

A control instance that was stopped ended after 0.25 s whatever was in progress: an order on its way to a quorum, for which 0.85 s are allowed, was cut without a response, as were look-ups that its transports still held.

Its servers now stop listening after the 0.25 s and finish like those of an entry instance, at the latest 0.2 s before the grace ends. test_drain_answers_requests_in_progress failed before: the stop was over.

--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -155,13 +155,18 @@
         self._replica.core.add_join_targets(node_settings.seed_ids)
 
     async def drain(self) -> None:
-        """Stop serving and let another control instance take over."""
+        """Stop serving and let another control instance take over.
+
+        Requests that were read, such as orders on their way to a quorum, are answered.
+        """
+        grace_ends_at = self._clock() + self._node_settings.stop_grace_s
+        ends_at = grace_ends_at - timing.EXIT_MARGIN_S
         self._is_stopping = True
         self._leader_poller.wake()
         for server in self._servers:
             server.drain()
-            server.close_idle()
         await asyncio.sleep(STOP_NOTICE_S)
+        await asyncio.gather(*(server.finish(ends_at) for server in self._servers))
 
     def _create_core(
         self, recovered: consensus_core.RecoveredState
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -36,8 +36,6 @@
 # Part of the grace period that is reserved for the last responses and closing
 # connections.
 STOP_MARGIN_S = 0.5
-# Part of it in which the process ends, which takes longer on a busy machine.
-EXIT_MARGIN_S = 0.2
 # Time after the stop signal within which requests are taken without regard to whether
 # they end in time. Clients that follow the lookup send few later ones.
 MAX_UNCHECKED_STOP_S = 3.0
@@ -147,7 +145,7 @@
         """
         started_at = self._clock()
         end_at = started_at + self._node_settings.stop_grace_s - STOP_MARGIN_S
-        cuts_at = started_at + self._node_settings.stop_grace_s - EXIT_MARGIN_S
+        cuts_at = started_at + self._node_settings.stop_grace_s - timing.EXIT_MARGIN_S
         self._is_stopping = True
         self._leader_poller.wake()
         self._server.drain()
--- a/packages/node/src/yuccapitch/node/routed/timing.py
+++ b/packages/node/src/yuccapitch/node/routed/timing.py
@@ -12,3 +12,6 @@
 # Interval of these checks while another instance is the region's dispatcher. There is
 # nothing to do until that dispatcher is lost.
 IDLE_TICK_INTERVAL_S = 0.1
+# Part of the grace period in which the process ends, which takes longer on a busy
+# machine.
+EXIT_MARGIN_S = 0.2
--- /dev/null
+++ b/packages/node/tests/test_control_node.py
@@ -0,0 +1,73 @@
+"""Tests of a control instance without its group."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+
+import pytest
+
+from yuccapitch.catalogue import ids, routes
+from yuccapitch.gateway.front import request_path
+from yuccapitch.gateway.http1 import messages, server
+from yuccapitch.node.routed import control_node, settings
+
+
+class FakeAdapter:
+    """Adapter without endpoints or handlers."""
+
+    def endpoint_source(self):
+        return None
+
+
+@pytest.fixture
+def node(tmp_path: pathlib.Path) -> control_node.ControlNode:
+    node_settings = settings.RoutedSettings(
+        instance_id=ids.InstanceId("10.0.0.1:7000"),
+        name="control-1",
+        inner_address=settings.ListenAddress("10.0.0.1", 7000),
+        region_id=ids.RegionId("north"),
+        failure_domain=ids.FailureDomainId("north-a"),
+        region_by_domain={},
+        seed_ids=(ids.InstanceId("10.0.0.1:7000"),),
+        is_bootstrap=True,
+        stop_grace_s=20.0,
+        lookup_ttl_s=1.0,
+        retry_budget=request_path.FleetRetryBudget(0.2, 60.0, 10.0),
+        data_dir=tmp_path,
+    )
+    return control_node.ControlNode(
+        node_settings, FakeAdapter(), contextlib.AsyncExitStack(), print
+    )
+
+
+# Guards against an order that a control instance has read and leaves without a response
+# because it is stopped while the order is being committed.
+async def test_drain_answers_requests_in_progress(node, monkeypatch):
+    is_committed = asyncio.Event()
+
+    async def commit(request: messages.Request) -> messages.Response:
+        await is_committed.wait()
+        return messages.Response(200, [], b"done")
+
+    monkeypatch.setattr(control_node, "STOP_NOTICE_S", 0.0)
+    loop = asyncio.get_running_loop()
+    operators = server.Server(commit, loop.time, routes.CallerLimits)
+    port = await operators.start("127.0.0.1", 0)
+    node._servers.append(operators)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    while not operators.requests_in_flight:
+        await asyncio.sleep(0)
+    drain = asyncio.create_task(node.drain())
+    while operators.is_listening:
+        await asyncio.sleep(0)
+        assert not drain.done()
+    is_committed.set()
+    async with asyncio.timeout(60):
+        await drain
+        received = await reader.read(-1)
+    writer.close()
+    assert operators.find_unfinished() == []
+    assert received.endswith(b"done")
