Planned stop: count the grace from the signal

The grace was counted from the moment at which the node began to drain. A signal that comes while the node starts, or while its loop is busy, left the process less time than it believed, and what it then outlived the grace with was killed without an answer.

--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -154,12 +154,12 @@
         self._leader_poller.set_seeds(node_settings.seed_ids)
         self._replica.core.add_join_targets(node_settings.seed_ids)
 
-    async def drain(self) -> None:
+    async def drain(self, stopped_at: float) -> None:
         """Stop serving and let another control instance take over.
 
         Requests that were read, such as orders on their way to a quorum, are answered.
         """
-        grace_ends_at = self._clock() + self._node_settings.stop_grace_s
+        grace_ends_at = stopped_at + self._node_settings.stop_grace_s
         ends_at = grace_ends_at - timing.EXIT_MARGIN_S
         self._is_stopping = True
         self._leader_poller.wake()
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -137,15 +137,17 @@
         self._node_settings = node_settings
         self._leader_poller.set_seeds(node_settings.seed_ids)
 
-    async def drain(self) -> None:
-        """Drain the instance.
+    async def drain(self, stopped_at: float) -> None:
+        """Drain the instance; the grace began at ``stopped_at``.
 
         The instance leaves the lookup responses, waits until cached ones have expired,
-        and completes the requests that it has read.
+        and completes the requests that it has read. ``STOP_MARGIN_S`` before the grace
+        ends, those still in progress get their final response; until
+        ``EXIT_MARGIN_S`` before it, responses are delivered and connections closed.
         """
-        started_at = self._clock()
-        end_at = started_at + self._node_settings.stop_grace_s - STOP_MARGIN_S
-        cuts_at = started_at + self._node_settings.stop_grace_s - timing.EXIT_MARGIN_S
+        grace_ends_at = stopped_at + self._node_settings.stop_grace_s
+        ends_at = grace_ends_at - STOP_MARGIN_S
+        cuts_at = grace_ends_at - timing.EXIT_MARGIN_S
         self._is_stopping = True
         self._leader_poller.wake()
         self._server.drain()
@@ -154,12 +156,12 @@
         listens_for_s = min(cache_lifetime_s, self._node_settings.stop_grace_s / 2)
         self._path.stop(
             request_path.StopSchedule(
-                late_from=started_at + min(listens_for_s, MAX_UNCHECKED_STOP_S),
-                no_places_from=end_at - STOP_MARGIN_S,
-                ends_at=end_at,
+                late_from=stopped_at + min(listens_for_s, MAX_UNCHECKED_STOP_S),
+                no_places_from=ends_at - STOP_MARGIN_S,
+                ends_at=ends_at,
             )
         )
-        await asyncio.sleep(listens_for_s)
+        await asyncio.sleep(stopped_at + listens_for_s - self._clock())
         await self._server.finish(cuts_at)
         for unfinished in self._server.find_unfinished():
             events.event(
@@ -172,7 +174,7 @@
         events.event(
             "entry.drain-finished",
             in_flight=self._server.requests_in_flight,
-            took_ms=round((self._clock() - started_at) * 1000),
+            took_ms=round((self._clock() - stopped_at) * 1000),
         )
 
     async def _handle(self, request: http_messages.Request) -> http_messages.Response:
--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -12,6 +12,7 @@
 
 import result
 
+from yuccapitch.control import coordinator
 from yuccapitch.node import log_lines, tasks
 from yuccapitch.node.routed import adapter as routed_adapter, bounded_log, settings
 from yuccapitch.protocol import events
@@ -38,8 +39,8 @@
     def reload(self, node_settings: settings.RoutedSettings) -> None:
         """Apply changed settings."""
 
-    async def drain(self) -> None:
-        """Complete the requests in flight."""
+    async def drain(self, stopped_at: float) -> None:
+        """Complete the requests in flight; the grace began at ``stopped_at``."""
 
 
 NodeFactory = Callable[
@@ -124,18 +125,24 @@
 ) -> int:
     stop = asyncio.Event()
     failures: list[str] = []
+    stopped_at: list[float] = []
 
     def fail(reason: str) -> None:
         failures.append(reason)
         stop.set()
 
+    def request_stop() -> None:
+        # The grace begins with the signal, also if the node is still starting.
+        stopped_at.append(coordinator.boot_time_s())
+        stop.set()
+
     loop = asyncio.get_running_loop()
     async with contextlib.AsyncExitStack() as stack:
         reload_event = asyncio.Event()
         # Installed before the node starts, so that a signal during the start does not
         # kill the process.
-        loop.add_signal_handler(signal.SIGTERM, stop.set)
-        loop.add_signal_handler(signal.SIGINT, stop.set)
+        loop.add_signal_handler(signal.SIGTERM, request_stop)
+        loop.add_signal_handler(signal.SIGINT, request_stop)
         loop.add_signal_handler(signal.SIGHUP, reload_event.set)
         node = _FACTORIES_BY_ROLE[role](node_settings, adapter, stack, fail)
         started = await node.start()
@@ -163,7 +170,7 @@
             events.event("process.failed", reason=failures[0])
             return EXIT_FAILED
         events.event("process.stopping")
-        await node.drain()
+        await node.drain(stopped_at[0])
     return EXIT_OK
 
 
--- a/packages/node/tests/test_control_node.py
+++ b/packages/node/tests/test_control_node.py
@@ -9,6 +9,7 @@
 import pytest
 
 from yuccapitch.catalogue import ids, routes
+from yuccapitch.control import coordinator
 from yuccapitch.gateway.front import request_path
 from yuccapitch.gateway.http1 import messages, server
 from yuccapitch.node.routed import control_node, settings
@@ -60,7 +61,7 @@
     writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
     while not operators.requests_in_flight:
         await asyncio.sleep(0)
-    drain = asyncio.create_task(node.drain())
+    drain = asyncio.create_task(node.drain(coordinator.boot_time_s()))
     while operators.is_listening:
         await asyncio.sleep(0)
         assert not drain.done()
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -183,7 +183,11 @@
 class FakeSender:
     """Answers ``/short`` and ``/long``, and other requests never."""
 
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+
     async def send(self, request, endpoint, deadline_at, is_idempotent):
+        self.sent.append(request.target)
         if request.target not in BODIES_BY_TARGET:
             await asyncio.Event().wait()
         body = BODIES_BY_TARGET[request.target]
@@ -221,9 +225,9 @@
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     for target in targets:
         writer.write(b"GET %s HTTP/1.1\r\nHost: h\r\ntime-left: 60000\r\n\r\n" % target)
-    while node._routing_state.budgets_by_service_id == {}:
+    while len(node._path._sender.sent) < len(targets):
         await asyncio.sleep(0)
-    drain = asyncio.create_task(node.drain())
+    drain = asyncio.create_task(node.drain(coordinator.boot_time_s()))
     try:
         async with asyncio.timeout(60):
             yield reader, drain
@@ -274,7 +278,7 @@
 
     asyncio.get_running_loop().call_later(0.1, connect_while_busy)
     async with asyncio.timeout(60):
-        await node.drain()
+        await node.drain(coordinator.boot_time_s())
     assert node._server.connection_count == 0
     with client:
         client.settimeout(20)
@@ -292,3 +296,16 @@
         await drain
         assert node._server.find_unfinished() == []
         assert (await received).endswith(BODIES_BY_TARGET[b"/short"])
+
+
+async def test_drain_counts_the_grace_from_the_signal(node):
+    port = await start_serving(node)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"GET /held HTTP/1.1\r\nHost: h\r\ntime-left: 60000\r\n\r\n")
+    while not node._path._sender.sent:
+        await asyncio.sleep(0)
+    # The grace of 21 s is nearly over, so the request gets its final response.
+    async with asyncio.timeout(20):
+        await node.drain(coordinator.boot_time_s() - 20.4)
+        assert (await reader.read(-1)).startswith(b"HTTP/1.1 504")
+    writer.close()
--- a/tests/test_routed_group.py
+++ b/tests/test_routed_group.py
@@ -269,7 +269,7 @@
         response = await routed.wait_for_status(200, look_up, "a lookup")
         port = entry.node_settings.caller_address.port
         assert json.loads(response.body)["addresses"] == [f"127.0.0.1:{port}"]
-        await entry.node.drain()
+        await entry.node.drain(coordinator.boot_time_s())
         await routed.wait_for_status(503, look_up, "no entry")
 
 
