--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -14,13 +14,14 @@
     endpoint_sender,
     headers,
     placers,
+    planned_stop,
+    routed_request,
     routing_state,
-    timeouts,
     traffic_split,
 )
 from yuccapitch.gateway.http1 import messages
 from yuccapitch.protocol import events
-from yuccapitch.steering import response_times, retry_budget
+from yuccapitch.steering import retry_budget
 from yuccapitch.steering.placement import endpoint_notices, model
 
 # Deadline of a request without a deadline header; the longest time that a client is
@@ -58,31 +59,6 @@
     window_s: float
 
 
-@dataclasses.dataclass(frozen=True)
-class StopSchedule:
-    """Times of a planned stop."""
-
-    late_from: float
-    """Requests received from then on are served only if they end in time for sure."""
-    no_places_from: float
-    """No request is granted a place from then on, unless it ends in time for sure."""
-    ends_at: float
-    """Requests still in progress get their final response; the process ends."""
-
-    def latest_start_at(
-        self, received_at: float, deadline_at: float, expected_s: float
-    ) -> float:
-        """Return the time until which a request may be sent to an endpoint.
-
-        ``expected_s`` is the time that the endpoint is expected to take.
-        """
-        if deadline_at <= self.ends_at:
-            return deadline_at
-        if received_at >= self.late_from:
-            return float("-inf")
-        return min(self.no_places_from, self.ends_at - expected_s)
-
-
 class Meter(typing.Protocol):
     """Interface that counts the outcomes of requests."""
 
@@ -96,24 +72,6 @@
         """Count a request that is sent again."""
 
 
-@dataclasses.dataclass(slots=True)
-class _RoutedRequest:
-    """Routed request in progress."""
-
-    request: messages.Request
-    request_id: str
-    route: routes.Route
-    service_id: ids.ServiceId
-    objective_at: float
-    deadline_at: float
-    excluded_endpoint_ids: frozenset[ids.EndpointId] = frozenset()
-    sends: int = 0
-    unreachable_count: int = 0
-    may_have_executed: bool = False
-    fallback_response: messages.Response | None = None
-    """An endpoint's failure response, returned if no retry gets a better one."""
-
-
 class RequestPath:
     """Handler of the routed requests of clients."""
 
@@ -142,20 +100,11 @@
         self._traffic_split = traffic_split.WeightedRoundRobin()
         self._attempt_numbers = itertools.count(1)
         self._longest_deadline_s_by_route_id: dict[ids.RouteId, float] = {}
-        self._stop_schedule: StopSchedule | None = None
-        self._response_times = response_times.ResponseTimes()
-        self._place_timeouts = timeouts.TimeoutGroup[_RoutedRequest]()
-        self._response_timeouts = timeouts.TimeoutGroup[_RoutedRequest]()
+        self._planned_stop = planned_stop.PlannedStop(clock)
 
-    def stop(self, schedule: StopSchedule) -> None:
-        """Refuse the requests that would not end before the process does.
-
-        The others are answered when the stop ends, at the latest: a request that is cut
-        with its connection takes the responses that wait behind it along.
-        """
-        self._stop_schedule = schedule
-        self._place_timeouts.shorten(self._max_place_wait_s)
-        self._response_timeouts.shorten(self._max_duration_s)
+    def stop(self, schedule: planned_stop.StopSchedule) -> None:
+        """Refuse the requests that would not end before the process does."""
+        self._planned_stop.begin(schedule)
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Return the response to a client's request."""
@@ -189,13 +138,14 @@
             raise
         return response
 
-    async def _serve_before_deadline(self, routed: _RoutedRequest) -> messages.Response:
-        max_duration_s = self._max_duration_s(routed)
+    async def _serve_before_deadline(
+        self, routed: routed_request.RoutedRequest
+    ) -> messages.Response:
         try:
-            async with self._response_timeouts.timeout(routed, max_duration_s):
+            async with self._planned_stop.limit_response(routed):
                 return await self._serve(routed)
         except TimeoutError:
-            is_stop = self._is_ended_by_stop(routed)
+            is_stop = self._planned_stop.ends(routed)
             if not routed.sends and is_stop:
                 return self._refused_response(routed, self._late_refusal(routed))
             if not routed.sends:
@@ -209,7 +159,7 @@
             events.event("request.failed", reason=reason, **fields)
             return self._local_response(504, routed.request_id)
 
-    async def _serve(self, routed: _RoutedRequest) -> messages.Response:
+    async def _serve(self, routed: routed_request.RoutedRequest) -> messages.Response:
         self._retry_budget(routed.service_id).record_first_attempt()
         while True:
             decision = await self._place(routed)
@@ -247,33 +197,8 @@
                 sends=routed.sends,
             )
 
-    def _max_duration_s(self, routed: _RoutedRequest) -> float:
-        """Return the time within which the request gets its final response."""
-        ends_at = routed.deadline_at
-        if self._stop_schedule is not None:
-            ends_at = min(ends_at, self._stop_schedule.ends_at)
-        return ends_at - self._clock()
-
-    def _max_place_wait_s(self, routed: _RoutedRequest) -> float:
-        """Return the time for which the request may wait for a place."""
-        latest_start_at = routed.deadline_at
-        if self._stop_schedule is not None:
-            latest_start_at = self._stop_schedule.latest_start_at(
-                routed.request.headers_received_at,
-                routed.deadline_at,
-                self._expected_response_time_s(routed),
-            )
-        return latest_start_at - self._clock()
-
-    def _expected_response_time_s(self, routed: _RoutedRequest) -> float:
-        route = routed.route
-        if route.repeatability is routes.Repeatability.IDEMPOTENT:
-            return self._response_times.mean_s(route.route_id)
-        # A client that never learns whether its request ran can't send it again.
-        return self._response_times.bound_s(route.route_id)
-
     def _find_expired_permission(
-        self, routed: _RoutedRequest, granted: model.Granted
+        self, routed: routed_request.RoutedRequest, granted: model.Granted
     ) -> model.Refused | None:
         """Return why a granted place must not be used any more, if so.
 
@@ -286,30 +211,27 @@
         reason = model.RefusalReason.EXPIRED
         return model.Refused(granted.attempt_id, reason, DEFAULT_RETRY_AFTER_S)
 
-    async def _place(self, routed: _RoutedRequest) -> model.Granted | model.Refused:
+    async def _place(
+        self, routed: routed_request.RoutedRequest
+    ) -> model.Granted | model.Refused:
         request = self._build_placement_request(routed)
-        max_wait_s = self._max_place_wait_s(routed)
-        if max_wait_s > 0:
-            with contextlib.suppress(TimeoutError):
-                async with self._place_timeouts.timeout(routed, max_wait_s):
-                    return await self._placer.place(request)
+        with contextlib.suppress(TimeoutError):
+            async with self._planned_stop.limit_place_wait(routed):
+                return await self._placer.place(request)
         return self._late_refusal(routed)
 
-    def _late_refusal(self, routed: _RoutedRequest) -> model.Refused:
+    def _late_refusal(self, routed: routed_request.RoutedRequest) -> model.Refused:
         """Return why a request that got no place can't get one any more."""
         attempt_id = model.AttemptId(routed.request_id)
-        if self._is_ended_by_stop(routed):
+        if self._planned_stop.ends(routed):
             # Another instance can serve it; here it would not end before the stop does.
             stopping = model.RefusalReason.STOPPING
             return model.Refused(attempt_id, stopping, MIN_RETRY_AFTER_S)
         expired = model.RefusalReason.EXPIRED
         return model.Refused(attempt_id, expired, DEFAULT_RETRY_AFTER_S)
 
-    def _is_ended_by_stop(self, routed: _RoutedRequest) -> bool:
-        return self._stop_schedule is not None and self._clock() < routed.deadline_at
-
     async def _send(
-        self, routed: _RoutedRequest, granted: model.Granted
+        self, routed: routed_request.RoutedRequest, granted: model.Granted
     ) -> endpoint_sender.SendResult:
         endpoint = granted.endpoint
         events.event(
@@ -335,7 +257,7 @@
             )
             outcome = send_result.outcome
         finally:
-            self._record_response_time(routed, send_result, self._clock() - sent_at)
+            self._planned_stop.record_send(routed, send_result, self._clock() - sent_at)
             load = None if send_result is None else send_result.load
             connect_s = None if send_result is None else send_result.connect_s
             rate_limit = None if send_result is None else send_result.rate_limit
@@ -352,21 +274,9 @@
         routed.fallback_response = send_result.response or routed.fallback_response
         return send_result
 
-    def _record_response_time(
-        self,
-        routed: _RoutedRequest,
-        send_result: endpoint_sender.SendResult | None,
-        elapsed_s: float,
+    def _return_place(
+        self, routed: routed_request.RoutedRequest, granted: model.Granted
     ) -> None:
-        """Record the time of a send; the result is None if it was given up."""
-        route_id = routed.route.route_id
-        if send_result is None:
-            self._response_times.observe_unfinished(route_id, elapsed_s)
-        elif send_result.outcome is model.Outcome.ANSWERED:
-            # A failure may be fast because nothing was done.
-            self._response_times.observe(route_id, elapsed_s)
-
-    def _return_place(self, routed: _RoutedRequest, granted: model.Granted) -> None:
         """Give back a place that is not used."""
         endpoint = granted.endpoint
         events.event(
@@ -386,7 +296,9 @@
         routed.excluded_endpoint_ids |= {endpoint.endpoint_id}
 
     def _may_resend(
-        self, routed: _RoutedRequest, send_result: endpoint_sender.SendResult
+        self,
+        routed: routed_request.RoutedRequest,
+        send_result: endpoint_sender.SendResult,
     ) -> bool:
         if send_result.outcome is model.Outcome.ANSWERED:
             return False
@@ -405,7 +317,7 @@
         return self._retry_budget(routed.service_id).spend()
 
     def _refused_response(
-        self, routed: _RoutedRequest, refused: model.Refused
+        self, routed: routed_request.RoutedRequest, refused: model.Refused
     ) -> messages.Response:
         fields: dict[str, object] = {
             "reason": refused.reason,
@@ -420,7 +332,9 @@
         events.event("request.refused", **fields)
         return self._not_executed_response(routed.request_id, retry_after_s)
 
-    def _retry_after_s(self, routed: _RoutedRequest, refused: model.Refused) -> float:
+    def _retry_after_s(
+        self, routed: routed_request.RoutedRequest, refused: model.Refused
+    ) -> float:
         """Return when the client may come back: not before a paused service does."""
         if refused.reason is not model.RefusalReason.NO_ENDPOINT:
             return refused.retry_after_s
@@ -429,7 +343,9 @@
         return refused.retry_after_s + (pause_s or 0.0)
 
     def _failed_response(
-        self, routed: _RoutedRequest, send_result: endpoint_sender.SendResult
+        self,
+        routed: routed_request.RoutedRequest,
+        send_result: endpoint_sender.SendResult,
     ) -> messages.Response:
         fields: dict[str, object] = {
             "reason": send_result.outcome,
@@ -443,7 +359,7 @@
         return self._not_executed_response(routed.request_id, DEFAULT_RETRY_AFTER_S)
 
     def _unknown_outcome_response(
-        self, routed: _RoutedRequest, fields: dict[str, object]
+        self, routed: routed_request.RoutedRequest, fields: dict[str, object]
     ) -> messages.Response:
         fields.update(self._record_end(routed, "unknown"))
         events.event("request.failed", **fields)
@@ -452,7 +368,7 @@
         return self._forwardable(routed, routed.fallback_response)
 
     def _forwardable(
-        self, routed: _RoutedRequest, response: messages.Response
+        self, routed: routed_request.RoutedRequest, response: messages.Response
     ) -> messages.Response:
         """Return the response of an endpoint, or a failure that promises less.
 
@@ -466,7 +382,7 @@
 
     def _build_routed_request(
         self, request: messages.Request, request_id: str, route: routes.Route
-    ) -> _RoutedRequest:
+    ) -> routed_request.RoutedRequest:
         parsed_deadline_s = headers.parse_deadline_s(
             request.header(self._names.deadline_ms)
         )
@@ -484,7 +400,7 @@
         earlier_attempts_s = max(
             0.0, MIN_FIRST_DEADLINE_FRACTION * longest_deadline_s - client_deadline_s
         )
-        return _RoutedRequest(
+        return routed_request.RoutedRequest(
             request,
             request_id,
             route,
@@ -497,7 +413,7 @@
         )
 
     def _build_placement_request(
-        self, routed: _RoutedRequest
+        self, routed: routed_request.RoutedRequest
     ) -> model.PlacementRequest:
         key = b""
         if routed.route.is_sticky:
@@ -534,7 +450,9 @@
             budget.burst, budget.tokens = burst, min(budget.tokens, burst)
         return budget
 
-    def _record_end(self, routed: _RoutedRequest, outcome: str) -> dict[str, object]:
+    def _record_end(
+        self, routed: routed_request.RoutedRequest, outcome: str
+    ) -> dict[str, object]:
         """Count a finished request and return the fields of its event."""
         duration_s = self._clock() - routed.request.headers_received_at
         self._meter.count_request(outcome, duration_s)
--- a/packages/gateway/tests/front/test_request_path.py
+++ b/packages/gateway/tests/front/test_request_path.py
@@ -12,6 +12,7 @@
 from yuccapitch.gateway.front import (
     endpoint_sender,
     headers,
+    planned_stop,
     request_path,
     routing_state,
 )
@@ -274,10 +275,10 @@
     assert (await waiting).status == 503
 
 
-def stop_schedule(late_in_s: float, ends_in_s: float) -> request_path.StopSchedule:
+def stop_schedule(late_in_s: float, ends_in_s: float) -> planned_stop.StopSchedule:
     now = asyncio.get_running_loop().time()
     ends_at = now + ends_in_s
-    return request_path.StopSchedule(now + late_in_s, ends_at, ends_at)
+    return planned_stop.StopSchedule(now + late_in_s, ends_at, ends_at)
 
 
 # Guards against orders that are taken late in a planned stop, passed on, and cut
@@ -333,7 +334,7 @@
     """Return a path whose requests took 10 s or 50 s so far."""
     path = make_request_path(placer, sender, route)
     for response_time_s in (10.0, 50.0) * 20:
-        path._response_times.observe(ROUTE.route_id, response_time_s)
+        path._planned_stop._response_times.observe(ROUTE.route_id, response_time_s)
     return path
 
 
@@ -404,7 +405,9 @@
 async def test_handle_measures_the_response_times_of_endpoints(sender, is_measured):
     path = make_request_path(Placer(2), sender)
     await path.handle(request(b"30"))
-    assert (path._response_times.mean_s(ROUTE.route_id) > 0.0) == is_measured
+    assert (
+        path._planned_stop._response_times.mean_s(ROUTE.route_id) > 0.0
+    ) == is_measured
 
 
 async def test_handle_counts_the_objective_from_the_first_attempt():
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -12,6 +12,7 @@
 from yuccapitch.control import coordinator, leader_polling, orders
 from yuccapitch.gateway.front import (
     endpoint_sender,
+    planned_stop,
     region_placer,
     request_path,
     routing_state,
@@ -155,7 +156,7 @@
         # At least half of the grace period is left for the requests in flight.
         listens_for_s = min(cache_lifetime_s, self._node_settings.stop_grace_s / 2)
         self._path.stop(
-            request_path.StopSchedule(
+            planned_stop.StopSchedule(
                 late_from=stopped_at + min(listens_for_s, MAX_UNCHECKED_STOP_S),
                 no_places_from=ends_at - STOP_MARGIN_S,
                 ends_at=ends_at,
