Endpoint list: read a long list by failure domain

The pages of the list follow each other, a round trip each: 17 for 813 endpoints. A change just after its page was read waits for the rest of that reading and for the whole next one.

The control instance now decides how the list is read (control.endpoint_reading); the platform's reader only reads one failure domain or all. A list of more pages than failure domains, and than 4, is read by failure domain, all beside each other. The interval grows with the number of pages (12 a second, 2 s at the most), and these readings use half of the platform's ratePerS at the most; otherwise the list is read whole. Short lists are read as before. A reading fails as a whole if one failure domain does; after three failures the list is read whole once. A platform that returns everything for each failure domain is read whole.

Fakes of the list return the number of pages; no check was relaxed.

--- a/packages/control/src/yuccapitch/control/coordinator.py
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -19,6 +19,7 @@
 from yuccapitch.consensus import effects, replica as consensus_replica
 from yuccapitch.control import (
     compressed_lists,
+    endpoint_reading,
     fleet as control_fleet,
     leader_polling,
     orders,
@@ -41,7 +42,6 @@
 # fleet, which polls less often.
 MIN_SILENCE_TIMEOUT_S = 2.0
 SILENCE_TIMEOUT_POLLS = 2.5
-ENDPOINT_LIST_INTERVAL_S = 1.0
 # Time limit for a read, forwarding, or an order to be in force. It is below the timeout
 # of one second after which a client stops waiting for this instance.
 FORWARD_TIMEOUT_S = 0.85
@@ -67,13 +67,6 @@
 PollReply = messages.PollResponse | messages.PollRefusal
 
 
-class EndpointSource(typing.Protocol):
-    """Source of the platform's list of endpoints."""
-
-    async def read(self) -> result.Result[tuple[messages.EndpointRecord, ...], str]:
-        """Return all endpoints, or the reason why the list cannot be read."""
-
-
 class Coordinator:
     """Leader duties of a control instance: order commits, polls and endpoint list."""
 
@@ -82,13 +75,13 @@
         instance_id: str,
         state: orders.OrderState,
         links: inner_peers.Peers,
-        source: EndpointSource,
+        source: endpoint_reading.EndpointSource,
         clock: Callable[[], float],
     ) -> None:
         self._instance_id = instance_id
         self._state = state
         self._links = links
-        self._source = source
+        self._endpoint_reader = endpoint_reading.EndpointReader(source)
         self._clock = clock
         self._replica: consensus_replica.Replica
         self._build_heartbeat: Callable[[], messages.PollRequest]
@@ -191,13 +184,13 @@
 
     async def run_endpoint_updates(self) -> None:
         """Read the platform's endpoint list periodically while leading."""
-        next_at = 0.0
         while True:
             await asyncio.sleep(ELECTION_CHECK_INTERVAL_S)
             # An elected leader reads the list before its leadership is confirmed:
             # requests cannot be served before both are done.
-            if self._replica.is_leader and self._clock() >= next_at:
-                next_at = self._clock() + ENDPOINT_LIST_INTERVAL_S
+            if not self._replica.is_leader:
+                self._endpoint_reader.end_leadership()
+            elif self._endpoint_reader.is_due(self._clock()):
                 await self._update_endpoints()
 
     async def submit(self, command: bytes) -> result.Result[None, str]:
@@ -571,7 +564,8 @@
     async def _update_endpoints(self) -> None:
         # A change during the reading may be missing from the pages read before it.
         read_at = self._clock()
-        outcome = await self._source.read()
+        known_count = len(self.fleet.endpoints_by_id)
+        outcome = await self._endpoint_reader.read(known_count, read_at)
         now = self._clock()
         if isinstance(outcome, result.Err):
             if not self._has_list_read_failed:
--- a/packages/control/tests/coordinator_harness.py
+++ b/packages/control/tests/coordinator_harness.py
@@ -8,7 +8,7 @@
 
 import result
 
-from yuccapitch.control import compressed_lists, coordinator, orders
+from yuccapitch.control import compressed_lists, coordinator, endpoint_reading, orders
 from yuccapitch.protocol import codec, subscription_messages as messages
 
 A, B = "10.0.0.1:7000", "10.0.0.2:7000"
@@ -41,6 +41,8 @@
 
     def __init__(self) -> None:
         self.reads = 0
+        self.failure_domains = ("north-a", "south-a")
+        self.max_calls_per_s = math.inf
         self.before_answer = lambda: None
         self.records = tuple(
             messages.EndpointRecord(
@@ -49,10 +51,11 @@
             for n in range(4)
         )
 
-    async def read(self):
+    async def read(self, failure_domain=None):
+        assert failure_domain is None, "a short list is read whole"
         self.reads += 1
         self.before_answer()
-        return result.Ok(self.records)
+        return result.Ok(endpoint_reading.ListReading(self.records, 1))
 
 
 class CoordinatorHarness:
@@ -62,8 +65,9 @@
         self.now = 9.0
         self.links = FakeLinks()
         self.state = orders.OrderState()
+        self.source = FakeEndpointSource()
         self.coordinator = coordinator.Coordinator(
-            A, self.state, self.links, FakeEndpointSource(), lambda: self.now
+            A, self.state, self.links, self.source, lambda: self.now
         )
         members = types.SimpleNamespace(members=())
         self.replica = types.SimpleNamespace(
--- a/packages/control/tests/test_coordinator.py
+++ b/packages/control/tests/test_coordinator.py
@@ -93,7 +93,7 @@
     harness.poll(**known, instances_version=first.instances_version)
     harness.links.sent.clear()
     leaving = [dataclasses.replace(e, is_leaving=True) for e in first.endpoints]
-    harness.coordinator._source.records = tuple(leaving)
+    harness.source.records = tuple(leaving)
     await harness.coordinator._update_endpoints()
     ((peer_id, changes),) = harness.links.sent
     assert peer_id == B
@@ -116,7 +116,7 @@
 async def test_endpoint_list_counts_its_age_from_the_start_of_the_reading():
     # Pages that were read first may lack what changed during the reading.
     harness = coordinator_harness.CoordinatorHarness()
-    source = harness.coordinator._source
+    source = harness.source
     source.before_answer = lambda: harness.advance_clock(0.4)
     await harness.coordinator._update_endpoints()
     assert harness.poll().endpoints_age_ms == 400
@@ -200,7 +200,7 @@
 async def test_run_endpoint_updates_reads_before_leadership_is_confirmed():
     harness = coordinator_harness.CoordinatorHarness()
     harness.replica.leader_lease_expires_at = 0.0
-    source = harness.coordinator._source
+    source = harness.source
     running = asyncio.ensure_future(harness.coordinator.run_endpoint_updates())
     while not source.reads:
         await asyncio.sleep(0.01)
--- a/packages/node/src/yuccapitch/node/routed/adapter.py
+++ b/packages/node/src/yuccapitch/node/routed/adapter.py
@@ -7,7 +7,7 @@
 import result
 
 from yuccapitch.catalogue import routes
-from yuccapitch.control import coordinator
+from yuccapitch.control import coordinator, endpoint_reading
 from yuccapitch.gateway.front import headers
 from yuccapitch.gateway.http1 import server
 from yuccapitch.node.routed import entry_directory
@@ -34,5 +34,5 @@
     ) -> server.Handler:
         """Return the handler of client lookups."""
 
-    def endpoint_source(self) -> coordinator.EndpointSource:
+    def endpoint_source(self) -> endpoint_reading.EndpointSource:
         """Return the reader of the platform's endpoint list."""
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -216,6 +216,11 @@
 declare("request.unmatched", "No route matches a request.")
 declare("request.abandoned", "The client disconnected before the response.")
 declare("list.read-failed", "The list of endpoints could not be read.", Level.WARNING)
+declare(
+    "list.filter-ignored",
+    "The platform returns all endpoints for each failure domain; they are read whole.",
+    Level.WARNING,
+)
 declare("list.read-again", "The list of endpoints is readable again.")
 declare(
     "order.failed", "An order was not committed by a quorum in time.", Level.WARNING
--- a/tests/platform/test_endpoint_list.py
+++ b/tests/platform/test_endpoint_list.py
@@ -158,7 +158,7 @@
 
     monkeypatch.setattr(reader, "_exchange", exchange)
     for _ in range(2):
-        records = (await reader.read()).unwrap()
+        records = (await reader.read()).unwrap().records
         assert [record.endpoint_id for record in records] == ["i-1", "i-2"]
         for record in records:
             assert codec.decode(codec.encode(record)) == result.Ok(record)
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+import tomllib
 
 import pytest
 
@@ -47,6 +48,13 @@
     assert platform_settings.list_address == ("10.200.0.4", 8142)
 
 
+def test_decode_reads_the_rate_of_list_calls():
+    fields = tomllib.loads(TEXT)
+    assert node_file.decode(fields).unwrap().max_list_calls_per_s == float("inf")
+    fields["cloudApi"]["ratePerS"] = 52.0
+    assert node_file.decode(fields).unwrap().max_list_calls_per_s == 52.0
+
+
 @pytest.mark.parametrize(
     ("line", "seconds"),
     [("", routing_state.DEFAULT_ORDER_APPLY_LIMIT_S), ('configApply = "3000ms"', 3.0)],
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 import pathlib
 from collections.abc import Callable
 
@@ -12,6 +13,7 @@
 
 from tests import ports
 from yuccapitch.catalogue import ids
+from yuccapitch.control import endpoint_reading
 from yuccapitch.gateway.front import request_path
 from yuccapitch.gateway.http1 import client, messages
 from yuccapitch.node.routed import control_node, entry_node, settings
@@ -28,9 +30,12 @@
 
     def __init__(self) -> None:
         self.records: tuple[subscription_messages.EndpointRecord, ...] = ()
+        self.failure_domains = (DOMAIN,)
+        self.max_calls_per_s = math.inf
 
-    async def read(self):
-        return result.Ok(self.records)
+    async def read(self, failure_domain=None):
+        assert failure_domain is None, "a short list is read whole"
+        return result.Ok(endpoint_reading.ListReading(self.records, 1))
 
 
 class FakePlatformAdapter:
