Planned stop: a connection whose response is being sent is not idle

The time without a request was counted from the moment at which the last response was written. On a slow link a stop, or the idle timeout, closed the connection while the response was still being sent, and one more request on it reset the rest.

Such a connection now ends with the lingering close. test_finish_delivers_a_response_that_is_still_being_sent failed before with a ConnectionResetError.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -296,7 +296,8 @@
     def _close_idle(self) -> None:
         if self._is_closing:
             return
-        if self._state.clock() - self._idle_since < LINGER_S:
+        is_recent = self._state.clock() - self._idle_since < LINGER_S
+        if is_recent or self._transport.get_write_buffer_size():
             # A reset might discard the last response, which may still be on its way.
             self._close()
             return
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -410,3 +410,30 @@
             received = await reader.read(-1)
         writer.close()
     assert received.count(b"HTTP/1.1 ") == 2
+
+
+# Guards against a response that a planned stop cuts while it is being sent, because the
+# connection has been idle since the response was written.
+async def test_finish_delivers_a_response_that_is_still_being_sent(monkeypatch):
+    monkeypatch.setattr(server, "LINGER_S", 0.3)
+    body = bytes(16 * 1024 * 1024)
+
+    async def respond(request):
+        return messages.Response(200, [], body)
+
+    limits = routes.CallerLimits(200, 50, 20.0, 20.0)
+    async with serving(respond, limits) as (http_server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(get("/"))
+        await asyncio.sleep(3 * server.LINGER_S)
+        http_server.drain()
+        finishing = asyncio.create_task(http_server.finish(float("inf")))
+        await asyncio.sleep(server.LINGER_S)
+        writer.write(get("/"))
+        received = 0
+        async with asyncio.timeout(20):
+            while data := await reader.read(65536):
+                received += len(data)
+            await finishing
+        writer.close()
+    assert received > len(body)
