Server: time limit for headers that come behind a request in progress

The timer of incomplete headers was not set again if it expired while an earlier request of the connection was in progress. Such a connection had no time limit any more, and a planned stop waited for it. Found by review. test_serve_rejects_incomplete_headers_behind_a_request timed out before.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -243,7 +243,7 @@
         if task.cancelled():
             if self._is_closing:
                 return
-            # Nobody else cancels a handler, so that this is an error of its own.
+            # The handler let a cancellation out, or the process ends.
             error = asyncio.CancelledError()
         else:
             error = task.exception()
@@ -347,11 +347,11 @@
             self._timer = None
 
     def _on_timer(self) -> None:
-        if self._pending_responses:
-            return
         if self._is_in_headers:
             self._reject(408, "the headers did not arrive in time")
             return
+        if self._pending_responses:
+            return
         # Clients reuse the connection for as long as the latest limit allows.
         idle_s = self._state.clock() - self._idle_since
         remaining_s = self._state.limits().idle_timeout_s - idle_s
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -389,6 +389,24 @@
     assert received > len(body)
 
 
+# Guards against a connection that stays open for ever, and holds up a planned stop.
+async def test_serve_rejects_incomplete_headers_behind_a_request():
+    async def respond_late(request):
+        await asyncio.sleep(3 * LIMITS.header_timeout_s)
+        return await echo(request)
+
+    async with serving(respond_late) as (_, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(get("/0"))
+        await asyncio.sleep(0.05)
+        writer.write(b"GET /1 HT")
+        async with asyncio.timeout(20):
+            received = await reader.read(-1)
+        writer.close()
+    assert b"x-target: /0" in received
+    assert b"HTTP/1.1 408 " in received
+
+
 async def test_reject_ignores_what_follows():
     is_first_answered = asyncio.Event()
 
