Control: bound the wait for slow clients at a planned stop

A stopping control instance waited for its clients until the grace ends, and its leader leads until then: one client that has not sent the rest of its request would put off the next election by seconds.

--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -43,6 +43,10 @@
 # Time for the leader to learn of the shutdown: a round trip between regions plus
 # processing time.
 STOP_NOTICE_S = 0.25
+# Time after that within which orders in progress are answered. It allows for the longest
+# order and the delivery of its response. A leader that stops leads until it ends, so
+# that one slow client must not hold it up for the whole grace.
+MAX_FINISH_S = 2 * coordinator.FORWARD_TIMEOUT_S
 # A follower starts an election only after three missed heartbeats plus a round trip
 # between regions of 0.11 s. The timeout is not longer because entry instances that
 # start have no routing state until there is a leader.
@@ -160,7 +164,10 @@
         Requests that were read, such as orders on their way to a quorum, are answered.
         """
         grace_ends_at = stopped_at + self._node_settings.stop_grace_s
-        ends_at = grace_ends_at - timing.EXIT_MARGIN_S
+        ends_at = min(
+            grace_ends_at - timing.EXIT_MARGIN_S,
+            stopped_at + STOP_NOTICE_S + MAX_FINISH_S,
+        )
         self._is_stopping = True
         self._leader_poller.wake()
         for server in self._servers:
--- a/packages/node/tests/test_control_node.py
+++ b/packages/node/tests/test_control_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import pathlib
 
 import pytest
@@ -53,8 +54,8 @@
         return messages.Response(200, [], b"done")
 
     monkeypatch.setattr(control_node, "STOP_NOTICE_S", 0.0)
-    loop = asyncio.get_running_loop()
-    operators = server.Server(commit, loop.time, routes.CallerLimits)
+    monkeypatch.setattr(control_node, "MAX_FINISH_S", 15.0)
+    operators = server.Server(commit, node._clock, routes.CallerLimits)
     port = await operators.start("127.0.0.1", 0)
     node._servers.append(operators)
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -72,3 +73,22 @@
     writer.close()
     assert operators.find_unfinished() == []
     assert received.endswith(b"done")
+
+
+# Guards against a leader that stops but leads on for the whole grace, because a client
+# has not sent the rest of its request.
+async def test_drain_does_not_wait_for_a_slow_client(node, monkeypatch):
+    monkeypatch.setattr(control_node, "STOP_NOTICE_S", 0.0)
+    monkeypatch.setattr(control_node, "MAX_FINISH_S", 0.1)
+    node._node_settings = dataclasses.replace(node._node_settings, stop_grace_s=600.0)
+    operators = server.Server(None, node._clock, routes.CallerLimits)
+    port = await operators.start("127.0.0.1", 0)
+    node._servers.append(operators)
+    _, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab")
+    while not operators.connection_count:
+        await asyncio.sleep(0)
+    async with asyncio.timeout(60):
+        await node.drain(coordinator.boot_time_s())
+    assert operators.connection_count == 1
+    writer.close()
