--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -43,8 +43,8 @@
 # Time for the leader to learn of the shutdown: a round trip between regions plus
 # processing time.
 STOP_NOTICE_S = 0.25
-# Time after that within which orders in progress are answered. It allows for the longest
-# order and the delivery of its response. A leader that stops leads until it ends, so
+# Time after that within which orders in progress are answered: for the longest order
+# and the delivery of its response. A leader that stops leads until it ends, so
 # that one slow client must not hold it up for the whole grace.
 MAX_FINISH_S = 2 * coordinator.FORWARD_TIMEOUT_S
 # A follower starts an election only after three missed heartbeats plus a round trip
