Slots: avoid an endpoint after a shed only while the shed is recent

What callers saw: a request that came within one second after an endpoint had shed another one did not use that endpoint for as long as it waited for a slot: it waited up to its deadline, and was refused then, beside free slots.

Cause: the set of endpoints that shed within the last second (SHED_AVOIDANCE_S) was taken once, when the request asked for a slot, and held for the whole wait, since SlotRequest.avoided has no end.

The new test failed with the set taken once.

Why it works: a slot request names until when it avoids each endpoint, and the set in force is computed by the present time at each choice; the tick of the pool grants the slot 50 ms after the avoidance ends at the latest. Endpoints of other owners, which a request must never use, stay in `avoided`, without end. A request that finds every endpoint avoided is refused at once, as before.

--- a/packages/gateway/src/yuccapitch/gateway/attempt_runner.py
+++ b/packages/gateway/src/yuccapitch/gateway/attempt_runner.py
@@ -235,10 +235,12 @@
     def _build_slot_request(
         self, context: request_context.RequestContext, pool: owners.Pool
     ) -> pool_module.SlotRequest:
-        avoided = self._recent_sheds.endpoints_to_avoid(self._clock())
+        avoided: frozenset[ids.EndpointId] = frozenset()
         if context.endpoint_owner is not None:
             local_endpoints = context.view.pool_endpoints(pool)
-            avoided |= {e for e in local_endpoints if not context.allows_endpoint(e)}
+            avoided = frozenset(
+                e for e in local_endpoints if not context.allows_endpoint(e)
+            )
         return pool_module.SlotRequest(
             request_id=f"{self._instance_id}/{next(self._request_numbers)}",
             holder=self._instance_id,
@@ -246,6 +248,7 @@
             route=context.parsed.route_id,
             deadline=context.parsed.deadline,
             avoided=avoided,
+            avoided_until_by_id=self._recent_sheds.avoided_until_by_id(self._clock()),
         )
 
     async def _exchange(
--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import result
 
@@ -25,6 +25,19 @@
     deadline: float
     preemptible: bool = False
     avoided: frozenset[ids.EndpointId] = frozenset()
+    """Endpoints that must not serve the request."""
+    avoided_until_by_id: Mapping[ids.EndpointId, float] = dataclasses.field(
+        default_factory=dict
+    )
+    """Endpoints that may serve the request only from a time on."""
+
+    def avoided_at(self, now: float) -> frozenset[ids.EndpointId]:
+        """Return the endpoints that must not serve the request now."""
+        return self.avoided | {
+            endpoint_id
+            for endpoint_id, until in self.avoided_until_by_id.items()
+            if now < until
+        }
 
 
 @dataclasses.dataclass(frozen=True)
@@ -131,7 +144,7 @@
         """Queue a request, grant free slots and preempt patient work if needed."""
         self._reclaim(now)
         self._update_slot_count(now)
-        if request.avoided.issuperset(self._open_ids()):
+        if request.avoided_at(now).issuperset(self._open_ids()):
             return (self._refusal(request, queue.ShedReason.NO_ENDPOINT),)
         queued = queue.QueuedRequest(
             request.request_id,
@@ -263,7 +276,7 @@
             request.patience,
             queued.expected_service_s,
             self._queue.expected_wait_s(request.patience, queued.expected_service_s),
-            request.avoided,
+            request.avoided_at(now),
         )
         chosen = endpoint_choice.choose(candidates, profile, self._rng, self.policy)
         if chosen is None:
--- a/packages/steering/src/yuccapitch/steering/retry.py
+++ b/packages/steering/src/yuccapitch/steering/retry.py
@@ -57,12 +57,19 @@
 
     def endpoints_to_avoid(self, now: float) -> frozenset[ids.EndpointId]:
         """Return the endpoints that should get no retries now."""
+        return frozenset(self.avoided_until_by_id(now))
+
+    def avoided_until_by_id(self, now: float) -> dict[ids.EndpointId, float]:
+        """Return until when each endpoint that shed recently is avoided."""
         self._shed_at_by_id = {
             endpoint_id: shed_at
             for endpoint_id, shed_at in self._shed_at_by_id.items()
             if now - shed_at < SHED_AVOIDANCE_S
         }
-        return frozenset(self._shed_at_by_id)
+        return {
+            endpoint_id: shed_at + SHED_AVOIDANCE_S
+            for endpoint_id, shed_at in self._shed_at_by_id.items()
+        }
 
 
 def is_safe_to_retry(request_class: model.RequestClass, end: AttemptEnd) -> bool:
--- a/packages/steering/tests/test_pool.py
+++ b/packages/steering/tests/test_pool.py
@@ -6,6 +6,7 @@
 from yuccapitch.steering import health, pool, queue, shed_limits, slots
 
 B1 = ids.EndpointId("b1")
+B2 = ids.EndpointId("b2")
 E1 = ids.InstanceId("e1")
 
 
@@ -52,6 +53,41 @@
     assert refused.reason is queue.ShedReason.NO_ENDPOINT
 
 
+# Guards against an order that waits until its deadline beside a free endpoint, because
+# the endpoint had shed another request shortly before the order came.
+def test_pool_uses_endpoint_once_its_shed_is_no_longer_recent() -> None:
+    own = _pool()
+    own.own_endpoint(B2, 1, (), 0.0)
+    avoided_until_by_id = {B1: 1.0}
+    first, second = (
+        pool.SlotRequest(
+            name,
+            E1,
+            model.Patience.IMPATIENT,
+            "r",
+            9.0,
+            avoided_until_by_id=avoided_until_by_id,
+        )
+        for name in "ab"
+    )
+    (granted,) = own.request_slot(first, 0.0)
+    assert isinstance(granted, pool.Granted) and granted.hold.endpoint_id == B2
+    assert own.request_slot(second, 0.0) == own.tick(0.9) == ()
+    (granted,) = own.tick(1.0)
+    assert isinstance(granted, pool.Granted) and granted.hold.endpoint_id == B1
+
+
+def test_pool_refuses_request_while_every_shed_is_recent() -> None:
+    slot_request = pool.SlotRequest(
+        "a", E1, model.Patience.IMPATIENT, "r", 9.0, avoided_until_by_id={B1: 1.0}
+    )
+    (refused,) = _pool().request_slot(slot_request, 0.9)
+    assert isinstance(refused, pool.Refused)
+    assert refused.reason is queue.ShedReason.NO_ENDPOINT
+    (granted,) = _pool().request_slot(slot_request, 1.0)
+    assert isinstance(granted, pool.Granted)
+
+
 def test_pool_without_endpoints_refuses_queued_requests() -> None:
     own = _pool()
     for number in range(5):
--- a/packages/steering/tests/test_retry.py
+++ b/packages/steering/tests/test_retry.py
@@ -59,5 +59,7 @@
 def test_recent_sheds_expire_after_one_second() -> None:
     recent_sheds = retry.RecentSheds()
     recent_sheds.record(ids.EndpointId("b1"), 0.0)
+    assert recent_sheds.avoided_until_by_id(0.9) == {"b1": 1.0}
     assert recent_sheds.endpoints_to_avoid(0.9) == {"b1"}
+    assert recent_sheds.avoided_until_by_id(1.0) == {}
     assert recent_sheds.endpoints_to_avoid(1.0) == frozenset()
