Slots: move a waiting request to another owned pool that has a free slot

What callers saw: orders waited until their deadline, and were refused then, while an endpoint of the same service and region had free slots (tests/test_endpoint_faults.py::test_expired_request_is_not_sent, entry 4 of KNOWN-RED.txt: one endpoint with 4 in flight, the other with none).

Cause: each pool has a queue of its own, and a request stays in the queue that was best when it came. An instance with several pools of one service and region left requests in the queue of a full pool beside its other pool. In the test the two endpoints are in two failure domains, so in two pools; the test before it lets shop-1 shed an order, its pool is therefore avoided for a second by the eight orders that come 66 ms later, all eight choose the pool of shop-2, and the last four stay there.

Ruled out: the doubt about an endpoint that the entry suspected. The trace has at most three failures of shop-1 and none waiting for a doubtful endpoint; a pool of one endpoint ignores doubt anyway (HealthView.relative_estimates). That requests rather wait than use a doubtful endpoint of a larger pool stays as it is: an order that is refused has not run, one that is lost there has an unknown outcome.

Why it works: each tick (50 ms) offers the requests that wait, the impatient ones first and each class in order, to the other pools of their service and region that this instance owns. A request is granted a slot there at once or stays where it is, so it keeps its place, is in one queue only and never uses an endpoint that it must avoid; requests that wait in a pool go before those of others. The slot names its pool, for its release.

Open: a request that waits at one owner is not moved to a pool of another owner.

--- a/packages/gateway/src/yuccapitch/gateway/attempt_runner.py
+++ b/packages/gateway/src/yuccapitch/gateway/attempt_runner.py
@@ -209,17 +209,20 @@
                 retry_after_s=refused.retry_after_s,
             )
             return request_context.Failed(failure, retry.AttemptEnd.NOT_SENT)
+        slot = acquired.ok_value
         end: health.ExchangeOutcome | None = None
         started_at = self._clock()
         is_finished = False
         try:
-            attempt_result, end = await self._exchange(context, acquired.ok_value)
+            attempt_result, end = await self._exchange(context, slot)
             is_finished = _is_finished(attempt_result)
+            if isinstance(attempt_result, request_context.Failed):
+                context.tried_pools.add(slot.pool)
             return attempt_result
         finally:
             release = functools.partial(
                 self._pools.release,
-                pool,
+                slot.pool,
                 slot_request.request_id,
                 end,
                 self._clock() - started_at,
@@ -237,10 +240,9 @@
     ) -> pool_module.SlotRequest:
         avoided: frozenset[ids.EndpointId] = frozenset()
         if context.endpoint_owner is not None:
-            local_endpoints = context.view.pool_endpoints(pool)
-            avoided = frozenset(
-                e for e in local_endpoints if not context.allows_endpoint(e)
-            )
+            # The request may be moved to another pool of its region.
+            endpoints = context.view.endpoints(pool.service, context.region)
+            avoided = frozenset(e for e in endpoints if not context.allows_endpoint(e))
         return pool_module.SlotRequest(
             request_id=f"{self._instance_id}/{next(self._request_numbers)}",
             holder=self._instance_id,
--- a/packages/gateway/src/yuccapitch/gateway/pool_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/pool_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 import itertools
 import random
@@ -20,6 +21,7 @@
     pool as pool_module,
     pool_choice,
     pool_directory,
+    pool_moves,
     pool_ownership,
     queue,
     slots,
@@ -38,6 +40,8 @@
 class Slot:
     """A slot that a request holds until it is released."""
 
+    pool: owners.Pool
+    """The pool of the slot; another one than requested if the request was moved."""
     endpoint_id: ids.EndpointId
     term: int
     number: int
@@ -196,7 +200,11 @@
     async def acquire(
         self, pool: owners.Pool, slot_request: pool_module.SlotRequest
     ) -> AcquireResult:
-        """Wait until a slot of an owned pool is granted or refused."""
+        """Wait until a slot is granted or refused.
+
+        A request that waits in the queue of the pool may be moved to another owned
+        pool of the same service and region.
+        """
         slot_pool = self._pools.get(pool)
         if slot_pool is None:
             return result.Err(_pool_moved_refusal(slot_request))
@@ -204,16 +212,18 @@
             asyncio.get_running_loop().create_future()
         )
         self._futures_by_request_id[slot_request.request_id] = future
-        self._apply_decisions(slot_pool.request_slot(slot_request, self._clock()))
+        self._apply_decisions(pool, slot_pool.request_slot(slot_request, self._clock()))
         try:
             return await future
         except asyncio.CancelledError:
-            if slot_request.request_id in self._slots_by_request_id:
+            slot = self._slots_by_request_id.get(slot_request.request_id)
+            if slot is not None:
                 # The slot was granted just as the caller was cancelled.
-                self.release(pool, slot_request.request_id, None, 0.0)
+                self.release(slot.pool, slot_request.request_id, None, 0.0)
             else:
                 self._apply_decisions(
-                    slot_pool.cancel(slot_request.request_id, self._clock())
+                    pool,
+                    slot_pool.cancel(slot_request.request_id, self._clock()),
                 )
             raise
         finally:
@@ -232,7 +242,10 @@
         if slot is None or slot_pool is None:
             return
         self._apply_decisions(
-            slot_pool.release(slot.term, slot.number, outcome, service_s, self._clock())
+            pool,
+            slot_pool.release(
+                slot.term, slot.number, outcome, service_s, self._clock()
+            ),
         )
 
     def tick(self) -> None:
@@ -245,7 +258,8 @@
                 for endpoint_id in slot_pool.table.endpoint_ids
                 if is_revoked or self._is_closed(endpoint_id)
             )
-            self._apply_decisions(slot_pool.tick(now))
+            self._apply_decisions(pool, slot_pool.tick(now))
+        self._move_waiting(now)
         if self._release_revoked_pools(now):
             self.on_pools_released()
 
@@ -268,7 +282,8 @@
         for endpoint_id, endpoint in self._view.pool_endpoints(pool).items():
             quarantines = self._quarantines(pool, endpoint_id, endpoint, grant, now)
             self._apply_decisions(
-                slot_pool.own_endpoint(endpoint_id, endpoint.slots, quarantines, now)
+                pool,
+                slot_pool.own_endpoint(endpoint_id, endpoint.slots, quarantines, now),
             )
 
     def _quarantines(
@@ -301,7 +316,8 @@
             slot_pool.release_endpoint(endpoint_id, now)
         for endpoint_id, endpoint in endpoints_by_id.items():
             self._apply_decisions(
-                slot_pool.own_endpoint(endpoint_id, endpoint.slots, (), now)
+                pool,
+                slot_pool.own_endpoint(endpoint_id, endpoint.slots, (), now),
             )
 
     def _release_revoked_pools(self, now: float) -> bool:
@@ -338,13 +354,36 @@
                 slot_request.request_id, result.Err(_pool_moved_refusal(slot_request))
             )
 
-    def _apply_decisions(self, decisions: Iterable[pool_module.Decision]) -> None:
+    def _move_waiting(self, now: float) -> None:
+        """Move requests out of the queues of pools while others have free slots."""
+        if self._view is None or len(self._pools) < 2:
+            return
+        groups: collections.defaultdict[
+            tuple[ids.ServiceId, ids.RegionId],
+            dict[owners.Pool, pool_module.SlotPool],
+        ] = collections.defaultdict(dict)
+        for pool, slot_pool in self._pools.items():
+            # The failure domain of a pool without endpoints may be undeclared.
+            if self._view.pool_endpoints(pool):
+                region = self._view.region_of_domain(pool.failure_domain)
+                groups[pool.service, region][pool] = slot_pool
+        for slot_pools_by_pool in groups.values():
+            for moved in pool_moves.move_waiting(slot_pools_by_pool, now):
+                self._apply_decisions(moved.pool, (moved.decision,))
+
+    def _apply_decisions(
+        self, pool: owners.Pool, decisions: Iterable[pool_module.Decision]
+    ) -> None:
         for decision in decisions:
             request_id = decision.request.request_id
             match decision:
                 case pool_module.Granted(_, hold):
                     slot = Slot(
-                        hold.endpoint_id, hold.term, hold.number, hold.work_deadline
+                        pool,
+                        hold.endpoint_id,
+                        hold.term,
+                        hold.number,
+                        hold.work_deadline,
                     )
                     self._slots_by_request_id[request_id] = slot
                     self._resolve(request_id, result.Ok(slot))
--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -131,6 +131,11 @@
         """Return the number of queued requests of a class."""
         return self._queue.waiting_count(patience)
 
+    def waiting_requests(self, patience: model.Patience) -> tuple[SlotRequest, ...]:
+        """Return the queued requests of a class in order."""
+        requests = self._requests_by_id.values()
+        return tuple(r for r in requests if r.patience is patience)
+
     def free(self, now: float) -> int:
         """Return the number of free slots at endpoints that take new requests."""
         self._reclaim(now)
@@ -140,27 +145,46 @@
         """Return the last count of slots at endpoints that take new requests."""
         return self._queue.slots
 
+    def avoids_all(self, request: SlotRequest, now: float) -> bool:
+        """Return whether the request may use none of the endpoints now."""
+        return request.avoided_at(now).issuperset(self._open_ids())
+
     def request_slot(self, request: SlotRequest, now: float) -> tuple[Decision, ...]:
         """Queue a request, grant free slots and preempt patient work if needed."""
         self._reclaim(now)
         self._update_slot_count(now)
-        if request.avoided_at(now).issuperset(self._open_ids()):
+        if self.avoids_all(request, now):
             return (self._refusal(request, queue.ShedReason.NO_ENDPOINT),)
-        queued = queue.QueuedRequest(
-            request.request_id,
-            request.patience,
-            request.deadline,
-            self._expected_service_s(request),
-            request.preemptible,
-        )
-        offered = self._queue.offer(queued, now)
+        offered = self._offer(request, now)
         if isinstance(offered, result.Err):
             return (self._refusal(request, offered.err_value.reason),)
-        self._requests_by_id[request.request_id] = request
         decisions: list[Decision] = self._refuse_shed(offered.ok_value)
         decisions += self._grant_waiting(now)
         return tuple(decisions + self._preempt())
 
+    def grant_from_other_queue(
+        self, request: SlotRequest, now: float
+    ) -> tuple[Decision, ...]:
+        """Grant a free slot to a request that waits in the queue of another pool.
+
+        Without a grant the request is not queued here. Requests that wait in this
+        pool go first.
+        """
+        self._reclaim(now)
+        self._update_slot_count(now)
+        # A full queue would evict a request for one that does not stay in it.
+        is_full = len(self._queue) >= self._queue.max_waiting
+        if is_full or self.waiting_count(request.patience):
+            return ()
+        if self.avoids_all(request, now):
+            return ()
+        if isinstance(self._offer(request, now), result.Err):
+            return ()
+        decisions = self._grant_waiting(now)
+        if self._queue.remove(request.request_id):
+            del self._requests_by_id[request.request_id]
+        return tuple(decisions)
+
     def release(
         self,
         term: int,
@@ -215,6 +239,21 @@
     def _open_ids(self) -> list[ids.EndpointId]:
         return [e for e in self.table.endpoint_ids if e not in self._closed_ids]
 
+    def _offer(
+        self, request: SlotRequest, now: float
+    ) -> result.Result[tuple[queue.Shed, ...], queue.Shed]:
+        queued = queue.QueuedRequest(
+            request.request_id,
+            request.patience,
+            request.deadline,
+            self._expected_service_s(request),
+            request.preemptible,
+        )
+        offered = self._queue.offer(queued, now)
+        if isinstance(offered, result.Ok):
+            self._requests_by_id[request.request_id] = request
+        return offered
+
     def _expected_service_s(self, request: SlotRequest) -> float:
         return self.view.typical_service_s(request.route) * self._median_slowness
 
