Slots: let the owner decide while its last counts have no usable slot

Cause: a new owner's slots are in quarantine until those of a former owner must be free. A new leader does not know of former owners: that is the lease (4 s), the longest deadline (5 s) and 0.25 s, 9.5 s after the start of the control instance in the logs. Until then its counts have no usable slot, and choose_pool drops such a pool. Counts are sent every 0.5 s, so an entry that has the request refuses it for up to 0.5 s after the slots are usable again. The entries become ready 9.4 s after their start (as read from code, they wait for votes on new keys until then), so just in that time.

Ruled out: that the entry has no counts of the owner, as the entries suspected.

Why it works: only the owner knows the end of the quarantine. A request that finds no pool with usable slots goes to an open one without. Its owner grants a slot, queues the request if the first slot leaves quarantine before its deadline, or refuses it at once, with the time until then as Retry-After. Before, an owner let forwarded requests wait until their deadline in that case, and refused its own. Pools of which all endpoints leave or are drained stay unused at their owner, and are refused by it at once when a request is forwarded. Waiting for counts, or readiness that waits for usable slots, was not chosen: the first delays requests that the owner can serve, the second would keep an instance from becoming ready while all endpoints of a service are drained.

Evidence: the new test of the attempt runner, which has the counts of the logs, was refused with `no-endpoint` before.

--- a/packages/gateway/tests/test_attempt_runner.py
+++ b/packages/gateway/tests/test_attempt_runner.py
@@ -6,14 +6,22 @@
 import pytest
 
 from yuccapitch.catalogue import ids, model
-from yuccapitch.gateway import attempt_runner, outcomes, request_context
-from yuccapitch.steering import health, retry
+from yuccapitch.gateway import (
+    attempt_runner,
+    forwarding,
+    outcomes,
+    pool_service,
+    request_context,
+)
+from yuccapitch.steering import health, owners, pool_choice, pool_directory, retry
 
 BROKEN = request_context.Failed(
     outcomes.Failure(502, "no-answer", "", outcomes.Outcome.UNKNOWN),
     retry.AttemptEnd.BROKEN,
 )
 REFUSED = request_context.Failed(outcomes.Failure(503, "no-endpoint", ""), None)
+OWNER = ids.InstanceId("e2")
+POOL = owners.Pool(ids.ServiceId("shop"), ids.FailureDomainId("d1"))
 
 
 class ScriptedRunner(attempt_runner.AttemptRunner):
@@ -59,7 +67,14 @@
             service = "shop"
             request_class = model.RequestClass.READ_ONLY
 
+            class limits:
+                patience = model.Patience.IMPATIENT
+
     region = "east"
+    endpoint_owner = None
+
+    def __init__(self) -> None:
+        self.tried_pools: set[owners.Pool] = set()
 
     @staticmethod
     def allows_endpoint(endpoint_id: str) -> bool:
@@ -82,3 +97,63 @@
         isinstance(attempt_result, request_context.Failed)
         and attempt_result.failure.outcome is outcome
     )
+
+
+class ForwardingRunner(attempt_runner.AttemptRunner):
+    """An attempt runner of an instance that owns no pool; it records the owners."""
+
+    def __init__(self) -> None:
+        unused: Any = None
+        health_view, rng = health.HealthView(), random.Random(1)
+        self.pools = pool_service.PoolService(
+            ids.InstanceId("e1"),
+            health_view,
+            lambda endpoint_id: False,
+            lambda: 1.0,
+            rng,
+        )
+        configured: Any = FakeContext.view
+        self.pools._view = configured
+        self.tokens = forwarding.ForwardTokens()
+        super().__init__(
+            ids.InstanceId("e1"),
+            self.pools,
+            unused,
+            health_view,
+            unused,
+            self.tokens,
+            lambda instance_id: None,
+            lambda: 1.0,
+            rng,
+        )
+        self.owners: list[ids.InstanceId] = []
+
+    async def _forward(
+        self, context: request_context.RequestContext, chosen: pool_choice.PoolView
+    ) -> request_context.AttemptResult:
+        self.owners.append(chosen.owner)
+        return BROKEN
+
+
+@pytest.fixture
+def forwarding_runner() -> ForwardingRunner:
+    """Return a runner that knows the owner of the only pool, but not its token."""
+    runner = ForwardingRunner()
+    known = pool_directory.KnownPool(POOL, ids.RegionId("east"), OWNER, 4, 0.004)
+    runner.pools.directory.set_pools([known], 0.0)
+    return runner
+
+
+# Guards against requests refused with `no-endpoint` after the quarantine of a new
+# owner's slots, as the owner's last counts still have no usable slot.
+async def test_attempt_is_forwarded_to_owner_that_counted_no_usable_slot(
+    forwarding_runner: ForwardingRunner,
+) -> None:
+    counts = pool_directory.PoolCounts(
+        sequence=1, term=1, slots=0, free=0, waiting_impatient=0, waiting_patient=0
+    )
+    forwarding_runner.tokens.set_token(OWNER, "token")
+    forwarding_runner.pools.directory.update_counts(OWNER, {POOL: counts}, 0.9)
+    context: Any = FakeContext()
+    assert await forwarding_runner._attempt(context) == BROKEN
+    assert forwarding_runner.owners == [OWNER]
--- a/packages/steering/src/yuccapitch/steering/pool.py
+++ b/packages/steering/src/yuccapitch/steering/pool.py
@@ -122,6 +122,11 @@
                 self._finish_hold(hold)
         return self.table.remove_endpoint(endpoint_id, now)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether any endpoint takes new requests, perhaps after a quarantine."""
+        return bool(self._open_ids())
+
     @property
     def running(self) -> int:
         """Number of requests that were granted a slot and have not released it."""
@@ -155,6 +160,10 @@
         self._update_slot_count(now)
         if self.avoids_all(request, now):
             return (self._refusal(request, queue.ShedReason.NO_ENDPOINT),)
+        usable_at = self._usable_at(request, now)
+        if usable_at > now and usable_at >= request.deadline:
+            wait_s = max(MIN_RETRY_AFTER_S, usable_at - now)
+            return (Refused(request, queue.ShedReason.NO_ENDPOINT, wait_s),)
         offered = self._offer(request, now)
         if isinstance(offered, result.Err):
             return (self._refusal(request, offered.err_value.reason),)
@@ -239,6 +248,14 @@
     def _open_ids(self) -> list[ids.EndpointId]:
         return [e for e in self.table.endpoint_ids if e not in self._closed_ids]
 
+    def _usable_at(self, request: SlotRequest, now: float) -> float:
+        """Return when a slot that the request may use is outside quarantine."""
+        return min(
+            self.table.usable_at(endpoint_id, now)
+            for endpoint_id in self._open_ids()
+            if endpoint_id not in request.avoided
+        )
+
     def _offer(
         self, request: SlotRequest, now: float
     ) -> result.Result[tuple[queue.Shed, ...], queue.Shed]:
--- a/packages/steering/src/yuccapitch/steering/pool_choice.py
+++ b/packages/steering/src/yuccapitch/steering/pool_choice.py
@@ -32,6 +32,8 @@
     """Time of the last message from the owner."""
     outstanding: int = 0
     """Requests forwarded by this instance that have not ended."""
+    is_open: bool = True
+    """Whether the pool takes requests; assumed of a pool of another owner."""
 
 
 def choose_pool(
@@ -42,10 +44,15 @@
 ) -> PoolView | None:
     """Return the pool with the shortest expected time to a slot.
 
+    A pool without usable slots is used only if there is no other: its owner knows
+    whether slots are usable again, or when they will be, and refuses the request at
+    once if it can't be served in time.
+
     Pools of other regions may be included if the request is allowed to leave its
     region. Their distance makes them the last resort.
     """
     usable = [view for view in views if view.slots > 0]
+    usable = usable or [view for view in views if view.is_open]
     responsive = [
         v for v in usable if v.distance_s <= 0 or now - v.heard_at < OWNER_SILENCE_S
     ]
@@ -69,4 +76,4 @@
     if patience is model.Patience.PATIENT:
         waiting += view.waiting_patient
     backlog = waiting + view.outstanding + 1 - view.free
-    return expected_s + max(0, backlog) * service_s / view.slots
+    return expected_s + max(0, backlog) * service_s / max(1, view.slots)
--- a/packages/steering/src/yuccapitch/steering/pool_directory.py
+++ b/packages/steering/src/yuccapitch/steering/pool_directory.py
@@ -150,6 +150,7 @@
         counts.waiting_patient,
         now,
         now,
+        is_open=own.is_open,
     )
 
 
--- a/packages/steering/src/yuccapitch/steering/slots.py
+++ b/packages/steering/src/yuccapitch/steering/slots.py
@@ -128,6 +128,10 @@
         endpoint = self._endpoints_by_id.get(endpoint_id)
         return 0 if endpoint is None else endpoint.usable(now)
 
+    def usable_at(self, endpoint_id: ids.EndpointId, now: float) -> float:
+        """Return `now`, or when a slot of an owned endpoint leaves quarantine."""
+        return self._endpoints_by_id[endpoint_id].usable_at(now)
+
     def hold(self, number: int) -> Hold | None:
         """Return the hold with the number, or None if the slot is no longer held."""
         return self._holds_by_number.get(number)
@@ -216,7 +220,18 @@
     def usable(self, now: float) -> int:
         if self.quarantines:
             self.quarantines = [q for q in self.quarantines if q.until > now]
-        return max(0, self.slots - sum(q.slots for q in self.quarantines))
+        return self._outside_quarantine(now)
+
+    def usable_at(self, now: float) -> float:
+        if self.usable(now) or not self.quarantines:
+            return now
+        ends = sorted(quarantine.until for quarantine in self.quarantines)
+        return next((end for end in ends if self._outside_quarantine(end)), ends[-1])
 
     def free(self, now: float) -> int:
         return self.usable(now) - self.held
+
+    def _outside_quarantine(self, at: float) -> int:
+        return max(
+            0, self.slots - sum(q.slots for q in self.quarantines if q.until > at)
+        )
--- a/packages/steering/tests/test_choices.py
+++ b/packages/steering/tests/test_choices.py
@@ -111,6 +111,22 @@
     assert _choose(near, now=now) == "near"
 
 
+# Guards against requests refused for up to half a second after an owner's slots are
+# usable again, since its last counts were taken before.
+def test_pool_choice_uses_pool_without_counted_slots_as_last_resort() -> None:
+    near, far = _view("near", 0.003, slots=0, free=0), _view("far", 0.055)
+    assert _choose(near, far) == "far"
+    assert _choose(near) == "near"
+    assert _choose(near, _view("own", 0.0, slots=0, free=0)) == "own"
+
+
+def test_pool_choice_skips_pool_that_takes_no_requests() -> None:
+    closed = _view("closed", 0.0, slots=0, free=0, is_open=False)
+    assert _choose(closed, _view("near", 0.003, slots=0, free=0)) == "near"
+    patience = model.Patience.IMPATIENT
+    assert pool_choice.choose_pool([closed], patience, 0.02, 0.1) is None
+
+
 def _locations(count: int) -> dict[ids.InstanceId, owners.Location]:
     regions = [ids.RegionId(f"r{i}") for i in range(3)]
     return {
--- a/packages/steering/tests/test_pool.py
+++ b/packages/steering/tests/test_pool.py
@@ -88,6 +88,27 @@
     assert isinstance(granted, pool.Granted)
 
 
+def _quarantined_pool(until: float) -> pool.SlotPool:
+    table = slots.SlotTable(term=1, lease_until=99.0, longest_deadline_s=5.0)
+    own = pool.SlotPool(table, health.HealthView(), random.Random(1))
+    own.own_endpoint(B1, 2, (slots.Quarantine(2, until),), 0.0)
+    return own
+
+
+def test_pool_keeps_request_until_the_quarantine_of_its_slots_ends() -> None:
+    own = _quarantined_pool(8.0)
+    assert _request_slot(own, "a") == own.tick(7.9) == ()
+    (granted,) = own.tick(8.0)
+    assert isinstance(granted, pool.Granted)
+
+
+def test_pool_refuses_request_at_once_if_the_quarantine_passes_its_deadline() -> None:
+    (refused,) = _request_slot(_quarantined_pool(9.0), "a")
+    assert isinstance(refused, pool.Refused)
+    assert refused.reason is queue.ShedReason.NO_ENDPOINT
+    assert refused.retry_after_s == 9.0
+
+
 def test_pool_without_endpoints_refuses_queued_requests() -> None:
     own = _pool()
     for number in range(5):
--- a/packages/steering/tests/test_pool_directory.py
+++ b/packages/steering/tests/test_pool_directory.py
@@ -83,3 +83,17 @@
     views = _directory().views(SERVICE, {R1, R2}, {NEAR: _own_pool()}, 0.2)
     chosen = pool_choice.choose_pool(views, model.Patience.IMPATIENT, 0.02, 0.2)
     assert chosen is not None and chosen.owner == E1
+
+
+def test_directory_knows_whether_local_pool_takes_requests() -> None:
+    own = _own_pool()
+    own.set_closed_endpoints([ids.EndpointId("b1")])
+    views = [
+        next(
+            view
+            for view in _directory().views(SERVICE, {R1}, {NEAR: own_pool}, 0.2)
+            if view.pool == NEAR
+        )
+        for own_pool in (_own_pool(), own)
+    ]
+    assert [view.is_open for view in views] == [True, False]
--- a/packages/steering/tests/test_slots.py
+++ b/packages/steering/tests/test_slots.py
@@ -52,3 +52,12 @@
 def test_connection_share_sums_below_limit() -> None:
     for declared in range(1, 30):
         assert slots.connection_share(400, declared) * declared <= 400
+
+
+def test_slots_usable_at_is_the_end_of_the_first_quarantine_that_frees_a_slot() -> None:
+    table = slots.SlotTable(term=1, lease_until=99.0, longest_deadline_s=5.0)
+    table.add_endpoint(
+        B1, 2, tuple(slots.Quarantine(1, until) for until in (7.0, 3.0, 5.0))
+    )
+    assert table.usable_at(B1, 0.0) == 5.0
+    assert table.usable_at(B1, 6.0) == 6.0
