Forwarding: wait for the first counts of a pool's new owner

What callers would see: requests refused with `no-endpoint` (not run) when the pools of a region are granted to an instance that the entry has not heard from since that one started. The entry knows the owner from its configuration, but not the token that forwarded requests need: it comes with the owner's first counts, within half a second.

Cause: owners without a known token are left out of the choice of a pool, and a request without any choice is refused at once. Readiness waits for the tokens of all owners of the region, but is not withdrawn when the owner changes later.

Evidence: the new test of the attempt runner, which was refused before.

Why it works: a request that has no pool to choose waits until the token of one of the owners is known, for 1 s (two intervals of the counts) or to its deadline at most, and chooses again. It is refused as before if no token comes, and at once if its pools have no other owner. A request with any pool to choose does not wait.

--- a/packages/gateway/src/yuccapitch/gateway/attempt_runner.py
+++ b/packages/gateway/src/yuccapitch/gateway/attempt_runner.py
@@ -38,6 +38,9 @@
 Its pools are not preferred by the next attempts.
 """
 
+OWNER_TOKEN_WAIT_S = 1.0
+"""Longest wait for the first counts of an owner, which come every half second."""
+
 Addresses = Callable[[ids.InstanceId], tuple[str, int] | None]
 
 
@@ -135,6 +138,9 @@
         self, context: request_context.RequestContext
     ) -> request_context.AttemptResult:
         chosen = self._choose_pool(context)
+        if chosen is None:
+            await self._wait_for_owner(context)
+            chosen = self._choose_pool(context)
         if chosen is None:
             message = f"no endpoint of {context.parsed.route.service!r} takes work"
             failure = outcomes.Failure(503, "no-endpoint", message, retry_after_s=1)
@@ -168,18 +174,9 @@
             return local_pool
         views = [
             view
-            for view in self._pools.directory.views(
-                context.parsed.route.service,
-                {context.region},
-                self._pools.owned_pools,
-                now,
-            )
+            for view in self._pool_views(context, now)
             if view.owner == self._instance_id or self._tokens.has_token(view.owner)
         ]
-        if context.endpoint_owner is not None:
-            views = [
-                view for view in views if self._has_allowed_endpoint(context, view.pool)
-            ]
         if not is_first_choice:
             # If no untried pool is left, a tried one is used again.
             views = [v for v in views if _is_untried(context, v.pool, avoided)] or views
@@ -190,6 +187,30 @@
             now,
         )
 
+    async def _wait_for_owner(self, context: request_context.RequestContext) -> None:
+        """Wait for the token of a pool's owner if that is all that is missing."""
+        now = self._clock()
+        pool_owners = {view.owner for view in self._pool_views(context, now)}
+        other_owners = pool_owners - {self._instance_id}
+        if other_owners:
+            timeout_s = min(OWNER_TOKEN_WAIT_S, context.parsed.deadline - now)
+            await self._tokens.wait_for_any(other_owners, timeout_s)
+
+    def _pool_views(
+        self, context: request_context.RequestContext, now: float
+    ) -> list[pool_choice.PoolView]:
+        views = self._pools.directory.views(
+            context.parsed.route.service,
+            {context.region},
+            self._pools.owned_pools,
+            now,
+        )
+        if context.endpoint_owner is None:
+            return list(views)
+        return [
+            view for view in views if self._has_allowed_endpoint(context, view.pool)
+        ]
+
     def _has_allowed_endpoint(
         self, context: request_context.RequestContext, pool: owners.Pool
     ) -> bool:
--- a/packages/gateway/src/yuccapitch/gateway/forwarding.py
+++ b/packages/gateway/src/yuccapitch/gateway/forwarding.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import dataclasses
 import hmac
 import secrets
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 import multidict
 import result
@@ -41,15 +43,27 @@
     def __init__(self) -> None:
         self.local_token = secrets.token_hex(TOKEN_BYTES)
         self._tokens_by_id: dict[ids.InstanceId, str] = {}
+        self._token_set = asyncio.Event()
 
     def set_token(self, instance_id: ids.InstanceId, token: str) -> None:
         """Record another instance's token."""
         self._tokens_by_id[instance_id] = token
+        self._token_set.set()
+        self._token_set = asyncio.Event()
 
     def has_token(self, instance_id: ids.InstanceId) -> bool:
         """Whether requests can be forwarded to the instance."""
         return instance_id in self._tokens_by_id
 
+    async def wait_for_any(
+        self, instance_ids: Collection[ids.InstanceId], timeout_s: float
+    ) -> None:
+        """Wait until requests can be forwarded to one of the instances, or a time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while not any(map(self.has_token, instance_ids)):
+                    await self._token_set.wait()
+
     def build_headers(
         self,
         instance_id: ids.InstanceId,
--- a/packages/gateway/tests/test_attempt_runner.py
+++ b/packages/gateway/tests/test_attempt_runner.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import Any
 
@@ -157,3 +158,31 @@
     context: Any = FakeContext()
     assert await forwarding_runner._attempt(context) == BROKEN
     assert forwarding_runner.owners == [OWNER]
+
+
+# Guards against requests refused with `no-endpoint` while the first counts of a pool's
+# new owner, which bring its token, are on their way.
+async def test_attempt_waits_for_the_token_of_a_new_owner(
+    forwarding_runner: ForwardingRunner,
+) -> None:
+    context: Any = FakeContext()
+    attempt = asyncio.create_task(forwarding_runner._attempt(context))
+    await asyncio.sleep(0)
+    forwarding_runner.tokens.set_token(ids.InstanceId("e3"), "other")
+    await asyncio.sleep(0)
+    assert not attempt.done()
+    forwarding_runner.tokens.set_token(OWNER, "token")
+    assert await attempt == BROKEN
+    assert forwarding_runner.owners == [OWNER]
+
+
+async def test_attempt_without_the_token_of_an_owner_is_refused_in_the_end(
+    forwarding_runner: ForwardingRunner, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(attempt_runner, "OWNER_TOKEN_WAIT_S", 0.0)
+    context: Any = FakeContext()
+    attempt_result = await forwarding_runner._attempt(context)
+    assert isinstance(attempt_result, request_context.Failed)
+    assert attempt_result.failure.code == "no-endpoint"
+    assert attempt_result.failure.outcome is outcomes.Outcome.NOT_RUN
+    assert forwarding_runner.owners == []
