Slots: move no request that its own pool grants a slot meanwhile

What callers would see: nothing at once, but a request could be granted two slots, of which only the second is released; the first counts as used until the table reclaims it at the request's deadline.

The requests to move are listed once for each pair of pools; a request that leaves the queue of its pool can let that pool grant a slot to the next ones, of which the list still has each.

Evidence: the new test (the quarantine of the first pool ends just when requests are moved) had a second grant for the same request.

Why it works: requests that the first pool grants or refuses meanwhile are skipped. Grants of the second pool never concern requests of the first, apart from the one that is moved.

--- a/packages/steering/src/yuccapitch/steering/pool_moves.py
+++ b/packages/steering/src/yuccapitch/steering/pool_moves.py
@@ -50,10 +50,11 @@
 ) -> list[PoolDecision]:
     source_pool, target_pool = slot_pools_by_pool[source], slot_pools_by_pool[target]
     decisions: list[PoolDecision] = []
+    ended_ids: set[str] = set()
     for request in source_pool.waiting_requests(patience):
         if target_pool.free(now) <= 0:
             break
-        if target_pool.avoids_all(request, now):
+        if request.request_id in ended_ids or target_pool.avoids_all(request, now):
             continue
         granted = target_pool.grant_from_other_queue(request, now)
         decisions += [PoolDecision(target, decision) for decision in granted]
@@ -62,4 +63,6 @@
             break
         cancelled = source_pool.cancel(request.request_id, now)
         decisions += [PoolDecision(source, decision) for decision in cancelled]
+        # Without this request the source may have granted slots to the next ones.
+        ended_ids.update(decision.request.request_id for decision in cancelled)
     return decisions
--- a/packages/steering/tests/test_pool_moves.py
+++ b/packages/steering/tests/test_pool_moves.py
@@ -109,6 +109,18 @@
     assert [name for name, _ in _moved(slot_pools_by_pool, 0.1)] == ["1", "2", "3"]
 
 
+# Guards against two slots for a request that its own pool grants a slot when the one
+# before it leaves the queue.
+def test_move_waiting_leaves_requests_that_their_pool_grants_meanwhile() -> None:
+    slot_pools_by_pool = {FULL: _slot_pool(B1, 0), OTHER: _slot_pool(B2, 4)}
+    full_pool = slot_pools_by_pool[FULL]
+    full_pool.own_endpoint(B1, 1, (slots.Quarantine(1, 1.0),), 0.0)
+    for name in "abc":
+        full_pool.request_slot(_request(name), 0.0)
+    moved = _moved(slot_pools_by_pool, 1.0)
+    assert moved == [("a", OTHER), ("b", FULL), ("c", OTHER)]
+
+
 @pytest.mark.parametrize("seed", range(50))
 def test_move_waiting_ends_each_request_once(seed: int) -> None:
     rng = random.Random(seed)
