Soak: clients that pipeline, and no answer lost in a planned stop

Cause: the soak missed the incident of responses that wait behind a cut request. Its callers send one request at a time, no request takes longer than the grace of a stop, and it did not ask whether a response that an endpoint had sent reached its client.

Change: for each entry instance a client keeps up to four requests unanswered on one connection, up to the announced close or the end of the process, and checks the order and the content of the responses. The fault stop_beside_held_requests stops entry instances while endpoints hold some requests of a new, long route for 8 s. At the end of a run, whole requests to a process that was being stopped, and neither killed nor suspended before, must have an answer, whatever it is, if their endpoint had sent its response, or no endpoint had got them, 1 s or more before they ended. Cut-off links are no excuse.

Only the pipelining clients know that a request was sent whole; from others the check takes executed requests only.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -41,6 +41,22 @@
 _INSTANCE_ID = re.compile(r"[\d.]+:\d+")
 
 
+@dataclasses.dataclass
+class Process:
+    """One process of an instance, and the signals that it was sent."""
+
+    started_at: float
+    signals: list[tuple[float, signal.Signals]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def is_stopping(self, now: float) -> bool:
+        """Whether a planned stop, and nothing worse, has begun by a time."""
+        numbers = {number for sent_at, number in self.signals if sent_at <= now}
+        worse = numbers & {signal.SIGKILL, signal.SIGSTOP}
+        return signal.SIGTERM in numbers and not worse
+
+
 @dataclasses.dataclass
 class Instance:
     """One process, which is restarted after it exits."""
@@ -54,7 +70,7 @@
     list_host: str
     popen: subprocess.Popen[bytes] | None = None
     starts: int = 0
-    started_at: float = 0.0
+    processes: list[Process] = dataclasses.field(default_factory=list)
     should_run: bool = True
     """Whether the process is restarted after it exits."""
     is_exit_expected: bool = False
@@ -101,7 +117,7 @@
                 stderr=log,
             )
         self.starts += 1
-        self.started_at = time.monotonic()
+        self.processes.append(Process(time.monotonic()))
         self.is_exit_expected = False
 
     def write_settings(self) -> None:
@@ -132,13 +148,19 @@
         """Send a signal if the process is running."""
         if self.is_running:
             assert self.popen is not None
-            is_starting = time.monotonic() - self.started_at < INTERPRETER_START_S
+            now, process = time.monotonic(), self.processes[-1]
+            process.signals.append((now, number))
+            is_starting = now - process.started_at < INTERPRETER_START_S
             if number in (signal.SIGKILL, signal.SIGTERM) or (
                 number is signal.SIGHUP and is_starting
             ):
                 self.is_exit_expected = True
             self.popen.send_signal(number)
 
+    def process_at(self, sent_at: float) -> Process:
+        """Return the process that got what was sent at a time."""
+        return [p for p in self.processes if p.started_at <= sent_at][-1]
+
     async def kill(self) -> None:
         """Kill the process and wait for it to exit."""
         self.send_signal(signal.SIGKILL)
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -12,9 +12,11 @@
 
 from aiohttp import web
 
-from tests.soak import history
+from tests.soak import history, operator
 
 COLD_SERVICE_TIME_S, WARM_SERVICE_TIME_S = 0.09, 0.03
+# Longer than the grace of a planned stop.
+HELD_SERVICE_TIME_S = 8.0
 QUEUE_PER_SLOT = 3
 # Longest pause that a full endpoint asks for.
 MAX_PAUSE_S = 1.0
@@ -51,6 +53,8 @@
         self.truncated_fraction = 0.0
         """Fraction of responses that are truncated."""
         self.shed_fraction = 0.0
+        self.held_fraction = 0.0
+        """Fraction of requests of the long route that take longer than a stop."""
         self.repeated_fraction = 0.0
         """Fraction of requests on kept connections before whose response an earlier
         refusal is written once more."""
@@ -164,6 +168,9 @@
             WARM_SERVICE_TIME_S if key in self._warm_keys else COLD_SERVICE_TIME_S
         )
         self._warm_keys.add(key)
+        if request.path.startswith(operator.LONG_PATH):
+            if self._rng.random() < self.held_fraction:
+                service_time_s = HELD_SERVICE_TIME_S
         await asyncio.sleep(service_time_s * self.slowness)
 
     async def _send_response(
@@ -188,6 +195,9 @@
                 return response
             await response.write(content)
             await response.write_eof()
+            attempt_id = headers["Attempt-Id"]
+            now = asyncio.get_running_loop().time()
+            self._observations.record_answer(attempt_id, now)
         return response
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -168,6 +168,18 @@
         await asyncio.sleep(duration_s / 3)
 
 
+@_register_fault
+async def stop_beside_held_requests(context: FaultContext, duration_s: float) -> None:
+    """Stop entry instances with requests that take longer than the stop."""
+    with context.reserve_endpoints(0.3) as chosen:
+        for endpoint in chosen:
+            endpoint.held_fraction = 0.5
+        await asyncio.sleep(1.0)
+        await stop_in_turn(context, duration_s)
+        for endpoint in chosen:
+            endpoint.held_fraction = 0.0
+
+
 @_register_fault
 async def stop_control(context: FaultContext, duration_s: float) -> None:
     context.sample_instances("control", 1)[0].send_signal(signal.SIGTERM)
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -14,6 +14,8 @@
 
 HOST = "shop.example"
 SERVICES = ("tienda", "taller")
+# Route whose requests may take longer than the grace of a planned stop.
+LONG_PATH = "/long/"
 CALL_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.1
 # Evacuation requests are retried for this long.
@@ -145,6 +147,7 @@
     kinds = {"safe": "safe", "order": "unsafe", "photo": "upload"}
     routes = {f"/{name}/": (kind, name) for name, kind in kinds.items()}
     routes[f"/only-{revision}/"] = ("safe", "only")
+    routes[LONG_PATH] = ("safe", "long")
     resources: list[dict[str, Any]] = [
         _route(name, prefix, kind, SERVICES[name == "photo"])
         for prefix, (kind, name) in routes.items()
@@ -165,7 +168,7 @@
         "host": HOST,
         "pathPrefix": prefix,
         "kind": kind,
-        "timeout": "2500ms",
+        "timeout": "12s" if prefix == LONG_PATH else "2500ms",
         "targetLatency": "600ms",
         "priority": 2 if kind == "safe" else 1,
         "service": service,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -23,6 +23,7 @@
     history,
     network,
     operator,
+    pipelining,
 )
 
 ENDPOINTS_PER_SERVICE = 6
@@ -77,6 +78,7 @@
         _spawn(_report_progress(observations, fault_counts, report_progress), stack)
         await _inject(context, plan, fault_counts)
         await _recover(context, observations, caller, session)
+        observations.check_planned_stops(context.cluster.of_role("entry"))
         for ended in context.cluster.unexpected_exits:
             observations.check("processes do not exit unexpectedly", False, ended)
     observations.checks_by_guarantee["processes do not exit unexpectedly"] += (
@@ -144,10 +146,15 @@
     ]
     for caller in all_callers:
         _spawn(caller.run(), stack)
+    pipelining_rng = random.Random(plan.seed)
     for entry in context.cluster.of_role("entry"):
         _spawn(
             callers.Prober(entry, context.config_operator, observations).run(), stack
         )
+        pipelining_caller = pipelining.PipeliningCaller(
+            entry, observations, pipelining_rng
+        )
+        _spawn(pipelining_caller.run(), stack)
     _spawn(_poll_configuration(context.config_operator, context.cluster, rng), stack)
     return all_callers[0]
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,13 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
 import pathlib
 import random
+import signal
 import types
 
 import pytest
 
-from tests.soak import callers, deployment, faults, history, operator, run
+from tests.soak import (
+    callers,
+    deployment,
+    endpoints,
+    faults,
+    history,
+    operator,
+    pipelining,
+    run,
+)
 
 SIGHUP_DURING_IMPORT = "SIGHUP ended a process that was still importing modules"
 SETTINGS_DURING_WRITE = "a process read its settings file while it was being written"
@@ -19,6 +30,7 @@
     "kill_everything_and_lose_a_disk",
     "repeat_refusals",
     "limit_endpoints",
+    "stop_beside_held_requests",
 }
 # Seeds that caused a violation, each with its cause, and the default seed.
 REGRESSION_SEEDS = {
@@ -74,6 +86,19 @@
     assert report.checks_by_guarantee["limits of endpoints are kept"] > 0
 
 
+# Guards against responses that are lost in a planned stop because an earlier request of
+# their connection is still in progress at its end.
+@pytest.mark.processes
+@pytest.mark.timeout(300)
+async def test_soak_answers_whole_requests_in_planned_stops(tmp_path: pathlib.Path):
+    names = ("stop_beside_held_requests", "change_routes", "slow_endpoints")
+    plan = run.Plan(1, 8.0, controls=3, entries=3, callers=4, fault_names=names)
+    report = await run.run(plan, tmp_path)
+    assert report.violations == []
+    guarantee = "whole requests are answered in a planned stop"
+    assert report.checks_by_guarantee[guarantee] > 0
+
+
 def attempt(kind: str) -> history.Attempt:
     return history.Attempt("1", kind, "10.0.0.1:80", 0.0)
 
@@ -158,3 +183,74 @@
     observations.record_execution("1", "e2")
     observations.record_end(read, 503, 1.0)
     assert observations.violations == []
+
+
+STOP = (2.0, signal.SIGTERM)
+AT_WORK, NOT_EXECUTED, NOT_SENT = "at work", "not executed", "not sent"
+
+
+@pytest.mark.parametrize(
+    ("signals", "status", "answered_at", "holds"),
+    [
+        ([STOP], None, 3.0, False),
+        ([STOP], None, 1.0, False),
+        ([STOP, (3.0, signal.SIGHUP)], None, 3.0, False),
+        ([STOP, (9.0, signal.SIGKILL)], None, 3.0, False),
+        ([STOP, (7.0, signal.SIGKILL)], None, 3.0, True),
+        ([(1.0, signal.SIGSTOP), STOP], None, 3.0, True),
+        ([STOP], 504, 3.0, True),
+        ([STOP], None, 7.9, True),
+        ([STOP], None, AT_WORK, True),
+        ([STOP], None, NOT_EXECUTED, False),
+        ([STOP], 503, NOT_EXECUTED, True),
+        ([STOP], None, NOT_SENT, True),
+        ([(9.0, signal.SIGTERM)], None, 3.0, True),
+    ],
+)
+def test_history_detects_requests_lost_in_planned_stops(
+    signals, status, answered_at, holds
+):
+    entry = deployment.Instance(
+        "e", "entry", "10.0.0.1", "z", pathlib.Path(), [], "",
+        processes=[deployment.Process(0.0, signals), deployment.Process(8.5)],
+    )  # fmt: skip
+    observations = history.History()
+    address = f"{entry.ip}:{deployment.CALLERS_PORT}"
+    is_sent = answered_at != NOT_SENT
+    lost = history.Attempt("1", "safe", address, 1.0, is_sent_whole=is_sent)
+    observations.record_start(lost)
+    if answered_at not in (NOT_EXECUTED, NOT_SENT):
+        observations.record_execution("1", "e1")
+    if isinstance(answered_at, float):
+        observations.record_answer("1", answered_at)
+    observations.record_end(lost, status, 8.0)
+    observations.check_planned_stops([entry])
+    assert (observations.violations == []) is holds
+
+
+@pytest.mark.parametrize(
+    ("attempt_id", "is_whole", "connection", "goes_on", "violated"),
+    [
+        ("l-e-1", True, "keep-alive", True, []),
+        ("l-e-1", True, "Close", False, []),
+        ("l-e-2", True, "keep-alive", False, ["responses come in order"]),
+        ("l-e-1", False, "keep-alive", True, ["complete responses"]),
+    ],
+)
+async def test_pipelining_caller_checks_responses(
+    attempt_id, is_whole, connection, goes_on, violated
+):
+    entry = types.SimpleNamespace(name="e", ip="10.0.0.1")
+    observations = history.History()
+    caller = pipelining.PipeliningCaller(entry, observations, random.Random(1))
+    target = caller.next_request().split()[1].decode()
+    caller.next_request()
+    content = endpoints.response_body("l-e-1", target, b"")[: None if is_whole else -1]
+    reader = asyncio.StreamReader()
+    reader.feed_data(
+        f"HTTP/1.1 200 OK\r\nattempt-id: {attempt_id}\r\nConnection: {connection}\r\n"
+        f"content-length: {len(content)}\r\n\r\n".encode()
+    )
+    reader.feed_data(content)
+    assert await caller.receive(reader) is goes_on
+    assert [v.guarantee for v in observations.violations] == violated
