Daemon: send the rest of responses before the process ends

A client of a yuccapitchd that was stopped could get an answer without its end, while the process logged a clean stop and exited with 0.

Cause: aiohttp's write_eof returns while the transport still holds bytes (below its write limits, or the rest below the low-water mark). The cleanup closes the transport, which sends the rest only while the event loop runs, and the loop ended at once.

The server's shutdown now waits until no transport of its connections holds bytes, for at most 10 s. What a client has not taken by then is aborted and logged as entry.connection-cut with its unsent_bytes. The kernel delivers what is in the socket's buffer after the process has ended.

--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import traceback
+from collections.abc import Sequence
 from typing import Any
 
 from aiohttp import http_exceptions, web, web_protocol
@@ -13,6 +15,9 @@
 
 HEAD_TIMEOUT_S = 10.0
 """Time from the first bytes of a request head until it must be complete."""
+SEND_LIMIT_S = 10.0
+"""Time after the last response is written within which a stop lets it be sent."""
+SEND_CHECK_INTERVAL_S = 0.05
 MAX_MESSAGE_CHARS = 200
 TRACE_FRAMES = 4
 INTERNAL_ERROR = "internal-error"
@@ -41,6 +46,19 @@
     def __call__(self) -> web.RequestHandler:
         return Connection(self, loop=self._loop, **self._kwargs)
 
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """Close the connections and wait until their responses are sent."""
+        transports = list(self._connections.values())
+        await super().shutdown(timeout)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SEND_LIMIT_S):
+                await _wait_until_sent(transports)
+        for transport in transports:
+            unsent_bytes = transport.get_write_buffer_size()
+            if unsent_bytes:
+                events.event("entry.connection-cut", unsent_bytes=unsent_bytes)
+                transport.abort()
+
 
 class Connection(web_protocol.RequestHandler):
     """One connection from a client."""
@@ -114,6 +132,12 @@
             self._head_timer = None
 
 
+async def _wait_until_sent(transports: Sequence[asyncio.Transport]) -> None:
+    # A closed transport still sends what it holds, but only while the loop runs.
+    while any(transport.get_write_buffer_size() for transport in transports):
+        await asyncio.sleep(SEND_CHECK_INTERVAL_S)
+
+
 def _failure(status: int, exc: BaseException | None) -> outcomes.Failure:
     # A malformed request may carry an idempotency key whose request has already been
     # executed, so the outcome is unknown.
--- a/packages/node/src/yuccapitch/node/http_server.py
+++ b/packages/node/src/yuccapitch/node/http_server.py
@@ -32,7 +32,7 @@
     async def serve(
         self, application: web.Application, stack: contextlib.AsyncExitStack
     ) -> None:
-        """Serve until the stack closes; closing does not wait for requests."""
+        """Serve until the stack closes, which waits until responses are sent."""
         runner = http_connection.Runner(
             application,
             access_log=None,
--- a/packages/node/tests/test_http_server.py
+++ b/packages/node/tests/test_http_server.py
@@ -1,9 +1,79 @@
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
 import aiohttp
+import eliot
+import pytest
 from aiohttp import test_utils, web
 
-from yuccapitch.node import http_server
+from yuccapitch.node import http_connection, http_server
+
+MAX_HEADER_BYTES = 16_384
+SMALL_BUFFER_BYTES = 4096
+BODY_BYTES = 60_000
+"""More than small socket buffers hold, and less than makes a transport pause."""
+TURNS = 200
+"""Turns of the event loop within which a stop ends that waits for nothing."""
+
+
+@pytest.fixture
+def logged() -> Iterator[list[dict[str, object]]]:
+    messages: list[dict[str, object]] = []
+    eliot.add_destinations(messages.append)
+    yield messages
+    eliot.remove_destination(messages.append)
+
+
+class SlowDownload:
+    """A response that its client has not read when the server is stopped."""
+
+    def __init__(self) -> None:
+        self._server = http_server.HttpServer("127.0.0.1", 0, MAX_HEADER_BYTES)
+        self._server._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
+        )
+        self._client = socket.socket()
+        self._client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        self._client.setblocking(False)
+        self._transports: list[asyncio.Transport] = []
+
+    async def start(
+        self,
+        server_stack: contextlib.AsyncExitStack,
+        client_stack: contextlib.AsyncExitStack,
+    ) -> None:
+        """Start the server and send it a request."""
+        application = web.Application()
+        application.router.add_get("/", self._answer)
+        await self._server.serve(application, server_stack)
+        client_stack.callback(self._client.close)
+        loop = asyncio.get_running_loop()
+        address = self._server.address
+        await loop.sock_connect(self._client, (address.host, address.port))
+        await loop.sock_sendall(self._client, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        while not self.unsent_bytes():
+            await asyncio.sleep(0)
+
+    def unsent_bytes(self) -> int:
+        """Return what the server's transport has not sent yet."""
+        return sum(transport.get_write_buffer_size() for transport in self._transports)
+
+    async def read(self) -> bytes:
+        """Read until the server closes the connection."""
+        loop = asyncio.get_running_loop()
+        received = b""
+        while data := await loop.sock_recv(self._client, SMALL_BUFFER_BYTES):
+            received += data
+        return received
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        assert request.transport is not None
+        self._transports.append(request.transport)
+        return web.Response(body=bytes(BODY_BYTES))
 
 
 async def test_close_after_response_sets_connection_header() -> None:
@@ -22,3 +92,38 @@
         session.get(server.make_url("/")) as response,
     ):
         assert response.headers["Connection"] == "close"
+
+
+# Guards against a process that ends with the rest of a response in its transport.
+async def test_serve_sends_responses_to_their_end_before_the_stack_is_closed() -> None:
+    download = SlowDownload()
+    async with contextlib.AsyncExitStack() as client_stack:
+        server_stack = contextlib.AsyncExitStack()
+        await download.start(server_stack, client_stack)
+
+        async def close() -> int:
+            await server_stack.aclose()
+            return download.unsent_bytes()
+
+        closing = asyncio.create_task(close())
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+        received = await download.read()
+        assert await closing == 0
+        assert len(received.partition(b"\r\n\r\n")[2]) == BODY_BYTES
+
+
+async def test_serve_cuts_a_response_that_its_client_does_not_read(
+    logged: list[dict[str, object]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http_connection, "SEND_LIMIT_S", 0.0)
+    download = SlowDownload()
+    async with contextlib.AsyncExitStack() as client_stack:
+        async with contextlib.AsyncExitStack() as server_stack:
+            await download.start(server_stack, client_stack)
+            unsent_bytes = download.unsent_bytes()
+        assert [
+            message["unsent_bytes"]
+            for message in logged
+            if message.get("message_type") == "entry.connection-cut"
+        ] == [unsent_bytes]
