Daemon: go on after SIGHUP

A yuccapitchd that received SIGHUP, for instance from an operator who wanted it to read its settings again as the routed roles do, ended at once: callers lost all requests in progress, and no event was logged.

Cause: no handler was installed, so the signal's default action applied.

The settings come from flags and environment variables, which can't change while a process runs, so there is nothing to read again. A process that was started from a terminal also goes on when the terminal closes.

--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -147,6 +147,7 @@
             # Setting the event again has no effect, so a second signal does not
             # interrupt the drain.
             loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, events.event, "settings.reload-ignored")
 
 
 def _tune_garbage_collector() -> None:
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -61,6 +61,11 @@
     "An environment variable has the settings' prefix but no such setting exists.",
     Level.WARNING,
 )
+declare(
+    "settings.reload-ignored",
+    "SIGHUP was received; flags and environment variables are read at startup only.",
+    Level.WARNING,
+)
 declare("link.opened", "An inner link to or from another instance was opened.")
 declare(
     "link.failed",
