Daemon: handle signals from the beginning of the start

A yuccapitchd that received a signal while it started ended hard: with exit code -15 or -2, a traceback for SIGINT, no process.stopped, and with its files open. A supervisor took a planned stop for a crash. SIGHUP in this time, or while modules were imported, ended it as well.

Cause: the handlers were installed last, after the log had been recovered and the port served.

The handlers are now installed before anything is started: the start goes on to its end, and the stop that follows is a planned one. SIGTERM during the imports still ends the process by its default action: nothing runs yet.

Failed before: test_daemon_ignores_a_hangup_while_it_imports (exit code -1 without process.started), test_daemon_stops_as_planned_if_signalled_while_it_starts (exit code -15, and -2 with KeyboardInterrupt, without process.stopped) and test_daemon_logs_a_hangup_while_it_starts (exit code -1).

--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -48,6 +48,9 @@
 
     async def run(self) -> int:
         """Serve until a signal or a failure and return the exit code."""
+        # Installed before the start, so that a signal during it does not kill the
+        # process.
+        self._handle_signals()
         async with contextlib.AsyncExitStack() as stack:
             started = await self._start(stack)
             if isinstance(started, result.Err):
@@ -123,7 +126,6 @@
         await http.serve(application, stack)
         _tune_garbage_collector()
         self._http = http
-        self._handle_signals()
         events.event(
             "process.started",
             role=settings.role.value,
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/startup.py
@@ -0,0 +1,21 @@
+"""Startup of yuccapitchd: settings, logs and the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+
+from yuccapitch.node import daemon, logs, settings
+from yuccapitch.protocol import events
+
+
+def run() -> int:
+    """Read the settings, run the instance until it stops, and return its exit code."""
+    daemon_settings = settings.load(sys.argv[1:], os.environ)
+    with logs.write_to(
+        sys.stderr, daemon_settings.instance_id, daemon_settings.log_level
+    ):
+        for name in settings.unknown_variables(os.environ):
+            events.event("settings.unknown-variable", variable=name)
+        return asyncio.run(daemon.run(daemon_settings))
--- a/tests/test_daemon_signals.py
+++ b/tests/test_daemon_signals.py
@@ -19,6 +19,28 @@
 from yuccapitch.node import main
 main.run()
 """
+SIGNAL_WHILE_IMPORTING = """
+import os, signal, sys
+
+class Signaller:
+    def find_spec(self, name, path=None, target=None):
+        if name == "yuccapitch.node.daemon":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Signaller())
+"""
+SIGNAL_WHILE_STARTING = """
+import os, signal
+from yuccapitch.node import control_role
+
+start = control_role.start
+
+async def start_signalled(*arguments):
+    os.kill(os.getpid(), signal.{name})
+    return await start(*arguments)
+
+control_role.start = start_signalled
+"""
 
 Start = Callable[[str], subprocess.Popen[str]]
 
@@ -71,3 +93,29 @@
     process.send_signal(signal.SIGTERM)
     read_until(process, "process.stopped")
     assert process.wait(WAIT_S) == 0
+
+
+# Guards against a SIGHUP that ends a process which still imports its modules.
+def test_daemon_ignores_a_hangup_while_it_imports(start: Start) -> None:
+    process = start(SIGNAL_WHILE_IMPORTING + RUN)
+    read_until(process, "process.started")
+
+
+# Guards against a signal that ends a process before it has handlers.
+@pytest.mark.parametrize(
+    "number", [signal.SIGTERM, signal.SIGINT], ids=lambda number: str(number.name)
+)
+def test_daemon_stops_as_planned_if_signalled_while_it_starts(
+    start: Start, number: signal.Signals
+) -> None:
+    process = start(SIGNAL_WHILE_STARTING.format(name=number.name) + RUN)
+    read_until(process, "process.stopped")
+    assert process.wait(WAIT_S) == 0
+
+
+def test_daemon_logs_a_hangup_while_it_starts(start: Start) -> None:
+    process = start(SIGNAL_WHILE_STARTING.format(name="SIGHUP") + RUN)
+    read_until(process, "settings.reload-ignored")
+    process.send_signal(signal.SIGTERM)
+    read_until(process, "process.stopped")
+    assert process.wait(WAIT_S) == 0
