Daemon: keep the exit code if a signal is repeated while it exits

A supervisor that sent SIGTERM again, or SIGHUP, after a yuccapitchd had logged process.stopped could see exit code -15 or -1 instead of 0.

Cause: asyncio restores the default action of its signals when the event loop is closed, and the interpreter still runs for a while after that.

The signals are ignored once the instance has stopped. Between the two calls that replace a handler lies a moment with the default action, microseconds instead of the whole exit.

test_daemon_keeps_its_exit_code_if_signalled_while_it_exits sends the signal from an exit function. It failed before with "assert -15 == 0" for SIGTERM and "assert -1 == 0" for SIGHUP; the case SIGINT passed before as well.

--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -27,11 +27,14 @@
 EXIT_FAILED = 1
 HEARTBEATS_PER_TIMEOUT = 4
 GC_ALLOCATION_THRESHOLD = 20_000
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 async def run(settings: settings_table.Settings) -> int:
     """Run one instance and return its exit code."""
-    return await Daemon(settings).run()
+    code = await Daemon(settings).run()
+    _ignore_signals()
+    return code
 
 
 class Daemon:
@@ -145,13 +148,22 @@
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in STOP_SIGNALS:
             # Setting the event again has no effect, so a second signal does not
             # interrupt the drain.
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, events.event, "settings.reload-ignored")
 
 
+def _ignore_signals() -> None:
+    # Closing the event loop restores the default actions, with which a signal would
+    # replace the exit code of a stop that is complete.
+    loop = asyncio.get_running_loop()
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _tune_garbage_collector() -> None:
     # Objects loaded by now live until the process ends, and scanning them at each
     # collection would delay requests. Reference counting frees the objects of a
--- a/tests/test_daemon_signals.py
+++ b/tests/test_daemon_signals.py
@@ -41,6 +41,11 @@
 
 control_role.start = start_signalled
 """
+SIGNAL_WHILE_EXITING = """
+import atexit, os, signal
+
+atexit.register(os.kill, os.getpid(), signal.{name})
+"""
 
 Start = Callable[[str], subprocess.Popen[str]]
 
@@ -119,3 +124,19 @@
     process.send_signal(signal.SIGTERM)
     read_until(process, "process.stopped")
     assert process.wait(WAIT_S) == 0
+
+
+# Guards against a repeated signal that makes a planned stop look like a crash.
+@pytest.mark.parametrize(
+    "number",
+    [signal.SIGTERM, signal.SIGINT, signal.SIGHUP],
+    ids=lambda number: str(number.name),
+)
+def test_daemon_keeps_its_exit_code_if_signalled_while_it_exits(
+    start: Start, number: signal.Signals
+) -> None:
+    process = start(SIGNAL_WHILE_EXITING.format(name=number.name) + RUN)
+    read_until(process, "process.started")
+    process.send_signal(signal.SIGTERM)
+    read_until(process, "process.stopped")
+    assert process.wait(WAIT_S) == 0
