Daemon: a planned stop answers requests that wait behind another

While an entry instance of yuccapitchd stopped, callers that pipeline lost the requests that were read and waited behind the first on their connection: they got its response with Connection: close, and then the end of the connection. For requests that may not be repeated that is no answer to rely on.

Cause: each response of a stopping instance closed its connection, and aiohttp drops what it has read behind such a response.

Now only the last of the requests that were read closes the connection. The stop already waits for requests in progress, and refuses them at once after the drain, so it is not held up by them.

test_close_after_last_response_lets_waiting_requests_be_answered failed with the former behaviour: "assert [b'/1'] == [b'/1', b'/2', b'/3']". The function now takes the request and is named after what it does; its existing test is renamed, makes the same check, and runs on the server of the instance instead of aiohttp's test server.

--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -231,7 +231,7 @@
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
         if self.lease.is_stopping:
-            http_server.close_after_response(response)
+            http_server.close_after_last_response(request, response)
 
     def _create_request_path(self) -> request_path.RequestPath:
         dependencies = self._dependencies
--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -68,6 +68,11 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
 
+    @property
+    def has_waiting_requests(self) -> bool:
+        """Whether requests that were read wait behind the one being answered."""
+        return bool(self._messages)
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes and limit the size and time of an incomplete request head."""
         super().data_received(data)
--- a/packages/node/src/yuccapitch/node/http_server.py
+++ b/packages/node/src/yuccapitch/node/http_server.py
@@ -55,11 +55,19 @@
         await asyncio.sleep(IN_TRANSIT_REQUESTS_WAIT_S)
 
 
-def close_after_response(response: web.StreamResponse) -> None:
-    """Close the connection after a response that is being prepared.
+def close_after_last_response(
+    request: web.BaseRequest, response: web.StreamResponse
+) -> None:
+    """Close the connection after this response unless requests wait behind it.
 
-    The response announces this with a ``Connection: close`` header.
+    The response, which is being prepared, announces this with a ``Connection: close``
+    header.
     """
+    connection = request.protocol
+    assert isinstance(connection, http_connection.Connection)
+    if connection.has_waiting_requests:
+        # Closing now would drop them without an answer.
+        return
     response.force_close()
     # aiohttp has already built the headers at this point. Without this header a
     # client would send its next request on a connection that is about to close.
--- a/packages/node/tests/test_http_server.py
+++ b/packages/node/tests/test_http_server.py
@@ -3,12 +3,11 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 
-import aiohttp
 import eliot
 import pytest
-from aiohttp import test_utils, web
+from aiohttp import web
 
 from yuccapitch.node import http_connection, http_server
 
@@ -76,22 +75,51 @@
         return web.Response(body=bytes(BODY_BYTES))
 
 
-async def test_close_after_response_sets_connection_header() -> None:
-    async def answer(request: web.Request) -> web.Response:
-        return web.Response(text="ok")
+async def close_after_last(request: web.Request, response: web.StreamResponse) -> None:
+    http_server.close_after_last_response(request, response)
 
-    async def prepare(request: web.Request, response: web.StreamResponse) -> None:
-        http_server.close_after_response(response)
 
+async def echo(request: web.Request) -> web.Response:
+    return web.Response(body=request.path.encode() + await request.read())
+
+
+@contextlib.asynccontextmanager
+async def connection_to(
+    application: web.Application,
+) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+    async with contextlib.AsyncExitStack() as stack:
+        server = http_server.HttpServer("127.0.0.1", 0, MAX_HEADER_BYTES)
+        await server.serve(application, stack)
+        address = server.address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        stack.callback(writer.close)
+        yield reader, writer
+
+
+async def test_close_after_last_response_sets_connection_header() -> None:
     application = web.Application()
-    application.router.add_get("/", answer)
-    application.on_response_prepare.append(prepare)
-    async with (
-        test_utils.TestServer(application) as server,
-        aiohttp.ClientSession() as session,
-        session.get(server.make_url("/")) as response,
-    ):
-        assert response.headers["Connection"] == "close"
+    application.router.add_get("/{name}", echo)
+    application.on_response_prepare.append(close_after_last)
+    async with connection_to(application) as (reader, writer):
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+        received = await reader.read()
+        assert b"\r\nConnection: close\r\n" in received
+
+
+# Guards against a stop that drops requests which wait behind another on a connection.
+async def test_close_after_last_response_lets_waiting_requests_be_answered() -> None:
+    application = web.Application()
+    application.router.add_get("/{name}", echo)
+    application.on_response_prepare.append(close_after_last)
+    async with connection_to(application) as (reader, writer):
+        names = (b"1", b"2", b"3")
+        writer.write(
+            b"".join(b"GET /%b HTTP/1.1\r\nHost: h\r\n\r\n" % name for name in names)
+        )
+        received = await reader.read()
+        bodies = [part[:2] for part in received.split(b"\r\n\r\n")[1:]]
+        assert bodies == [b"/1", b"/2", b"/3"]
+        assert received.count(b"\r\nConnection: close\r\n") == 1
 
 
 # Guards against a process that ends with the rest of a response in its transport.
