Daemon: receive and answer requests to their end before a stop

A request whose body was still on its way when a yuccapitchd stopped, for example a change sent to a control instance, got no answer, and the process took another minute to end.

Cause: the stop gave requests in transit 0.2 s and then ran aiohttp's cleanup, which ignores all bytes that arrive from then on but waits 60 s for the handler that needs them. The drain of the entry role waits for requests of the request path only; a control instance has no drain.

The stop now waits, before the cleanup, until no connection receives or answers a request, for at most 30 s. Responses in this time close their connection, so that clients which keep sending don't hold the stop up. What is not finished in time is cut and logged as entry.connection-cut.

test_stop_listening_receives_uploads_to_their_end failed before, after 62 s: the client got b'' instead of its answer. The other two tests bound the new wait: test_stop_listening_cuts_an_upload_that_does_not_end (can't run on the code before) and test_stop_listening_does_not_wait_for_idle_connections.

--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -15,9 +15,11 @@
 
 HEAD_TIMEOUT_S = 10.0
 """Time from the first bytes of a request head until it must be complete."""
+FINISH_LIMIT_S = 30.0
+"""Time within which a stop lets requests be received and answered."""
 SEND_LIMIT_S = 10.0
 """Time after the last response is written within which a stop lets it be sent."""
-SEND_CHECK_INTERVAL_S = 0.05
+STOP_CHECK_INTERVAL_S = 0.05
 MAX_MESSAGE_CHARS = 200
 TRACE_FRAMES = 4
 INTERNAL_ERROR = "internal-error"
@@ -32,6 +34,24 @@
 class Runner(web.AppRunner):
     """Application runner whose connections format all error responses alike."""
 
+    async def finish_requests(self) -> None:
+        """Wait until no request is being received or answered, and cut the rest."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FINISH_LIMIT_S):
+                while self._busy_connections():
+                    await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+        for connection in self._busy_connections():
+            if connection.transport is not None:
+                _cut(connection.transport)
+
+    def _busy_connections(self) -> list[Connection]:
+        assert self.server is not None
+        return [
+            connection
+            for connection in self.server.connections
+            if isinstance(connection, Connection) and connection.is_busy
+        ]
+
     async def _make_server(self) -> web.Server:
         server = await super()._make_server()
         return _Server(
@@ -54,10 +74,8 @@
             async with asyncio.timeout(SEND_LIMIT_S):
                 await _wait_until_sent(transports)
         for transport in transports:
-            unsent_bytes = transport.get_write_buffer_size()
-            if unsent_bytes:
-                events.event("entry.connection-cut", unsent_bytes=unsent_bytes)
-                transport.abort()
+            if transport.get_write_buffer_size():
+                _cut(transport)
 
 
 class Connection(web_protocol.RequestHandler):
@@ -68,6 +86,15 @@
         self._head_timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being received or answered."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        # aiohttp's request handler waits on ``_waiter`` until a head is complete.
+        is_waiting = self._waiter is not None and not self._waiter.done()
+        return not is_waiting or self._head_timer is not None
+
     @property
     def has_waiting_requests(self) -> bool:
         """Whether requests that were read wait behind the one being answered."""
@@ -76,7 +103,6 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes and limit the size and time of an incomplete request head."""
         super().data_received(data)
-        # aiohttp's request handler waits on ``_waiter`` until a head is complete.
         if self._waiter is not None and not self._waiter.done():
             self._count_incomplete_head(len(data))
         elif self._head_timer is not None:
@@ -137,10 +163,16 @@
             self._head_timer = None
 
 
+def _cut(transport: asyncio.Transport) -> None:
+    unsent_bytes = transport.get_write_buffer_size()
+    events.event("entry.connection-cut", unsent_bytes=unsent_bytes)
+    transport.abort()
+
+
 async def _wait_until_sent(transports: Sequence[asyncio.Transport]) -> None:
     # A closed transport still sends what it holds, but only while the loop runs.
     while any(transport.get_write_buffer_size() for transport in transports):
-        await asyncio.sleep(SEND_CHECK_INTERVAL_S)
+        await asyncio.sleep(STOP_CHECK_INTERVAL_S)
 
 
 def _failure(status: int, exc: BaseException | None) -> outcomes.Failure:
--- a/packages/node/src/yuccapitch/node/http_server.py
+++ b/packages/node/src/yuccapitch/node/http_server.py
@@ -28,12 +28,14 @@
         bound = self._socket.getsockname()
         self.address = inner_peers.Address(bound[0], bound[1])
         self._max_header_bytes = max_header_bytes
+        self._is_stopping = False
 
     async def serve(
         self, application: web.Application, stack: contextlib.AsyncExitStack
     ) -> None:
         """Serve until the stack closes, which waits until responses are sent."""
-        runner = http_connection.Runner(
+        application.on_response_prepare.append(self._close_if_stopping)
+        self._runner = http_connection.Runner(
             application,
             access_log=None,
             # Bodies are forwarded unchanged, including their content encoding.
@@ -43,16 +45,25 @@
             max_field_size=self._max_header_bytes,
             handler_cancellation=True,
         )
-        await runner.setup()
-        stack.push_async_callback(runner.cleanup)
-        self._site = web.SockSite(runner, self._socket)
+        await self._runner.setup()
+        stack.push_async_callback(self._runner.cleanup)
+        self._site = web.SockSite(self._runner, self._socket)
         await self._site.start()
 
     async def stop_listening(self) -> None:
-        """Stop accepting connections and keep serving the open ones."""
+        """Stop accepting connections, and answer the requests on the open ones."""
+        self._is_stopping = True
         await self._site.stop()
         # Read and answer the requests that are already in transit.
         await asyncio.sleep(IN_TRANSIT_REQUESTS_WAIT_S)
+        # The cleanup of aiohttp reads nothing any more, not even the rest of a body.
+        await self._runner.finish_requests()
+
+    async def _close_if_stopping(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self._is_stopping:
+            close_after_last_response(request, response)
 
 
 def close_after_last_response(
--- a/packages/node/tests/test_http_server.py
+++ b/packages/node/tests/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 from collections.abc import AsyncIterator, Iterator
 
@@ -155,3 +156,81 @@
             for message in logged
             if message.get("message_type") == "entry.connection-cut"
         ] == [unsent_bytes]
+
+
+@dataclasses.dataclass
+class StoppedUpload:
+    """A server that is stopped while it receives the body of a request."""
+
+    stopping: asyncio.Task[None]
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+
+@contextlib.asynccontextmanager
+async def stopped_upload() -> AsyncIterator[StoppedUpload]:
+    started = asyncio.Event()
+
+    async def receive(request: web.Request) -> web.Response:
+        started.set()
+        return await echo(request)
+
+    application = web.Application()
+    application.router.add_post("/{name}", receive)
+    server = http_server.HttpServer("127.0.0.1", 0, MAX_HEADER_BYTES)
+    stack = contextlib.AsyncExitStack()
+    await server.serve(application, stack)
+    address = server.address
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(b"POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab")
+    await started.wait()
+
+    async def stop() -> None:
+        await server.stop_listening()
+        await stack.aclose()
+
+    stopping = asyncio.create_task(stop())
+    try:
+        yield StoppedUpload(stopping, reader, writer)
+    finally:
+        stopping.cancel()
+        writer.close()
+
+
+# Guards against a stop that reads nothing any more: the request got no answer, and the
+# process ended after 60 s.
+async def test_stop_listening_receives_uploads_to_their_end() -> None:
+    async with stopped_upload() as upload:
+        await asyncio.sleep(2 * http_server.IN_TRANSIT_REQUESTS_WAIT_S)
+        upload.writer.write(b"cd")
+        received = await upload.reader.read()
+        assert received.endswith(b"\r\n\r\n/1abcd")
+        assert b"\r\nConnection: close\r\n" in received
+        await upload.stopping
+
+
+async def test_stop_listening_cuts_an_upload_that_does_not_end(
+    logged: list[dict[str, object]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http_connection, "FINISH_LIMIT_S", 0.0)
+    async with stopped_upload() as upload:
+        await upload.stopping
+        assert "entry.connection-cut" in [m.get("message_type") for m in logged]
+
+
+# Guards against a stop that waits for clients which keep their connections open.
+async def test_stop_listening_does_not_wait_for_idle_connections(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    application = web.Application()
+    application.router.add_get("/{name}", echo)
+    async with contextlib.AsyncExitStack() as stack:
+        server = http_server.HttpServer("127.0.0.1", 0, MAX_HEADER_BYTES)
+        await server.serve(application, stack)
+        address = server.address
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        stack.callback(writer.close)
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+        await reader.readuntil(b"/1")
+        monkeypatch.setattr(http_connection, "FINISH_LIMIT_S", None)
+        await server.stop_listening()
