Daemon: bound the drain by the deadlines of requests

A planned stop of a yuccapitchd never ended if one client did not read its response; whoever supervised it had to kill the process, and with it all that was still due.

Cause: the drain waited without limit until no request was in flight. The deadline of a request bounds what its endpoint may take, not the writes of a streamed response to the client.

The drain now ends when the longest deadline of all routes has passed since requests were refused, and logs how many are still in flight.

Evidence: a client of a 20 MB response that reads 10 bytes and then none; the process was still running 75 s after SIGTERM, after entry.drain-started.

--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -163,7 +163,8 @@
         """Drain the instance.
 
         The instance leaves the lookup responses, waits until cached ones have expired,
-        stops accepting requests and completes those in flight.
+        stops accepting requests and completes those in flight. It does not wait beyond
+        their deadlines: a client that does not read its response is no reason to.
         """
         started_at = self._dependencies.clock()
         events.event("entry.drain-started", in_flight=self.state.in_flight)
@@ -171,11 +172,16 @@
         await self._wait_until_stop_known(started_at)
         await asyncio.sleep(self._cached_response_lifetime_s())
         self.state.accepts_requests = False
-        while self.state.in_flight:
+        expired_at = self._dependencies.clock() + self._longest_deadline_s()
+        while self.state.in_flight and self._dependencies.clock() < expired_at:
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         duration_s = self._dependencies.clock() - started_at
         self._dependencies.metrics.record_drain("instance", duration_s)
-        events.event("entry.drain-finished", duration_s=round(duration_s, 3))
+        events.event(
+            "entry.drain-finished",
+            duration_s=round(duration_s, 3),
+            in_flight=self.state.in_flight,
+        )
 
     def _register_gauges(self) -> None:
         metrics = self._dependencies.metrics
@@ -227,6 +233,13 @@
         ttl_s = max((service.answer_ttl_s for service in services), default=0.0)
         return ttl_s + self._dependencies.settings.drain_linger_s
 
+    def _longest_deadline_s(self) -> float:
+        view = self.state.view
+        if view is None:
+            return 0.0
+        services = view.declaration.services_by_id
+        return max(map(view.longest_deadline_s, services), default=0.0)
+
     async def _close_if_stopping(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
--- a/packages/node/tests/test_http_server.py
+++ b/packages/node/tests/test_http_server.py
@@ -4,9 +4,8 @@
 import contextlib
 import dataclasses
 import socket
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 
-import eliot
 import pytest
 from aiohttp import web
 
@@ -20,14 +19,6 @@
 """Turns of the event loop within which a stop ends that waits for nothing."""
 
 
-@pytest.fixture
-def logged() -> Iterator[list[dict[str, object]]]:
-    messages: list[dict[str, object]] = []
-    eliot.add_destinations(messages.append)
-    yield messages
-    eliot.remove_destination(messages.append)
-
-
 class SlowDownload:
     """A response that its client has not read when the server is stopped."""
 
