Daemon: a close no longer discards responses that are on their way

A client of a yuccapitchd that was still sending when its connection was closed, after a refused head or a response with Connection: close, could lose the rest of that response and of those before it.

Cause: the server closed its socket while bytes of the client were unread or still arriving. The kernel answers them with a reset and drops what it has not delivered. Class: a close that doesn't know what is still on its way; the routed roles linger for this since they speak HTTP themselves.

A transport around asyncio's now lingers: if a response was written within the last second or is not sent yet, it closes the sending direction, goes on reading and drops what it reads, and closes after a second or when the client does. Idle connections are still closed at once, so that a request that crosses the close is reset and sent again. A stop waits for it within the 10 s that it gives to unsent responses.

test_connection_delivers_responses_before_it_closes failed before with "assert 223076 == 300000" bytes of the first response for a refused long head, whose own 431 was lost as well, and "assert 223057 == 300000" for bytes after the last request; the case of a malformed head passed before as well.

--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -11,6 +11,7 @@
 from aiohttp import http_exceptions, web, web_protocol
 
 from yuccapitch.gateway import outcomes
+from yuccapitch.node import lingering_transport
 from yuccapitch.protocol import events
 
 HEAD_TIMEOUT_S = 10.0
@@ -68,11 +69,15 @@
 
     async def shutdown(self, timeout: float | None = None) -> None:
         """Close the connections and wait until their responses are sent."""
-        transports = list(self._connections.values())
+        transports = [
+            connection.wrapped_transport
+            for connection in self.connections
+            if isinstance(connection, Connection)
+        ]
         await super().shutdown(timeout)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SEND_LIMIT_S):
-                await _wait_until_sent(transports)
+                await _wait_until_finished(transports)
         for transport in transports:
             if transport.get_write_buffer_size():
                 _cut(transport)
@@ -81,6 +86,8 @@
 class Connection(web_protocol.RequestHandler):
     """One connection from a client."""
 
+    wrapped_transport: lingering_transport.LingeringTransport
+
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self._head_timer: asyncio.TimerHandle | None = None
@@ -100,8 +107,18 @@
         """Whether requests that were read wait behind the one being answered."""
         return bool(self._messages)
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to serve the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self.wrapped_transport = lingering_transport.LingeringTransport(
+            transport, self._loop
+        )
+        super().connection_made(self.wrapped_transport)
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes and limit the size and time of an incomplete request head."""
+        if self.wrapped_transport.is_lingering:
+            return
         super().data_received(data)
         if self._waiter is not None and not self._waiter.done():
             self._count_incomplete_head(len(data))
@@ -169,9 +186,11 @@
     transport.abort()
 
 
-async def _wait_until_sent(transports: Sequence[asyncio.Transport]) -> None:
+async def _wait_until_finished(
+    transports: Sequence[lingering_transport.LingeringTransport],
+) -> None:
     # A closed transport still sends what it holds, but only while the loop runs.
-    while any(transport.get_write_buffer_size() for transport in transports):
+    while not all(transport.is_finished for transport in transports):
         await asyncio.sleep(STOP_CHECK_INTERVAL_S)
 
 
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/lingering_transport.py
@@ -0,0 +1,95 @@
+"""Transport that closes a connection without discarding its last response."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+LINGER_S = 1.0
+"""Time for which a closed connection is still read.
+
+Closing a socket with unread bytes sends a reset, which may discard the last response
+before the client has read it.
+"""
+
+
+class LingeringTransport(asyncio.Transport):
+    """A transport whose ``close`` goes on reading for a while after a response."""
+
+    def __init__(
+        self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        super().__init__()
+        self._transport = transport
+        self._loop = loop
+        self._written_at = float("-inf")
+        self.is_lingering = False
+        """Whether the connection was closed, so that received bytes are discarded."""
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether everything is sent and nothing is read any more."""
+        is_read = self.is_lingering and not self._transport.is_closing()
+        return not is_read and not self.get_write_buffer_size()
+
+    def write(self, data: bytes | bytearray | memoryview[Any]) -> None:
+        """Send bytes."""
+        self._written_at = self._loop.time()
+        self._transport.write(data)
+
+    def writelines(
+        self, list_of_data: Iterable[bytes | bytearray | memoryview[Any]]
+    ) -> None:
+        """Send several pieces of bytes."""
+        self._written_at = self._loop.time()
+        self._transport.writelines(list_of_data)
+
+    def close(self) -> None:
+        """Close the connection; read it for a while if a response is on its way."""
+        if self.is_closing():
+            return
+        is_idle = self._loop.time() - self._written_at >= LINGER_S
+        if (is_idle and not self.get_write_buffer_size()) or not self.can_write_eof():
+            # A request that crosses the close is reset instead of being read and
+            # dropped, so that its client sends it again at once.
+            self._transport.close()
+            return
+        self.is_lingering = True
+        self._transport.resume_reading()
+        self._transport.write_eof()
+        self._loop.call_later(LINGER_S, self._end_lingering)
+
+    def _end_lingering(self) -> None:
+        if self.get_write_buffer_size() and not self._transport.is_closing():
+            self._loop.call_later(LINGER_S, self._end_lingering)
+        else:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close the connection and discard what is not sent."""
+        self._transport.abort()
+
+    def is_closing(self) -> bool:
+        """Return whether the connection is closed or about to be."""
+        return self.is_lingering or self._transport.is_closing()
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Return information on the connection."""
+        return self._transport.get_extra_info(name, default)
+
+    def get_write_buffer_size(self) -> int:
+        """Return the number of bytes that are not sent yet."""
+        return self._transport.get_write_buffer_size()
+
+    def can_write_eof(self) -> bool:
+        """Return whether the connection can be closed for one direction."""
+        return self._transport.can_write_eof()
+
+    def pause_reading(self) -> None:
+        """Stop reading."""
+        self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        self._transport.resume_reading()
--- a/packages/node/tests/test_http_connection.py
+++ b/packages/node/tests/test_http_connection.py
@@ -1,12 +1,20 @@
 from __future__ import annotations
 
+import asyncio
 import contextlib
 
 import aiohttp
+import pytest
 from aiohttp import web
 
 from yuccapitch.node import http_server
 
+BODY_BYTES = 300_000
+TRAILING_BYTES = 1_000_000
+READ_BYTES = 65_536
+LONG_HEAD = b"GET / HTTP/1.1\r\n" + 100 * (b"X: " + 8000 * b"a" + b"\r\n")
+HEAD_START = b"HTTP/1.1 200"
+
 
 async def crash(request: web.Request) -> web.Response:
     raise ValueError("internal detail")
@@ -25,3 +33,46 @@
             assert (response.status, answer["error"]) == (500, "internal-error")
             assert response.headers["Yuccapitch-Outcome"] == "unknown"
             assert "internal detail" not in answer["message"]
+
+
+# Guards against a reset, sent for bytes that the server has not read, which discards
+# the responses before it.
+@pytest.mark.parametrize(
+    ("first_headers", "next_bytes", "last_status"),
+    [
+        (b"", LONG_HEAD, b"HTTP/1.1 431"),
+        (b"", b"nonsense\r\n\r\n", b"HTTP/1.0 400"),
+        (b"Connection: close\r\n", b"nonsense\r\n\r\n", b""),
+    ],
+    ids=["long-head", "malformed", "after-the-last"],
+)
+async def test_connection_delivers_responses_before_it_closes(
+    first_headers: bytes, next_bytes: bytes, last_status: bytes
+) -> None:
+    started = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.Response:
+        started.set()
+        return web.Response(body=bytes(BODY_BYTES))
+
+    app = web.Application()
+    app.router.add_get("/", answer)
+    server = http_server.HttpServer("127.0.0.1", 0, 16_384)
+    async with contextlib.AsyncExitStack() as stack:
+        await server.serve(app, stack)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", server.address.port, limit=1
+        )
+        stack.callback(writer.close)
+        received = b""
+        with contextlib.suppress(ConnectionError):
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n" + first_headers + b"\r\n")
+            await started.wait()
+            writer.write(next_bytes + TRAILING_BYTES * b"a")
+            await writer.drain()
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(READ_BYTES):
+                received += data
+    body = received.partition(b"\r\n\r\n")[2]
+    assert len(body[:BODY_BYTES]) == BODY_BYTES
+    assert body[BODY_BYTES:][: len(HEAD_START)] == last_status
