Gateway: answer requests that are aborted without a lease

Callers of an instance that stayed without its configuration lease for more than 5 s lost requests without an answer: those in progress, which are aborted then because their units of shared limits are counted no longer, and new ones with a key, which were to be refused with 503 no-lease.

Cause: aborting cancelled the handlers, and aiohttp closes the connection of a cancelled handler. It was repeated in each tick (50 ms) while the lease was gone, and took along every request, also those whose key was being voided for a refusal and that hold nothing.

A request that is aborted now gets 504 lease-lost with the outcome unknown, unless its response has begun: then the connection is cut as before. Only requests that were not refused for want of a lease are aborted, and each once.

Failed before, both with "ServerDisconnectedError: Server disconnected": test_abort_all_answers_requests_in_progress, test_abort_all_does_not_abort_refusals.

--- a/packages/gateway/src/yuccapitch/gateway/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/request_path.py
@@ -70,24 +70,35 @@
         self._max_in_flight = max_in_flight
         self._clock = clock
         self._rng = rng
-        self._tasks: set[asyncio.Task[object]] = set()
+        self._abortable_tasks: set[asyncio.Task[object]] = set()
+        """Tasks of requests that were not refused and may hold units of limits."""
+        self._aborted_tasks: set[asyncio.Task[object]] = set()
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Return an endpoint's response, or a failure that states the outcome."""
         self._state.in_flight += 1
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
+        task = _current_task()
         try:
             return await self._serve(request)
+        except asyncio.CancelledError:
+            has_response = request.writer.output_size > 0
+            if task not in self._aborted_tasks or has_response:
+                raise
+            # The request was cancelled by ``abort_all`` and its client is still there.
+            task.uncancel()
+            return self._failure_response(_aborted_failure())
         finally:
-            self._tasks.discard(task)
+            self._abortable_tasks.discard(task)
+            self._aborted_tasks.discard(task)
             self._state.in_flight -= 1
 
     def abort_all(self) -> None:
         """Abort the requests in flight: their units of shared limits are reassigned."""
-        for task in self._tasks:
+        for task in self._abortable_tasks:
             task.cancel()
+        # Each is aborted once only, since a repeated call would cancel its answer.
+        self._aborted_tasks |= self._abortable_tasks
+        self._abortable_tasks.clear()
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         started_at = self._clock()
@@ -124,6 +135,7 @@
         refusal = self._unavailable_failure(self._clock())
         if refusal is not None:
             return await self._void_and_refuse(parsed, refusal)
+        self._abortable_tasks.add(_current_task())
         buffered = await self._buffer_body(request, parsed)
         if isinstance(buffered, result.Err):
             return await self._void_and_refuse(parsed, buffered.err_value)
@@ -162,6 +174,7 @@
         refusal = self._unavailable_failure(self._clock())
         if refusal is not None:
             return self._failure_response(refusal)
+        self._abortable_tasks.add(_current_task())
         buffered = await self._buffer_body(request, parsed)
         if isinstance(buffered, result.Err):
             return self._failure_response(buffered.err_value)
@@ -322,6 +335,12 @@
         return 0 if self._state.view is None else self._state.view.version
 
 
+def _current_task() -> asyncio.Task[object]:
+    task = asyncio.current_task()
+    assert task is not None
+    return task
+
+
 def _home_region(
     request: web.Request, view: config_view.ConfigView, local_region: ids.RegionId
 ) -> ids.RegionId:
@@ -349,6 +368,11 @@
     return outcomes.Failure(503, "no-lease", message, outcome, retry_after_s=1)
 
 
+def _aborted_failure() -> outcomes.Failure:
+    message = "the instance lost its configuration lease while it served the request"
+    return outcomes.Failure(504, "lease-lost", message, outcomes.Outcome.UNKNOWN)
+
+
 def _voided_failure(parsed: request_parsing.ParsedRequest) -> outcomes.Failure:
     message = (
         f"attempt {parsed.attempt} of the key was refused before and never runs; to"
