Daemon: linger after a response has been sent, not after it was written

On a slow link the lingering close could still discard a response: the second for which a closed connection is read was counted in whole seconds from the close, and ended up to a second too early after a response that took long to send; and a connection whose long response had just been sent counted as idle if it was written more than a second ago. Found by reading, after the same fault of the routed server.

The second now begins once the transport holds nothing more, and a transport that gets below its write limit notes the time.

test_close_lingers_once_the_response_is_sent failed before with "assert not True" (closed 0.2 s after the last byte); test_close_lingers_after_a_response_that_took_long_to_send can't run on the code before, which has no mark_sent; test_close_ends_an_idle_connection_at_once passed before as well.

--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -115,6 +115,11 @@
         )
         super().connection_made(self.wrapped_transport)
 
+    def resume_writing(self) -> None:
+        """Continue to write after most of a long response has been sent."""
+        self.wrapped_transport.mark_sent()
+        super().resume_writing()
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes and limit the size and time of an incomplete request head."""
         if self.wrapped_transport.is_lingering:
--- a/packages/node/src/yuccapitch/node/lingering_transport.py
+++ b/packages/node/src/yuccapitch/node/lingering_transport.py
@@ -12,6 +12,7 @@
 Closing a socket with unread bytes sends a reset, which may discard the last response
 before the client has read it.
 """
+SEND_CHECK_INTERVAL_S = 0.05
 
 
 class LingeringTransport(asyncio.Transport):
@@ -23,7 +24,7 @@
         super().__init__()
         self._transport = transport
         self._loop = loop
-        self._written_at = float("-inf")
+        self._last_sent_at = float("-inf")
         self.is_lingering = False
         """Whether the connection was closed, so that received bytes are discarded."""
 
@@ -35,21 +36,25 @@
 
     def write(self, data: bytes | bytearray | memoryview[Any]) -> None:
         """Send bytes."""
-        self._written_at = self._loop.time()
+        self._last_sent_at = self._loop.time()
         self._transport.write(data)
 
     def writelines(
         self, list_of_data: Iterable[bytes | bytearray | memoryview[Any]]
     ) -> None:
         """Send several pieces of bytes."""
-        self._written_at = self._loop.time()
+        self._last_sent_at = self._loop.time()
         self._transport.writelines(list_of_data)
 
+    def mark_sent(self) -> None:
+        """Note that bytes which were written earlier have been sent just now."""
+        self._last_sent_at = self._loop.time()
+
     def close(self) -> None:
         """Close the connection; read it for a while if a response is on its way."""
         if self.is_closing():
             return
-        is_idle = self._loop.time() - self._written_at >= LINGER_S
+        is_idle = self._loop.time() - self._last_sent_at >= LINGER_S
         if (is_idle and not self.get_write_buffer_size()) or not self.can_write_eof():
             # A request that crosses the close is reset instead of being read and
             # dropped, so that its client sends it again at once.
@@ -58,13 +63,15 @@
         self.is_lingering = True
         self._transport.resume_reading()
         self._transport.write_eof()
-        self._loop.call_later(LINGER_S, self._end_lingering)
+        self._linger_once_sent()
 
-    def _end_lingering(self) -> None:
-        if self.get_write_buffer_size() and not self._transport.is_closing():
-            self._loop.call_later(LINGER_S, self._end_lingering)
+    def _linger_once_sent(self) -> None:
+        if self._transport.is_closing():
+            return
+        if self.get_write_buffer_size():
+            self._loop.call_later(SEND_CHECK_INTERVAL_S, self._linger_once_sent)
         else:
-            self._transport.close()
+            self._loop.call_later(LINGER_S, self._transport.close)
 
     def abort(self) -> None:
         """Close the connection and discard what is not sent."""
