--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -37,6 +37,8 @@
 # Part of the grace period that is reserved for the last responses and closing
 # connections.
 STOP_MARGIN_S = 0.5
+# Least time before those responses in which a request is still sent to an endpoint.
+MIN_RESPONSE_TIME_S = 0.5
 # Time after the stop signal within which requests are taken without regard to whether
 # they end in time. Clients that follow the lookup send few later ones.
 MAX_UNCHECKED_STOP_S = 3.0
@@ -158,7 +160,7 @@
         self._path.stop(
             planned_stop.StopSchedule(
                 late_from=stopped_at + min(listens_for_s, MAX_UNCHECKED_STOP_S),
-                no_places_from=ends_at - STOP_MARGIN_S,
+                no_places_from=ends_at - MIN_RESPONSE_TIME_S,
                 ends_at=ends_at,
             )
         )
