Client: limit the memory of a response's fields, discard trailers

Cause: trailer lines were stored as header fields. The limit on the head didn't apply after the final headers, and the limit on a response counts bytes on the wire, while a short field takes some thirty times its size as objects. The same holds for a head of empty fields. An incomplete trailer field stays in the parser.

Change: trailer fields are counted and discarded; header fields are limited and charged by the memory they take; bytes that complete neither a field nor a part of the body are limited.

--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -19,8 +19,14 @@
 DEFAULT_KEEP_ALIVE_TIMEOUT_S = 5.0
 # Time that sent data may stay unacknowledged before the kernel drops the connection.
 TCP_USER_TIMEOUT_MS = 1500
-# Limit on the bytes before the body of a response, with its interim responses.
+# Limit on the bytes before the body of a response, with its interim responses, and on
+# the memory that its header fields take.
 MAX_HEAD_BYTES = 256 * 1024
+# Limit on the bytes of the trailer section of a chunked response, which is discarded.
+MAX_TRAILER_BYTES = 64 * 1024
+# Limit on the bytes that the parser reads without completing a field or a part of the
+# body: it keeps an incomplete trailer field.
+MAX_INCOMPLETE_FIELD_BYTES = 64 * 1024
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # Limit on the bytes of all incomplete responses together, a third of the memory of a
 # small instance.
@@ -87,6 +93,9 @@
         self._clock = clock
         self._budget = budget or ResponseBudget()
         self._head_bytes = 0
+        self._head_memory_bytes = 0
+        self._trailer_bytes = 0
+        self._incomplete_field_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser
         self._future: asyncio.Future[messages.Response | Failure] | None = None
@@ -122,7 +131,9 @@
             return Failure(Fault.BROKEN, False, "closed while idle", True)
         self._future = asyncio.get_running_loop().create_future()
         self._matches_request, self._is_head = matches_request, is_head
-        self._head_bytes, self._has_final_headers = 0, False
+        self._head_bytes = self._head_memory_bytes = self._trailer_bytes = 0
+        self._incomplete_field_bytes = 0
+        self._has_final_headers = False
         was_reused = self.use_count > 0
         self.use_count += 1
         self._transport.write(data)
@@ -163,8 +174,14 @@
             self.close()
             return
         self._budget.record(self, len(data))
+        self._incomplete_field_bytes += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            if not isinstance(cause, _ResponseRejected):
+                raise
+            self.fail(str(cause))
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # The response itself may be complete and only the bytes after it invalid.
             self.is_usable = False
@@ -173,6 +190,8 @@
             self._head_bytes += len(data)
             if self._head_bytes > MAX_HEAD_BYTES:
                 self.fail("response head exceeds the size limit")
+        elif self._incomplete_field_bytes > MAX_INCOMPLETE_FIELD_BYTES:
+            self.fail("response has an endless trailer field or chunk extension")
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the connection."""
@@ -200,7 +219,18 @@
         self._has_final_headers = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
+        """Store a header field; discard a trailer field."""
+        self._incomplete_field_bytes = 0
+        if self._has_headers:
+            self._trailer_bytes += messages.field_size(name, value)
+            if self._trailer_bytes > MAX_TRAILER_BYTES:
+                raise _ResponseRejected("trailer section exceeds the size limit")
+            return
+        memory_bytes = messages.field_memory_size(name, value)
+        self._budget.record(self, memory_bytes)
+        self._head_memory_bytes += memory_bytes
+        if self._head_memory_bytes > MAX_HEAD_BYTES:
+            raise _ResponseRejected("response head exceeds the size limit")
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -220,6 +250,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a body chunk."""
+        self._incomplete_field_bytes = 0
         self._body += body
 
     def on_message_complete(self) -> None:
@@ -321,5 +352,12 @@
     return None
 
 
+class _ResponseRejected(Exception):
+    """Rejection raised in a parser callback.
+
+    The parser reports it as the ``__context__`` of an HttpParserCallbackError.
+    """
+
+
 def _match_any(response: messages.Response) -> bool:
     return True
--- a/packages/gateway/src/yuccapitch/gateway/http1/messages.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/messages.py
@@ -7,6 +7,12 @@
 
 HeaderList = list[tuple[bytes, bytes]]
 
+# Bytes of a field line beside the name and the value: a colon, a space and the line end.
+FIELD_SEPARATOR_BYTES = 4
+# Memory of a stored field beside the characters of its name and value: a tuple, two
+# bytes objects and the slot in the list.
+FIELD_OBJECT_BYTES = 160
+
 # Hop-by-hop headers (RFC 9110, section 7.6.1), which apply to one connection only, and
 # Content-Length, which the encoders below add for each connection.
 CONNECTION_HEADERS = frozenset(
@@ -59,6 +65,16 @@
         return find_header(self.headers, name)
 
 
+def field_size(name: bytes, value: bytes) -> int:
+    """Return the size of a header or trailer field on the wire, in bytes."""
+    return len(name) + len(value) + FIELD_SEPARATOR_BYTES
+
+
+def field_memory_size(name: bytes, value: bytes) -> int:
+    """Return about how much memory a stored header field takes, in bytes."""
+    return len(name) + len(value) + FIELD_OBJECT_BYTES
+
+
 def find_header(headers: HeaderList, name: bytes) -> bytes | None:
     """Return the value of the first header with this lower-case name."""
     for key, value in headers:
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 
 import pytest
 
@@ -151,6 +152,8 @@
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 # More than any limit of the client, and little enough for a test machine.
 ENDLESS_BYTES = 160 * 1024 * 1024
+# Memory that the fields of one response may take, with the buffers of both sides.
+MAX_FIELDS_MEMORY_BYTES = 4 * 1024 * 1024
 
 
 class EndlessEndpoint:
@@ -220,6 +223,38 @@
         assert source.sent_bytes < ENDLESS_BYTES
 
 
+# Guards against an entry instance that is ended for the memory of one response, with the
+# requests of its other clients: short fields take many times their size as objects.
+@pytest.mark.parametrize(
+    ("beginning", "repeated"),
+    [
+        (HEAD, b"a:\r\n"),
+        (CHUNKED_HEAD + b"4\r\nbody\r\n0\r\n", b"a: b\r\n"),
+        (CHUNKED_HEAD + b"0\r\nPadding: ", b"x"),
+        (CHUNKED_HEAD + b"1;", b"x"),
+        (b"", b"HTTP/1.1 103 Early\r\na:\r\n\r\n"),
+    ],
+    ids=["headers", "trailers", "trailer", "extension", "interim"],
+)
+async def test_exchange_bounds_the_memory_of_fields_without_end(beginning, repeated):
+    async with endless(beginning, repeated) as source:
+        tracemalloc.start()
+        try:
+            outcome = await send(source.pool)
+            _, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert isinstance(outcome, client.Failure)
+    assert peak_bytes < MAX_FIELDS_MEMORY_BYTES
+
+
+async def test_exchange_discards_the_trailer_section_of_a_response():
+    async with endpoint(CHUNKED) as pool:
+        response = await send(pool)
+    assert response.body == b"helloabc"
+    assert response.header(b"trailer") is None
+
+
 # Guards against several endpoints that fill the memory together, each below the limit
 # of one response.
 async def test_exchange_ends_the_largest_response_when_all_exceed_the_budget():
