Control: a delayed copy of an evacuation order has no effect

A control instance that was suspended passed on an order to end an evacuation whose caller had given up a second after sending it. The caller had ended the evacuation through another instance and started it again; both were acknowledged.

Cause: such an order had nothing by which the log could tell that it is old, and an instance acted for a caller that had left, as the end of the connection is read only after the handler has started.

Change: an instance proposes nothing for a caller whose connection has ended, as known to the kernel. An order carries the log index of the last order for its failure domain that its instance knew; the state machine ignores it after a later one, also when the copy was delayed on its link. An instance that lags behind learns the index and proposes the order again if its caller still waits.

--- a/packages/control/src/yuccapitch/control/coordinator.py
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import time
 import typing
 import zlib
@@ -60,11 +61,24 @@
 ELECTION_CHECK_INTERVAL_S = 0.02
 # Instances named in a log line that may concern the whole fleet.
 MAX_LOGGED_INSTANCES = 5
+MAX_LOGGED_ORDER_CHARS = 100
 # Interval at which an election that fails again in the same way is logged.
 FAILED_ELECTION_LOG_INTERVAL_S = 5.0
 
 
 PollReply = messages.PollResponse | messages.PollRefusal
+Order = messages.RouteDeclaration | messages.EvacuationOrder
+
+
+@dataclasses.dataclass(frozen=True)
+class _Superseded:
+    """A later order for the same failure domain was committed before."""
+
+    index: int
+    """Log index of that order."""
+
+
+_SubmitError = _Superseded | str
 
 
 class Coordinator:
@@ -193,27 +207,42 @@
             elif self._endpoint_reader.is_due(self._clock()):
                 await self._update_endpoints()
 
-    async def submit(self, command: bytes) -> result.Result[None, str]:
+    async def submit(
+        self, order: Order, is_awaited: Callable[[], bool]
+    ) -> result.Result[None, str]:
         """Commit an order and wait until it is in force, forwarding it to the leader.
 
         An error does not mean that the order was not committed. It can be sent again
-        and is acknowledged once it is in force.
+        and is acknowledged once it is in force. ``is_awaited`` returns whether the
+        caller still waits for the order; otherwise, the caller may have given a later
+        one through another instance, so nothing is proposed on its behalf.
         """
-        if self._replica.is_leader:
-            return await self._commit(command)
-        reply = await self._request_leader(messages.SubmitRequest(command))
-        if isinstance(reply, result.Err):
-            return reply
-        answer = reply.ok_value
-        if isinstance(answer, messages.SubmitResponse) and answer.is_committed:
-            return result.Ok(None)
-        return result.Err(getattr(answer, "detail", "the leader gave no answer"))
+        deadline = self._clock() + FORWARD_TIMEOUT_S
+        if isinstance(order, messages.EvacuationOrder):
+            known_index = self._state.evacuation_index(order.failure_domain)
+            order = dataclasses.replace(order, based_on=known_index)
+        while is_awaited():
+            outcome = await self._submit_once(codec.encode(order), deadline)
+            if isinstance(outcome, result.Ok):
+                return outcome
+            error = outcome.err_value
+            if not isinstance(error, _Superseded):
+                return result.Err(error)
+            if self._clock() >= deadline:
+                return result.Err("other orders for the failure domain came before")
+            # This instance didn't know the latest order. If the caller still waits
+            # after the leader has told of it, the caller's order is the later one.
+            assert isinstance(order, messages.EvacuationOrder)
+            order = dataclasses.replace(order, based_on=error.index)
+        events.event("order.abandoned", order=repr(order)[:MAX_LOGGED_ORDER_CHARS])
+        return result.Err("the caller has left")
 
     async def read(self) -> result.Result[messages.StateSnapshot, str]:
         """Return the latest order state, confirmed by a quorum (linearizable read)."""
         if self._replica.is_leader:
             return await self._read_locally()
-        reply = await self._request_leader(messages.ReadRequest())
+        deadline = self._clock() + FORWARD_TIMEOUT_S
+        reply = await self._request_leader(messages.ReadRequest(), deadline)
         if isinstance(reply, result.Err):
             return reply
         answer = reply.ok_value
@@ -221,10 +250,28 @@
             return result.Ok(answer.state)
         return result.Err("the leader could not confirm its state")
 
-    async def _commit(self, command: bytes) -> result.Result[None, str]:
+    async def _submit_once(
+        self, command: bytes, deadline: float
+    ) -> result.Result[None, _SubmitError]:
+        if self._replica.is_leader:
+            return await self._commit(command, deadline)
+        reply = await self._request_leader(messages.SubmitRequest(command), deadline)
+        if isinstance(reply, result.Err):
+            return result.Err(reply.err_value)
+        answer = reply.ok_value
+        if not isinstance(answer, messages.SubmitResponse):
+            return result.Err("the leader gave no answer")
+        if answer.is_committed:
+            return result.Ok(None)
+        if answer.superseded_by is not None:
+            return result.Err(_Superseded(answer.superseded_by))
+        return result.Err(answer.detail)
+
+    async def _commit(
+        self, command: bytes, deadline: float
+    ) -> result.Result[None, _SubmitError]:
         """Commit an order and wait until it is in force."""
         now = self._clock()
-        deadline = now + FORWARD_TIMEOUT_S
         if self.is_leader:
             # The leases of an earlier leader are on the state before this order.
             self._ensure_leadership_begun(now)
@@ -232,7 +279,8 @@
             committed = await self._propose(command)
             if isinstance(committed, result.Err):
                 return committed
-        return await self._wait_in_force(self._state.index, deadline)
+        in_force = await self._wait_in_force(self._state.index, deadline)
+        return in_force.map_err(lambda detail: detail)
 
     def _is_held(self, command: bytes) -> bool:
         """Whether the routes in use have a declaration's revision or a later one."""
@@ -243,7 +291,7 @@
             and order.revision <= self._state.revision
         )
 
-    async def _propose(self, command: bytes) -> result.Result[None, str]:
+    async def _propose(self, command: bytes) -> result.Result[None, _SubmitError]:
         started_at = self._clock()
         try:
             async with asyncio.timeout(FORWARD_TIMEOUT_S):
@@ -251,6 +299,8 @@
         except TimeoutError:
             outcome = None
         if isinstance(outcome, result.Ok):
+            if outcome.ok_value is orders.OrderOutcome.SUPERSEDED:
+                return result.Err(self._find_superseding(command))
             return result.Ok(None)
         detail = (
             "no quorum in time" if outcome is None else _error_text(outcome.err_value)
@@ -259,6 +309,10 @@
         events.event("order.failed", reason=detail, waited_ms=waited_ms)
         return result.Err(detail)
 
+    def _find_superseding(self, command: bytes) -> _Superseded:
+        order: messages.EvacuationOrder = codec.decode(command).unwrap()
+        return _Superseded(self._state.evacuation_index(order.failure_domain))
+
     async def _wait_in_force(
         self, state_index: int, deadline: float
     ) -> result.Result[None, str]:
@@ -322,8 +376,9 @@
             return result.Err("leadership was lost")
         return result.Ok(self._state.message())
 
-    async def _request_leader(self, message: object) -> result.Result[typing.Any, str]:
-        deadline = self._clock() + FORWARD_TIMEOUT_S
+    async def _request_leader(
+        self, message: object, deadline: float
+    ) -> result.Result[typing.Any, str]:
         leader_id = self._replica.leader_id
         while leader_id in (None, self._instance_id):
             if self._clock() + LEADER_CHECK_INTERVAL_S > deadline:
@@ -343,9 +398,13 @@
     ) -> messages.SubmitResponse:
         if not self._replica.is_leader:
             return messages.SubmitResponse(False, "not the leader")
-        outcome = await self._commit(request.command)
+        deadline = self._clock() + FORWARD_TIMEOUT_S
+        outcome = await self._commit(request.command, deadline)
         if isinstance(outcome, result.Err):
-            return messages.SubmitResponse(False, outcome.err_value)
+            error = outcome.err_value
+            if isinstance(error, _Superseded):
+                return messages.SubmitResponse(False, "superseded", error.index)
+            return messages.SubmitResponse(False, error)
         return messages.SubmitResponse(True, "")
 
     async def _on_read(
--- a/packages/control/src/yuccapitch/control/orders.py
+++ b/packages/control/src/yuccapitch/control/orders.py
@@ -19,6 +19,7 @@
 
     APPLIED = "applied"
     UNCHANGED = "unchanged"
+    SUPERSEDED = "superseded"
 
 
 NO_REVISION = -1
@@ -32,6 +33,7 @@
         self._revision = NO_REVISION
         self._content = b""
         self._evacuated_domains: set[str] = set()
+        self._evacuation_indexes_by_domain: dict[str, int] = {}
         self._index = 0
 
     @property
@@ -44,6 +46,10 @@
         """Revision of the current routes, ``NO_REVISION`` before the first."""
         return self._revision
 
+    def evacuation_index(self, failure_domain: str) -> int:
+        """Return the log index of the last order for a failure domain, 0 for none."""
+        return self._evacuation_indexes_by_domain.get(failure_domain, 0)
+
     def apply(self, index: int, command: bytes) -> OrderOutcome:
         """Apply a committed order."""
         decoded = codec.decode(command)
@@ -54,26 +60,31 @@
         order = decoded.ok_value
         match order:
             case messages.RouteDeclaration():
-                changed = self._declare(order)
+                outcome = self._declare(order)
                 fields: dict[str, object] = {"revision": order.revision}
             case messages.EvacuationOrder():
-                changed = self._evacuate(order)
+                outcome = self._evacuate(index, order)
                 fields = dataclasses.asdict(order)
             case _:
                 raise AssertionError(
                     f"committed order {index} has the type {type(order).__name__}"
                 )
-        if not changed:
-            events.event("order.unchanged", index=index, held=self._revision, **fields)
-            return OrderOutcome.UNCHANGED
-        self._index = index
-        events.event("order.applied", index=index, held=self._revision, **fields)
-        return OrderOutcome.APPLIED
+        if outcome is OrderOutcome.APPLIED:
+            self._index = index
+        name = _EVENT_NAMES_BY_OUTCOME[outcome]
+        events.event(name, index=index, held=self._revision, **fields)
+        return outcome
 
     def message(self) -> messages.StateSnapshot:
         """Return the complete state as a message."""
         return messages.StateSnapshot(
-            self._revision, self._content, tuple(sorted(self._evacuated_domains))
+            self._revision,
+            self._content,
+            tuple(sorted(self._evacuated_domains)),
+            tuple(
+                messages.EvacuationIndex(domain, index)
+                for domain, index in sorted(self._evacuation_indexes_by_domain.items())
+            ),
         )
 
     def snapshot(self) -> bytes:
@@ -93,18 +104,39 @@
         self._revision = state.revision
         self._content = state.content
         self._evacuated_domains = set(state.evacuated_domains)
+        self._evacuation_indexes_by_domain = {
+            order.failure_domain: order.index
+            for order in state.evacuation_indexes or ()
+        }
 
-    def _declare(self, order: messages.RouteDeclaration) -> bool:
+    def _declare(self, order: messages.RouteDeclaration) -> OrderOutcome:
         if order.revision <= self._revision:
-            return False
+            return OrderOutcome.UNCHANGED
         self._revision, self._content = order.revision, order.content
-        return True
+        return OrderOutcome.APPLIED
 
-    def _evacuate(self, order: messages.EvacuationOrder) -> bool:
-        if order.is_evacuated == (order.failure_domain in self._evacuated_domains):
-            return False
+    def _evacuate(self, index: int, order: messages.EvacuationOrder) -> OrderOutcome:
+        domain = order.failure_domain
+        if (
+            order.based_on is not None
+            and self.evacuation_index(domain) > order.based_on
+        ):
+            # A delayed copy: its caller has sent the order again through another
+            # instance, and may have given the opposite order since.
+            return OrderOutcome.SUPERSEDED
+        # An order that changes nothing is acknowledged too, so it supersedes as well.
+        self._evacuation_indexes_by_domain[domain] = index
+        if order.is_evacuated == (domain in self._evacuated_domains):
+            return OrderOutcome.UNCHANGED
         if order.is_evacuated:
-            self._evacuated_domains.add(order.failure_domain)
+            self._evacuated_domains.add(domain)
         else:
-            self._evacuated_domains.discard(order.failure_domain)
-        return True
+            self._evacuated_domains.discard(domain)
+        return OrderOutcome.APPLIED
+
+
+_EVENT_NAMES_BY_OUTCOME = {
+    OrderOutcome.APPLIED: "order.applied",
+    OrderOutcome.UNCHANGED: "order.unchanged",
+    OrderOutcome.SUPERSEDED: "order.superseded",
+}
--- a/packages/control/tests/coordinator_harness.py
+++ b/packages/control/tests/coordinator_harness.py
@@ -9,9 +9,10 @@
 import result
 
 from yuccapitch.control import compressed_lists, coordinator, endpoint_reading, orders
-from yuccapitch.protocol import codec, subscription_messages as messages
+from yuccapitch.protocol import subscription_messages as messages
 
 A, B = "10.0.0.1:7000", "10.0.0.2:7000"
+DOMAIN = "north-a"
 
 
 def record(endpoint_id: str) -> messages.EndpointRecord:
@@ -24,6 +25,12 @@
     def __init__(self) -> None:
         self.handlers_by_type: dict[type, object] = {}
         self.sent: list[tuple[str, object]] = []
+        self.requests: list[object] = []
+        self.replies: list[object] = []
+
+    async def request(self, peer_id, message, timeout_s):
+        self.requests.append(message)
+        return result.Ok(self.replies.pop(0))
 
     def handle(self, message_type, handler) -> None:
         self.handlers_by_type[message_type] = handler
@@ -87,7 +94,14 @@
     def declare(self, revision: int) -> asyncio.Task:
         """Start to submit routes with a revision."""
         order = messages.RouteDeclaration(revision, b"routes")
-        return asyncio.ensure_future(self.coordinator.submit(codec.encode(order)))
+        return asyncio.ensure_future(self.coordinator.submit(order, lambda: True))
+
+    def evacuate(
+        self, is_evacuated: bool, is_awaited=lambda: True
+    ) -> asyncio.Task[result.Result[None, str]]:
+        """Start to submit an order for the domain ``DOMAIN``."""
+        order = messages.EvacuationOrder(DOMAIN, is_evacuated)
+        return asyncio.ensure_future(self.coordinator.submit(order, is_awaited))
 
     def report_applied(self, instance_id: str, state_index: int) -> None:
         """Deliver the report that an instance acts on a state."""
--- a/packages/control/tests/test_coordinator.py
+++ b/packages/control/tests/test_coordinator.py
@@ -247,6 +247,71 @@
     assert await submitted == result.Ok(None)
 
 
+# Guards against an order that a suspended instance reads after its caller has given up
+# and has given the opposite order through another instance.
+async def test_submit_proposes_nothing_for_a_caller_who_has_left():
+    harness = coordinator_harness.CoordinatorHarness()
+    assert await harness.evacuate(True) == result.Ok(None)
+    assert (await harness.evacuate(False, lambda: False)).is_err()
+    assert harness.state.message().evacuated_domains == (coordinator_harness.DOMAIN,)
+
+
+# Guards against the same where the copy was delayed on its link to the leader.
+async def test_submit_request_does_not_undo_a_later_order():
+    harness = coordinator_harness.CoordinatorHarness()
+    assert await harness.evacuate(True) == result.Ok(None)
+    known_index = harness.state.evacuation_index(coordinator_harness.DOMAIN)
+    delayed = messages.EvacuationOrder(coordinator_harness.DOMAIN, False, known_index)
+    assert await harness.evacuate(False) == result.Ok(None)
+    assert await harness.evacuate(True) == result.Ok(None)
+    submit = harness.links.handlers_by_type[messages.SubmitRequest]
+    reply = await submit(B, messages.SubmitRequest(codec.encode(delayed)))
+    latest_index = harness.state.evacuation_index(coordinator_harness.DOMAIN)
+    assert (reply.is_committed, reply.superseded_by) == (False, latest_index)
+    assert harness.state.message().evacuated_domains == (coordinator_harness.DOMAIN,)
+
+
+def follower_harness(*replies: object) -> coordinator_harness.CoordinatorHarness:
+    harness = coordinator_harness.CoordinatorHarness()
+    harness.replica.is_leader = False
+    harness.replica.leader_id = B
+    harness.links.replies = list(replies)
+    return harness
+
+
+# Guards against an order that is refused because its instance lags behind the leader.
+async def test_submit_repeats_a_superseded_order_of_a_caller_who_waits():
+    harness = follower_harness(
+        messages.SubmitResponse(False, "superseded", 7),
+        messages.SubmitResponse(True, ""),
+    )
+    assert await harness.evacuate(False) == result.Ok(None)
+    sent = [
+        codec.decode(request.command).ok_value for request in harness.links.requests
+    ]
+    assert [order.based_on for order in sent] == [0, 7]
+
+
+async def test_submit_drops_a_superseded_order_of_a_caller_who_has_left():
+    harness = follower_harness(messages.SubmitResponse(False, "superseded", 7))
+    answers = iter([True, False])
+    assert (await harness.evacuate(False, lambda: next(answers))).is_err()
+    assert len(harness.links.requests) == 1
+
+
+async def test_submit_ends_in_time_though_other_orders_keep_coming_before():
+    harness = follower_harness(*[messages.SubmitResponse(False, "superseded", 7)] * 99)
+    request = harness.links.request
+
+    async def delayed_request(*arguments):
+        harness.advance_clock(0.1)
+        return await request(*arguments)
+
+    harness.links.request = delayed_request
+    assert (await harness.evacuate(False)).is_err()
+    assert harness.now <= 9.0 + 1.0
+
+
 def test_boot_time_includes_suspended_time():
     before = time.clock_gettime(time.CLOCK_BOOTTIME)
     now = coordinator.boot_time_s()
--- a/packages/control/tests/test_orders.py
+++ b/packages/control/tests/test_orders.py
@@ -8,14 +8,17 @@
 from yuccapitch.protocol import codec, subscription_messages as messages
 
 APPLIED, UNCHANGED = orders.OrderOutcome.APPLIED, orders.OrderOutcome.UNCHANGED
+SUPERSEDED = orders.OrderOutcome.SUPERSEDED
 
 
 def declare(revision: int, content: bytes) -> bytes:
     return codec.encode(messages.RouteDeclaration(revision, content))
 
 
-def evacuate(domain: str, is_evacuated: bool = True) -> bytes:
-    return codec.encode(messages.EvacuationOrder(domain, is_evacuated))
+def evacuate(
+    domain: str, is_evacuated: bool = True, based_on: int | None = None
+) -> bytes:
+    return codec.encode(messages.EvacuationOrder(domain, is_evacuated, based_on))
 
 
 def test_apply_keeps_the_highest_revision():
@@ -44,6 +47,35 @@
     assert state.message().evacuated_domains == ()
 
 
+# Guards against a delayed copy of an order that undoes an acknowledged later one.
+def test_apply_ignores_an_evacuation_order_after_a_later_one():
+    state = orders.OrderState()
+    assert state.apply(1, evacuate("a", True, 0)) is APPLIED
+    assert state.apply(2, evacuate("a", False, 1)) is APPLIED
+    assert state.apply(3, evacuate("a", True, 2)) is APPLIED
+    assert state.apply(4, evacuate("a", False, 1)) is SUPERSEDED
+    assert state.message().evacuated_domains == ("a",)
+    assert state.apply(5, evacuate("b", True, 0)) is APPLIED
+
+
+# Guards against the same where the later order had nothing to change, but was
+# acknowledged.
+def test_apply_ignores_an_evacuation_order_after_a_repeated_one():
+    state = orders.OrderState()
+    state.apply(1, evacuate("a", True, 0))
+    assert state.apply(2, evacuate("a", True, 1)) is UNCHANGED
+    assert state.apply(3, evacuate("a", False, 1)) is SUPERSEDED
+
+
+def test_restore_keeps_the_orders_that_supersede():
+    state, other = orders.OrderState(), orders.OrderState()
+    state.apply(1, evacuate("a", True, 0))
+    state.apply(2, evacuate("a", True, 1))
+    other.restore(state.snapshot())
+    assert other.apply(3, evacuate("a", False, 1)) is SUPERSEDED
+    assert other.evacuation_index("a") == 2
+
+
 def test_index_rises_only_with_changes():
     state = orders.OrderState()
     state.apply(4, declare(3, b"first"))
--- a/packages/gateway/src/yuccapitch/gateway/http1/messages.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/messages.py
@@ -4,10 +4,11 @@
 
 import dataclasses
 import http
+from collections.abc import Callable
 
 HeaderList = list[tuple[bytes, bytes]]
 
-# Bytes of a field line beside the name and the value: a colon, a space and the line end.
+# Bytes of a field line beside name and value: a colon, a space and the line end.
 FIELD_SEPARATOR_BYTES = 4
 # Memory of a stored field beside the characters of its name and value: a tuple, two
 # bytes objects and the slot in the list.
@@ -46,6 +47,8 @@
     """Number of the client's connection, unique in the process."""
     position: int = 0
     """Number of the request on its connection, from 1."""
+    is_client_connected: Callable[[], bool] = lambda: True
+    """Returns whether the client can still get the response."""
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header with this lower-case name."""
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -11,7 +11,7 @@
 import httptools
 
 from yuccapitch.catalogue import routes
-from yuccapitch.gateway.http1 import messages
+from yuccapitch.gateway.http1 import messages, peer_state
 from yuccapitch.protocol import events
 
 # Pipelined requests of one connection that are processed concurrently. At this limit,
@@ -217,6 +217,7 @@
             self._headers_received_at,
             self._id,
             self._request_count,
+            self._is_client_connected,
         )
         self._body = bytearray()
         pending = _PendingResponse(request, self._parser.should_keep_alive())
@@ -232,6 +233,12 @@
             self._is_paused = True
             self._transport.pause_reading()
 
+    def _is_client_connected(self) -> bool:
+        sock = self._transport.get_extra_info("socket")
+        if self._is_closing or self._transport.is_closing():
+            return False
+        return sock is None or not peer_state.has_peer_left(sock)
+
     async def _serve(self, pending: _PendingResponse) -> None:
         pending.response = await self._state.handler(pending.request)
         self._write_ready_responses()
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -223,8 +223,8 @@
         assert source.sent_bytes < ENDLESS_BYTES
 
 
-# Guards against an entry instance that is ended for the memory of one response, with the
-# requests of its other clients: short fields take many times their size as objects.
+# Guards against an entry instance that is ended for the memory of one response, with
+# the requests of its other clients: short fields take many times their size.
 @pytest.mark.parametrize(
     ("beginning", "repeated"),
     [
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -136,6 +137,38 @@
             await cancelled.wait()
 
 
+# Guards against work on behalf of a client that had left before its request was read,
+# such as by an instance that was suspended meanwhile.
+async def test_request_knows_that_its_client_has_left():
+    states: list[bool] = []
+    is_served = asyncio.Event()
+
+    async def record(request):
+        states.append(request.is_client_connected())
+        is_served.set()
+        return await echo(request)
+
+    async with serving(record) as (_, port):
+        # The event loop doesn't run before the client has left.
+        with socket.create_connection(("127.0.0.1", port)) as sock:
+            sock.sendall(get("/"))
+        async with asyncio.timeout(20):
+            await is_served.wait()
+    assert states == [False]
+
+
+async def test_request_knows_that_its_client_is_connected():
+    states: list[bool] = []
+
+    async def record(request):
+        states.append(request.is_client_connected())
+        return await echo(request)
+
+    async with serving(record) as (_, port):
+        await exchange(port, get("/", CLOSE))
+    assert states == [True]
+
+
 @pytest.fixture
 def logged_fields(monkeypatch) -> list[dict[str, object]]:
     """The fields of the events that the server has logged."""
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -266,6 +266,16 @@
 declare(
     "order.unchanged", "A committed order changed nothing: it is a repeat or outdated."
 )
+declare(
+    "order.superseded",
+    "A committed order came after a later one for its failure domain; it is ignored.",
+    Level.WARNING,
+)
+declare(
+    "order.abandoned",
+    "An order was not proposed, because its caller has left.",
+    Level.WARNING,
+)
 declare("fleet.entry-joined", "An entry instance reported for the first time.")
 declare("fleet.entry-lost", "An entry instance stopped reporting or is shutting down.")
 declare(
--- a/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/subscription_messages.py
@@ -23,6 +23,18 @@
 
     failure_domain: str
     is_evacuated: bool
+    based_on: int | None = None
+    """Log index of the last order for the failure domain that the accepting instance
+    knew. The order has no effect after a later one; None puts no condition."""
+
+
+@registry.message(126)
+@dataclasses.dataclass(frozen=True)
+class EvacuationIndex:
+    """Log index of the last order that was in effect for a failure domain."""
+
+    failure_domain: str
+    index: int
 
 
 @registry.message(92)
@@ -33,6 +45,8 @@
     revision: int
     content: bytes
     evacuated_domains: tuple[str, ...]
+    evacuation_indexes: tuple[EvacuationIndex, ...] | None = None
+    """None in snapshots of versions that had no conditions on orders."""
 
 
 @registry.message(106)
@@ -223,6 +237,8 @@
 
     is_committed: bool
     detail: str
+    superseded_by: int | None = None
+    """Set if a later order for the failure domain was committed before: its index."""
 
 
 @registry.message(102)
