Places: recover grants and refusals that were lost with a link

A request that waits for a place of its region's dispatcher was held until its deadline, untried, if the decision on it was lost: it is a one-way message, and a link that goes silent for good stays open for up to 2.5 s. The dispatcher may send it on its own link to the instance while the instance's link to the dispatcher works, so that nobody notices.

Change: each half second an instance asks the dispatcher for the decisions on all requests that still wait, in one message. A grant is sent again, a request that the dispatcher doesn't have is asked for again, and a dispatcher that doesn't reply is lost at once. A grant that arrives twice is no longer given back. Of two links to a peer, messages use the one on which the peer is heard.

Evidence: the new tests; the one of the lost grant waits for ever without the change.

--- a/packages/gateway/src/yuccapitch/gateway/front/place_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/place_service.py
@@ -63,6 +63,7 @@
         self.dispatcher_id: ids.InstanceId | None = None
         """Instance that dispatches for the region."""
         links.handle(messages.PlaceQuery, self._on_query)
+        links.handle(messages.WaitingPlaces, self._on_waiting_places)
         links.handle(messages.PlaceRelease, self._on_release)
         links.handle(messages.PlaceCancel, self._on_cancel)
         links.handle(messages.HeldPlace, self._on_held_place)
@@ -155,6 +156,29 @@
         )
         return messages.PlaceWait(query.attempt_id)
 
+    def _on_waiting_places(
+        self, peer_id: str, message: messages.WaitingPlaces
+    ) -> messages.WaitingPlacesStatus:
+        granted = self._granted_by_attempt_id
+        attempt_ids = [
+            model.AttemptId(attempt_id) for attempt_id in message.attempt_ids
+        ]
+        waiting_ids = self._local_dispatcher.waiting_attempt_ids()
+        return messages.WaitingPlacesStatus(
+            tuple(
+                messages.PlaceGrant(
+                    attempt_id, granted[attempt_id].endpoint.endpoint_id
+                )
+                for attempt_id in attempt_ids
+                if attempt_id in granted
+            ),
+            tuple(
+                attempt_id
+                for attempt_id in attempt_ids
+                if attempt_id not in granted and attempt_id not in waiting_ids
+            ),
+        )
+
     def _on_release(self, peer_id: str, message: messages.PlaceRelease) -> None:
         granted = self._granted_by_attempt_id.pop(
             model.AttemptId(message.attempt_id), None
--- a/packages/gateway/src/yuccapitch/gateway/front/region_placer.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placer.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 from collections.abc import Callable, Iterable
 
 import result
@@ -18,6 +19,7 @@
 from yuccapitch.gateway.front import headers, place_service
 from yuccapitch.protocol import (
     events,
+    link as inner_link,
     peers as inner_peers,
     place_messages as messages,
 )
@@ -29,6 +31,10 @@
 # Time for which a dispatcher that did not reply gets no queries.
 DISPATCHER_RETRY_DELAY_S = 1.0
 
+# Interval at which the dispatcher is asked for the decisions on requests that wait. A
+# decision is a one-way message, which is lost with the link that it is sent on.
+WAIT_CHECK_INTERVAL_S = 0.5
+
 # Number of recently used warm objects that an entry instance remembers, to send them to
 # a new dispatcher; a region has a few hundred.
 MAX_WARM_OBJECTS = 256
@@ -36,6 +42,22 @@
 _REASONS_BY_VALUE = {reason.value: reason for reason in model.RefusalReason}
 
 
+class _Undecided(enum.Enum):
+    """Reason why a dispatcher made no decision on a request."""
+
+    NO_DISPATCHER = "the dispatcher is lost"
+    FORGOTTEN = "the dispatcher doesn't have the request"
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiter:
+    """Request on which a dispatcher has to decide."""
+
+    future: asyncio.Future[model.Decision | _Undecided]
+    is_queued: bool = False
+    """Whether the dispatcher has said that it has queued the request."""
+
+
 @dataclasses.dataclass(slots=True)
 class _HeldPlace:
     request: model.PlacementRequest
@@ -72,9 +94,7 @@
         self._dispatcher_suspended_until = float("-inf")
         self._unsynced_dispatcher_id: ids.InstanceId | None = None
         self._held_by_attempt_id: dict[model.AttemptId, _HeldPlace] = {}
-        self._waiters_by_attempt_id: dict[
-            model.AttemptId, asyncio.Future[model.Decision | None]
-        ] = {}
+        self._waiters_by_attempt_id: dict[model.AttemptId, _Waiter] = {}
         self._last_used_by_warm_object: collections.OrderedDict[
             tuple[str, ids.EndpointId], float
         ] = collections.OrderedDict()
@@ -122,15 +142,49 @@
         self, request: model.PlacementRequest
     ) -> model.Granted | model.Refused:
         """Return a granted place or a refusal; waits while the request is queued."""
-        dispatcher_id = self.dispatcher_id
-        is_remote = dispatcher_id not in (None, self._instance_id)
-        if is_remote and self._clock() >= self._dispatcher_suspended_until:
-            assert dispatcher_id is not None
+        while (dispatcher_id := self._remote_dispatcher_id()) is not None:
             decision = await self._request_place(dispatcher_id, request)
-            if decision is not None:
-                return self._record_place(request, decision, dispatcher_id)
+            if decision is _Undecided.FORGOTTEN:
+                continue
+            if isinstance(decision, _Undecided):
+                break
+            return self._record_place(request, decision, dispatcher_id)
         return self._record_place(request, await self._local.place(request), None)
 
+    async def check_waiting(self) -> None:
+        """Ask the dispatcher for lost decisions on the requests that still wait."""
+        dispatcher_id = self._remote_dispatcher_id()
+        waiters_by_attempt_id = {
+            attempt_id: waiter
+            for attempt_id, waiter in self._waiters_by_attempt_id.items()
+            if waiter.is_queued
+        }
+        if dispatcher_id is None or not waiters_by_attempt_id:
+            return
+        message = messages.WaitingPlaces(tuple(waiters_by_attempt_id))
+        reply = await self._links.request(dispatcher_id, message, self._reply_timeout_s)
+        if isinstance(reply, result.Err):
+            # An instance of a version without this message is not lost.
+            if reply.err_value.code is not inner_link.LinkErrorCode.REMOTE:
+                self._suspend_dispatcher(reply.err_value.code.value)
+            return
+        status: messages.WaitingPlacesStatus = reply.ok_value
+        for grant in status.grants:
+            self._on_decision(dispatcher_id, grant)
+        for unknown_id in status.unknown_attempt_ids:
+            # Only the request that was asked about: another attempt may wait by now.
+            waiter = waiters_by_attempt_id.get(model.AttemptId(unknown_id))
+            if waiter is not None and not waiter.future.done():
+                waiter.future.set_result(_Undecided.FORGOTTEN)
+
+    def _remote_dispatcher_id(self) -> ids.InstanceId | None:
+        """Return the dispatcher to ask; None if this instance places by itself."""
+        if self.dispatcher_id == self._instance_id:
+            return None
+        if self._clock() < self._dispatcher_suspended_until:
+            return None
+        return self.dispatcher_id
+
     def release(
         self,
         granted: model.Granted,
@@ -253,40 +307,39 @@
 
     async def _request_place(
         self, dispatcher_id: ids.InstanceId, request: model.PlacementRequest
-    ) -> model.Granted | model.Refused | None:
-        """Return the dispatcher's decision, None if there was none."""
-        future: asyncio.Future[model.Decision | None]
-        future = asyncio.get_running_loop().create_future()
+    ) -> model.Decision | _Undecided:
+        """Return the dispatcher's decision, or why there was none."""
+        waiter = _Waiter(asyncio.get_running_loop().create_future())
         # Registered before the query is sent, because the decision may arrive before
         # the PlaceWait reply.
-        self._waiters_by_attempt_id[request.attempt_id] = future
+        self._waiters_by_attempt_id[request.attempt_id] = waiter
         query = place_service.encode_query(request, self._clock())
-        is_decided = False
+        decision: model.Decision | _Undecided = _Undecided.NO_DISPATCHER
         try:
             reply = await self._links.request(
                 dispatcher_id, query, self._reply_timeout_s
             )
             if isinstance(reply, result.Err):
                 self._suspend_dispatcher(reply.err_value.code.value)
-                return None
+                return decision
             if self._unsynced_dispatcher_id == dispatcher_id:
                 self._sync_dispatcher(dispatcher_id)
             if isinstance(reply.ok_value, messages.DispatcherNotReady):
                 self._suspend_dispatcher("dispatcher lacks the routing state to decide")
-                return None
+                return decision
             if isinstance(reply.ok_value, messages.PlaceWait):
-                decision = await future
+                waiter.is_queued = True
+                decision = await waiter.future
             else:
                 decision = self._decode(reply.ok_value)
-            is_decided = decision is not None
             return decision
         finally:
             self._waiters_by_attempt_id.pop(request.attempt_id, None)
-            if not is_decided:
+            if isinstance(decision, _Undecided):
                 cancel = messages.PlaceCancel(request.attempt_id)
                 self._links.send(dispatcher_id, cancel)
 
-    def _decode(self, message: object) -> model.Granted | model.Refused | None:
+    def _decode(self, message: object) -> model.Decision | _Undecided:
         match message:
             case messages.PlaceGrant(attempt_id, endpoint_id):
                 endpoint = self._find_endpoint(ids.EndpointId(endpoint_id))
@@ -295,7 +348,7 @@
                 ):
                     # A dispatcher that is cut off from the leader may grant places at
                     # endpoints that this instance knows to be unusable.
-                    return None
+                    return _Undecided.NO_DISPATCHER
                 return model.Granted(model.AttemptId(attempt_id), endpoint)
             case messages.PlaceRefusal(attempt_id, reason, retry_after_ms, detail):
                 return model.Refused(
@@ -305,7 +358,7 @@
                     detail,
                 )
             case _:
-                return None
+                return _Undecided.NO_DISPATCHER
 
     def _suspend_dispatcher(self, reason: str) -> None:
         now = self._clock()
@@ -317,21 +370,33 @@
         self._fail_waiters()
 
     def _fail_waiters(self) -> None:
-        for future in self._waiters_by_attempt_id.values():
-            if not future.done():
-                future.set_result(None)
+        for waiter in self._waiters_by_attempt_id.values():
+            if not waiter.future.done():
+                waiter.future.set_result(_Undecided.NO_DISPATCHER)
 
     def _on_decision(
         self, peer_id: str, message: messages.PlaceGrant | messages.PlaceRefusal
     ) -> None:
         attempt_id = model.AttemptId(message.attempt_id)
-        future = self._waiters_by_attempt_id.get(attempt_id)
-        if future is not None and not future.done():
-            future.set_result(self._decode(message))
-        elif isinstance(message, messages.PlaceGrant):
+        waiter = self._waiters_by_attempt_id.get(attempt_id)
+        if waiter is not None and not waiter.future.done():
+            waiter.future.set_result(self._decode(message))
+        elif isinstance(message, messages.PlaceGrant) and not self._is_granted(
+            waiter, attempt_id, peer_id
+        ):
             # The request no longer waits for this dispatcher.
             self._links.send(peer_id, messages.PlaceCancel(attempt_id))
 
+    def _is_granted(
+        self, waiter: _Waiter | None, attempt_id: model.AttemptId, peer_id: str
+    ) -> bool:
+        """Whether a grant was received before and is in use."""
+        if waiter is not None:
+            is_decided = not waiter.future.cancelled()
+            return is_decided and isinstance(waiter.future.result(), model.Granted)
+        held = self._held_by_attempt_id.get(attempt_id)
+        return held is not None and held.dispatcher_id == peer_id
+
     def _encode_held_place(self, held: _HeldPlace) -> messages.HeldPlace:
         now = self._clock()
         return messages.HeldPlace(
--- a/packages/gateway/tests/front/test_region_placer.py
+++ b/packages/gateway/tests/front/test_region_placer.py
@@ -11,7 +11,7 @@
 
 from yuccapitch.catalogue import ids, routes
 from yuccapitch.gateway.front import region_placer
-from yuccapitch.protocol import link as inner_link
+from yuccapitch.protocol import link as inner_link, place_messages as messages
 from yuccapitch.steering.placement import cache_capacity, dispatcher, model
 
 NORTH = ids.RegionId("north")
@@ -35,6 +35,8 @@
     def __init__(self) -> None:
         self.handlers_by_id: dict[str, dict[type, object]] = {}
         self.silent: set[str] = set()
+        self.loses_decisions = False
+        """Whether decisions on queued requests are lost on their way."""
 
     def links(self, instance_id: str) -> Links:
         return Links(self, instance_id)
@@ -51,6 +53,9 @@
     def send(self, peer_id, message) -> bool:
         if peer_id in self._network.silent:
             return False
+        is_decision = type(message) in (messages.PlaceGrant, messages.PlaceRefusal)
+        if is_decision and self._network.loses_decisions:
+            return True
         self._network.handlers_by_id[peer_id][type(message)](self._instance_id, message)
         return True
 
@@ -149,6 +154,80 @@
     assert isinstance(await waiting, model.Granted)
 
 
+async def wait_in_queue(region: Region, name: str) -> asyncio.Task[model.Decision]:
+    waiting = asyncio.create_task(place(region, B, name))
+    for _ in range(5):
+        await asyncio.sleep(0)
+    assert not waiting.done()
+    return waiting
+
+
+# Guards against a request that waits to its deadline for a grant that was lost with
+# the link on which it was sent.
+async def test_check_waiting_receives_a_grant_that_was_lost():
+    region = Region("e1")
+    region.use_dispatcher(A)
+    held = await place(region, A, "held")
+    waiting = await wait_in_queue(region, "waiting")
+    region.network.loses_decisions = True
+    region.placers[A].release(held, model.Outcome.ANSWERED, None, None)
+    await region.placers[B].check_waiting()
+    granted = await waiting
+    assert isinstance(granted, model.Granted)
+    assert region.placers[A]._local_dispatcher.granted_count() == 1
+    region.placers[B].release(granted, model.Outcome.ANSWERED, None, None)
+    assert region.placers[A]._local_dispatcher.granted_count() == 0
+
+
+async def test_check_waiting_asks_again_for_a_request_that_is_not_known():
+    region = Region("e1")
+    region.use_dispatcher(A)
+    held = await place(region, A, "held")
+    waiting = await wait_in_queue(region, "waiting")
+    region.placers[A]._local_dispatcher.cancel(model.AttemptId("waiting"))
+    await region.placers[B].check_waiting()
+    for _ in range(5):
+        await asyncio.sleep(0)
+    region.placers[A].release(held, model.Outcome.ANSWERED, None, None)
+    assert isinstance(await waiting, model.Granted)
+
+
+async def test_check_waiting_leaves_a_queued_request_in_its_place():
+    region = Region("e1")
+    region.use_dispatcher(A)
+    await place(region, A, "held")
+    waiting = await wait_in_queue(region, "waiting")
+    await region.placers[B].check_waiting()
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    assert region.placers[A]._local_dispatcher.waiting_count() == 1
+    waiting.cancel()
+
+
+async def test_check_waiting_notices_a_dispatcher_that_does_not_reply():
+    region = Region("e1")
+    region.use_dispatcher(A)
+    await place(region, A, "held")
+    waiting = await wait_in_queue(region, "waiting")
+    region.network.silent.add(A)
+    await region.placers[B].check_waiting()
+    assert isinstance(await waiting, model.Granted)
+
+
+# Guards against a grant that is given back although the request uses it.
+async def test_grant_that_arrives_twice_is_used_once():
+    region = Region("e1")
+    region.use_dispatcher(A)
+    held = await place(region, A, "held")
+    waiting = await wait_in_queue(region, "waiting")
+    region.placers[A].release(held, model.Outcome.ANSWERED, None, None)
+    again = messages.PlaceGrant("waiting", "e1")
+    region.network.handlers_by_id[B][messages.PlaceGrant](A, again)
+    assert isinstance(await waiting, model.Granted)
+    region.network.handlers_by_id[B][messages.PlaceGrant](A, again)
+    assert region.placers[A]._local_dispatcher.granted_count() == 1
+
+
 @pytest.mark.parametrize("is_reachable", [True, False])
 async def test_set_dispatcher_reports_held_places_to_the_new_one(is_reachable):
     region = Region("e1")
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -116,6 +116,7 @@
         self._stack.callback(self._sender.close)
         tasks.start(self._leader_poller.run(), self._stack, self._on_failed)
         tasks.start(self._run_placer(), self._stack, self._on_failed)
+        tasks.start(self._run_wait_checks(), self._stack, self._on_failed)
         await self._server.start(
             node_settings.caller_address.host, node_settings.caller_address.port
         )
@@ -248,6 +249,11 @@
             )
             self._placer.tick()
 
+    async def _run_wait_checks(self) -> None:
+        while True:
+            await asyncio.sleep(region_placer.WAIT_CHECK_INTERVAL_S)
+            await self._placer.check_waiting()
+
     def _build_poll_request(
         self, position: leader_polling.Position
     ) -> messages.PollRequest:
--- a/packages/protocol/src/yuccapitch/protocol/link.py
+++ b/packages/protocol/src/yuccapitch/protocol/link.py
@@ -48,6 +48,11 @@
     heartbeat_interval_s: float = 0.2
     timeout_s: float = 2.0
 
+    @property
+    def overdue_s(self) -> float:
+        """Time without data after which another link to the peer is preferred."""
+        return 1.5 * self.heartbeat_interval_s
+
 
 @dataclasses.dataclass
 class Traffic:
@@ -80,6 +85,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_open = False
         self._has_sent = False
+        self.last_received_at = asyncio.get_running_loop().time()
+        """Time of the last complete frame, in the event loop's clock."""
         self.peer_id = ""
 
     @property
@@ -223,6 +230,7 @@
             )
         header = unpacked.ok_value
         payload = await self._reader.readexactly(header.length)
+        self.last_received_at = asyncio.get_running_loop().time()
         self._traffic.received_bytes += frames.HEADER_BYTES + header.length
         if not frames.is_intact(header, payload):
             return result.Err(
--- a/packages/protocol/src/yuccapitch/protocol/peers.py
+++ b/packages/protocol/src/yuccapitch/protocol/peers.py
@@ -78,10 +78,10 @@
 
     def send(self, peer_id: str, message: object) -> bool:
         """Send a one-way message; return False if the peer has no open link."""
-        for links_by_id in (self._links_by_id, self._accepted_links_by_id):
-            link = links_by_id.get(peer_id)
-            if link is not None and link.is_open:
-                return link.send(message)
+        accepted = self._accepted_links_by_id.get(peer_id)
+        link = self._responsive_link(peer_id) or accepted
+        if link is not None and link.is_open:
+            return link.send(message)
         self._start_connecting(peer_id)
         return False
 
@@ -103,8 +103,8 @@
     async def _open_link(
         self, peer_id: str, timeout_s: float
     ) -> result.Result[inner_link.Link, inner_link.LinkError]:
-        link = self._links_by_id.get(peer_id)
-        if link is not None and link.is_open:
+        link = self._responsive_link(peer_id)
+        if link is not None:
             return result.Ok(link)
         codes = inner_link.LinkErrorCode
         task = self._start_connecting(peer_id)
@@ -119,6 +119,23 @@
                 return result.Ok(link)
         return result.Err(inner_link.LinkError(codes.CLOSED, "not connected"))
 
+    def _responsive_link(self, peer_id: str) -> inner_link.Link | None:
+        """Return the open outgoing link, or the incoming one if only that has data.
+
+        A link that has gone silent stays open until its timeout, and what is sent on it
+        meanwhile is lost.
+        """
+        outgoing = self._links_by_id.get(peer_id)
+        if outgoing is None or not outgoing.is_open:
+            return None
+        accepted = self._accepted_links_by_id.get(peer_id)
+        if accepted is None or not accepted.is_open:
+            return outgoing
+        now = asyncio.get_running_loop().time()
+        is_overdue = now - outgoing.last_received_at > self._timing.overdue_s
+        is_outlived = accepted.last_received_at > outgoing.last_received_at
+        return accepted if is_overdue and is_outlived else outgoing
+
     def _start_connecting(
         self, peer_id: str
     ) -> asyncio.Task[inner_link.Link | None] | None:
--- a/packages/protocol/src/yuccapitch/protocol/place_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/place_messages.py
@@ -58,6 +58,25 @@
     attempt_id: str
 
 
+@registry.message(127)
+@dataclasses.dataclass(frozen=True)
+class WaitingPlaces:
+    """Asks the dispatcher for lost decisions on the requests that still wait."""
+
+    attempt_ids: tuple[str, ...]
+
+
+@registry.message(128)
+@dataclasses.dataclass(frozen=True)
+class WaitingPlacesStatus:
+    """Reports the decisions on waiting requests; those not named are still queued."""
+
+    grants: tuple[PlaceGrant, ...]
+    """Grants that were sent before."""
+    unknown_attempt_ids: tuple[str, ...]
+    """Requests that the dispatcher doesn't have, such as refused ones."""
+
+
 NO_RATE_LIMIT = -1.0
 """Stands for a response that names no limit."""
 
--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -15,9 +15,16 @@
 class Pair:
     """Two instances; `a` has the address of `b`."""
 
-    def __init__(self, a: peers.Peers, b: peers.Peers, b_address: peers.Address):
+    def __init__(
+        self,
+        a: peers.Peers,
+        b: peers.Peers,
+        a_address: peers.Address,
+        b_address: peers.Address,
+    ):
         self.a = a
         self.b = b
+        self.a_address = a_address
         self.b_address = b_address
 
 
@@ -28,10 +35,10 @@
         b = peers.Peers("b", TIMING)
         for instance in (a, b):
             stack.push_async_callback(instance.aclose)
-        await a.start("127.0.0.1", 0)
-        address = await b.start("127.0.0.1", 0)
-        a.set_address("b", address)
-        yield Pair(a, b, address)
+        a_address = await a.start("127.0.0.1", 0)
+        b_address = await b.start("127.0.0.1", 0)
+        a.set_address("b", b_address)
+        yield Pair(a, b, a_address, b_address)
 
 
 async def test_peers_request_gets_its_own_reply(pair: Pair) -> None:
@@ -103,6 +110,22 @@
     assert reply.unwrap_err().code is link.LinkErrorCode.TIMEOUT
 
 
+# Guards against messages that are lost on a link which has gone silent, beside one that
+# works.
+async def test_peers_prefer_the_link_on_which_the_peer_is_heard(pair: Pair) -> None:
+    pair.b.handle(node_messages.RenewalNotice, lambda peer, message: message)
+    pair.a.handle(node_messages.RenewalNotice, lambda peer, message: message)
+    pair.b.set_address("a", pair.a_address)
+    await pair.a.request("b", node_messages.RenewalNotice(1, 0), 5)
+    await pair.b.request("a", node_messages.RenewalNotice(2, 0), 5)
+    outgoing, accepted = pair.a._links_by_id["b"], pair.a._accepted_links_by_id["b"]
+    assert pair.a._responsive_link("b") is outgoing
+    outgoing.last_received_at -= 2 * TIMING.overdue_s
+    assert pair.a._responsive_link("b") is accepted
+    accepted.close()
+    assert pair.a._responsive_link("b") is outgoing
+
+
 async def test_peers_count_the_bytes_of_both_sides(pair: Pair) -> None:
     pair.b.handle(node_messages.RenewalNotice, lambda peer, message: message)
     before = pair.a.traffic.sent_bytes
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -233,6 +233,11 @@
         """Return the number of queued requests."""
         return sum(len(queue) for queue in self._queues_by_service_id.values())
 
+    def waiting_attempt_ids(self) -> set[model.AttemptId]:
+        """Return the ids of the queued requests."""
+        queues = self._queues_by_service_id.values()
+        return set().union(*(queue.attempt_ids() for queue in queues))
+
     def granted_count(self) -> int:
         """Return the number of slots in use."""
         return len(self._grants_by_attempt_id)
--- a/packages/steering/src/yuccapitch/steering/placement/request_queue.py
+++ b/packages/steering/src/yuccapitch/steering/placement/request_queue.py
@@ -53,6 +53,10 @@
         """Return the number of queued requests."""
         return len(self._items)
 
+    def attempt_ids(self) -> set[model.AttemptId]:
+        """Return the ids of the queued requests."""
+        return {item.request.attempt_id for item in self._items}
+
     def add(self, item: QueuedRequest) -> None:
         """Insert a request after those of the same urgency."""
         index = bisect.bisect_right(self._items, item.order, key=_order)
