--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -50,8 +50,22 @@
                     address = self._addresses[(self._count // 8) % len(self._addresses)]
                     await self.send(session, address, path)
 
+    async def cling(self, entry: deployment.Instance) -> None:
+        """Open a connection to one entry for each request, until cancelled."""
+        connector = aiohttp.TCPConnector(force_close=True)
+        address = f"{entry.ip}:{deployment.CALLERS_PORT}"
+        async with aiohttp.ClientSession(connector=connector) as session:
+            while True:
+                await asyncio.sleep(PAUSE_S * (0.5 + self._rng.random()))
+                path = self._rng.choice(list(KINDS_BY_PATH))
+                await self.send(session, address, path, is_sent_whole=True)
+
     async def send(
-        self, session: aiohttp.ClientSession, address: str, path: str
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        path: str,
+        is_sent_whole: bool = False,
     ) -> int | None:
         """Send one request, check the response and return its status."""
         self._count += 1
@@ -62,7 +76,9 @@
         if kind == "upload":
             body = self._rng.randbytes(UPLOAD_BYTES)
         loop = asyncio.get_running_loop()
-        attempt = history.Attempt(attempt_id, kind, address, loop.time())
+        attempt = history.Attempt(
+            attempt_id, kind, address, loop.time(), is_sent_whole=is_sent_whole
+        )
         self._observations.record_start(attempt)
         status, response = await request(
             session, "GET" if kind == "safe" else "POST", address, target, attempt, body
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -180,6 +180,17 @@
             endpoint.held_fraction = 0.0
 
 
+@_register_fault
+async def stop_beside_silent_links(context: FaultContext, duration_s: float) -> None:
+    """Stop entry instances and change routes while most links are silent for good."""
+    for connection in context.links.connections():
+        if context.rng.random() < 0.7:
+            connection.is_stalled = True
+    await asyncio.gather(
+        change_routes(context, duration_s), stop_in_turn(context, duration_s)
+    )
+
+
 @_register_fault
 async def stop_control(context: FaultContext, duration_s: float) -> None:
     context.sample_instances("control", 1)[0].send_signal(signal.SIGTERM)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,6 +28,7 @@
 
 ENDPOINTS_PER_SERVICE = 6
 ENDPOINT_PORT = 8080
+CLINGING_CALLERS_PER_ENTRY = 2
 MAX_FAULT_S = 4.0
 PROGRESS_INTERVAL_S = 5.0
 # Ends a run that does not recover. Recovery is guaranteed within seconds, but the
@@ -155,10 +156,31 @@
             entry, observations, pipelining_rng
         )
         _spawn(pipelining_caller.run(), stack)
+    _start_clinging_callers(plan, context, observations, stack)
     _spawn(_poll_configuration(context.config_operator, context.cluster, rng), stack)
     return all_callers[0]
 
 
+def _start_clinging_callers(
+    plan: Plan,
+    context: faults.FaultContext,
+    observations: history.History,
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    """Start clients that keep coming to an entry while it is being stopped."""
+    rng = random.Random(plan.seed)
+    for index, entry in enumerate(context.cluster.of_role("entry")):
+        for number in range(CLINGING_CALLERS_PER_ENTRY):
+            caller = callers.Caller(
+                plan.callers + CLINGING_CALLERS_PER_ENTRY * index + number,
+                entry.zone,
+                context.cluster.of_role("control"),
+                observations,
+                rng,
+            )
+            _spawn(caller.cling(entry), stack)
+
+
 async def _start_endpoints(
     net: str,
     observations: history.History,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,7 @@
     "repeat_refusals",
     "limit_endpoints",
     "stop_beside_held_requests",
+    "stop_beside_silent_links",
 }
 # Seeds that caused a violation, each with its cause, and the default seed.
 REGRESSION_SEEDS = {
@@ -99,6 +100,19 @@
     assert report.checks_by_guarantee[guarantee] > 0
 
 
+# Guards against requests without an answer where decisions are lost with their links,
+# beside a change of the routes and a stopping instance to which clients keep coming.
+@pytest.mark.processes
+@pytest.mark.timeout(300)
+async def test_soak_answers_whole_requests_beside_silent_links(tmp_path: pathlib.Path):
+    names = ("stop_beside_silent_links", "stop_beside_held_requests", "silence_links")
+    plan = run.Plan(1, 10.0, controls=3, entries=3, callers=20, fault_names=names)
+    report = await run.run(plan, tmp_path)
+    assert report.violations == []
+    guarantee = "whole requests are answered in a planned stop"
+    assert report.checks_by_guarantee[guarantee] > 0
+
+
 def attempt(kind: str) -> history.Attempt:
     return history.Attempt("1", kind, "10.0.0.1:80", 0.0)
 
