Servers: bound the memory of requests, share one budget with responses

Uploads, responses and what slow clients don't read had no common bound, so that connections below their own limits could end a process together.

Change: fields are counted as they come, trailer fields are discarded, and an incomplete field or chunk extension is limited. Above it, the largest incomplete message is refused (503 with Retry-After, truly not run) or ended; sound exchanges are kept. Large bodies are sent without being copied.

--- a/packages/gateway/src/yuccapitch/gateway/front/endpoint_sender.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/endpoint_sender.py
@@ -10,7 +10,7 @@
 
 from yuccapitch.catalogue import ids
 from yuccapitch.gateway.front import headers
-from yuccapitch.gateway.http1 import client, messages
+from yuccapitch.gateway.http1 import client, memory_budget, messages
 from yuccapitch.protocol import events
 from yuccapitch.steering import leaving
 from yuccapitch.steering.placement import endpoint_notices, model
@@ -74,12 +74,16 @@
         names: headers.HeaderNames,
         clock: Callable[[], float],
         notices: endpoint_notices.EndpointNotices,
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> None:
-        """Create a sender that records what endpoints announce in ``notices``."""
+        """Create a sender that records what endpoints announce in ``notices``.
+
+        ``budget`` limits the memory of responses together with other messages.
+        """
         self._names = names
         self._clock = clock
         self._notices = notices
-        self._budget = client.ResponseBudget()
+        self._budget = budget or memory_budget.MemoryBudget()
         self._records_by_connection: weakref.WeakKeyDictionary[
             client.Connection, _ConnectionRecord
         ] = weakref.WeakKeyDictionary()
@@ -140,7 +144,7 @@
                 connect_s,
                 "the deadline has passed, or the endpoint is leaving or paused",
             )
-        data = messages.encode_request(
+        head = messages.encode_request_head(
             request, self._headers(request, endpoint, deadline_at)
         )
         request_id = request.header(self._names.request_id)
@@ -150,7 +154,7 @@
 
         try:
             response = await connection.exchange(
-                data, matches_request, request.method == b"HEAD"
+                head, matches_request, request.method == b"HEAD", request.body
             )
         except asyncio.CancelledError:
             connection.close()
--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from yuccapitch.gateway.http1 import messages, server
+from yuccapitch.gateway.http1 import memory_budget, messages, server
 
 # Fraction of the endpoint's keep-alive timeout after which an idle connection is no
 # longer reused.
@@ -28,9 +28,6 @@
 # body: it keeps an incomplete trailer field.
 MAX_INCOMPLETE_FIELD_BYTES = 64 * 1024
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
-# Limit on the bytes of all incomplete responses together, a third of the memory of a
-# small instance.
-MAX_INCOMPLETE_BYTES = 64 * 1024 * 1024
 
 
 class Fault(enum.Enum):
@@ -57,41 +54,17 @@
 """Returns whether a response belongs to the request; others are discarded."""
 
 
-class ResponseBudget:
-    """Limit on the memory that incomplete responses of many connections use."""
-
-    def __init__(self, max_bytes: int = MAX_INCOMPLETE_BYTES) -> None:
-        """Allow ``max_bytes`` of incomplete responses together."""
-        self._max_bytes = max_bytes
-        self._bytes_by_connection: dict[Connection, int] = {}
-        self.used_bytes = 0
-
-    def record(self, connection: Connection, byte_count: int) -> None:
-        """Record bytes of a response; fail the largest ones above the limit."""
-        received = self._bytes_by_connection.get(connection, 0) + byte_count
-        self._bytes_by_connection[connection] = received
-        self.used_bytes += byte_count
-        if received > MAX_RESPONSE_BYTES:
-            connection.fail("response exceeds the size limit")
-        while self.used_bytes > self._max_bytes:
-            largest = max(
-                self._bytes_by_connection, key=self._bytes_by_connection.__getitem__
-            )
-            largest.fail("response is the largest of too many incomplete bytes")
-
-    def release(self, connection: Connection) -> None:
-        """Forget the bytes of a response that has ended."""
-        self.used_bytes -= self._bytes_by_connection.pop(connection, 0)
-
-
 class Connection(asyncio.Protocol):
     """Connection to an endpoint."""
 
     def __init__(
-        self, clock: Callable[[], float], budget: ResponseBudget | None = None
+        self,
+        clock: Callable[[], float],
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> None:
         self._clock = clock
-        self._budget = budget or ResponseBudget()
+        self._budget = budget or memory_budget.MemoryBudget()
+        self._received_bytes = 0
         self._head_bytes = 0
         self._head_memory_bytes = 0
         self._trailer_bytes = 0
@@ -123,20 +96,28 @@
         self._parser = httptools.HttpResponseParser(self)
 
     async def exchange(
-        self, data: bytes, matches_request: ResponseMatcher, is_head: bool
+        self,
+        data: bytes,
+        matches_request: ResponseMatcher,
+        is_head: bool,
+        body: bytes = b"",
     ) -> messages.Response | Failure:
-        """Send a request and return its response; cancelling closes the connection."""
+        """Send a request and return its response; cancelling closes the connection.
+
+        ``body`` is sent behind ``data``.
+        """
         assert self._transport is not None and self._future is None
         if not self.is_usable or self._transport.is_closing():
             return Failure(Fault.BROKEN, False, "closed while idle", True)
         self._future = asyncio.get_running_loop().create_future()
         self._matches_request, self._is_head = matches_request, is_head
+        self._received_bytes = 0
         self._head_bytes = self._head_memory_bytes = self._trailer_bytes = 0
         self._incomplete_field_bytes = 0
         self._has_final_headers = False
         was_reused = self.use_count > 0
         self.use_count += 1
-        self._transport.write(data)
+        messages.write(self._transport, data, body)
         try:
             outcome = await self._future
         except asyncio.CancelledError:
@@ -161,11 +142,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def shed(self, reason: str) -> None:
+        """Fail the exchange, whose response takes too much memory."""
+        self.fail(reason)
+
     def fail(self, reason: str) -> None:
         """End the exchange in progress and close the connection."""
         self._fail(Fault.MALFORMED, reason)
         self._budget.release(self)
-        self._body = bytearray()
+        self._headers, self._body = [], bytearray()
         self.close()
 
     def data_received(self, data: bytes) -> None:
@@ -173,7 +158,11 @@
         if self._future is None or self._future.done():
             self.close()
             return
-        self._budget.record(self, len(data))
+        self._received_bytes += len(data)
+        if self._received_bytes > MAX_RESPONSE_BYTES:
+            self.fail("response exceeds the size limit")
+            return
+        self._budget.charge(self, len(data))
         self._incomplete_field_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -227,7 +216,7 @@
                 raise _ResponseRejected("trailer section exceeds the size limit")
             return
         memory_bytes = messages.field_memory_size(name, value)
-        self._budget.record(self, memory_bytes)
+        self._budget.charge(self, memory_bytes)
         self._head_memory_bytes += memory_bytes
         if self._head_memory_bytes > MAX_HEAD_BYTES:
             raise _ResponseRejected("response head exceeds the size limit")
@@ -296,13 +285,13 @@
         host: str,
         port: int,
         clock: Callable[[], float],
-        budget: ResponseBudget | None = None,
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> None:
         """Create a pool; ``budget`` limits the responses of several pools together."""
         self._host = host
         self._port = port
         self._clock = clock
-        self.budget = budget or ResponseBudget()
+        self.budget = budget or memory_budget.MemoryBudget()
         self._idle: list[Connection] = []
         self.connect_count = 0
 
--- a/packages/gateway/src/yuccapitch/gateway/http1/messages.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/messages.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import http
 from collections.abc import Callable
 
 HeaderList = list[tuple[bytes, bytes]]
 
+# Size up to which a body is sent in one packet with its head.
+MAX_JOINED_BODY_BYTES = 64 * 1024
 # Bytes of a field line beside name and value: a colon, a space and the line end.
 FIELD_SEPARATOR_BYTES = 4
 # Memory of a stored field beside the characters of its name and value: a tuple, two
@@ -54,6 +57,11 @@
         """Return the value of the first header with this lower-case name."""
         return find_header(self.headers, name)
 
+    def memory_size(self) -> int:
+        """Return about how much memory the request takes, in bytes."""
+        fields = sum(field_memory_size(name, value) for name, value in self.headers)
+        return len(self.target) + fields + len(self.body)
+
 
 @dataclasses.dataclass(slots=True)
 class Response:
@@ -104,19 +112,18 @@
     ]
 
 
-def encode_request(request: Request, headers: HeaderList) -> bytes:
-    """Return the request with the given headers as HTTP/1.1 bytes."""
+def encode_request_head(request: Request, headers: HeaderList) -> bytes:
+    """Return the head of a request with the given headers as HTTP/1.1 bytes."""
     lines = [request.method + b" " + request.target + b" HTTP/1.1\r\n"]
     lines.extend(name + b": " + value + b"\r\n" for name, value in headers)
     if request.body or request.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
         lines.append(b"content-length: %d\r\n" % len(request.body))
     lines.append(b"\r\n")
-    lines.append(request.body)
     return b"".join(lines)
 
 
-def encode_response(response: Response, closes: bool, has_body: bool) -> bytes:
-    """Return the response as HTTP/1.1 bytes; HEAD requests get no body."""
+def encode_response_head(response: Response, closes: bool) -> bytes:
+    """Return the head of a response as HTTP/1.1 bytes."""
     reason = _REASONS_BY_STATUS.get(response.status, b"Status")
     lines = [b"HTTP/1.1 %d %s\r\n" % (response.status, reason)]
     lines.extend(name + b": " + value + b"\r\n" for name, value in response.headers)
@@ -125,11 +132,18 @@
     if response.status not in (204, 304):
         lines.append(b"content-length: %d\r\n" % len(response.body))
     lines.append(b"\r\n")
-    if has_body:
-        lines.append(response.body)
     return b"".join(lines)
 
 
+def write(transport: asyncio.Transport, head: bytes, body: bytes) -> None:
+    """Send the head and the body of a message, without a copy of a large body."""
+    if len(body) <= MAX_JOINED_BODY_BYTES:
+        transport.write(head + body)
+        return
+    transport.write(head)
+    transport.write(memoryview(body))
+
+
 _REASONS_BY_STATUS = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
 }
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -11,7 +11,7 @@
 import httptools
 
 from yuccapitch.catalogue import routes
-from yuccapitch.gateway.http1 import messages, peer_state
+from yuccapitch.gateway.http1 import memory_budget, messages, peer_state
 from yuccapitch.protocol import events
 
 # Pipelined requests of one connection that are processed concurrently. At this limit,
@@ -29,6 +29,8 @@
 # Keep-alive probes detect a peer that disappeared while a response is awaited.
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Retry-After of a request that is refused while the process holds too many bytes.
+OVERLOADED_RETRY_AFTER_S = 1
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
@@ -40,6 +42,9 @@
     handler: Handler
     clock: Callable[[], float]
     limits: Callable[[], routes.CallerLimits]
+    budget: memory_budget.MemoryBudget = dataclasses.field(
+        default_factory=memory_budget.MemoryBudget
+    )
     is_stopping: bool = False
     connections: set[Connection] = dataclasses.field(default_factory=set)
     requests_in_flight: int = 0
@@ -72,7 +77,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._target = b""
         self._headers: messages.HeaderList = []
-        self._header_bytes = 0
+        self._field_bytes = 0
+        self._incomplete_field_bytes = 0
         self._body = bytearray()
         self._headers_received_at = 0.0
         self._is_in_headers = False
@@ -84,6 +90,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since = 0.0
         self._has_client_left = False
+        self._is_writing_paused = False
         self._reading_pause: peer_state.ReadingPause
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -101,22 +108,35 @@
         """Parse request bytes and reject invalid ones."""
         if self._is_closing or self._is_rejected:
             return
-        if self._is_in_headers or not self._is_in_message:
-            self._header_bytes += len(data)
         if not self._is_in_message:
             self._arm_timer(self._state.limits().header_timeout_s)
+        self._incomplete_field_bytes += len(data)
         try:
             self._parser.feed_data(data)
+            # The parser keeps an incomplete field and reports it only once it ends.
+            self._check_field_size(self._incomplete_field_bytes)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if not isinstance(cause, _RequestRejected):
                 raise
             self._reject(cause.status, cause.reason)
+        except _RequestRejected as error:
+            self._reject(error.status, error.reason)
         except httptools.HttpParserError as error:
             self._reject(400, str(error))
 
+    def shed(self, reason: str) -> None:
+        """Refuse the request being received, which takes too much memory."""
+        self._reject(503, reason)
+
+    def pause_writing(self) -> None:
+        """Count the responses that the client reads more slowly than they come."""
+        self._is_writing_paused = True
+
     def resume_writing(self) -> None:
         """Begin the lingering close once the last response has been sent."""
+        self._is_writing_paused = False
+        self._state.budget.retain(self, 0)
         if self._is_closing and not self._transport.is_closing():
             self._linger()
 
@@ -132,6 +152,7 @@
         is_own_close, self._is_closing = self._is_closing, True
         self._state.connections.discard(self)
         self._disarm_timer()
+        self._free_memory()
         if self._pending_responses:
             reason = "closed by the client" if exc is None else repr(exc)
             events.event(
@@ -169,24 +190,27 @@
         self._is_in_message = self._is_in_headers = True
         self._target, self._headers = b"", []
         self._body = bytearray()
+        self._field_bytes = self._incomplete_field_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Append a fragment of the request target."""
         self._target += url
+        self._add_field_bytes(len(url), len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
+        """Store a header field; discard a trailer field."""
+        size = messages.field_size(name, value)
+        if not self._is_in_headers:
+            self._add_field_bytes(size, 0)
+            return
+        self._add_field_bytes(size, messages.field_memory_size(name, value))
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Check the header section against the limits."""
         limits = self._state.limits()
         self._is_in_headers = False
-        size = sum(len(name) + len(value) + 4 for name, value in self._headers)
-        size += len(self._target)
-        self._header_bytes = 0
-        if size > limits.max_header_bytes:
-            raise _RequestRejected(431, f"the headers are {size} bytes")
+        self._field_bytes = self._incomplete_field_bytes = 0
         length = messages.find_header(self._headers, b"content-length")
         if length is not None and int(length) > limits.max_body_bytes:
             raise _RequestRejected(413, f"the body is {int(length)} bytes")
@@ -203,14 +227,20 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a body chunk, up to the size limit."""
+        if self._is_rejected:
+            return
+        self._incomplete_field_bytes = 0
         self._body += body
         if len(self._body) > self._state.limits().max_body_bytes:
             raise _RequestRejected(413, f"the body is over {len(self._body)} bytes")
+        self._state.budget.charge(self, len(body))
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
         self._is_in_message = False
-        if self._is_closing:
+        self._incomplete_field_bytes = 0
+        self._state.budget.release(self)
+        if self._is_closing or self._is_rejected:
             return
         self._request_count += 1
         request = messages.Request(
@@ -226,6 +256,7 @@
         self._body = bytearray()
         pending = _PendingResponse(request, self._parser.should_keep_alive())
         self._pending_responses.append(pending)
+        self._state.budget.retain(pending, request.memory_size())
         self._state.requests_in_flight += 1
         task = asyncio.create_task(self._serve(pending))
         self._tasks.append(task)
@@ -233,6 +264,19 @@
         if len(self._pending_responses) >= MAX_PIPELINED_REQUESTS:
             self._reading_pause.start()
 
+    def _add_field_bytes(self, size: int, memory_size: int) -> None:
+        if self._is_rejected:
+            return
+        self._field_bytes += size
+        self._incomplete_field_bytes = 0
+        self._check_field_size(self._field_bytes)
+        self._state.budget.charge(self, memory_size)
+
+    def _check_field_size(self, size: int) -> None:
+        """Reject a header or trailer section, or a field, above the size limit."""
+        if not self._is_rejected and size > self._state.limits().max_header_bytes:
+            raise _RequestRejected(431, f"the headers are over {size} bytes")
+
     def _is_client_connected(self) -> bool:
         if self._is_closing or self._transport.is_closing():
             return False
@@ -244,12 +288,17 @@
                 task.cancel()
 
     async def _serve(self, pending: _PendingResponse) -> None:
-        pending.response = await self._state.handler(pending.request)
+        response = await self._state.handler(pending.request)
+        pending.response = response
+        pending.request.body = b""
+        self._state.budget.retain(pending, len(response.body))
         self._write_ready_responses()
 
     def _on_served(self, task: asyncio.Task[None], pending: _PendingResponse) -> None:
         self._state.requests_in_flight -= 1
         self._tasks.remove(task)
+        if pending.response is None or self._is_closing:
+            self._state.budget.retain(pending, 0)
         error: BaseException | None
         if task.cancelled():
             if self._is_closing or self._has_client_left:
@@ -283,8 +332,13 @@
             # requests pipelined after this one may already be at an endpoint.
             is_last = not self._pending_responses and not self._is_in_message
             closes = not pending.keeps_alive or (self._state.is_stopping and is_last)
-            has_body = pending.request.method != b"HEAD"
-            self._transport.write(messages.encode_response(response, closes, has_body))
+            body = b"" if pending.request.method == b"HEAD" else response.body
+            head = messages.encode_response_head(response, closes)
+            messages.write(self._transport, head, body)
+            self._state.budget.retain(pending, 0)
+            if self._is_writing_paused:
+                unsent_bytes = self._transport.get_write_buffer_size()
+                self._state.budget.retain(self, unsent_bytes)
             if closes:
                 self._close()
                 return
@@ -293,12 +347,26 @@
         if not self._pending_responses and not self._is_in_message:
             self._start_idle_time()
 
+    def _free_memory(self) -> None:
+        self._headers, self._body = [], bytearray()
+        self._state.budget.release(self)
+        self._state.budget.retain(self, 0)
+        for pending in self._pending_responses:
+            self._state.budget.retain(pending, 0)
+
     def _reject(self, status: int, reason: str) -> None:
+        if self._is_rejected:
+            return
         self._is_rejected = True
+        self._headers, self._body = [], bytearray()
+        self._state.budget.release(self)
         events.event("caller.refused", status=status, reason=reason)
         self._disarm_timer()
         pending = _PendingResponse(messages.Request(b"", b"", [], b"", 0.0), False)
-        pending.response = messages.Response(status, [], reason.encode())
+        headers: messages.HeaderList = []
+        if status == 503:
+            headers.append((b"retry-after", b"%d" % OVERLOADED_RETRY_AFTER_S))
+        pending.response = messages.Response(status, headers, reason.encode())
         # Earlier requests of the connection get their responses first.
         self._pending_responses.append(pending)
         self._write_ready_responses()
@@ -376,8 +444,11 @@
         handler: Handler,
         clock: Callable[[], float],
         limits: Callable[[], routes.CallerLimits],
+        budget: memory_budget.MemoryBudget | None = None,
     ) -> None:
-        self._state = ServerState(handler, clock, limits)
+        """Create a server; ``budget`` limits the memory of all messages together."""
+        budget = budget or memory_budget.MemoryBudget()
+        self._state = ServerState(handler, clock, limits, budget)
         self._server: asyncio.Server | None = None
 
     @property
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from yuccapitch.gateway.http1 import client, messages
+from yuccapitch.gateway.http1 import client, memory_budget, messages
 
 COMPLETE = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
@@ -258,7 +258,7 @@
 # Guards against several endpoints that fill the memory together, each below the limit
 # of one response.
 async def test_exchange_ends_the_largest_response_when_all_exceed_the_budget():
-    budget = client.ResponseBudget(4 * 1024 * 1024)
+    budget = memory_budget.MemoryBudget(4 * 1024 * 1024)
     body = bytes(2 * 1024 * 1024)
     regular = HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
     async with (
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -5,11 +5,12 @@
 import asyncio
 import contextlib
 import socket
+import tracemalloc
 
 import pytest
 
 from yuccapitch.catalogue import routes
-from yuccapitch.gateway.http1 import messages, server
+from yuccapitch.gateway.http1 import memory_budget, messages, server
 
 LIMITS = routes.CallerLimits(200, 50, 0.2, 0.3)
 
@@ -19,9 +20,9 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(handler=echo, limits=LIMITS):
+async def serving(handler=echo, limits=LIMITS, budget=None):
     loop = asyncio.get_running_loop()
-    http_server = server.Server(handler, loop.time, lambda: limits)
+    http_server = server.Server(handler, loop.time, lambda: limits, budget)
     port = await http_server.start("127.0.0.1", 0)
     try:
         yield http_server, port
@@ -137,6 +138,142 @@
             await cancelled.wait()
 
 
+POST = b"POST / HTTP/1.1\r\nHost: h\r\n"
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_BYTES = 32 * 1024 * 1024
+# Memory that the fields of one request may take, with the buffers of both sides.
+MAX_FIELDS_MEMORY_BYTES = 4 * 1024 * 1024
+
+
+# Guards against clients that end an instance by its memory: fields without end, each
+# of which takes many times its size.
+@pytest.mark.parametrize(
+    ("beginning", "repeated"),
+    [
+        (b"GET /", b"x"),
+        (POST, b"a:\r\n"),
+        (POST + b"Padding: ", b"x"),
+        (POST, b"x"),
+        (CHUNKED + b"1\r\nx\r\n0\r\n", b"a: b\r\n"),
+        (CHUNKED + b"0\r\nPadding: ", b"x"),
+        (CHUNKED + b"1;", b"x"),
+        (b"", b"\r\n"),
+    ],
+    ids=[
+        "target", "headers", "value", "name", "trailers", "trailer", "extension",
+        "blank",
+    ],
+)  # fmt: skip
+async def test_serve_bounds_the_memory_of_fields_without_end(beginning, repeated):
+    limits = routes.CallerLimits(header_timeout_s=60.0, idle_timeout_s=60.0)
+    async with serving(limits=limits) as (_, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        reading = asyncio.ensure_future(reader.read())
+        block = repeated * (65536 // len(repeated))
+        sent_bytes = 0
+        tracemalloc.start()
+        writer.write(beginning)
+        while not reading.done() and sent_bytes < ENDLESS_BYTES:
+            writer.write(block)
+            sent_bytes += len(block)
+            with contextlib.suppress(ConnectionError):
+                await writer.drain()
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert sent_bytes < ENDLESS_BYTES
+        assert peak_bytes < MAX_FIELDS_MEMORY_BYTES
+        with contextlib.suppress(ConnectionError):
+            async with asyncio.timeout(20):
+                assert (await reading).startswith(b"HTTP/1.1 431 ")
+        writer.close()
+
+
+async def test_serve_discards_the_trailer_section_of_a_request():
+    received: list[messages.Request] = []
+
+    async def record(request):
+        received.append(request)
+        return await echo(request)
+
+    async with serving(record) as (_, port):
+        data = CHUNKED.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        response = await exchange(port, data + b"1\r\nx\r\n0\r\nLate: 1\r\n\r\n")
+    assert response.endswith(b"\r\n\r\nx")
+    assert received[0].header(b"late") is None
+
+
+UPLOAD_LIMITS = routes.CallerLimits(header_timeout_s=60.0, idle_timeout_s=60.0)
+
+
+def upload(size: int) -> bytes:
+    return POST + f"{CLOSE}Content-Length: {size}\r\n\r\n".encode()
+
+
+# Guards against clients that end an instance by its memory together, each below the
+# limit of one body.
+async def test_serve_refuses_the_largest_upload_when_all_exceed_the_budget():
+    budget = memory_budget.MemoryBudget(1024 * 1024)
+    handled_sizes: list[int] = []
+
+    async def record(request):
+        handled_sizes.append(len(request.body))
+        return messages.Response(200, [], b"")
+
+    async with serving(record, UPLOAD_LIMITS, budget) as (_, port):
+        large, small = 700_000, 400_000
+        first = await asyncio.open_connection("127.0.0.1", port)
+        first[1].write(upload(2 * large) + bytes(large))
+        while budget.used_bytes < large:
+            await asyncio.sleep(0.01)
+        response = await exchange(port, upload(small) + bytes(small))
+        assert response.startswith(b"HTTP/1.1 200 ")
+        async with asyncio.timeout(20):
+            refusal = await first[0].read()
+        first[1].close()
+    assert refusal.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: 1" in refusal
+    assert handled_sizes == [small]
+    assert budget.used_bytes == 0
+
+
+@pytest.mark.parametrize("size", [0, 300_000])
+async def test_serve_frees_the_memory_of_a_client_that_leaves(size):
+    budget = memory_budget.MemoryBudget()
+
+    async def wait(request):
+        await asyncio.Event().wait()
+
+    async with serving(wait, UPLOAD_LIMITS, budget) as (http_server, port):
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(upload(size) + bytes(size) if size else get("/"))
+        while not http_server.requests_in_flight:
+            await asyncio.sleep(0.01)
+        assert budget.used_bytes >= size
+        writer.transport.abort()
+        async with asyncio.timeout(20):
+            while budget.used_bytes:
+                await asyncio.sleep(0.01)
+
+
+async def test_serve_counts_the_responses_that_a_client_does_not_read():
+    budget = memory_budget.MemoryBudget()
+    size = 32 * 1024 * 1024
+
+    async def respond(request):
+        return messages.Response(200, [], bytes(size))
+
+    async with serving(respond, UPLOAD_LIMITS, budget) as (_, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(get("/", CLOSE))
+        async with asyncio.timeout(20):
+            while budget.used_bytes < size / 2:
+                await asyncio.sleep(0.01)
+            assert len(await reader.read()) > size
+            while budget.used_bytes:
+                await asyncio.sleep(0.01)
+        writer.close()
+
+
 # Guards against endpoints that work on for a client that has left: a connection with
 # many unanswered requests, or whose responses are not read, is closed late.
 @pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -17,7 +17,11 @@
     request_path,
     routing_state,
 )
-from yuccapitch.gateway.http1 import messages as http_messages, server as http_server
+from yuccapitch.gateway.http1 import (
+    memory_budget,
+    messages as http_messages,
+    server as http_server,
+)
 from yuccapitch.node import tasks
 from yuccapitch.node.routed import (
     adapter as routed_adapter,
@@ -86,8 +90,10 @@
             node_settings.link_bits_per_s,
         )
         self._links.on_link_closed = self._placer.mark_link_lost
+        # Requests and responses share one limit: the process has to stay below it.
+        budget = memory_budget.MemoryBudget()
         self._sender = endpoint_sender.Sender(
-            adapter.header_names, self._clock, self._dispatcher.table.notices
+            adapter.header_names, self._clock, self._dispatcher.table.notices, budget
         )
         self._path = request_path.RequestPath(
             node_settings.instance_id,
@@ -101,7 +107,7 @@
             self._dispatcher.table.notices,
         )
         self._server = http_server.Server(
-            self._handle, self._clock, self._routing_state.limits
+            self._handle, self._clock, self._routing_state.limits, budget
         )
 
     async def start(self) -> result.Result[None, str]:
--- a/tests/routed.py
+++ b/tests/routed.py
@@ -253,8 +253,8 @@
         method.encode(), target.encode(), header_fields, body, 0.0
     )
     async with asyncio.timeout(10):
-        data = messages.encode_request(request, header_fields)
-        response = await connection.exchange(data, lambda response: True, False)
+        head = messages.encode_request_head(request, header_fields)
+        response = await connection.exchange(head, lambda response: True, False, body)
     connection.close()
     return response
 
