Endpoints: accept IP addresses only, count every failed connection

Two entries of the platform's list whose addresses held unreadable bytes were used as endpoints.

Cause: the text passed as the name of a host; encoding it raises a UnicodeError, which the pool of connections didn't catch, and the place was returned as unused.

Change: an entry needs an IP address, so that no resolver is asked, which takes 10.1.0 or 0x7f.1 for addresses. Whatever error ends the attempt to connect is a failed connection: it counts against the endpoint, and the request is sent elsewhere.

--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -315,7 +315,9 @@
                 _, connection = await loop.create_connection(
                     lambda: Connection(self._clock, self.budget), self._host, self._port
                 )
-        except (OSError, TimeoutError) as error:
+        except Exception as error:
+            # Beside OSError and TimeoutError, an address that can't be encoded or
+            # resolved raises errors of other types.
             return Failure(Fault.CONNECT, False, repr(error))
         return connection
 
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -121,6 +121,17 @@
     assert not outcome.was_sent
 
 
+# Guards against an endpoint whose address can't be used: requests to it failed with an
+# error of the instance, and as it was never busy, it got most of them.
+@pytest.mark.parametrize("host", ["10.0.\ufffd\ufffd", "a..b", "x" * 70 + ".example"])
+async def test_acquire_reports_an_address_that_cannot_be_used(host):
+    pool = client.Pool(host, 80, asyncio.get_running_loop().time)
+    outcome = await pool.acquire(5.0, 5.0)
+    assert isinstance(outcome, client.Failure)
+    assert outcome.fault is client.Fault.CONNECT
+    assert not outcome.was_sent
+
+
 def test_parse_keep_alive_timeout_s_reads_the_keep_alive_header():
     assert client.parse_keep_alive_timeout_s(b"timeout=7, max=9") == 7.0
     assert client.parse_keep_alive_timeout_s(b"max=9") is None
--- a/tests/platform/test_endpoint_list.py
+++ b/tests/platform/test_endpoint_list.py
@@ -130,6 +130,16 @@
     "no-host": row_with("address", '":80"'),
     "host-with-a-space": row_with("address", '"10.0.0.9 :80"'),
     "long-host": row_with("address", f'"{DIGITS}:80"'),
+    "unreadable-host": row_with("address", '"10.0.\ufffd\ufffd:80"'),
+    "short-address": row_with("address", '"10.1.0:80"'),
+    "number-as-address": row_with("address", '"1:80"'),
+    "address-in-base-16": row_with("address", '"0x7f.1:80"'),
+    "address-out-of-range": row_with("address", '"10.0.0.256:80"'),
+    "any-address": row_with("address", '"0.0.0.0:80"'),
+    "multicast-address": row_with("address", '"224.0.0.1:80"'),
+    "half-of-brackets": row_with("address", '"[::1:80"'),
+    "no-brackets": row_with("address", '"::1:80"'),
+    "name-of-a-host": row_with("address", '"a..b:80"'),
     "long-id": row_with("id", f'"{DIGITS}"'),
     "cold-for-many-digits": row_with("coldLeft", f'"{DIGITS}ms"'),
     "cold-for-an-infinite-time": row_with("coldLeft", f'"{"9" * 400}s"'),
@@ -174,6 +184,14 @@
     assert endpoint_list.decode_endpoint(entries[1], REGIONS) is None
 
 
+def test_decode_endpoint_accepts_an_ipv6_address_in_brackets():
+    entries, _ = endpoint_list.decode_page(page_with(row_with("id", '"i"'))).unwrap()
+    record = endpoint_list.decode_endpoint(
+        {**entries[1], "address": "[::1]:80"}, REGIONS
+    )
+    assert (record.host, record.port) == ("::1", 80)
+
+
 def test_decode_page_with_an_odd_entry_keeps_the_next_token():
     body = page_with("1e999").replace(b'"nextToken":null', b'"nextToken":"p-50"')
     entries, token = endpoint_list.decode_page(body).unwrap()
