Places: attempt ids differ between processes of one instance

Cause, as read: attempts are numbered from 1 in each process. A process that had just started asked its dispatcher for the decisions on its waiting attempts, and the dispatcher still had places of the same numbers of the process before it. A late one-way grant could do the same before.

Change: the ids have a random part for each process, and a place at an endpoint of another service is given back.

--- a/packages/gateway/src/yuccapitch/gateway/front/region_placer.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placer.py
@@ -332,6 +332,8 @@
                 decision = await waiter.future
             else:
                 decision = self._decode(reply.ok_value)
+            if _is_for_other_service(decision, request):
+                decision = _Undecided.FORGOTTEN
             return decision
         finally:
             self._waiters_by_attempt_id.pop(request.attempt_id, None)
@@ -404,3 +406,12 @@
             held.granted.endpoint.endpoint_id,
             place_service.to_milliseconds(now - held.granted_at),
         )
+
+
+def _is_for_other_service(
+    decision: model.Decision | _Undecided, request: model.PlacementRequest
+) -> bool:
+    """Whether a place is at an endpoint that doesn't serve the request's service."""
+    if not isinstance(decision, model.Granted):
+        return False
+    return decision.endpoint.service_id != request.service_id
--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import itertools
+import secrets
 import typing
 from collections.abc import Callable
 
@@ -46,6 +47,8 @@
 # Fraction of the fleet's retry budget that the instances divide among themselves. The
 # rest is a margin, so that uneven use by many instances doesn't exceed the budget.
 RETRY_BUDGET_USE_FRACTION = 0.85
+# Length of the random part of attempt ids, which differs between processes.
+ATTEMPT_TOKEN_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,6 +101,8 @@
         self._meter = meter
         self._notices = notices
         self._traffic_split = traffic_split.WeightedRoundRobin()
+        # A dispatcher may still have the attempts of the process before a restart.
+        self._attempt_prefix = f"{instance_id}/{secrets.token_hex(ATTEMPT_TOKEN_BYTES)}"
         self._attempt_numbers = itertools.count(1)
         self._longest_deadline_s_by_route_id: dict[ids.RouteId, float] = {}
         self._planned_stop = planned_stop.PlannedStop(clock)
@@ -419,7 +424,7 @@
         if routed.route.is_sticky:
             key = routed.request.header(self._names.object_key) or b""
         return model.PlacementRequest(
-            model.AttemptId(f"{self._instance_id}/{next(self._attempt_numbers)}"),
+            model.AttemptId(f"{self._attempt_prefix}/{next(self._attempt_numbers)}"),
             self._instance_id,
             routed.service_id,
             routed.route.route_id,
--- a/packages/gateway/tests/front/test_region_placer.py
+++ b/packages/gateway/tests/front/test_region_placer.py
@@ -214,6 +214,26 @@
     assert isinstance(await waiting, model.Granted)
 
 
+# Guards against a request sent to an endpoint of another service, by a grant for
+# another request with the same id.
+async def test_place_rejects_a_grant_at_an_endpoint_of_another_service():
+    region = Region("e1", "other")
+    other_id = ids.EndpointId("other")
+    region.endpoints[other_id] = dataclasses.replace(
+        region.endpoints[other_id], service_id=ids.ServiceId("photos")
+    )
+    region.use_dispatcher(A)
+    for name in ("held", "held too"):
+        await place(region, A, name)
+    waiting = await wait_in_queue(region, "waiting")
+    grant = messages.PlaceGrant("waiting", "other")
+    region.network.handlers_by_id[B][messages.PlaceGrant](A, grant)
+    for _ in range(5):
+        await asyncio.sleep(0)
+    assert not waiting.done()
+    waiting.cancel()
+
+
 # Guards against a grant that is given back although the request uses it.
 async def test_grant_that_arrives_twice_is_used_once():
     region = Region("e1")
--- a/packages/gateway/tests/front/test_request_path.py
+++ b/packages/gateway/tests/front/test_request_path.py
@@ -154,6 +154,16 @@
     assert placer.released == [model.Outcome.ANSWERED]
 
 
+# Guards against a process that gets the place of a request of the process that ran
+# at its address before, whose attempts the dispatcher may still have.
+async def test_attempt_ids_differ_between_processes_of_one_instance():
+    placer = Placer(2)
+    for _ in range(2):
+        await make_request_path(placer, Sender(ANSWERED)).handle(request())
+    first, second = placer.requests
+    assert first.attempt_id != second.attempt_id
+
+
 async def test_handle_returns_retry_after_of_a_refused_place():
     response = await make_request_path(Placer(0), Sender()).handle(request())
     assert response.status == 503
