--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -93,7 +93,7 @@
 @pytest.mark.timeout(300)
 async def test_soak_answers_whole_requests_in_planned_stops(tmp_path: pathlib.Path):
     names = ("stop_beside_held_requests", "change_routes", "slow_endpoints")
-    plan = run.Plan(1, 8.0, controls=3, entries=3, callers=4, fault_names=names)
+    plan = run.Plan(1, 16.0, controls=3, entries=3, callers=4, fault_names=names)
     report = await run.run(plan, tmp_path)
     assert report.violations == []
     guarantee = "whole requests are answered in a planned stop"
