Places: place locally instead of asking again for another service's place

A dispatcher that knows an endpoint under another service would be asked again and again, once a round trip, until the request's deadline. The local dispatcher places the request, as for a place at an endpoint that this instance knows to be unusable.

--- a/packages/gateway/src/yuccapitch/gateway/front/region_placer.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placer.py
@@ -333,7 +333,7 @@
             else:
                 decision = self._decode(reply.ok_value)
             if _is_for_other_service(decision, request):
-                decision = _Undecided.FORGOTTEN
+                decision = _Undecided.NO_DISPATCHER
             return decision
         finally:
             self._waiters_by_attempt_id.pop(request.attempt_id, None)
--- a/packages/gateway/tests/front/test_region_placer.py
+++ b/packages/gateway/tests/front/test_region_placer.py
@@ -228,10 +228,7 @@
     waiting = await wait_in_queue(region, "waiting")
     grant = messages.PlaceGrant("waiting", "other")
     region.network.handlers_by_id[B][messages.PlaceGrant](A, grant)
-    for _ in range(5):
-        await asyncio.sleep(0)
-    assert not waiting.done()
-    waiting.cancel()
+    assert (await waiting).endpoint.service_id == SERVICE
 
 
 # Guards against a grant that is given back although the request uses it.
