Logs: late event loops, and what a close leaves unread

Cause: no log line told whether a lost request was still in the kernel when its listener or its connection was closed, nor whether the process stood still. Change: process.stalled names the lag of the event loop, in both binaries; caller.listener-closed says whether connections were waiting to be accepted; caller.unread-closed names a connection that is closed as idle over unread bytes; entry.drain-finished says how much of the grace was left.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -374,6 +374,8 @@
     def _close_idle(self) -> None:
         if self._is_closing:
             return
+        if peer_state.is_readable(self._transport):
+            events.event("caller.unread-closed", connection=self._id)
         is_recent = self._state.clock() - self._idle_since < LINGER_S
         if is_recent or self._transport.get_write_buffer_size():
             # A reset might discard the last response, which may still be on its way.
@@ -485,8 +487,11 @@
 
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones stay open."""
-        if self._server is not None:
-            self._server.close()
+        if self._server is None or not self._server.sockets:
+            return
+        has_waiting = any(map(peer_state.is_socket_readable, self._server.sockets))
+        self._server.close()
+        events.event("caller.listener-closed", has_waiting_connections=has_waiting)
 
     def close_idle(self) -> None:
         """Close the connections that have had no request in progress for a while.
--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -18,6 +18,7 @@
     entry_role,
     gauges,
     http_server,
+    loop_monitor,
     settings_table,
     tasks,
 )
@@ -127,6 +128,7 @@
             self._entry = await entry_role.start(dependencies, application, stack)
             gauges.register_lease_gauges(metrics, self._entry.lease, self._clock)
         await http.serve(application, stack)
+        tasks.start(loop_monitor.run(), stack, self._fail)
         _tune_garbage_collector()
         self._http = http
         events.event(
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -185,6 +185,7 @@
             "entry.drain-finished",
             in_flight=self._server.requests_in_flight,
             took_ms=round((self._clock() - stopped_at) * 1000),
+            left_ms=round((grace_ends_at - self._clock()) * 1000),
         )
 
     async def _handle(self, request: http_messages.Request) -> http_messages.Response:
--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -13,7 +13,7 @@
 import result
 
 from yuccapitch.control import coordinator
-from yuccapitch.node import log_lines, tasks
+from yuccapitch.node import log_lines, loop_monitor, tasks
 from yuccapitch.node.routed import adapter as routed_adapter, bounded_log, settings
 from yuccapitch.protocol import events
 
@@ -153,6 +153,7 @@
             _watch_settings(node, reload_event, read_changed_settings), stack, fail
         )
         tasks.start(_report_dropped(log), stack, fail)
+        tasks.start(loop_monitor.run(), stack, fail)
         # Objects created by the start live as long as the process, so garbage
         # collections need not scan them.
         gc.collect()
--- /dev/null
+++ b/packages/node/tests/test_loop_monitor.py
@@ -0,0 +1,29 @@
+"""Tests of the event loop's monitor."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+import pytest
+
+from yuccapitch.node import loop_monitor
+
+
+@pytest.mark.parametrize(("lag_s", "lags_ms"), [(0.1, []), (0.3, [300])])
+def test_report_lag_logs_a_long_lag(lag_s, lags_ms, logged):
+    loop_monitor.report_lag(10.0, 10.0 + lag_s)
+    assert [message["lag_ms"] for message in logged] == lags_ms
+
+
+async def test_run_reports_a_step_that_blocks_the_loop(monkeypatch, logged):
+    monkeypatch.setattr(loop_monitor, "CHECK_INTERVAL_S", 0.01)
+    running = asyncio.create_task(loop_monitor.run())
+    await asyncio.sleep(0.05)
+    time.sleep(0.3)
+    await asyncio.sleep(0.05)
+    running.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await running
+    assert "process.stalled" in [message["message_type"] for message in logged]
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -56,6 +56,11 @@
     "A background task ended with an unexpected error.",
     Level.ERROR,
 )
+declare(
+    "process.stalled",
+    "The event loop ran late: nothing was read, sent or accepted meanwhile.",
+    Level.WARNING,
+)
 declare(
     "settings.unknown-variable",
     "An environment variable has the settings' prefix but no such setting exists.",
@@ -210,6 +215,15 @@
     "caller.connection-lost",
     "A client's connection ended with requests whose response was not sent.",
 )
+declare(
+    "caller.listener-closed",
+    "A listen address is closed; connections that were not accepted yet are reset.",
+)
+declare(
+    "caller.unread-closed",
+    "A connection without a request in progress is closed over unread bytes.",
+    Level.WARNING,
+)
 declare(
     "caller.refused",
     "Data from a client was rejected: malformed, too large or too slow.",
