Tests: requests that the kernel holds when a socket is closed

Cause: a listener and an idle connection are closed without regard to what the kernel holds for them. Change: tests in which eight connections with a whole request each wait to be accepted while the listener closes, and in which a request arrives before its connection is closed as idle, by a planned stop or by the idle limit.

--- /dev/null
+++ b/packages/gateway/tests/http1/test_server_unread.py
@@ -0,0 +1,82 @@
+"""Tests of connections and requests that the kernel holds when a socket is closed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+
+from yuccapitch.catalogue import routes
+from yuccapitch.gateway.http1 import messages, server
+
+CLIENTS = 8
+IDLE_S = 60.0
+
+
+async def answer(request: messages.Request) -> messages.Response:
+    return messages.Response(200, [(b"x-target", request.target)], b"")
+
+
+@contextlib.asynccontextmanager
+async def serving() -> AsyncIterator[tuple[server.Server, int]]:
+    loop = asyncio.get_running_loop()
+    http_server = server.Server(answer, loop.time, routes.CallerLimits)
+    port = await http_server.start("127.0.0.1", 0)
+    try:
+        yield http_server, port
+    finally:
+        await http_server.aclose()
+
+
+@contextlib.contextmanager
+def connecting(port: int):
+    with socket.create_connection(("127.0.0.1", port)) as client:
+        client.settimeout(10.0)
+        yield client
+
+
+def send(client: socket.socket, target: str) -> None:
+    """Send a whole request; the event loop does not run meanwhile."""
+    client.sendall(f"GET {target} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+
+
+async def receive(client: socket.socket) -> bytes:
+    return await asyncio.to_thread(client.recv, 4096)
+
+
+# Guards against connections that the kernel has taken, each with a whole request, and
+# that are reset without an answer or a log line when a listener is closed.
+async def test_finish_serves_connections_that_wait_to_be_accepted():
+    async with serving() as (http_server, port):
+        with contextlib.ExitStack() as stack:
+            clients = [stack.enter_context(connecting(port)) for _ in range(CLIENTS)]
+            for client in clients:
+                send(client, "/1")
+            http_server.drain()
+            async with asyncio.timeout(20):
+                finishing = asyncio.create_task(http_server.finish(float("inf")))
+                received = [await receive(client) for client in clients]
+                await finishing
+    assert [b"x-target: /1" in data for data in received] == [True] * CLIENTS
+
+
+# Guards against a request that arrived while the event loop was busy, and whose
+# connection is closed as idle because nobody asks whether bytes are unread.
+@pytest.mark.parametrize("closes_by_timer", [False, True])
+async def test_idle_close_serves_a_request_that_is_not_read(closes_by_timer):
+    async with serving() as (http_server, port):
+        with connecting(port) as client:
+            while not http_server.connection_count:
+                await asyncio.sleep(0)
+            (connection,) = http_server._state.connections
+            connection._idle_since -= IDLE_S
+            send(client, "/1")
+            if closes_by_timer:
+                connection._on_timer()
+            else:
+                connection.close_if_idle(server.LINGER_S)
+            received = await receive(client)
+    assert b"x-target: /1" in received
