Servers: accept the connections that wait before a listener is closed

Callers saw: in a planned stop, whole requests reset without an answer, several in one moment, if the event loop had been late just before. Cause: closing a listen socket makes the kernel reset the connections in its accept queue, together with the requests that it has received on them. Evidence: eight connections that wait while the listener closes were all reset (ECONNRESET) before this change, and nothing was logged. Change: protocol.listener owns a listen socket; it accepts what waits in the same step in which it closes the address, and listener.closed says how many that were.

--- a/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
@@ -73,11 +73,8 @@
 def is_readable(transport: asyncio.Transport) -> bool:
     """Return whether the kernel holds bytes, or an end, that were not read yet."""
     sock: socket.socket | None = transport.get_extra_info("socket")
-    return sock is not None and is_socket_readable(sock)
-
-
-def is_socket_readable(sock: socket.socket) -> bool:
-    """Return whether a read, or an accept of a listening socket, would not block."""
+    if sock is None:
+        return False
     poll = select.poll()
     poll.register(sock, select.POLLIN)
     return bool(poll.poll(0))
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -12,7 +12,7 @@
 
 from yuccapitch.catalogue import routes
 from yuccapitch.gateway.http1 import memory_budget, messages, peer_state
-from yuccapitch.protocol import events
+from yuccapitch.protocol import events, listener
 
 # Pipelined requests of one connection that are processed concurrently. At this limit,
 # reading from the connection is paused.
@@ -22,7 +22,6 @@
 # client has read it.
 LINGER_S = 1.0
 FINISH_CHECK_INTERVAL_S = 0.05
-LISTEN_BACKLOG = 1024
 # Time that sent data may stay unacknowledged before the kernel drops the connection
 # (TCP_USER_TIMEOUT).
 TCP_USER_TIMEOUT_MS = 5000
@@ -451,7 +450,7 @@
         """Create a server; ``budget`` limits the memory of all messages together."""
         budget = budget or memory_budget.MemoryBudget()
         self._state = ServerState(handler, clock, limits, budget)
-        self._server: asyncio.Server | None = None
+        self._listener: listener.Listener | None = None
 
     @property
     def requests_in_flight(self) -> int:
@@ -461,7 +460,7 @@
     @property
     def is_listening(self) -> bool:
         """Whether connections are accepted."""
-        return self._server is not None and self._server.is_serving()
+        return self._listener is not None and self._listener.is_listening
 
     @property
     def connection_count(self) -> int:
@@ -470,16 +469,9 @@
 
     async def start(self, host: str, port: int) -> int:
         """Start listening and return the bound port."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: Connection(self._state),
-            host,
-            port,
-            backlog=LISTEN_BACKLOG,
-            reuse_address=True,
-        )
-        bound_port: int = self._server.sockets[0].getsockname()[1]
-        return bound_port
+        self._listener = listener.Listener(host, port)
+        await self._listener.start(lambda: Connection(self._state))
+        return self._listener.address[1]
 
     def drain(self) -> None:
         """Announce the close of each connection with its last pending response."""
@@ -487,11 +479,8 @@
 
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones stay open."""
-        if self._server is None or not self._server.sockets:
-            return
-        has_waiting = any(map(peer_state.is_socket_readable, self._server.sockets))
-        self._server.close()
-        events.event("caller.listener-closed", has_waiting_connections=has_waiting)
+        if self._listener is not None:
+            self._listener.stop()
 
     def close_idle(self) -> None:
         """Close the connections that have had no request in progress for a while.
@@ -517,7 +506,8 @@
 
     async def aclose(self) -> None:
         """Stop listening and close the connections without a request in progress."""
-        self.stop_listening()
+        if self._listener is not None:
+            await self._listener.aclose()
         self._close_idle(0.0)
 
     def _close_idle(self, min_idle_s: float) -> None:
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -71,6 +71,15 @@
     "SIGHUP was received; flags and environment variables are read at startup only.",
     Level.WARNING,
 )
+declare(
+    "listener.closed",
+    "A listen address was closed after the connections that waited were accepted.",
+)
+declare(
+    "listener.accept-failed",
+    "Connections that waited could not be accepted before their address was closed.",
+    Level.ERROR,
+)
 declare("link.opened", "An inner link to or from another instance was opened.")
 declare(
     "link.failed",
@@ -215,10 +224,6 @@
     "caller.connection-lost",
     "A client's connection ended with requests whose response was not sent.",
 )
-declare(
-    "caller.listener-closed",
-    "A listen address is closed; connections that were not accepted yet are reset.",
-)
 declare(
     "caller.unread-closed",
     "A connection without a request in progress is closed over unread bytes.",
