Callers' connections: no timer gives up over unread bytes

Callers saw: a request on a kept connection reset without an answer, at a planned stop or at the idle limit, if it had arrived while the event loop was late; headers that were whole in the kernel answered with 408. Cause: the close knew what the event loop had read, not what the kernel held. Change: a connection with unread bytes is not idle; it is read first. An unread end of the connection is read as well, and closes it (test_idle_close_ends_the_connection_of_a_client_that_has_left). The event caller.unread-closed can't happen any more and goes; its test is replaced by the stricter one that the request is answered.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -22,6 +22,8 @@
 # client has read it.
 LINGER_S = 1.0
 FINISH_CHECK_INTERVAL_S = 0.05
+# Time after which a timer that expired over unread bytes is checked again.
+UNREAD_RETRY_S = 0.01
 # Time that sent data may stay unacknowledged before the kernel drops the connection
 # (TCP_USER_TIMEOUT).
 TCP_USER_TIMEOUT_MS = 5000
@@ -176,8 +178,13 @@
         )
 
     def close_if_idle(self, min_idle_s: float) -> None:
-        """Close the connection if it has had no request in progress for this time."""
-        if self._pending_responses or self._is_in_message:
+        """Close the connection if it has had no request in progress for this time.
+
+        A connection with unread bytes, which may be a request, stays open.
+        """
+        if self._is_closing or self._pending_responses or self._is_in_message:
+            return
+        if peer_state.is_readable(self._transport):
             return
         if self._state.clock() - self._idle_since >= min_idle_s:
             self._close_idle()
@@ -371,10 +378,6 @@
         self._write_ready_responses()
 
     def _close_idle(self) -> None:
-        if self._is_closing:
-            return
-        if peer_state.is_readable(self._transport):
-            events.event("caller.unread-closed", connection=self._id)
         is_recent = self._state.clock() - self._idle_since < LINGER_S
         if is_recent or self._transport.get_write_buffer_size():
             # A reset might discard the last response, which may still be on its way.
@@ -423,6 +426,10 @@
             self._timer = None
 
     def _on_timer(self) -> None:
+        if peer_state.is_readable(self._transport):
+            # The event loop was late; the request may have arrived in time.
+            self._arm_timer(UNREAD_RETRY_S)
+            return
         if self._is_in_headers:
             self._reject(408, "the headers did not arrive in time")
             return
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -414,27 +414,6 @@
     ]
 
 
-async def test_close_of_an_idle_connection_over_unread_bytes_is_logged(monkeypatch):
-    logged = record_events(monkeypatch)
-    async with serving() as (http_server, port):
-        _, writer = await asyncio.open_connection("127.0.0.1", port)
-        while not http_server.connection_count:
-            await asyncio.sleep(0)
-        writer.write(get("/"))
-        (connection,) = http_server._state.connections
-        connection.close_if_idle(0.0)
-        writer.close()
-    assert logged[0] == ("caller.unread-closed", {"connection": 1})
-
-
-def record_events(monkeypatch) -> list[tuple[str, dict[str, object]]]:
-    logged: list[tuple[str, dict[str, object]]] = []
-    monkeypatch.setattr(
-        server.events, "event", lambda name, **fields: logged.append((name, fields))
-    )
-    return logged
-
-
 async def test_find_unfinished_lists_responses_that_are_due_or_not_sent():
     is_first_answered = asyncio.Event()
 
--- a/packages/gateway/tests/http1/test_server_unread.py
+++ b/packages/gateway/tests/http1/test_server_unread.py
@@ -80,3 +80,42 @@
                 connection.close_if_idle(server.LINGER_S)
             received = await receive(client)
     assert b"x-target: /1" in received
+
+
+# Guards against a connection that stays open for ever because its end counts as bytes
+# that are not read yet.
+@pytest.mark.parametrize("closes_by_timer", [False, True])
+async def test_idle_close_ends_the_connection_of_a_client_that_has_left(
+    closes_by_timer,
+):
+    async with serving() as (http_server, port):
+        with connecting(port) as client:
+            while not http_server.connection_count:
+                await asyncio.sleep(0)
+            (connection,) = http_server._state.connections
+            connection._idle_since -= IDLE_S
+            client.shutdown(socket.SHUT_WR)
+            if closes_by_timer:
+                connection._on_timer()
+            else:
+                connection.close_if_idle(server.LINGER_S)
+            async with asyncio.timeout(20):
+                while http_server.connection_count:
+                    await asyncio.sleep(0.01)
+
+
+# Guards against a rejection of headers that were in the kernel in time, and that a late
+# event loop has not read.
+async def test_header_timeout_reads_what_is_unread():
+    async with serving() as (http_server, port):
+        with connecting(port) as client:
+            client.sendall(b"GET /1 HTTP/1.1\r\n")
+            while not http_server.connection_count:
+                await asyncio.sleep(0)
+            (connection,) = http_server._state.connections
+            while not connection._is_in_headers:
+                await asyncio.sleep(0)
+            client.sendall(b"Host: h\r\n\r\n")
+            connection._on_timer()
+            received = await receive(client)
+    assert b"x-target: /1" in received
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -224,11 +224,6 @@
     "caller.connection-lost",
     "A client's connection ended with requests whose response was not sent.",
 )
-declare(
-    "caller.unread-closed",
-    "A connection without a request in progress is closed over unread bytes.",
-    Level.WARNING,
-)
 declare(
     "caller.refused",
     "Data from a client was rejected: malformed, too large or too slow.",
