Callers' connections: an idle close rejects later bytes at once

Callers saw: nothing known yet; a request that crosses the close of an idle connection is reset late if the event loop is. Cause: asyncio closes the socket in its next iteration; until then the kernel takes bytes that nobody reads. Evidence: test_idle_close_rejects_what_comes_later_without_the_event_loop failed before (no end of the connection for as long as the event loop stood still). Change: both directions are shut down in the step that decides on the close, so that the kernel resets what comes later. Result: the test passes.

--- a/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
 import socket
 
@@ -78,3 +79,17 @@
     poll = select.poll()
     poll.register(sock, select.POLLIN)
     return bool(poll.poll(0))
+
+
+def shut_down(transport: asyncio.Transport) -> None:
+    """Close a transport; the kernel rejects at once what its peer sends from now on.
+
+    ``transport.close`` leaves the socket open until the next iteration of the event
+    loop, and the kernel would keep taking bytes that nobody reads.
+    """
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is not None:
+        # Fails only if the peer has reset the connection meanwhile.
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+    transport.close()
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -387,7 +387,7 @@
         # so that its client sends it again at once.
         self._is_closing = True
         self._disarm_timer()
-        self._transport.close()
+        peer_state.shut_down(self._transport)
 
     def _close(self) -> None:
         if self._is_closing:
--- a/packages/gateway/tests/http1/test_server_unread.py
+++ b/packages/gateway/tests/http1/test_server_unread.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections.abc import AsyncIterator
 
@@ -82,6 +83,25 @@
     assert b"x-target: /1" in received
 
 
+# Guards against bytes that the kernel takes after the close, and that are reset only
+# once the event loop, which may be late, closes the socket.
+async def test_idle_close_rejects_what_comes_later_without_the_event_loop():
+    async with serving() as (http_server, port):
+        with connecting(port) as client:
+            while not http_server.connection_count:
+                await asyncio.sleep(0)
+            (connection,) = http_server._state.connections
+            connection._idle_since -= IDLE_S
+            connection.close_if_idle(server.LINGER_S)
+            # The event loop does not run from here.
+            assert client.recv(1) == b""
+            send(client, "/1")
+            poll = select.poll()
+            poll.register(client, 0)
+            ((_, found),) = poll.poll(5000)
+    assert found & (select.POLLHUP | select.POLLERR)
+
+
 # Guards against a connection that stays open for ever because its end counts as bytes
 # that are not read yet.
 @pytest.mark.parametrize("closes_by_timer", [False, True])
