Servers: answer what the kernel holds when the process ends

Callers saw: a whole request whose connection ends without an answer, at the last moment of a planned stop. Cause: aclose closed connections without a request in progress, whatever the kernel held for them, and the process ended at once. Evidence: test_aclose_answers_a_request_that_is_not_read (connection waiting to be accepted, open, or with half of its request read) and test_request_unread_at_the_end_of_a_stop_is_refused failed before. Change: aclose announces the close, reads what came and waits for the responses, which an entry instance refuses by then, for 0.05 s at most. Result: these tests pass.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -22,6 +22,9 @@
 # client has read it.
 LINGER_S = 1.0
 FINISH_CHECK_INTERVAL_S = 0.05
+# Time for the last responses of a server that is closed, usually refusals.
+LAST_RESPONSES_S = 0.05
+LAST_RESPONSES_CHECK_S = 0.005
 # Time after which a timer that expired over unread bytes is checked again.
 UNREAD_RETRY_S = 0.01
 # Time that sent data may stay unacknowledged before the kernel drops the connection
@@ -177,6 +180,12 @@
             unsent_bytes,
         )
 
+    def is_response_due(self) -> bool:
+        """Whether requests are unanswered, or bytes unread that may be one."""
+        if self._pending_responses:
+            return True
+        return not self._is_closing and peer_state.is_readable(self._transport)
+
     def close_if_idle(self, min_idle_s: float) -> None:
         """Close the connection if it has had no request in progress for this time.
 
@@ -512,10 +521,21 @@
         return [unfinished for unfinished in found if unfinished is not None]
 
     async def aclose(self) -> None:
-        """Stop listening and close the connections without a request in progress."""
+        """Stop listening and close the connections without a request in progress.
+
+        Requests that were received, read or not, get ``LAST_RESPONSES_S`` for their
+        responses.
+        """
+        self.drain()
         if self._listener is not None:
             await self._listener.aclose()
-        self._close_idle(0.0)
+        ends_at = self._state.clock() + LAST_RESPONSES_S
+        while True:
+            self._close_idle(0.0)
+            has_due = any(c.is_response_due() for c in self._state.connections)
+            if not has_due or self._state.clock() >= ends_at:
+                return
+            await asyncio.sleep(LAST_RESPONSES_CHECK_S)
 
     def _close_idle(self, min_idle_s: float) -> None:
         for connection in list(self._state.connections):
--- a/packages/gateway/tests/http1/test_server_unread.py
+++ b/packages/gateway/tests/http1/test_server_unread.py
@@ -22,9 +22,11 @@
 
 
 @contextlib.asynccontextmanager
-async def serving() -> AsyncIterator[tuple[server.Server, int]]:
+async def serving(
+    handler: server.Handler = answer,
+) -> AsyncIterator[tuple[server.Server, int]]:
     loop = asyncio.get_running_loop()
-    http_server = server.Server(answer, loop.time, routes.CallerLimits)
+    http_server = server.Server(handler, loop.time, routes.CallerLimits)
     port = await http_server.start("127.0.0.1", 0)
     try:
         yield http_server, port
@@ -139,3 +141,47 @@
             connection._on_timer()
             received = await receive(client)
     assert b"x-target: /1" in received
+
+
+# Guards against a request that the kernel holds when the process ends: its connection
+# ended without an answer.
+@pytest.mark.parametrize("state", ["waiting", "open", "incomplete"])
+async def test_aclose_answers_a_request_that_is_not_read(state):
+    async with serving() as (http_server, port):
+        with connecting(port) as client:
+            if state != "waiting":
+                send(client, "/0")
+                assert b"x-target: /0" in await receive(client)
+            if state == "incomplete":
+                (connection,) = http_server._state.connections
+                client.sendall(b"GET /1 HTTP/1.1\r\n")
+                while not connection._is_in_message:
+                    await asyncio.sleep(0)
+                client.sendall(b"Host: h\r\n\r\n")
+            else:
+                send(client, "/1")
+            async with asyncio.timeout(20):
+                await http_server.aclose()
+            received = await receive(client)
+    assert b"x-target: /1" in received
+    assert b"connection: close" in received
+
+
+async def test_aclose_ends_in_time_beside_requests_that_are_not_answered():
+    async def wait(request: messages.Request) -> messages.Response:
+        await asyncio.Event().wait()
+        raise AssertionError("the event is never set")
+
+    async with serving(wait) as (http_server, port):
+        with connecting(port) as client, connecting(port) as uploading:
+            send(client, "/1")
+            uploading.sendall(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na"
+            )
+            while (
+                http_server.connection_count < 2 or not http_server.requests_in_flight
+            ):
+                await asyncio.sleep(0)
+            async with asyncio.timeout(20):
+                await http_server.aclose()
+            assert http_server.requests_in_flight == 1
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -309,3 +309,22 @@
         await node.drain(coordinator.boot_time_s() - 20.4)
         assert (await reader.read(-1)).startswith(b"HTTP/1.1 504")
     writer.close()
+
+
+# Guards against a request that has reached the process when it ends, and whose
+# connection is closed without an answer.
+async def test_request_unread_at_the_end_of_a_stop_is_refused(node):
+    port = await start_serving(node)
+    with socket.create_connection(("127.0.0.1", port)) as client:
+        client.settimeout(20)
+        while not node._server.connection_count:
+            await asyncio.sleep(0)
+        async with asyncio.timeout(60):
+            # The grace of 21 s is over.
+            await node.drain(coordinator.boot_time_s() - 21.0)
+            client.sendall(b"GET /short HTTP/1.1\r\nHost: h\r\ntime-left: 3000\r\n\r\n")
+            await node._server.aclose()
+        response = client.recv(1000)
+    assert response.startswith(b"HTTP/1.1 503")
+    assert b"connection: close" in response
+    assert node._path._sender.sent == []
