Callers' connections: a drain answers the unread request behind another

Callers saw: at a planned stop, a request pipelined behind another dropped without an answer if the event loop had not read it when the response before it was written. Cause: that response announced the close of the connection; what came behind it was read and dropped. Evidence: test_drain_answers_the_unread_request_behind_another failed before. Change: the close is announced only with a response behind which nothing is unread. Result: the test passes.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -344,9 +344,10 @@
             response = pending.response
             assert response is not None
             # While stopping, the close is announced with the last response only:
-            # requests pipelined after this one may already be at an endpoint.
-            is_last = not self._pending_responses and not self._is_in_message
-            closes = not pending.keeps_alive or (self._state.is_stopping and is_last)
+            # requests pipelined after this one may be unread, or at an endpoint.
+            closes = not pending.keeps_alive or (
+                self._state.is_stopping and not self._has_further_requests()
+            )
             body = b"" if pending.request.method == b"HEAD" else response.body
             head = messages.encode_response_head(response, closes)
             messages.write(self._transport, head, body)
@@ -362,6 +363,11 @@
         if not self._pending_responses and not self._is_in_message:
             self._start_idle_time()
 
+    def _has_further_requests(self) -> bool:
+        if self._pending_responses or self._is_in_message:
+            return True
+        return peer_state.is_readable(self._transport)
+
     def _free_memory(self) -> None:
         self._headers, self._body = [], bytearray()
         self._state.budget.release(self)
--- a/packages/gateway/tests/http1/test_server_unread.py
+++ b/packages/gateway/tests/http1/test_server_unread.py
@@ -185,3 +185,29 @@
             async with asyncio.timeout(20):
                 await http_server.aclose()
             assert http_server.requests_in_flight == 1
+
+
+# Guards against a connection whose close is announced, and which ends, while its next
+# request is in the kernel.
+async def test_drain_answers_the_unread_request_behind_another():
+    may_respond = asyncio.Event()
+
+    async def wait(request: messages.Request) -> messages.Response:
+        await may_respond.wait()
+        return await answer(request)
+
+    async with serving(wait) as (http_server, port):
+        with connecting(port) as client:
+            send(client, "/1")
+            while not http_server.requests_in_flight:
+                await asyncio.sleep(0)
+            http_server.drain()
+            may_respond.set()
+            # The event loop reads it only after the first response is written.
+            send(client, "/2")
+            received = b""
+            while data := await receive(client):
+                received += data
+    assert b"x-target: /1" in received
+    assert b"x-target: /2" in received
+    assert received.count(b"connection: close") == 1
