--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -22,6 +22,11 @@
 # client has read it.
 LINGER_S = 1.0
 FINISH_CHECK_INTERVAL_S = 0.05
+# Time for the last responses of a server that is closed, usually refusals.
+LAST_RESPONSES_S = 0.05
+LAST_RESPONSES_CHECK_S = 0.005
+# Time after which a timer that expired over unread bytes is checked again.
+UNREAD_RETRY_S = 0.01
 # Time that sent data may stay unacknowledged before the kernel drops the connection
 # (TCP_USER_TIMEOUT).
 TCP_USER_TIMEOUT_MS = 5000
@@ -175,9 +180,20 @@
             unsent_bytes,
         )
 
+    def is_response_due(self) -> bool:
+        """Whether requests are unanswered, or bytes unread that may be one."""
+        if self._pending_responses:
+            return True
+        return not self._is_closing and peer_state.is_readable(self._transport)
+
     def close_if_idle(self, min_idle_s: float) -> None:
-        """Close the connection if it has had no request in progress for this time."""
-        if self._pending_responses or self._is_in_message:
+        """Close the connection if it has had no request in progress for this time.
+
+        A connection with unread bytes, which may be a request, stays open.
+        """
+        if self._is_closing or self._pending_responses or self._is_in_message:
+            return
+        if peer_state.is_readable(self._transport):
             return
         if self._state.clock() - self._idle_since >= min_idle_s:
             self._close_idle()
@@ -328,9 +344,10 @@
             response = pending.response
             assert response is not None
             # While stopping, the close is announced with the last response only:
-            # requests pipelined after this one may already be at an endpoint.
-            is_last = not self._pending_responses and not self._is_in_message
-            closes = not pending.keeps_alive or (self._state.is_stopping and is_last)
+            # requests pipelined after this one may be unread, or at an endpoint.
+            closes = not pending.keeps_alive or (
+                self._state.is_stopping and not self._has_further_requests()
+            )
             body = b"" if pending.request.method == b"HEAD" else response.body
             head = messages.encode_response_head(response, closes)
             messages.write(self._transport, head, body)
@@ -346,6 +363,11 @@
         if not self._pending_responses and not self._is_in_message:
             self._start_idle_time()
 
+    def _has_further_requests(self) -> bool:
+        if self._pending_responses or self._is_in_message:
+            return True
+        return peer_state.is_readable(self._transport)
+
     def _free_memory(self) -> None:
         self._headers, self._body = [], bytearray()
         self._state.budget.release(self)
@@ -371,10 +393,6 @@
         self._write_ready_responses()
 
     def _close_idle(self) -> None:
-        if self._is_closing:
-            return
-        if peer_state.is_readable(self._transport):
-            events.event("caller.unread-closed", connection=self._id)
         is_recent = self._state.clock() - self._idle_since < LINGER_S
         if is_recent or self._transport.get_write_buffer_size():
             # A reset might discard the last response, which may still be on its way.
@@ -384,7 +402,7 @@
         # so that its client sends it again at once.
         self._is_closing = True
         self._disarm_timer()
-        self._transport.close()
+        peer_state.shut_down(self._transport)
 
     def _close(self) -> None:
         if self._is_closing:
@@ -423,6 +441,10 @@
             self._timer = None
 
     def _on_timer(self) -> None:
+        if peer_state.is_readable(self._transport):
+            # The event loop was late; the request may have arrived in time.
+            self._arm_timer(UNREAD_RETRY_S)
+            return
         if self._is_in_headers:
             self._reject(408, "the headers did not arrive in time")
             return
@@ -505,10 +527,21 @@
         return [unfinished for unfinished in found if unfinished is not None]
 
     async def aclose(self) -> None:
-        """Stop listening and close the connections without a request in progress."""
+        """Stop listening and close the connections without a request in progress.
+
+        Requests that were received, read or not, get ``LAST_RESPONSES_S`` for their
+        responses.
+        """
+        self.drain()
         if self._listener is not None:
             await self._listener.aclose()
-        self._close_idle(0.0)
+        ends_at = self._state.clock() + LAST_RESPONSES_S
+        while True:
+            self._close_idle(0.0)
+            has_due = any(c.is_response_due() for c in self._state.connections)
+            if not has_due or self._state.clock() >= ends_at:
+                return
+            await asyncio.sleep(LAST_RESPONSES_CHECK_S)
 
     def _close_idle(self, min_idle_s: float) -> None:
         for connection in list(self._state.connections):
--- a/packages/gateway/tests/http1/test_server_unread.py
+++ b/packages/gateway/tests/http1/test_server_unread.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 from collections.abc import AsyncIterator
 
@@ -21,9 +22,11 @@
 
 
 @contextlib.asynccontextmanager
-async def serving() -> AsyncIterator[tuple[server.Server, int]]:
+async def serving(
+    handler: server.Handler = answer,
+) -> AsyncIterator[tuple[server.Server, int]]:
     loop = asyncio.get_running_loop()
-    http_server = server.Server(answer, loop.time, routes.CallerLimits)
+    http_server = server.Server(handler, loop.time, routes.CallerLimits)
     port = await http_server.start("127.0.0.1", 0)
     try:
         yield http_server, port
@@ -80,3 +83,131 @@
                 connection.close_if_idle(server.LINGER_S)
             received = await receive(client)
     assert b"x-target: /1" in received
+
+
+# Guards against bytes that the kernel takes after the close, and that are reset only
+# once the event loop, which may be late, closes the socket.
+async def test_idle_close_rejects_what_comes_later_without_the_event_loop():
+    async with serving() as (http_server, port):
+        with connecting(port) as client:
+            while not http_server.connection_count:
+                await asyncio.sleep(0)
+            (connection,) = http_server._state.connections
+            connection._idle_since -= IDLE_S
+            connection.close_if_idle(server.LINGER_S)
+            # The event loop does not run from here.
+            assert client.recv(1) == b""
+            send(client, "/1")
+            poll = select.poll()
+            poll.register(client, 0)
+            ((_, found),) = poll.poll(5000)
+    assert found & (select.POLLHUP | select.POLLERR)
+
+
+# Guards against a connection that stays open for ever because its end counts as bytes
+# that are not read yet.
+@pytest.mark.parametrize("closes_by_timer", [False, True])
+async def test_idle_close_ends_the_connection_of_a_client_that_has_left(
+    closes_by_timer,
+):
+    async with serving() as (http_server, port):
+        with connecting(port) as client:
+            while not http_server.connection_count:
+                await asyncio.sleep(0)
+            (connection,) = http_server._state.connections
+            connection._idle_since -= IDLE_S
+            client.shutdown(socket.SHUT_WR)
+            if closes_by_timer:
+                connection._on_timer()
+            else:
+                connection.close_if_idle(server.LINGER_S)
+            async with asyncio.timeout(20):
+                while http_server.connection_count:
+                    await asyncio.sleep(0.01)
+
+
+# Guards against a rejection of headers that were in the kernel in time, and that a late
+# event loop has not read.
+async def test_header_timeout_reads_what_is_unread():
+    async with serving() as (http_server, port):
+        with connecting(port) as client:
+            client.sendall(b"GET /1 HTTP/1.1\r\n")
+            while not http_server.connection_count:
+                await asyncio.sleep(0)
+            (connection,) = http_server._state.connections
+            while not connection._is_in_headers:
+                await asyncio.sleep(0)
+            client.sendall(b"Host: h\r\n\r\n")
+            connection._on_timer()
+            received = await receive(client)
+    assert b"x-target: /1" in received
+
+
+# Guards against a request that the kernel holds when the process ends: its connection
+# ended without an answer.
+@pytest.mark.parametrize("state", ["waiting", "open", "incomplete"])
+async def test_aclose_answers_a_request_that_is_not_read(state):
+    async with serving() as (http_server, port):
+        with connecting(port) as client:
+            if state != "waiting":
+                send(client, "/0")
+                assert b"x-target: /0" in await receive(client)
+            if state == "incomplete":
+                (connection,) = http_server._state.connections
+                client.sendall(b"GET /1 HTTP/1.1\r\n")
+                while not connection._is_in_message:
+                    await asyncio.sleep(0)
+                client.sendall(b"Host: h\r\n\r\n")
+            else:
+                send(client, "/1")
+            async with asyncio.timeout(20):
+                await http_server.aclose()
+            received = await receive(client)
+    assert b"x-target: /1" in received
+    assert b"connection: close" in received
+
+
+async def test_aclose_ends_in_time_beside_requests_that_are_not_answered():
+    async def wait(request: messages.Request) -> messages.Response:
+        await asyncio.Event().wait()
+        raise AssertionError("the event is never set")
+
+    async with serving(wait) as (http_server, port):
+        with connecting(port) as client, connecting(port) as uploading:
+            send(client, "/1")
+            uploading.sendall(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na"
+            )
+            while (
+                http_server.connection_count < 2 or not http_server.requests_in_flight
+            ):
+                await asyncio.sleep(0)
+            async with asyncio.timeout(20):
+                await http_server.aclose()
+            assert http_server.requests_in_flight == 1
+
+
+# Guards against a connection whose close is announced, and which ends, while its next
+# request is in the kernel.
+async def test_drain_answers_the_unread_request_behind_another():
+    may_respond = asyncio.Event()
+
+    async def wait(request: messages.Request) -> messages.Response:
+        await may_respond.wait()
+        return await answer(request)
+
+    async with serving(wait) as (http_server, port):
+        with connecting(port) as client:
+            send(client, "/1")
+            while not http_server.requests_in_flight:
+                await asyncio.sleep(0)
+            http_server.drain()
+            may_respond.set()
+            # The event loop reads it only after the first response is written.
+            send(client, "/2")
+            received = b""
+            while data := await receive(client):
+                received += data
+    assert b"x-target: /1" in received
+    assert b"x-target: /2" in received
+    assert received.count(b"connection: close") == 1
