Daemon: accept the connections that wait before its listener is closed

Callers saw: in a planned stop of yuccapitchd, whole requests reset without an answer, several in one moment, if the event loop had been late just before. Cause: aiohttp's site closes the listen socket, and the kernel resets the connections in its accept queue, together with the requests received on them. Evidence: test_stop_listening_serves_connections_that_wait_to_be_accepted fails on the code before with ECONNRESET at the client. Change: HttpServer listens with protocol.listener, which accepts what waits in the same step in which it closes the address. The connections are open before the stop looks for idle ones. The address is bound with the full backlog, as before.

--- a/packages/node/src/yuccapitch/node/http_server.py
+++ b/packages/node/src/yuccapitch/node/http_server.py
@@ -4,12 +4,11 @@
 
 import asyncio
 import contextlib
-import socket
 
 from aiohttp import web
 
 from yuccapitch.node import http_connection
-from yuccapitch.protocol import peers as inner_peers
+from yuccapitch.protocol import listener, peers as inner_peers
 
 BACKLOG = 512
 KEEP_ALIVE_S = 75.0
@@ -21,12 +20,8 @@
     """HTTP server that binds its port at once, so that its address is known early."""
 
     def __init__(self, host: str, port: int, max_header_bytes: int) -> None:
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._socket = socket.create_server(
-            (host, port), family=family, backlog=BACKLOG
-        )
-        bound = self._socket.getsockname()
-        self.address = inner_peers.Address(bound[0], bound[1])
+        self._listener = listener.Listener(host, port, BACKLOG)
+        self.address = inner_peers.Address(*self._listener.address)
         self._max_header_bytes = max_header_bytes
         self._is_stopping = False
 
@@ -47,13 +42,15 @@
         )
         await self._runner.setup()
         stack.push_async_callback(self._runner.cleanup)
-        self._site = web.SockSite(self._runner, self._socket)
-        await self._site.start()
+        assert self._runner.server is not None
+        stack.push_async_callback(self._listener.aclose)
+        await self._listener.start(self._runner.server)
 
     async def stop_listening(self) -> None:
         """Stop accepting connections, and answer the requests on the open ones."""
         self._is_stopping = True
-        await self._site.stop()
+        # The connections accepted last are open before idle ones are looked for.
+        await self._listener.aclose()
         # Read and answer the requests that are already in transit.
         await asyncio.sleep(IN_TRANSIT_REQUESTS_WAIT_S)
         # The cleanup of aiohttp reads nothing any more, not even the rest of a body.
--- a/packages/node/tests/test_http_server.py
+++ b/packages/node/tests/test_http_server.py
@@ -26,7 +26,7 @@
 
     def __init__(self) -> None:
         self._server = http_server.HttpServer("127.0.0.1", 0, MAX_HEADER_BYTES)
-        self._server._socket.setsockopt(
+        self._server._listener._socket.setsockopt(
             socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
         )
         self._client = socket.socket()
--- /dev/null
+++ b/packages/node/tests/test_http_server_unread.py
@@ -0,0 +1,62 @@
+"""Tests of connections and requests that the kernel holds when a socket is closed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Iterator
+
+from aiohttp import web
+
+from yuccapitch.node import http_server
+
+CLIENTS = 8
+MAX_HEADER_BYTES = 16_384
+RECEIVED_BYTES = 65_536
+
+
+async def answer(request: web.Request) -> web.Response:
+    return web.Response(text=f"answer to {request.path}")
+
+
+@contextlib.asynccontextmanager
+async def serving() -> AsyncIterator[http_server.HttpServer]:
+    application = web.Application()
+    application.router.add_get("/{name}", answer)
+    async with contextlib.AsyncExitStack() as stack:
+        server = http_server.HttpServer("127.0.0.1", 0, MAX_HEADER_BYTES)
+        await server.serve(application, stack)
+        yield server
+
+
+@contextlib.contextmanager
+def connecting(server: http_server.HttpServer) -> Iterator[socket.socket]:
+    address = server.address
+    with socket.create_connection((address.host, address.port)) as client:
+        client.settimeout(10.0)
+        yield client
+
+
+def send(client: socket.socket, path: str) -> None:
+    """Send a whole request; the event loop does not run meanwhile."""
+    client.sendall(f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+
+
+async def receive(client: socket.socket) -> bytes:
+    return await asyncio.to_thread(client.recv, RECEIVED_BYTES)
+
+
+# Guards against connections that the kernel has taken, each with a whole request, and
+# that are reset without an answer or a log line when the listener is closed.
+async def test_stop_listening_serves_connections_that_wait_to_be_accepted() -> None:
+    async with serving() as server:
+        with contextlib.ExitStack() as stack:
+            clients = [stack.enter_context(connecting(server)) for _ in range(CLIENTS)]
+            for client in clients:
+                send(client, "/1")
+            async with asyncio.timeout(20):
+                await server.stop_listening()
+            received = [await receive(client) for client in clients]
+    assert [data.endswith(b"answer to /1") for data in received] == [True] * CLIENTS
+    assert all(b"\r\nConnection: close\r\n" in data for data in received)
--- a/packages/protocol/src/yuccapitch/protocol/listener.py
+++ b/packages/protocol/src/yuccapitch/protocol/listener.py
@@ -21,7 +21,9 @@
     def __init__(self, host: str, port: int, backlog: int = BACKLOG) -> None:
         """Bind the address; raise OSError if it can't be bound."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self._socket = socket.create_server((host, port), family=family)
+        self._socket = socket.create_server(
+            (host, port), family=family, backlog=backlog
+        )
         self._socket.setblocking(False)
         self._backlog = backlog
         self._factory: Callable[[], asyncio.BaseProtocol]
