Daemon: reject at once what comes after the close of an idle connection

Callers saw: a request on a kept connection that was just closed as idle ends without an answer only once the event loop runs again, which may be late. Cause: the transport closes its socket in the next iteration of the event loop; until then the kernel takes bytes that nobody reads. Change: peer_state.close_both_ways shuts the socket down in the step of the close; the lingering transport uses it for idle connections.

--- a/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
 import socket
 
@@ -78,3 +79,17 @@
     poll = select.poll()
     poll.register(sock, select.POLLIN)
     return bool(poll.poll(0))
+
+
+def close_both_ways(transport: asyncio.Transport) -> None:
+    """Close a transport; from now on the kernel rejects what the peer sends.
+
+    ``Transport.close`` closes the socket only in the next iteration of the event loop,
+    and the kernel takes and discards what comes until then.
+    """
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        # The peer may have closed or reset the connection already.
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+    transport.close()
--- a/packages/node/src/yuccapitch/node/lingering_transport.py
+++ b/packages/node/src/yuccapitch/node/lingering_transport.py
@@ -61,7 +61,7 @@
         if (is_idle and not self.get_write_buffer_size()) or not self.can_write_eof():
             # A request that crosses the close is reset instead of being read and
             # dropped, so that its client sends it again at once.
-            self._transport.close()
+            peer_state.close_both_ways(self._transport)
             return
         self.is_lingering = True
         self._reading_pause.end()
--- a/packages/node/tests/test_http_server_unread.py
+++ b/packages/node/tests/test_http_server_unread.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from yuccapitch.node import http_server
+from yuccapitch.node import http_connection, http_server
 
 CLIENTS = 8
 MAX_HEADER_BYTES = 16_384
@@ -43,6 +43,18 @@
     client.sendall(f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
 
 
+async def wait_until_idle(server: http_server.HttpServer) -> http_connection.Connection:
+    """Return the server's only connection once it waits for a request."""
+    assert server._runner.server is not None
+    async with asyncio.timeout(20):
+        while True:
+            for connection in server._runner.server.connections:
+                assert isinstance(connection, http_connection.Connection)
+                if not connection.is_busy:
+                    return connection
+            await asyncio.sleep(0.01)
+
+
 async def receive(client: socket.socket) -> bytes:
     return await asyncio.to_thread(client.recv, RECEIVED_BYTES)
 
@@ -60,3 +72,13 @@
             received = [await receive(client) for client in clients]
     assert [data.endswith(b"answer to /1") for data in received] == [True] * CLIENTS
     assert all(b"\r\nConnection: close\r\n" in data for data in received)
+
+
+# Guards against a request that the kernel takes between the close of an idle transport
+# and the close of its socket in the next iteration of the event loop.
+async def test_close_of_an_idle_connection_reaches_the_client_at_once() -> None:
+    async with serving() as server:
+        with connecting(server) as client:
+            connection = await wait_until_idle(server)
+            connection.force_close()
+            assert client.recv(RECEIVED_BYTES) == b""
