Daemon: don't close a connection as idle over an unread request

Callers saw: a kept connection ends without an answer to a whole request on it. Cause: the keep-alive timer of aiohttp knows what the event loop has read, not what the kernel holds, nor the start of a request head. If the loop was late, the timer fires before the request is read. Evidence: on the code before, test_keep_alive_timer_serves_a_request_that_is_not_read and test_keep_alive_timer_lets_a_request_head_be_completed fail: the client receives the end of the connection in place of a response. Change: the timer looks again after 0.1 s if bytes are unread or a head is incomplete. An unread end of the client is read meanwhile, and closes the connection.

--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -11,6 +11,7 @@
 from aiohttp import http_exceptions, web, web_protocol
 
 from yuccapitch.gateway import outcomes
+from yuccapitch.gateway.http1 import peer_state
 from yuccapitch.node import lingering_transport
 from yuccapitch.protocol import events
 
@@ -21,6 +22,8 @@
 SEND_LIMIT_S = 10.0
 """Time after the last response is written within which a stop lets it be sent."""
 STOP_CHECK_INTERVAL_S = 0.05
+KEEP_ALIVE_RETRY_S = 0.1
+"""Time after which a connection that is not idle is looked at again."""
 MAX_MESSAGE_CHARS = 200
 TRACE_FRAMES = 4
 INTERNAL_ERROR = "internal-error"
@@ -102,6 +105,13 @@
         is_waiting = self._waiter is not None and not self._waiter.done()
         return not is_waiting or self._head_timer is not None
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether the kernel holds bytes, or an end, that were not read yet."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return peer_state.is_readable(self.transport)
+
     @property
     def has_waiting_requests(self) -> bool:
         """Whether requests that were read wait behind the one being answered."""
@@ -157,6 +167,16 @@
         response.force_close()
         return response
 
+    def _process_keepalive(self) -> None:
+        # The timer of aiohttp may fire before the event loop has read a request that
+        # arrived in time.
+        if self._head_timer is not None or self.has_unread_bytes:
+            self._keepalive_handle = self._loop.call_later(
+                KEEP_ALIVE_RETRY_S, self._process_keepalive
+            )
+        else:
+            super()._process_keepalive()
+
     def _count_incomplete_head(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self.max_field_size:
--- a/packages/node/tests/test_http_server_unread.py
+++ b/packages/node/tests/test_http_server_unread.py
@@ -74,6 +74,42 @@
     assert all(b"\r\nConnection: close\r\n" in data for data in received)
 
 
+# Guards against a request that arrived while the event loop was late, and whose
+# connection is closed as idle because nobody asks whether bytes are unread.
+async def test_keep_alive_timer_serves_a_request_that_is_not_read() -> None:
+    async with serving() as server:
+        with connecting(server) as client:
+            connection = await wait_until_idle(server)
+            send(client, "/1")
+            connection._next_keepalive_close_time = 0.0
+            connection._process_keepalive()
+            assert (await receive(client)).endswith(b"answer to /1")
+
+
+# Guards against a connection that is closed over the start of a request head, whose
+# client would have had time to complete it.
+async def test_keep_alive_timer_lets_a_request_head_be_completed() -> None:
+    async with serving() as server:
+        with connecting(server) as client:
+            connection = await wait_until_idle(server)
+            client.sendall(b"GET /1 HTTP/1.1\r\n")
+            while not connection.is_busy:
+                await asyncio.sleep(0)
+            connection._next_keepalive_close_time = 0.0
+            connection._process_keepalive()
+            client.sendall(b"Host: h\r\n\r\n")
+            assert (await receive(client)).endswith(b"answer to /1")
+
+
+async def test_keep_alive_timer_closes_an_idle_connection() -> None:
+    async with serving() as server:
+        with connecting(server) as client:
+            connection = await wait_until_idle(server)
+            connection._next_keepalive_close_time = 0.0
+            connection._process_keepalive()
+            assert await receive(client) == b""
+
+
 # Guards against a request that the kernel takes between the close of an idle transport
 # and the close of its socket in the next iteration of the event loop.
 async def test_close_of_an_idle_connection_reaches_the_client_at_once() -> None:
