Daemon: a stop closes no connection over an unread request

Callers saw: in a planned stop, a kept connection ends without an answer to a whole request on it. Cause: the stop takes a connection as idle by what the event loop has read, not by what the kernel holds. The cleanup of aiohttp, some iterations later, drops what is read until then. Evidence: both cases of test_finish_requests_serves_a_request_that_is_not_read fail on the code before: the client receives the end of the connection in place of a response. Change: a connection with unread bytes counts as busy, and the connections are closed in the same step in which they were found idle. An unread end of the client is read meanwhile; a stop that waits for one is bounded by FINISH_LIMIT_S as before. Result: the test passes.

--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -39,7 +39,10 @@
     """Application runner whose connections format all error responses alike."""
 
     async def finish_requests(self) -> None:
-        """Wait until no request is being received or answered, and cut the rest."""
+        """Wait until requests are received and answered, then close all connections.
+
+        Connections whose requests take too long are cut.
+        """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FINISH_LIMIT_S):
                 while self._busy_connections():
@@ -47,13 +50,24 @@
         for connection in self._busy_connections():
             if connection.transport is not None:
                 _cut(connection.transport)
+        # In the same step in which they were found idle: the cleanup of aiohttp drops
+        # a request that is read meanwhile.
+        for connection in self._connections():
+            connection.force_close()
 
     def _busy_connections(self) -> list[Connection]:
+        return [
+            connection
+            for connection in self._connections()
+            if connection.is_busy or connection.has_unread_bytes
+        ]
+
+    def _connections(self) -> list[Connection]:
         assert self.server is not None
         return [
             connection
             for connection in self.server.connections
-            if isinstance(connection, Connection) and connection.is_busy
+            if isinstance(connection, Connection)
         ]
 
     async def _make_server(self) -> web.Server:
--- a/packages/node/tests/test_http_server_unread.py
+++ b/packages/node/tests/test_http_server_unread.py
@@ -7,6 +7,7 @@
 import socket
 from collections.abc import AsyncIterator, Iterator
 
+import pytest
 from aiohttp import web
 
 from yuccapitch.node import http_connection, http_server
@@ -110,6 +111,39 @@
             assert await receive(client) == b""
 
 
+# Guards against the same at a stop, also shortly after another response.
+@pytest.mark.parametrize("is_first", [True, False])
+async def test_finish_requests_serves_a_request_that_is_not_read(
+    is_first: bool,
+) -> None:
+    with contextlib.ExitStack() as stack:
+        async with serving() as server:
+            client = stack.enter_context(connecting(server))
+            await wait_until_idle(server)
+            if not is_first:
+                send(client, "/0")
+                assert (await receive(client)).endswith(b"answer to /0")
+                await wait_until_idle(server)
+            send(client, "/1")
+            async with asyncio.timeout(20):
+                await server._runner.finish_requests()
+        assert (await receive(client)).endswith(b"answer to /1")
+
+
+# Guards against a stop that waits for connections whose end is unread.
+async def test_finish_requests_does_not_wait_for_a_client_that_has_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(http_connection, "FINISH_LIMIT_S", None)
+    async with serving() as server:
+        with connecting(server) as client:
+            await wait_until_idle(server)
+            client.shutdown(socket.SHUT_WR)
+            async with asyncio.timeout(20):
+                await server._runner.finish_requests()
+            assert await receive(client) == b""
+
+
 # Guards against a request that the kernel takes between the close of an idle transport
 # and the close of its socket in the next iteration of the event loop.
 async def test_close_of_an_idle_connection_reaches_the_client_at_once() -> None:
