Daemon: announce no close over a request that isn't read yet

Callers saw: during a stop, a pipelined request without an answer, though requests that wait on a connection are answered before its close is announced. Cause: only requests that the event loop has read count as waiting. Evidence: test_close_after_last_response_serves_a_request_that_is_not_read fails on the code before: one response instead of two. Change: unread bytes count too. Result: the test passes.

--- a/packages/node/src/yuccapitch/node/http_server.py
+++ b/packages/node/src/yuccapitch/node/http_server.py
@@ -73,7 +73,7 @@
     """
     connection = request.protocol
     assert isinstance(connection, http_connection.Connection)
-    if connection.has_waiting_requests:
+    if connection.has_waiting_requests or connection.has_unread_bytes:
         # Closing now would drop them without an answer.
         return
     response.force_close()
--- a/packages/node/tests/test_http_server_unread.py
+++ b/packages/node/tests/test_http_server_unread.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
 import pytest
 from aiohttp import web
@@ -22,8 +22,11 @@
 
 
 @contextlib.asynccontextmanager
-async def serving() -> AsyncIterator[http_server.HttpServer]:
+async def serving(
+    *on_response: Callable[[web.Request, web.StreamResponse], Awaitable[None]],
+) -> AsyncIterator[http_server.HttpServer]:
     application = web.Application()
+    application.on_response_prepare.extend(on_response)
     application.router.add_get("/{name}", answer)
     async with contextlib.AsyncExitStack() as stack:
         server = http_server.HttpServer("127.0.0.1", 0, MAX_HEADER_BYTES)
@@ -152,3 +155,25 @@
             connection = await wait_until_idle(server)
             connection.force_close()
             assert client.recv(RECEIVED_BYTES) == b""
+
+
+# Guards against a stop that announces a close over a request which isn't read yet, and
+# drops the request.
+async def test_close_after_last_response_serves_a_request_that_is_not_read() -> None:
+    unsent_paths = ["/2"]
+
+    async def send_next(request: web.Request, response: web.StreamResponse) -> None:
+        if unsent_paths:
+            send(client, unsent_paths.pop())
+        http_server.close_after_last_response(request, response)
+
+    async with serving(send_next) as server:
+        with connecting(server) as client:
+            send(client, "/1")
+            received = b""
+            while data := await receive(client):
+                received += data
+    bodies = [part[:11] for part in received.split(b"\r\n\r\n")[1:]]
+    assert bodies == [b"answer to /", b"answer to /"]
+    assert received.endswith(b"answer to /2")
+    assert received.count(b"\r\nConnection: close\r\n") == 1
