--- a/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
@@ -88,7 +88,7 @@
     loop, and the kernel would keep taking bytes that nobody reads.
     """
     sock: socket.socket | None = transport.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and not transport.is_closing():
         # Fails only if the peer has reset the connection meanwhile.
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_RDWR)
