Endpoints: don't reuse a connection over an unread end or bytes

Callers saw: a request that can't be repeated fails with 502 although its endpoint is sound, if the endpoint had closed the kept connection while the event loop was late. Cause: whether a pooled connection is usable is known from what the event loop has read. An end, or bytes that belong to no request, may wait in the kernel. Evidence: a connection whose endpoint has ended it, or sent another response on it, is returned by Pool.acquire before the event loop reads that. Change: an idle connection is polled before it is used again. Result: test_acquire_does_not_reuse_a_connection_over_an_unread_end_or_bytes failed in both cases before and passes.

--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from yuccapitch.gateway.http1 import memory_budget, messages, server
+from yuccapitch.gateway.http1 import memory_budget, messages, peer_state, server
 
 # Fraction of the endpoint's keep-alive timeout after which an idle connection is no
 # longer reused.
@@ -95,6 +95,16 @@
         self.is_usable = True
         self._parser = httptools.HttpResponseParser(self)
 
+    def is_reusable(self) -> bool:
+        """Return whether an idle connection can carry another request.
+
+        The event loop may not have read yet that the endpoint has closed it, or bytes
+        that belong to no request. A request sent after that would be lost.
+        """
+        if not self.is_usable or self._transport is None:
+            return False
+        return not peer_state.is_readable(self._transport)
+
     async def exchange(
         self,
         data: bytes,
@@ -302,10 +312,9 @@
         now = self._clock()
         while self._idle:
             connection = self._idle.pop()
-            idle_s = now - connection.idle_since
-            if connection.is_usable and idle_s <= min(
-                max_idle_s, connection.idle_limit_s
-            ):
+            idle_limit_s = min(max_idle_s, connection.idle_limit_s)
+            is_recent = now - connection.idle_since <= idle_limit_s
+            if is_recent and connection.is_reusable():
                 return connection
             connection.close()
         self.connect_count += 1
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import select
+import socket
 import tracemalloc
 
 import pytest
@@ -113,6 +115,43 @@
         connection.close()
 
 
+# Guards against a request that is lost on a kept connection which its endpoint has
+# closed or spoiled, while the event loop was late and has not read that.
+@pytest.mark.parametrize("unread", [b"", COMPLETE])
+async def test_acquire_does_not_reuse_a_connection_over_an_unread_end_or_bytes(unread):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        loop = asyncio.get_running_loop()
+        pool = client.Pool("127.0.0.1", listener.getsockname()[1], loop.time)
+        connection = await pool.acquire(5.0, 5.0)
+        peer, _ = listener.accept()
+        with peer:
+            exchanging = asyncio.create_task(
+                connection.exchange(REQUEST, is_first, False)
+            )
+            await asyncio.sleep(0)
+            peer.recv(len(REQUEST))
+            peer.sendall(COMPLETE)
+            assert (await exchanging).body == b"ok"
+            pool.release(connection)
+            if unread:
+                peer.sendall(unread)
+            else:
+                peer.shutdown(socket.SHUT_WR)
+            wait_until_readable(connection)
+            other = await pool.acquire(5.0, 5.0)
+        assert other is not connection
+        assert not connection.is_usable
+        pool.release(other)
+        pool.close()
+
+
+def wait_until_readable(connection: client.Connection) -> None:
+    """Block the event loop until the kernel holds something for the connection."""
+    poll = select.poll()
+    poll.register(connection._transport.get_extra_info("socket"), select.POLLIN)
+    assert poll.poll(20_000)
+
+
 async def test_acquire_reports_a_refused_connection():
     async with endpoint() as pool:
         pass
