Places: give back again what was lost with a link

Callers saw: less room at an endpoint than it has, for as long as the deadline of a request, after a link to the region's dispatcher was lost; requests wait or are rejected meanwhile. Cause: a release, or the cancellation of a request whose grant was not received, is a one-way message. It may lie unread at the dispatcher when the link is closed, or find no link. Change: the entry instance keeps the ids that it gave back in the last seconds. Once the link is lost, it cancels them on the next one; a place that was given back before or that belongs to a request which asked again is not affected. Result: three of the new tests failed before (a release lost with a link, a release without a link, a grant and its cancellation lost); the other two guard the change.

--- a/packages/gateway/src/yuccapitch/gateway/front/region_placer.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placer.py
@@ -16,7 +16,7 @@
 
 from yuccapitch.catalogue import ids
 from yuccapitch.control import leader_polling
-from yuccapitch.gateway.front import headers, place_service
+from yuccapitch.gateway.front import headers, place_returns, place_service
 from yuccapitch.protocol import (
     events,
     link as inner_link,
@@ -87,6 +87,7 @@
             instance_id, links, local_dispatcher, find_endpoint, clock
         )
         self._local = self._service.local
+        self._returns = place_returns.PlaceReturns(links, lambda: self.dispatcher_id)
         self._find_endpoint = find_endpoint
         self._clock = clock
         link_delay_s = leader_polling.link_queueing_delay_s(link_bits_per_s)
@@ -118,6 +119,7 @@
         )
         self._service.dispatcher_id = dispatcher_id
         self._dispatcher_suspended_until = float("-inf")
+        self._returns.clear()
         self._fail_waiters()
         if dispatcher_id is None:
             return
@@ -136,6 +138,7 @@
     def mark_link_lost(self, peer_id: str) -> None:
         """Suspend the use of the dispatcher if the lost link led to it."""
         if peer_id == self.dispatcher_id:
+            self._returns.mark_link_lost(self._clock())
             self._suspend_dispatcher("link lost")
 
     async def place(
@@ -152,7 +155,11 @@
         return self._record_place(request, await self._local.place(request), None)
 
     async def check_waiting(self) -> None:
-        """Ask the dispatcher for lost decisions on the requests that still wait."""
+        """Ask the dispatcher for lost decisions on the requests that still wait.
+
+        Places that were given back on a lost link are given back again.
+        """
+        self._returns.retry(self._is_at_dispatcher, self._clock())
         dispatcher_id = self._remote_dispatcher_id()
         waiters_by_attempt_id = {
             attempt_id: waiter
@@ -222,7 +229,7 @@
             place_service.encode_rate_limit(rate_limit),
             is_leaving,
         )
-        self._links.send(held.dispatcher_id, message)
+        self._returns.send(held.dispatcher_id, message, self._clock())
 
     def set_peers(self, peer_ids: Iterable[ids.InstanceId]) -> None:
         """Set the other entry instances of the region."""
@@ -339,7 +346,7 @@
             self._waiters_by_attempt_id.pop(request.attempt_id, None)
             if isinstance(decision, _Undecided):
                 cancel = messages.PlaceCancel(request.attempt_id)
-                self._links.send(dispatcher_id, cancel)
+                self._returns.send(dispatcher_id, cancel, self._clock())
 
     def _decode(self, message: object) -> model.Decision | _Undecided:
         match message:
@@ -399,6 +406,13 @@
         held = self._held_by_attempt_id.get(attempt_id)
         return held is not None and held.dispatcher_id == peer_id
 
+    def _is_at_dispatcher(self, attempt_id: model.AttemptId) -> bool:
+        """Whether a request waits for the region's dispatcher or has its place."""
+        held = self._held_by_attempt_id.get(attempt_id)
+        if held is not None:
+            return held.dispatcher_id is not None
+        return attempt_id in self._waiters_by_attempt_id
+
     def _encode_held_place(self, held: _HeldPlace) -> messages.HeldPlace:
         now = self._clock()
         return messages.HeldPlace(
--- a/packages/gateway/tests/front/test_region_placer.py
+++ b/packages/gateway/tests/front/test_region_placer.py
@@ -37,6 +37,10 @@
         self.silent: set[str] = set()
         self.loses_decisions = False
         """Whether decisions on queued requests are lost on their way."""
+        self.loses_returns = False
+        """Whether places that are given back are lost on their way."""
+        self.loses_replies = False
+        """Whether the replies to requests are lost on their way."""
 
     def links(self, instance_id: str) -> Links:
         return Links(self, instance_id)
@@ -56,6 +60,9 @@
         is_decision = type(message) in (messages.PlaceGrant, messages.PlaceRefusal)
         if is_decision and self._network.loses_decisions:
             return True
+        is_return = type(message) in (messages.PlaceRelease, messages.PlaceCancel)
+        if is_return and self._network.loses_returns:
+            return True
         self._network.handlers_by_id[peer_id][type(message)](self._instance_id, message)
         return True
 
@@ -64,7 +71,10 @@
         if peer_id in self._network.silent:
             return result.Err(inner_link.LinkError(inner_link.LinkErrorCode.TIMEOUT))
         handler = self._network.handlers_by_id[peer_id][type(message)]
-        return result.Ok(handler(self._instance_id, message))
+        reply = handler(self._instance_id, message)
+        if self._network.loses_replies:
+            return result.Err(inner_link.LinkError(inner_link.LinkErrorCode.CLOSED))
+        return result.Ok(reply)
 
 
 class Region:
@@ -214,6 +224,86 @@
     assert isinstance(await waiting, model.Granted)
 
 
+def granted_count(region: Region) -> int:
+    """Return the number of places that A, the dispatcher, has granted."""
+    return region.placers[A]._local_dispatcher.granted_count()
+
+
+def release(region: Region, granted: model.Granted) -> None:
+    region.placers[B].release(granted, model.Outcome.ANSWERED, None, None)
+
+
+# Guards against a place that stays taken until the deadline of its request, because its
+# release lay unread at the dispatcher when the link was closed.
+async def test_check_waiting_repeats_a_release_that_was_lost_with_a_link():
+    region = Region("e1")
+    region.use_dispatcher(A)
+    granted = await place(region, B, "b")
+    region.network.loses_returns = True
+    release(region, granted)
+    region.network.loses_returns = False
+    await region.placers[B].check_waiting()
+    assert granted_count(region) == 1
+    region.placers[B].mark_link_lost(A)
+    await region.placers[B].check_waiting()
+    assert granted_count(region) == 0
+
+
+async def test_check_waiting_repeats_a_release_that_had_no_link():
+    region = Region("e1")
+    region.use_dispatcher(A)
+    granted = await place(region, B, "b")
+    region.network.silent.add(A)
+    release(region, granted)
+    await region.placers[B].check_waiting()
+    region.network.silent.clear()
+    assert granted_count(region) == 1
+    await region.placers[B].check_waiting()
+    assert granted_count(region) == 0
+
+
+# Guards against a place that is granted to a request which has gone elsewhere, because
+# both the grant and its cancellation were lost with a link.
+async def test_check_waiting_cancels_a_grant_that_was_never_received():
+    region = Region("e1", "e2")
+    region.use_dispatcher(A)
+    region.network.loses_replies = region.network.loses_returns = True
+    assert isinstance(await place(region, B, "b"), model.Granted)
+    region.network.loses_replies = region.network.loses_returns = False
+    assert granted_count(region) == 1
+    region.placers[B].mark_link_lost(A)
+    await region.placers[B].check_waiting()
+    assert granted_count(region) == 0
+
+
+async def test_check_waiting_keeps_the_place_of_a_request_that_was_queued_again():
+    region = Region("e1")
+    region.use_dispatcher(A)
+    held = await place(region, A, "held")
+    waiting = await wait_in_queue(region, "waiting")
+    region.placers[A]._local_dispatcher.cancel(model.AttemptId("waiting"))
+    await region.placers[B].check_waiting()
+    for _ in range(5):
+        await asyncio.sleep(0)
+    region.placers[A].release(held, model.Outcome.ANSWERED, None, None)
+    await waiting
+    region.placers[B].mark_link_lost(A)
+    await region.placers[B].check_waiting()
+    assert granted_count(region) == 1
+
+
+async def test_set_dispatcher_forgets_the_places_returned_to_the_former_one():
+    region = Region("e1")
+    region.use_dispatcher(A)
+    granted = await place(region, B, "b")
+    region.network.silent.add(A)
+    release(region, granted)
+    region.placers[B].set_dispatcher(C)
+    region.network.silent.clear()
+    await region.placers[B].check_waiting()
+    assert granted_count(region) == 1
+
+
 # Guards against a request sent to an endpoint of another service, by a grant for
 # another request with the same id.
 async def test_place_rejects_a_grant_at_an_endpoint_of_another_service():
