Listener: keep the connections that asyncio has accepted but not opened

Callers saw: connections, up to a whole accept queue in one moment, reset with their requests when an address is closed; nothing in any log. Cause: asyncio.Server accepts in one iteration of the event loop and opens in the next. If close() runs between the two, Server._attach fails on an assertion that is logged in debug mode only, and the sockets are dropped. Control instances close their servers from tasks that are started by a timer, which is such an order. Change: Listener accepts itself, and keeps the tasks that open its connections.

--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -77,7 +77,7 @@
 )
 declare(
     "listener.accept-failed",
-    "Connections that waited could not be accepted before their address was closed.",
+    "Connections that wait could not be accepted; tried again while listening.",
     Level.ERROR,
 )
 declare("link.opened", "An inner link to or from another instance was opened.")
--- a/packages/protocol/src/yuccapitch/protocol/listener.py
+++ b/packages/protocol/src/yuccapitch/protocol/listener.py
@@ -1,7 +1,8 @@
 """Listen address whose waiting connections are accepted before it is closed.
 
 The kernel resets the connections in the accept queue of a listen socket that is closed,
-together with what their clients have already sent.
+together with what their clients have already sent. ``asyncio.Server.close`` drops as
+well those that it has accepted in the iteration of the event loop before.
 """
 
 from __future__ import annotations
@@ -13,6 +14,8 @@
 from yuccapitch.protocol import events
 
 BACKLOG = 1024
+# Time after which accepting is tried again, for example once descriptors are free.
+ACCEPT_RETRY_S = 0.1
 
 
 class Listener:
@@ -25,8 +28,9 @@
         self._socket.setblocking(False)
         self._backlog = backlog
         self._factory: Callable[[], asyncio.BaseProtocol]
-        self._server: asyncio.Server | None = None
-        self._accepting: set[asyncio.Task[object]] = set()
+        self._is_listening = False
+        self._retry: asyncio.TimerHandle | None = None
+        self._opening: set[asyncio.Task[object]] = set()
 
     @property
     def address(self) -> tuple[str, int]:
@@ -37,34 +41,42 @@
     @property
     def is_listening(self) -> bool:
         """Whether connections are accepted."""
-        return self._server is not None and self._server.is_serving()
+        return self._is_listening
 
     async def start(self, factory: Callable[[], asyncio.BaseProtocol]) -> None:
         """Accept connections, each served by a protocol of the factory."""
         self._factory = factory
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            factory, sock=self._socket, backlog=self._backlog
-        )
+        self._socket.listen(self._backlog)
+        self._is_listening = True
+        self._watch()
 
     def stop(self) -> None:
         """Accept the connections that wait, then close the address."""
-        if self._server is None:
-            self._socket.close()
-            return
-        if not self.is_listening:
-            return
-        accepted = self._accept_waiting()
-        self._server.close()
-        events.event("listener.closed", accepted=accepted)
+        if self._is_listening:
+            self._is_listening = False
+            self._unwatch()
+            accepted = self._accept_waiting()
+            events.event("listener.closed", accepted=accepted)
+        self._socket.close()
 
     async def aclose(self) -> None:
         """Close the address; return once its last connections are open."""
         self.stop()
-        await asyncio.gather(*self._accepting, return_exceptions=True)
+        await asyncio.gather(*self._opening, return_exceptions=True)
 
-    def _accept_waiting(self) -> int:
+    def _watch(self) -> None:
+        self._retry = None
         loop = asyncio.get_running_loop()
+        loop.add_reader(self._socket, self._accept_waiting)
+
+    def _unwatch(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self._socket)
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
+
+    def _accept_waiting(self) -> int:
         accepted = 0
         while True:
             try:
@@ -76,13 +88,24 @@
             except OSError as error:
                 # For example, no file descriptor is left.
                 events.event("listener.accept-failed", reason=repr(error))
+                if self._is_listening:
+                    self._retry_later()
                 return accepted
             sock.setblocking(False)
-            opening = loop.create_task(self._open(sock))
-            self._accepting.add(opening)
-            opening.add_done_callback(self._accepting.discard)
+            self._start_opening(sock)
             accepted += 1
 
+    def _retry_later(self) -> None:
+        self._unwatch()
+        loop = asyncio.get_running_loop()
+        self._retry = loop.call_later(ACCEPT_RETRY_S, self._watch)
+
+    def _start_opening(self, sock: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        opening = loop.create_task(self._open(sock))
+        self._opening.add(opening)
+        opening.add_done_callback(self._opening.discard)
+
     async def _open(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         await loop.connect_accepted_socket(self._factory, sock)
