Tests: connections accepted as the task starts that closes a server

The order of a control instance's stop: a timer ends, tasks start that finish the servers, and asyncio accepts in between.

--- a/packages/gateway/tests/http1/test_server_unread.py
+++ b/packages/gateway/tests/http1/test_server_unread.py
@@ -66,6 +66,27 @@
     assert [b"x-target: /1" in data for data in received] == [True] * CLIENTS
 
 
+# Guards against connections that a control instance drops as it stops: asyncio has
+# accepted them in the iteration in which the tasks start that close the servers.
+async def test_finish_serves_connections_accepted_as_its_task_starts():
+    async with serving() as (http_server, port):
+        with contextlib.ExitStack() as stack:
+            clients = [stack.enter_context(socket.socket()) for _ in range(CLIENTS)]
+
+            def connect() -> None:
+                for client in clients:
+                    client.settimeout(10.0)
+                    client.connect(("127.0.0.1", port))
+                    send(client, "/1")
+
+            async with asyncio.timeout(20):
+                asyncio.get_running_loop().call_later(0.05, connect)
+                await asyncio.sleep(0.05)
+                await asyncio.gather(http_server.finish(float("inf")))
+                received = [await receive(client) for client in clients]
+    assert [b"x-target: /1" in data for data in received] == [True] * CLIENTS
+
+
 # Guards against a request that arrived while the event loop was busy, and whose
 # connection is closed as idle because nobody asks whether bytes are unread.
 @pytest.mark.parametrize("closes_by_timer", [False, True])
