Callers' connections: time incomplete headers behind a request of the same piece

Callers saw: nothing; a connection stayed open until its client left, and a planned stop waited for it until the end of the grace. Cause: the header timer was started once for each piece of data, and stopped by the first complete headers in it. Evidence: test_serve_rejects_incomplete_headers_read_with_a_request failed before (no end within 20 s). Change: a message that begins without a timer starts one. Result: the test passes.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -202,6 +202,9 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        if self._timer is None:
+            # The request before it came in the same piece, and its headers have ended.
+            self._arm_timer(self._state.limits().header_timeout_s)
         self._is_in_message = self._is_in_headers = True
         self._target, self._headers = b"", []
         self._body = bytearray()
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -640,6 +640,15 @@
     assert b"HTTP/1.1 408 " in received
 
 
+# Guards against the same if the incomplete headers came in one piece with the request
+# before them, so that no timer was started for them.
+async def test_serve_rejects_incomplete_headers_read_with_a_request():
+    async with serving() as (_, port):
+        received = await exchange(port, get("/0") + b"GET /1 HT")
+    assert b"x-target: /0" in received
+    assert b"HTTP/1.1 408 " in received
+
+
 async def test_reject_ignores_what_follows():
     is_first_answered = asyncio.Event()
 
