--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -138,6 +138,54 @@
             await cancelled.wait()
 
 
+# An end of the sending side can't be told from a close before something is sent, and
+# what works for a client that has left must end.
+async def test_serve_cancels_the_request_of_a_client_that_closes_its_sending_side():
+    cancelled: list[bytes] = []
+
+    async def wait(request):
+        if request.target == b"/ready":
+            return await echo(request)
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            cancelled.append(request.target)
+            raise
+        raise AssertionError("the event is never set")
+
+    async with serving(wait) as (http_server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(get("/ready") + get("/late"))
+        while http_server.requests_in_flight != 1:
+            await asyncio.sleep(0)
+        writer.write_eof()
+        async with asyncio.timeout(20):
+            received = await reader.read(-1)
+            while not cancelled:
+                await asyncio.sleep(0.01)
+        writer.close()
+    # A response that is ready is delivered, one that is awaited is not.
+    assert received.count(b"HTTP/1.1 ") == 1
+    assert b"x-target: /ready" in received
+    assert cancelled == [b"/late"]
+
+
+# Guards against keep-alive probes that end the connection of a client which waits for
+# its response longer than sent data may stay unacknowledged.
+async def test_serve_answers_a_client_that_waits_longer_than_the_user_timeout(
+    monkeypatch,
+):
+    monkeypatch.setattr(server, "TCP_USER_TIMEOUT_MS", 500)
+
+    async def respond_late(request):
+        await asyncio.sleep(2.5 * server.KEEPALIVE_INTERVAL_S)
+        return await echo(request)
+
+    async with serving(respond_late) as (_, port):
+        response = await exchange(port, get("/late", CLOSE))
+    assert b"x-target: /late" in response
+
+
 POST = b"POST / HTTP/1.1\r\nHost: h\r\n"
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 ENDLESS_BYTES = 32 * 1024 * 1024
