Listener: bound the connections accepted in one step

Clients that connect without pause could hold up the event loop; asyncio bounds this by the backlog as well. A full accept queue, one more than the backlog, is still accepted whole by stop (test_stop_accepts_a_full_queue).

--- a/packages/protocol/src/yuccapitch/protocol/listener.py
+++ b/packages/protocol/src/yuccapitch/protocol/listener.py
@@ -78,22 +78,25 @@
 
     def _accept_waiting(self) -> int:
         accepted = 0
-        while True:
+        # The accept queue holds one connection more than its limit. Clients that
+        # connect without pause must not hold up the event loop.
+        for _ in range(self._backlog + 1):
             try:
                 sock, _ = self._socket.accept()
             except ConnectionAbortedError:
                 continue
             except BlockingIOError:
-                return accepted
+                break
             except OSError as error:
                 # For example, no file descriptor is left.
                 events.event("listener.accept-failed", reason=repr(error))
                 if self._is_listening:
                     self._retry_later()
-                return accepted
+                break
             sock.setblocking(False)
             self._start_opening(sock)
             accepted += 1
+        return accepted
 
     def _retry_later(self) -> None:
         self._unwatch()
--- a/packages/protocol/tests/test_listener.py
+++ b/packages/protocol/tests/test_listener.py
@@ -106,6 +106,20 @@
     await listener.Listener("127.0.0.1", port).aclose()
 
 
+async def test_stop_accepts_a_full_queue():
+    received: list[bytes] = []
+    listening = listener.Listener("127.0.0.1", 0, backlog=CLIENTS)
+    await listening.start(lambda: Recorder(received))
+    with contextlib.ExitStack() as stack:
+        for _ in range(CLIENTS + 1):
+            client = socket.create_connection(listening.address)
+            stack.enter_context(client).sendall(b"a")
+        listening.stop()
+        async with asyncio.timeout(20):
+            while len(received) < CLIENTS + 1:
+                await asyncio.sleep(0.01)
+
+
 class FailingSocket:
     """A listen socket whose next calls of ``accept`` fail for want of a descriptor."""
 
