Tests: what is answered and passed on around a refused request

A shed request gets its 503 behind the responses of the requests before it, and what follows a request with Connection: close is not passed on. Both held before.

--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -75,8 +75,16 @@
 
 
 async def test_serve_closes_after_the_response_to_a_connection_close_request():
-    async with serving() as (_, port):
+    handled: list[bytes] = []
+
+    async def record(request):
+        handled.append(request.target)
+        return await echo(request)
+
+    async with serving(record) as (_, port):
         response = await exchange(port, get("/0", CLOSE) + get("/1"))
+    # What follows is not passed on and then cut.
+    assert handled == [b"/0"]
     assert response.count(b"HTTP/1.1 200") == 1
     assert b"connection: close" in response
 
@@ -697,6 +705,32 @@
     assert b"HTTP/1.1 408 " in received
 
 
+async def test_shed_delivers_the_responses_before_the_refused_request():
+    may_respond = asyncio.Event()
+
+    async def wait(request):
+        await may_respond.wait()
+        return await echo(request)
+
+    async with serving(wait) as (http_server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(get("/0") + get("/1") + POST + b"Content-Length: 3\r\n\r\na")
+        while http_server.requests_in_flight != 2:
+            await asyncio.sleep(0)
+        (connection,) = http_server._state.connections
+        connection.shed("too many bytes")
+        writer.write(b"bc" + get("/2"))
+        await asyncio.sleep(0.05)
+        may_respond.set()
+        async with asyncio.timeout(20):
+            received = await reader.read(-1)
+        writer.close()
+    positions = [received.index(b"x-target: /%d" % n) for n in range(2)]
+    positions.append(received.index(b"HTTP/1.1 503 "))
+    assert positions == sorted(positions)
+    assert received.count(b"HTTP/1.1 ") == 3
+
+
 async def test_reject_ignores_what_follows():
     is_first_answered = asyncio.Event()
 
