Daemon: notice a client that leaves behind an upload that is not read on

Cause: the end of a connection travels behind the bytes before it. While an upload is paused, the kernel's buffer fills, and the end doesn't arrive. Evidence: test_handler_of_an_upload_is_cancelled_when_the_end_is_behind_it fails on the code before: the handler is not cancelled within the test's time limit. Change: a pause goes on reading into memory, up to 4 MiB of a connection and 64 MiB of all connections of the server, and pauses the transport beyond. Requests received ahead count as unread: a stop closes no connection over them. Open: an end behind more than these limits, and uploads in the server of the routed roles.

--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -12,7 +12,7 @@
 
 from yuccapitch.gateway import outcomes
 from yuccapitch.gateway.http1 import peer_state
-from yuccapitch.node import lingering_transport
+from yuccapitch.node import lingering_transport, read_ahead
 from yuccapitch.protocol import events
 
 HEAD_TIMEOUT_S = 10.0
@@ -81,6 +81,10 @@
 
 
 class _Server(web.Server):
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.read_ahead_budget = read_ahead.Budget()
+
     def __call__(self) -> web.RequestHandler:
         return Connection(self, loop=self._loop, **self._kwargs)
 
@@ -105,8 +109,10 @@
 
     wrapped_transport: lingering_transport.LingeringTransport
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
-        super().__init__(*arguments, **options)
+    def __init__(self, server: _Server, **options: Any) -> None:
+        super().__init__(server, **options)
+        self._read_ahead_budget = server.read_ahead_budget
+        self._read_ahead: read_ahead.ReadAhead
         self._head_timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
 
@@ -121,10 +127,10 @@
 
     @property
     def has_unread_bytes(self) -> bool:
-        """Whether the kernel holds bytes, or an end, that were not read yet."""
+        """Whether bytes, or an end, were received that were not parsed yet."""
         if self.transport is None or self.transport.is_closing():
             return False
-        return peer_state.is_readable(self.transport)
+        return self._read_ahead.has_bytes or peer_state.is_readable(self.transport)
 
     @property
     def has_waiting_requests(self) -> bool:
@@ -134,8 +140,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to serve the connection."""
         assert isinstance(transport, asyncio.Transport)
+        self._read_ahead = read_ahead.ReadAhead(
+            transport, self._loop, self._read_ahead_budget, self._parse
+        )
         self.wrapped_transport = lingering_transport.LingeringTransport(
-            transport, self._loop
+            transport, self._loop, self._read_ahead
         )
         super().connection_made(self.wrapped_transport)
 
@@ -145,6 +154,12 @@
         super().resume_writing()
 
     def data_received(self, data: bytes) -> None:
+        """Parse bytes, or keep them while the application doesn't read."""
+        # aiohttp passes no bytes to parse what its parser has kept.
+        if not data or not self._read_ahead.hold(data):
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
         """Parse bytes and limit the size and time of an incomplete request head."""
         if self.wrapped_transport.is_lingering:
             return
@@ -155,8 +170,9 @@
             self._reset_head()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the timer of an incomplete request head."""
+        """Cancel the timer of an incomplete request head, and free what is kept."""
         self._reset_head()
+        self._read_ahead.discard()
         super().connection_lost(exc)
 
     def handle_error(
--- a/packages/node/src/yuccapitch/node/lingering_transport.py
+++ b/packages/node/src/yuccapitch/node/lingering_transport.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from yuccapitch.gateway.http1 import peer_state
+from yuccapitch.node import read_ahead
 
 LINGER_S = 1.0
 """Time for which a closed connection is still read.
@@ -21,12 +22,15 @@
     """A transport whose ``close`` goes on reading for a while after a response."""
 
     def __init__(
-        self, transport: asyncio.Transport, loop: asyncio.AbstractEventLoop
+        self,
+        transport: asyncio.Transport,
+        loop: asyncio.AbstractEventLoop,
+        reading: read_ahead.ReadAhead,
     ) -> None:
         super().__init__()
         self._transport = transport
         self._loop = loop
-        self._reading_pause = peer_state.ReadingPause(transport)
+        self._reading = reading
         self._last_sent_at = float("-inf")
         self.is_lingering = False
         """Whether the connection was closed, so that received bytes are discarded."""
@@ -64,7 +68,7 @@
             peer_state.close_both_ways(self._transport)
             return
         self.is_lingering = True
-        self._reading_pause.end()
+        self._reading.discard()
         self._transport.write_eof()
         self._linger_once_sent()
 
@@ -97,9 +101,9 @@
         return self._transport.can_write_eof()
 
     def pause_reading(self) -> None:
-        """Stop reading; the transport is aborted if the peer leaves meanwhile."""
-        self._reading_pause.start()
+        """Pass on no bytes; the end of the connection is still noticed."""
+        self._reading.pause()
 
     def resume_reading(self) -> None:
-        """Read again."""
-        self._reading_pause.end()
+        """Pass on bytes again."""
+        self._reading.resume()
--- /dev/null
+++ b/packages/node/src/yuccapitch/node/read_ahead.py
@@ -0,0 +1,102 @@
+"""Bytes that are received from clients before the application reads them.
+
+The end of a connection is noticed only once all before it was read.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable
+
+from yuccapitch.gateway.http1 import peer_state
+
+MAX_CONNECTION_BYTES = 4 * 1024 * 1024
+MAX_PROCESS_BYTES = 64 * 1024 * 1024
+
+
+class Budget:
+    """Limit on the bytes that all connections of a server hold together."""
+
+    def __init__(self, max_bytes: int = MAX_PROCESS_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self._used_bytes = 0
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether nothing more should be received ahead."""
+        return self._used_bytes >= self._max_bytes
+
+    def add(self, byte_count: int) -> None:
+        """Record bytes that are held from now on, or no longer if negative."""
+        self._used_bytes += byte_count
+
+
+class ReadAhead:
+    """Reading of one connection, which goes on within limits during a pause."""
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        loop: asyncio.AbstractEventLoop,
+        budget: Budget,
+        deliver: Callable[[bytes], None],
+    ) -> None:
+        """Pass what was held to ``deliver`` once the pause has ended."""
+        self._transport = transport
+        self._loop = loop
+        self._budget = budget
+        self._deliver = deliver
+        self._held: collections.deque[bytes] = collections.deque()
+        self._held_bytes = 0
+        self._is_paused = False
+        self._is_discarding = False
+        self._transport_pause = peer_state.ReadingPause(transport)
+
+    @property
+    def has_bytes(self) -> bool:
+        """Whether bytes are held that were not delivered yet."""
+        return bool(self._held)
+
+    def hold(self, data: bytes) -> bool:
+        """Return whether received bytes are kept until the pause ends."""
+        if self._is_discarding or not (self._is_paused or self._held):
+            return False
+        self._held.append(data)
+        self._count(len(data))
+        if self._held_bytes >= MAX_CONNECTION_BYTES or self._budget.is_exhausted:
+            self._transport_pause.start()
+        return True
+
+    def pause(self) -> None:
+        """Hold what is received from now on."""
+        self._is_paused = True
+        if self._budget.is_exhausted:
+            self._transport_pause.start()
+
+    def resume(self) -> None:
+        """Deliver what is held, and then what is received."""
+        self._is_paused = False
+        if self._held:
+            self._loop.call_soon(self._deliver_held)
+        else:
+            self._transport_pause.end()
+
+    def discard(self) -> None:
+        """Free what is held, hold nothing any more and end the pause."""
+        self._is_discarding = True
+        self._held.clear()
+        self._count(-self._held_bytes)
+        self._transport_pause.end()
+
+    def _deliver_held(self) -> None:
+        while self._held and not self._is_paused:
+            data = self._held.popleft()
+            self._count(-len(data))
+            self._deliver(data)
+        if not self._is_paused:
+            self._transport_pause.end()
+
+    def _count(self, byte_count: int) -> None:
+        self._held_bytes += byte_count
+        self._budget.add(byte_count)
--- a/packages/node/tests/test_http_server.py
+++ b/packages/node/tests/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import hashlib
 import socket
 from collections.abc import AsyncIterator
 
@@ -17,6 +18,7 @@
 """More than small socket buffers hold, and less than makes a transport pause."""
 UPLOAD_BYTES = 1200 * 1024
 """More than the server reads ahead, and less than the socket buffers hold."""
+LARGE_UPLOAD_BYTES = 6 * 1024 * 1024
 TURNS = 200
 """Turns of the event loop within which a stop ends that waits for nothing."""
 
@@ -143,6 +145,59 @@
             await is_cancelled.wait()
 
 
+# Guards against the same for a client whose end is behind a full kernel buffer.
+async def test_handler_of_an_upload_is_cancelled_when_the_end_is_behind_it() -> None:
+    is_started, is_cancelled = asyncio.Event(), asyncio.Event()
+    is_test_over = asyncio.Event()
+
+    async def wait(request: web.Request) -> web.Response:
+        is_started.set()
+        try:
+            await is_test_over.wait()
+        except asyncio.CancelledError:
+            is_cancelled.set()
+            raise
+        return web.Response()
+
+    application = web.Application()
+    application.router.add_post("/", wait)
+    async with connection_to(application) as (_, writer):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+        writer.write(head % LARGE_UPLOAD_BYTES + bytes(LARGE_UPLOAD_BYTES // 2))
+        await asyncio.wait_for(is_started.wait(), 20)
+        # The transport sends what it holds before it closes the connection.
+        writer.close()
+        try:
+            async with asyncio.timeout(20):
+                await is_cancelled.wait()
+        finally:
+            is_test_over.set()
+
+
+# Guards against a request that is received ahead behind a paused upload and dropped.
+async def test_upload_that_is_read_late_and_the_request_behind_it_are_whole() -> None:
+    body = bytes(range(256)) * (LARGE_UPLOAD_BYTES // 256)
+    is_sent = asyncio.Event()
+
+    async def read_late(request: web.Request) -> web.Response:
+        await is_sent.wait()
+        return web.Response(body=hashlib.sha256(await request.read()).digest())
+
+    application = web.Application(client_max_size=2 * LARGE_UPLOAD_BYTES)
+    application.router.add_post("/", read_late)
+    application.router.add_get("/{name}", echo)
+    application.on_response_prepare.append(close_after_last)
+    async with connection_to(application) as (reader, writer):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+        writer.write(head % len(body) + body)
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+        asyncio.get_running_loop().call_later(0.2, is_sent.set)
+        async with asyncio.timeout(20):
+            received = await reader.read()
+    assert hashlib.sha256(body).digest() in received
+    assert received.endswith(b"/1")
+
+
 # Guards against a process that ends with the rest of a response in its transport.
 async def test_serve_sends_responses_to_their_end_before_the_stack_is_closed() -> None:
     download = SlowDownload()
--- a/packages/node/tests/test_lingering_transport.py
+++ b/packages/node/tests/test_lingering_transport.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from yuccapitch.node import lingering_transport
+from yuccapitch.node import lingering_transport, read_ahead
 
 LINGER_S = lingering_transport.LINGER_S
 
@@ -76,7 +76,8 @@
 
 @pytest.fixture
 def transport(loop, inner) -> lingering_transport.LingeringTransport:
-    return lingering_transport.LingeringTransport(inner, loop)
+    reading = read_ahead.ReadAhead(inner, loop, read_ahead.Budget(), lambda data: None)
+    return lingering_transport.LingeringTransport(inner, loop, reading)
 
 
 # Guards against a reset that discards a response which a slow client is still reading.
--- /dev/null
+++ b/packages/node/tests/test_read_ahead.py
@@ -0,0 +1,120 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from yuccapitch.node import read_ahead
+
+LIMIT_BYTES = read_ahead.MAX_CONNECTION_BYTES
+
+
+class FakeTransport(asyncio.Transport):
+    """A transport that records whether it is read."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_paused = False
+
+    def pause_reading(self) -> None:
+        self.is_paused = True
+
+    def resume_reading(self) -> None:
+        self.is_paused = False
+
+    def is_closing(self) -> bool:
+        return False
+
+
+class Reader:
+    """Bytes that a connection has delivered, and its transport."""
+
+    def __init__(self, budget: read_ahead.Budget | None = None) -> None:
+        self.transport = FakeTransport()
+        self.delivered: list[bytes] = []
+        self.on_delivered: Callable[[], None] = lambda: None
+        self.reading = read_ahead.ReadAhead(
+            self.transport,
+            asyncio.get_running_loop(),
+            budget or read_ahead.Budget(),
+            self._deliver,
+        )
+
+    def receive(self, data: bytes) -> None:
+        if not self.reading.hold(data):
+            self._deliver(data)
+
+    def _deliver(self, data: bytes) -> None:
+        self.delivered.append(data)
+        self.on_delivered()
+
+
+async def test_resume_delivers_what_is_held_in_order() -> None:
+    reader = Reader()
+    reader.receive(b"1")
+    reader.reading.pause()
+    reader.receive(b"2")
+    reader.receive(b"3")
+    assert reader.delivered == [b"1"] and reader.reading.has_bytes
+    reader.reading.resume()
+    reader.receive(b"4")
+    await asyncio.sleep(0)
+    reader.receive(b"5")
+    assert reader.delivered == [b"1", b"2", b"3", b"4", b"5"]
+    assert not reader.reading.has_bytes
+
+
+async def test_resume_stops_at_the_next_pause() -> None:
+    reader = Reader()
+    reader.reading.pause()
+    reader.receive(b"1")
+    reader.receive(b"2")
+    reader.on_delivered = reader.reading.pause
+    reader.reading.resume()
+    await asyncio.sleep(0)
+    assert reader.delivered == [b"1"] and reader.reading.has_bytes
+    reader.reading.resume()
+    await asyncio.sleep(0)
+    assert reader.delivered == [b"1", b"2"]
+
+
+async def test_hold_pauses_the_transport_at_the_limit_of_a_connection() -> None:
+    reader = Reader()
+    reader.reading.pause()
+    reader.receive(bytes(LIMIT_BYTES - 1))
+    assert not reader.transport.is_paused
+    reader.receive(b"1")
+    assert reader.transport.is_paused
+    reader.reading.resume()
+    await asyncio.sleep(0)
+    assert not reader.transport.is_paused
+
+
+@pytest.mark.parametrize("frees", ["resume", "discard"])
+async def test_budget_is_shared_and_freed(frees: str) -> None:
+    budget = read_ahead.Budget(max_bytes=2)
+    first, second, third = Reader(budget), Reader(budget), Reader(budget)
+    for reader in (first, second, third):
+        reader.reading.pause()
+    first.receive(b"1")
+    assert not first.transport.is_paused
+    second.receive(b"2")
+    assert second.transport.is_paused
+    fourth = Reader(budget)
+    fourth.reading.pause()
+    assert fourth.transport.is_paused
+    getattr(second.reading, frees)()
+    await asyncio.sleep(0)
+    assert not second.transport.is_paused
+    third.receive(b"")
+    assert not third.transport.is_paused
+
+
+async def test_hold_keeps_nothing_after_discard() -> None:
+    reader = Reader()
+    reader.reading.pause()
+    reader.receive(b"1")
+    reader.reading.discard()
+    assert not reader.reading.has_bytes
+    assert not reader.reading.hold(b"2")
