Daemon: serve the requests before a malformed one in the same read

Callers saw: the response 400 of a malformed request head in place of the response to the whole request before it, which was dropped. Cause: the parser of aiohttp discards the requests that it has found in the bytes of a read once it meets a malformed head in them. Evidence: test_connection_serves_the_requests_before_a_malformed_one[1] fails on the code before: no response before the 400. The case of 40 requests passed before. Change: the parser gets at most one end of a head at a time, for as many heads as are parsed ahead; bytes behind a pause are put back. Result: the test passes.

--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -26,6 +26,7 @@
 """Time after which a connection that is not idle is looked at again."""
 MAX_MESSAGE_CHARS = 200
 TRACE_FRAMES = 4
+END_OF_HEAD = b"\r\n\r\n"
 INTERNAL_ERROR = "internal-error"
 HEAD_TIMEOUT_FAILURE = outcomes.Failure(
     408,
@@ -163,7 +164,12 @@
         """Parse bytes and limit the size and time of an incomplete request head."""
         if self.wrapped_transport.is_lingering:
             return
-        super().data_received(data)
+        pieces = _split_after_heads(data)
+        while pieces:
+            super().data_received(pieces.pop(0))
+            if pieces and self._read_ahead.is_paused:
+                self._read_ahead.put_back(b"".join(pieces))
+                break
         if self._waiter is not None and not self._waiter.done():
             self._count_incomplete_head(len(data))
         elif self._head_timer is not None:
@@ -235,6 +241,15 @@
             self._head_timer = None
 
 
+def _split_after_heads(data: bytes) -> list[bytes]:
+    # The parser of aiohttp drops the requests before a malformed one in the same bytes.
+    parts = data.split(END_OF_HEAD, web_protocol.MAX_MSG_QUEUE_SIZE)
+    pieces = [part + END_OF_HEAD for part in parts[:-1]]
+    if parts[-1] or not pieces:
+        pieces.append(parts[-1])
+    return pieces
+
+
 def _cut(transport: asyncio.Transport) -> None:
     unsent_bytes = transport.get_write_buffer_size()
     events.event("entry.connection-cut", unsent_bytes=unsent_bytes)
--- a/packages/node/src/yuccapitch/node/read_ahead.py
+++ b/packages/node/src/yuccapitch/node/read_ahead.py
@@ -53,6 +53,11 @@
         self._is_discarding = False
         self._transport_pause = peer_state.ReadingPause(transport)
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether nothing is delivered."""
+        return self._is_paused
+
     @property
     def has_bytes(self) -> bool:
         """Whether bytes are held that were not delivered yet."""
@@ -68,6 +73,11 @@
             self._transport_pause.start()
         return True
 
+    def put_back(self, data: bytes) -> None:
+        """Hold delivered bytes, which are delivered again before all others."""
+        self._held.appendleft(data)
+        self._count(len(data))
+
     def pause(self) -> None:
         """Hold what is received from now on."""
         self._is_paused = True
--- a/packages/node/tests/test_http_connection.py
+++ b/packages/node/tests/test_http_connection.py
@@ -35,6 +35,33 @@
             assert "internal detail" not in answer["message"]
 
 
+# Guards against a request that is dropped because of a malformed one in the same read,
+# whose response its client takes for its own.
+@pytest.mark.parametrize("count", [1, 40])
+async def test_connection_serves_the_requests_before_a_malformed_one(
+    count: int,
+) -> None:
+    async def answer(request: web.Request) -> web.Response:
+        return web.Response(body=await request.read())
+
+    app = web.Application()
+    app.router.add_post("/", answer)
+    server = http_server.HttpServer("127.0.0.1", 0, 16_384)
+    async with contextlib.AsyncExitStack() as stack:
+        await server.serve(app, stack)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.address.port)
+        stack.callback(writer.close)
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\n"
+        bodies = [b"%06d" % number for number in range(count)]
+        writer.write(b"".join(head + body for body in bodies))
+        writer.write(b"nonsense\r\n\r\n")
+        async with asyncio.timeout(20):
+            received = await reader.read()
+    parts = received.split(b"\r\n\r\n")
+    assert [part[:6] for part in parts[1:-1]] == bodies
+    assert parts[-2][6:].startswith(b"HTTP/1.0 400")
+
+
 # Guards against a reset, sent for bytes that the server has not read, which discards
 # the responses before it.
 @pytest.mark.parametrize(
--- a/packages/node/tests/test_read_ahead.py
+++ b/packages/node/tests/test_read_ahead.py
@@ -79,6 +79,16 @@
     assert reader.delivered == [b"1", b"2"]
 
 
+async def test_put_back_delivers_before_what_is_held() -> None:
+    reader = Reader()
+    reader.reading.pause()
+    reader.receive(b"2")
+    reader.reading.put_back(b"1")
+    reader.reading.resume()
+    await asyncio.sleep(0)
+    assert reader.delivered == [b"1", b"2"]
+
+
 async def test_hold_pauses_the_transport_at_the_limit_of_a_connection() -> None:
     reader = Reader()
     reader.reading.pause()
