Daemon: send a waiting request to an endpoint that was added meanwhile

Callers saw: a response 500 (request.crashed) to a request that waited for a slot while the configuration changed. Cause: the endpoint of a slot was looked up in the configuration of the time when the request came, while the slot comes from the present one: KeyError. An endpoint whose address had changed was called at the former one (from the code, not run). Evidence: test_attempt_is_sent_to_an_endpoint_that_was_added_meanwhile and test_attempt_is_not_sent_to_an_endpoint_that_may_not_serve_it fail on the code before with KeyError. Change: the endpoint is looked up in the present configuration. If it is gone, or belongs to another owner than the request may use, the attempt counts as not sent. Result: the tests pass.

--- a/packages/gateway/src/yuccapitch/gateway/attempt_runner.py
+++ b/packages/gateway/src/yuccapitch/gateway/attempt_runner.py
@@ -278,7 +278,17 @@
         self, context: request_context.RequestContext, slot: pool_service.Slot
     ) -> tuple[request_context.AttemptResult, health.ExchangeOutcome | None]:
         endpoint_id = slot.endpoint_id
-        endpoint = context.view.declaration.endpoints_by_id[endpoint_id]
+        # The request may have waited while the endpoint was added or changed.
+        endpoint = self._pools.find_endpoint(slot)
+        if endpoint is None or context.endpoint_owner not in (None, endpoint.owner):
+            failure = outcomes.Failure(
+                503,
+                "no-endpoint",
+                f"the endpoint {endpoint_id!r} may not serve the request any more",
+                retry_after_s=1,
+            )
+            failed = request_context.Failed(failure, retry.AttemptEnd.NOT_SENT)
+            return failed, None
         target = exchange.Target(
             endpoint.host,
             endpoint.port,
--- a/packages/gateway/src/yuccapitch/gateway/pool_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/pool_service.py
@@ -197,6 +197,11 @@
                 )
         return None
 
+    def find_endpoint(self, slot: Slot) -> model.Endpoint | None:
+        """Return the endpoint of a slot as declared now, if it still is."""
+        assert self._view is not None
+        return self._view.pool_endpoints(slot.pool).get(slot.endpoint_id)
+
     async def acquire(
         self, pool: owners.Pool, slot_request: pool_module.SlotRequest
     ) -> AcquireResult:
--- a/packages/gateway/tests/test_attempt_runner.py
+++ b/packages/gateway/tests/test_attempt_runner.py
@@ -1,20 +1,32 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
+from collections.abc import AsyncIterator
 from typing import Any
 
+import multidict
 import pytest
 
 from yuccapitch.catalogue import ids, model
 from yuccapitch.gateway import (
     attempt_runner,
+    exchange,
     forwarding,
     outcomes,
     pool_service,
     request_context,
 )
-from yuccapitch.steering import health, owners, pool_choice, pool_directory, retry
+from yuccapitch.steering import (
+    health,
+    owners,
+    pool as pool_module,
+    pool_choice,
+    pool_directory,
+    retry,
+    slots,
+)
 
 BROKEN = request_context.Failed(
     outcomes.Failure(502, "no-answer", "", outcomes.Outcome.UNKNOWN),
@@ -186,3 +198,102 @@
     assert attempt_result.failure.code == "no-endpoint"
     assert attempt_result.failure.outcome is outcomes.Outcome.NOT_RUN
     assert forwarding_runner.owners == []
+
+
+ADDED = model.Endpoint(
+    owner=ids.OwnerId("o1"),
+    service=POOL.service,
+    failure_domain=POOL.failure_domain,
+    host="192.0.2.1",
+    port=80,
+    slots=1,
+    connections=1,
+)
+
+
+class WaitingContext(FakeContext):
+    """A request whose view was taken before an endpoint was added."""
+
+    class view(FakeContext.view):
+        class declaration:
+            endpoints_by_id: dict[ids.EndpointId, model.Endpoint] = {}
+
+    class parsed(FakeContext.parsed):
+        path_and_query = "/"
+
+    class request:
+        method = "GET"
+        headers: multidict.CIMultiDict[str] = multidict.CIMultiDict()
+
+    body: Any = None
+
+    def __init__(self, endpoint_owner: ids.OwnerId | None) -> None:
+        super().__init__()
+        self.endpoint_owner: Any = endpoint_owner
+
+
+class LocalRunner(attempt_runner.AttemptRunner):
+    """An attempt runner that owns the pool of an endpoint, and reaches nobody."""
+
+    def __init__(self, endpoints_by_id: dict[ids.EndpointId, model.Endpoint]) -> None:
+        unused: Any = None
+        health_view, rng = health.HealthView(), random.Random(1)
+        pools = pool_service.PoolService(
+            ids.InstanceId("e1"), health_view, lambda endpoint: False, lambda: 1.0, rng
+        )
+        table = slots.SlotTable(term=1, lease_until=99.0, longest_deadline_s=5.0)
+        table.add_endpoint(ids.EndpointId("b1"), 1)
+        pools.owned_pools[POOL] = pool_module.SlotPool(table, health_view, rng)
+
+        class View(FakeContext.view):
+            @staticmethod
+            def pool_endpoints(
+                pool: owners.Pool,
+            ) -> dict[ids.EndpointId, model.Endpoint]:
+                return endpoints_by_id
+
+        view: Any = View
+        pools._view = view
+        client: Any = self
+        super().__init__(
+            ids.InstanceId("e1"),
+            pools,
+            unused,
+            health_view,
+            client,
+            unused,
+            lambda instance_id: None,
+            lambda: 1.0,
+            rng,
+        )
+        self.targets: list[exchange.Target] = []
+
+    @contextlib.asynccontextmanager
+    async def exchange(
+        self, target: exchange.Target, body: object, timeout_s: float
+    ) -> AsyncIterator[exchange.NoResponse]:
+        self.targets.append(target)
+        yield exchange.NoResponse(exchange.SentAmount.NOTHING, "refused")
+
+
+# Guards against a crash of a request that waited for a slot while the endpoint that
+# grants it was added.
+async def test_attempt_is_sent_to_an_endpoint_that_was_added_meanwhile() -> None:
+    runner = LocalRunner({ids.EndpointId("b1"): ADDED})
+    context: Any = WaitingContext(None)
+    await runner.run_in_local_pool(context, POOL)
+    assert [(target.host, target.port) for target in runner.targets] == [
+        (ADDED.host, ADDED.port)
+    ]
+
+
+@pytest.mark.parametrize("is_removed", [True, False])
+async def test_attempt_is_not_sent_to_an_endpoint_that_may_not_serve_it(
+    is_removed: bool,
+) -> None:
+    runner = LocalRunner({} if is_removed else {ids.EndpointId("b1"): ADDED})
+    context: Any = WaitingContext(ids.OwnerId("o2"))
+    attempt_result = await runner.run_in_local_pool(context, POOL)
+    assert isinstance(attempt_result, request_context.Failed)
+    assert attempt_result.end is retry.AttemptEnd.NOT_SENT and not runner.targets
+    assert runner._pools.owned_pools[POOL].free(1.0) == 1
