Servers: close_both_ways discards no bytes that are not sent

It is called for idle connections only; for a transport that still holds bytes it now leaves the socket to the transport. No fault was seen.

--- a/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
@@ -88,7 +88,8 @@
     and the kernel takes and discards what comes until then.
     """
     sock: socket.socket | None = transport.get_extra_info("socket")
-    if sock is not None and not transport.is_closing():
+    is_sent = not transport.is_closing() and not transport.get_write_buffer_size()
+    if sock is not None and is_sent:
         # The peer may have closed or reset the connection already.
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_RDWR)
