Daemon: don't time out a request head whose rest is unread

Callers saw: a response 408 to a request whose head came in time, if the event loop was late. Cause: the timer of a request head knows what the event loop has read, not what the kernel holds. Evidence: test_head_timer_serves_a_request_whose_end_is_not_read fails on the code before: 408 head-timeout. Change: the timer fires again after 0.1 s if bytes are unread. The size of a head bounds how often. Result: the test passes.

--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -22,8 +22,8 @@
 SEND_LIMIT_S = 10.0
 """Time after the last response is written within which a stop lets it be sent."""
 STOP_CHECK_INTERVAL_S = 0.05
-KEEP_ALIVE_RETRY_S = 0.1
-"""Time after which a connection that is not idle is looked at again."""
+TIMER_RETRY_S = 0.1
+"""Time after which a timer that fired before unread bytes were parsed fires again."""
 MAX_MESSAGE_CHARS = 200
 TRACE_FRAMES = 4
 END_OF_HEAD = b"\r\n\r\n"
@@ -208,7 +208,7 @@
         # arrived in time.
         if self._head_timer is not None or self.has_unread_bytes:
             self._keepalive_handle = self._loop.call_later(
-                KEEP_ALIVE_RETRY_S, self._process_keepalive
+                TIMER_RETRY_S, self._process_keepalive
             )
         else:
             super()._process_keepalive()
@@ -219,9 +219,17 @@
             self._reject_head(_head_too_large(f"over {self.max_field_size} bytes"))
         elif self._head_timer is None:
             self._head_timer = self._loop.call_later(
-                HEAD_TIMEOUT_S, self._reject_head, HEAD_TIMEOUT_FAILURE
+                HEAD_TIMEOUT_S, self._on_head_timeout
             )
 
+    def _on_head_timeout(self) -> None:
+        if self.has_unread_bytes:
+            self._head_timer = self._loop.call_later(
+                TIMER_RETRY_S, self._on_head_timeout
+            )
+        else:
+            self._reject_head(HEAD_TIMEOUT_FAILURE)
+
     def _reject_head(self, failure: outcomes.Failure) -> None:
         self._reset_head()
         if self.transport is None:
--- a/packages/node/tests/test_http_server_unread.py
+++ b/packages/node/tests/test_http_server_unread.py
@@ -105,6 +105,31 @@
             assert (await receive(client)).endswith(b"answer to /1")
 
 
+# Guards against a rejection of a request head whose rest arrived in time, but was not
+# read because the event loop was late.
+async def test_head_timer_serves_a_request_whose_end_is_not_read() -> None:
+    async with serving() as server:
+        with connecting(server) as client:
+            connection = await wait_until_idle(server)
+            client.sendall(b"GET /1 HTTP/1.1\r\n")
+            while connection._head_timer is None:
+                await asyncio.sleep(0)
+            client.sendall(b"Host: h\r\n\r\n")
+            connection._head_timer._run()
+            assert (await receive(client)).endswith(b"answer to /1")
+
+
+async def test_head_timer_rejects_a_head_that_is_incomplete() -> None:
+    async with serving() as server:
+        with connecting(server) as client:
+            connection = await wait_until_idle(server)
+            client.sendall(b"GET /1 HTTP/1.1\r\n")
+            while connection._head_timer is None:
+                await asyncio.sleep(0)
+            connection._head_timer._run()
+            assert (await receive(client)).startswith(b"HTTP/1.1 408")
+
+
 async def test_keep_alive_timer_closes_an_idle_connection() -> None:
     async with serving() as server:
         with connecting(server) as client:
