--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -12,7 +12,7 @@
 
 from yuccapitch.gateway import outcomes
 from yuccapitch.gateway.http1 import peer_state
-from yuccapitch.node import lingering_transport
+from yuccapitch.node import lingering_transport, read_ahead
 from yuccapitch.protocol import events
 
 HEAD_TIMEOUT_S = 10.0
@@ -22,10 +22,11 @@
 SEND_LIMIT_S = 10.0
 """Time after the last response is written within which a stop lets it be sent."""
 STOP_CHECK_INTERVAL_S = 0.05
-KEEP_ALIVE_RETRY_S = 0.1
-"""Time after which a connection that is not idle is looked at again."""
+TIMER_RETRY_S = 0.1
+"""Time after which a timer that fired before unread bytes were parsed fires again."""
 MAX_MESSAGE_CHARS = 200
 TRACE_FRAMES = 4
+END_OF_HEAD = b"\r\n\r\n"
 INTERNAL_ERROR = "internal-error"
 HEAD_TIMEOUT_FAILURE = outcomes.Failure(
     408,
@@ -81,6 +82,10 @@
 
 
 class _Server(web.Server):
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        super().__init__(*arguments, **options)
+        self.read_ahead_budget = read_ahead.Budget()
+
     def __call__(self) -> web.RequestHandler:
         return Connection(self, loop=self._loop, **self._kwargs)
 
@@ -105,8 +110,10 @@
 
     wrapped_transport: lingering_transport.LingeringTransport
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
-        super().__init__(*arguments, **options)
+    def __init__(self, server: _Server, **options: Any) -> None:
+        super().__init__(server, **options)
+        self._read_ahead_budget = server.read_ahead_budget
+        self._read_ahead: read_ahead.ReadAhead
         self._head_timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
 
@@ -121,10 +128,10 @@
 
     @property
     def has_unread_bytes(self) -> bool:
-        """Whether the kernel holds bytes, or an end, that were not read yet."""
+        """Whether bytes, or an end, were received that were not parsed yet."""
         if self.transport is None or self.transport.is_closing():
             return False
-        return peer_state.is_readable(self.transport)
+        return self._read_ahead.has_bytes or peer_state.is_readable(self.transport)
 
     @property
     def has_waiting_requests(self) -> bool:
@@ -134,8 +141,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to serve the connection."""
         assert isinstance(transport, asyncio.Transport)
+        self._read_ahead = read_ahead.ReadAhead(
+            transport, self._loop, self._read_ahead_budget, self._parse
+        )
         self.wrapped_transport = lingering_transport.LingeringTransport(
-            transport, self._loop
+            transport, self._loop, self._read_ahead
         )
         super().connection_made(self.wrapped_transport)
 
@@ -145,18 +155,30 @@
         super().resume_writing()
 
     def data_received(self, data: bytes) -> None:
+        """Parse bytes, or keep them while the application doesn't read."""
+        # aiohttp passes no bytes to parse what its parser has kept.
+        if not data or not self._read_ahead.hold(data):
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
         """Parse bytes and limit the size and time of an incomplete request head."""
         if self.wrapped_transport.is_lingering:
             return
-        super().data_received(data)
+        pieces = _split_after_heads(data)
+        while pieces:
+            super().data_received(pieces.pop(0))
+            if pieces and self._read_ahead.is_paused:
+                self._read_ahead.put_back(b"".join(pieces))
+                break
         if self._waiter is not None and not self._waiter.done():
             self._count_incomplete_head(len(data))
         elif self._head_timer is not None:
             self._reset_head()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Cancel the timer of an incomplete request head."""
+        """Cancel the timer of an incomplete request head, and free what is kept."""
         self._reset_head()
+        self._read_ahead.discard()
         super().connection_lost(exc)
 
     def handle_error(
@@ -186,7 +208,7 @@
         # arrived in time.
         if self._head_timer is not None or self.has_unread_bytes:
             self._keepalive_handle = self._loop.call_later(
-                KEEP_ALIVE_RETRY_S, self._process_keepalive
+                TIMER_RETRY_S, self._process_keepalive
             )
         else:
             super()._process_keepalive()
@@ -197,9 +219,17 @@
             self._reject_head(_head_too_large(f"over {self.max_field_size} bytes"))
         elif self._head_timer is None:
             self._head_timer = self._loop.call_later(
-                HEAD_TIMEOUT_S, self._reject_head, HEAD_TIMEOUT_FAILURE
+                HEAD_TIMEOUT_S, self._on_head_timeout
             )
 
+    def _on_head_timeout(self) -> None:
+        if self.has_unread_bytes:
+            self._head_timer = self._loop.call_later(
+                TIMER_RETRY_S, self._on_head_timeout
+            )
+        else:
+            self._reject_head(HEAD_TIMEOUT_FAILURE)
+
     def _reject_head(self, failure: outcomes.Failure) -> None:
         self._reset_head()
         if self.transport is None:
@@ -219,6 +249,15 @@
             self._head_timer = None
 
 
+def _split_after_heads(data: bytes) -> list[bytes]:
+    # The parser of aiohttp drops the requests before a malformed one in the same bytes.
+    parts = data.split(END_OF_HEAD, web_protocol.MAX_MSG_QUEUE_SIZE)
+    pieces = [part + END_OF_HEAD for part in parts[:-1]]
+    if parts[-1] or not pieces:
+        pieces.append(parts[-1])
+    return pieces
+
+
 def _cut(transport: asyncio.Transport) -> None:
     unsent_bytes = transport.get_write_buffer_size()
     events.event("entry.connection-cut", unsent_bytes=unsent_bytes)
