Consensus: write the records of a sync at once

Callers saw: nothing yet. A control instance that loses power while it syncs more than 8 KB of entries may not start again (StorageError, checksum does not match). With another disk lost, the group may have no quorum and every acknowledged order is out of reach. Cause: the buffered file made several writes for one sync. A loss of power keeps each write independently of the others, so that a later one may follow a hole, which looks like corruption of synced records. Change: the records are collected and written by one call in sync. Result: test_disk_starts_after_a_power_loss_during_the_sync_of_several_entries failed before and passes.

--- a/packages/consensus/src/yuccapitch/consensus/segments.py
+++ b/packages/consensus/src/yuccapitch/consensus/segments.py
@@ -36,7 +36,7 @@
         self._segments: list[_Segment] = []
         self._file: BinaryIO | None = None
         self._size = 0
-        self._has_unsynced_data = False
+        self._unwritten = bytearray()
 
     def load(
         self, snapshot_index: int
@@ -70,24 +70,26 @@
             self._start_segment()
 
     def append(self, record: records.Record) -> None:
-        """Write one record without syncing it."""
+        """Add one record; ``sync`` writes it."""
         if self._file is None or self._size >= self._max_segment_bytes:
             self._start_segment()
         if self._file is None:
             raise AssertionError("no segment is open")
         data = records.encode(record)
-        self._file.write(data)
+        self._unwritten += data
         self._size += len(data)
-        self._has_unsynced_data = True
         segment = self._segments[-1]
         segment.max_index = max(segment.max_index, _record_index(record))
 
     def sync(self) -> None:
-        """Block until all records written are on disk."""
-        if self._file is not None and self._has_unsynced_data:
+        """Block until all records added are on disk."""
+        if self._file is not None and self._unwritten:
+            # Of several writes, a loss of power may keep the last and drop the first.
+            # That would look like corruption of acknowledged records.
+            self._file.write(self._unwritten)
             self._file.flush()
             os.fdatasync(self._file.fileno())
-            self._has_unsynced_data = False
+            self._unwritten.clear()
 
     def delete_up_to(self, index: int) -> None:
         """Delete the oldest segments that have no records after ``index``."""
