Consensus: sync the folder after each removed segment

Callers saw: nothing yet. Each name may come back independently, so that an earlier segment may be there and a later one not. Change: the folder is synced after each removal, from the oldest on, so that what is left never has a gap. Result: test_disk_starts_after_a_power_loss_during_the_removal_of_segments failed before and passes.

--- a/packages/consensus/src/yuccapitch/consensus/segments.py
+++ b/packages/consensus/src/yuccapitch/consensus/segments.py
@@ -93,11 +93,10 @@
 
     def delete_up_to(self, index: int) -> None:
         """Delete the oldest segments that have no records after ``index``."""
-        deleted = False
         while len(self._segments) > 1 and self._segments[0].max_index <= index:
             self._segments.pop(0).path.unlink()
-            deleted = True
-        if deleted:
+            # Of several names removed without a sync, a loss of power may bring back
+            # any, and a gap between segments is an error.
             files.sync_folder(self._folder)
 
     def close(self) -> None:
--- a/packages/consensus/tests/test_power_loss.py
+++ b/packages/consensus/tests/test_power_loss.py
@@ -7,7 +7,7 @@
 import pytest
 
 from packages.consensus.tests import power_loss
-from yuccapitch.consensus import disk, effects
+from yuccapitch.consensus import disk, effects, log
 from yuccapitch.protocol import consensus_messages as messages
 
 RESTORES = 20
@@ -77,3 +77,18 @@
         count = len(recovered.entries)
         assert recovered.entries == (synced + unsynced)[:count]
         assert count >= len(synced)
+
+
+# Guards against an instance that does not start after a loss of power, because of the
+# segments that a snapshot replaces, a later one was removed and an earlier one was not.
+def test_disk_starts_after_a_power_loss_during_the_removal_of_segments(
+    supply, tmp_path
+):
+    entries = make_entries(1, 30, 100)
+    snapshot = log.Snapshot(25, 1, power_loss.MEMBERS, b"")
+    with written_disk(supply, entries, max_segment_bytes=300) as storage:
+        supply.fails_after_unlinks = 4
+        storage.write_snapshot(snapshot, keeps_suffix=True)
+    for recovered in restored(supply, tmp_path):
+        assert recovered.snapshot == snapshot
+        assert recovered.entries == entries[25:]
