Consensus: sync what a killed process has left before it counts

Callers saw: nothing yet. An acknowledged order, or a vote, may be gone after a loss of power. Its successor recovered them and answered for them: to a leader that it has these entries, to a candidate that it has voted for it. It wrote nothing for that, so it synced nothing, and the loss of power took them away. Change: loading the disk syncs the folder before it reads it, and the last segment before it returns.

--- a/packages/consensus/src/yuccapitch/consensus/disk.py
+++ b/packages/consensus/src/yuccapitch/consensus/disk.py
@@ -54,6 +54,8 @@
             outcome = self._initialize()
             if outcome is not None:
                 return result.Err(outcome)
+        # A process that was killed may have replaced files without syncing their names.
+        files.sync_folder(self._folder)
         return self._read()
 
     def write_hard_state(self, hard_state: effects.HardState) -> None:
--- a/packages/consensus/src/yuccapitch/consensus/segments.py
+++ b/packages/consensus/src/yuccapitch/consensus/segments.py
@@ -66,6 +66,9 @@
         """Open the last segment for appending, or create the first one of a new log."""
         if self._segments:
             self._open(self._segments[-1].path)
+            # A process that was killed may have written records without syncing them.
+            # They have been loaded, so that they are answered for from now on.
+            self._sync_file()
         else:
             self._start_segment()
 
@@ -87,8 +90,7 @@
             # Of several writes, a loss of power may keep the last and drop the first.
             # That would look like corruption of acknowledged records.
             self._file.write(self._unwritten)
-            self._file.flush()
-            os.fdatasync(self._file.fileno())
+            self._sync_file()
             self._unwritten.clear()
 
     def delete_up_to(self, index: int) -> None:
@@ -149,6 +151,12 @@
         self._file = open(path, "ab")
         self._size = path.stat().st_size
 
+    def _sync_file(self) -> None:
+        if self._file is None:
+            raise AssertionError("no segment is open")
+        self._file.flush()
+        os.fdatasync(self._file.fileno())
+
 
 def _record_index(record: records.Record) -> int:
     return record.first if isinstance(record, records.Truncation) else record.index
--- a/packages/consensus/tests/test_power_loss.py
+++ b/packages/consensus/tests/test_power_loss.py
@@ -79,6 +79,12 @@
         assert count >= len(synced)
 
 
+@pytest.mark.parametrize("seed_block", range(4))
+def test_disk_survives_random_power_losses(seed_block):
+    for seed in range(seed_block * 50, (seed_block + 1) * 50):
+        power_loss.check(seed)
+
+
 # Guards against an instance that does not start after a loss of power, because of the
 # segments that a snapshot replaces, a later one was removed and an earlier one was not.
 def test_disk_starts_after_a_power_loss_during_the_removal_of_segments(
@@ -92,3 +98,35 @@
     for recovered in restored(supply, tmp_path):
         assert recovered.snapshot == snapshot
         assert recovered.entries == entries[25:]
+
+
+# Guards against entries that an instance acknowledges after the start of its process
+# and loses with its power, as the previous process was killed before it synced them.
+def test_disk_keeps_the_entries_that_it_has_recovered(supply, tmp_path):
+    with written_disk(supply, make_entries(1, 2, 20)) as storage:
+        storage.write_entries(make_entries(3, 4, 20))
+        supply.fails_at_sync = True
+        storage.sync()
+    supply.restart_process()
+    supply.steps_left = MANY_STEPS
+    with supply.connected(), contextlib.closing(open_disk(supply.folder)) as storage:
+        expected = storage.load().unwrap().entries
+    assert len(expected) == 4
+    for recovered in restored(supply, tmp_path):
+        assert recovered.entries == expected
+
+
+# Guards against a second vote in one term: the process was killed before it synced the
+# folder, its successor confirmed the vote, and a loss of power brought back the file
+# without it.
+def test_disk_keeps_the_vote_that_it_has_recovered(supply, tmp_path):
+    vote = effects.HardState(2, "other")
+    with written_disk(supply, make_entries(1, 2, 20)) as storage:
+        supply.fails_at_folder_sync = True
+        storage.write_hard_state(vote)
+    supply.restart_process()
+    supply.steps_left = MANY_STEPS
+    with supply.connected(), contextlib.closing(open_disk(supply.folder)) as storage:
+        assert storage.load().unwrap().hard_state == vote
+    for recovered in restored(supply, tmp_path):
+        assert recovered.hard_state == vote
