Consensus: sync the names of the folders that it creates

Callers saw: nothing yet. After a loss of power, the log folder may be gone with all that was synced in it: as if the disk were lost, and on all instances at once. Cause: the folder was created without a sync of its parent. Change: files.create_folder syncs the parent of each folder that it creates, and that of a folder whose creator may have been killed before. Result: test_disk_syncs_the_folders_that_it_creates failed before and passes.

--- a/packages/consensus/src/yuccapitch/consensus/disk.py
+++ b/packages/consensus/src/yuccapitch/consensus/disk.py
@@ -44,7 +44,7 @@
 
     def load(self) -> result.Result[core.RecoveredState, storage.StorageError]:
         """Read the folder, or initialize an empty one with a new identity."""
-        self._folder.mkdir(parents=True, exist_ok=True)
+        files.create_folder(self._folder)
         try:
             self._exit_stack.enter_context(files.lock(self._folder))
         except BlockingIOError:
--- a/packages/consensus/src/yuccapitch/consensus/files.py
+++ b/packages/consensus/src/yuccapitch/consensus/files.py
@@ -20,6 +20,17 @@
         yield
 
 
+def create_folder(folder: pathlib.Path) -> None:
+    """Create the folder and its missing parents, so that their names survive a crash."""
+    missing = [path for path in (folder, *folder.parents) if not path.is_dir()]
+    for path in reversed(missing):
+        path.mkdir(exist_ok=True)
+        sync_folder(path.parent)
+    if not missing:
+        # The process that created it may have been killed before it synced the name.
+        sync_folder(folder.parent)
+
+
 def replace_file(path: pathlib.Path, data: bytes) -> None:
     """Replace a file atomically: after a crash it holds the old bytes or the new."""
     temporary = path.with_name(path.name + _TEMPORARY_SUFFIX)
--- a/packages/consensus/tests/test_power_loss.py
+++ b/packages/consensus/tests/test_power_loss.py
@@ -7,7 +7,7 @@
 import pytest
 
 from packages.consensus.tests import power_loss
-from yuccapitch.consensus import disk, effects, log
+from yuccapitch.consensus import disk, effects, files, log
 from yuccapitch.protocol import consensus_messages as messages
 
 RESTORES = 20
@@ -130,3 +130,13 @@
         assert storage.load().unwrap().hard_state == vote
     for recovered in restored(supply, tmp_path):
         assert recovered.hard_state == vote
+
+
+# Guards against a folder that is gone after a loss of power with all that was synced in
+# it, because its own name was not.
+def test_disk_syncs_the_folders_that_it_creates(tmp_path, monkeypatch):
+    synced = []
+    monkeypatch.setattr(files, "sync_folder", synced.append)
+    with contextlib.closing(open_disk(tmp_path / "data" / "log")) as storage:
+        storage.load().unwrap()
+    assert synced[:2] == [tmp_path, tmp_path / "data"]
