Tests: disks lost and all power off while entries are written

The simulation of the group stopped all instances only between two syncs, so that it never asked what a torn write does to an acknowledged entry. Change: the simulation can lose as many disks as the group survives and all power at once, 5 to 400 ms after proposals or as one is acknowledged, while each of the other instances keeps the beginning of what it was writing. Reads after it must see all that was acknowledged. A replica that sends before its sync now loses what it has not synced, as the simulated disks were always synced by the next step. Result: test_schedules_detect_deliberate_faults shows that the schedules find a replica that answers before its sync, and one that comes back with the identity of a lost disk.

--- a/packages/consensus/src/yuccapitch/consensus/files.py
+++ b/packages/consensus/src/yuccapitch/consensus/files.py
@@ -21,7 +21,7 @@
 
 
 def create_folder(folder: pathlib.Path) -> None:
-    """Create the folder and its missing parents, so that their names survive a crash."""
+    """Create the folder and its missing parents; their names survive a crash."""
     missing = [path for path in (folder, *folder.parents) if not path.is_dir()]
     for path in reversed(missing):
         path.mkdir(exist_ok=True)
--- a/packages/consensus/tests/replacements.py
+++ b/packages/consensus/tests/replacements.py
@@ -20,6 +20,11 @@
 RECOVERY_S = 5 * simulation.TIMING.max_election_timeout_s
 CONVERGENCE_LIMIT_S = 90.0
 MAX_DOWN_S = 2.0
+# Time between a proposal and the loss of all power.
+MIN_POWER_LOSS_DELAY_S = 0.005
+STEP_S = 0.001
+POWER_LOSSES = 6
+MAX_POWER_LOSS_DELAY_S = 0.4
 
 Fault = Callable[["Schedule"], None]
 FAULTS: list[Fault] = []
@@ -34,11 +39,11 @@
 class Schedule:
     """One group and the random faults that it goes through."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, faults: simulation.Faults | None = None) -> None:
         self.random = random.Random(seed)
         self.size = self.random.choice(SIZES)
         rates = [self.random.uniform(0.95, 1.05) for _ in range(self.size)]
-        self.cluster = simulation.Cluster(self.size, seed, rates)
+        self.cluster = simulation.Cluster(self.size, seed, rates, faults)
         self.trace: list[str] = []
 
     def run(self) -> None:
@@ -54,6 +59,17 @@
         self.lose_power(lost_disks=1)
         self.check_leader()
         self.check_convergence()
+        self.lose_power_after_proposal(max_lost_disks=(self.size - 1) // 2)
+        self.check_leader()
+        self.check_convergence()
+
+    def run_power_losses(self) -> None:
+        """Lose disks and all power again and again, shortly after proposals."""
+        self.cluster.run(5.0)
+        for _ in range(POWER_LOSSES):
+            self.lose_power_after_proposal(max_lost_disks=(self.size - 1) // 2)
+            self.check_leader()
+            self.check_convergence()
 
     def propose(self) -> None:
         """Have the leader commit some entries."""
@@ -80,6 +96,39 @@
         for instance_id in list(self.cluster.nodes):
             self.cluster.start(instance_id)
 
+    def lose_power_after_proposal(self, max_lost_disks: int) -> None:
+        """Lose disks and all power shortly after a proposal, acknowledged or not."""
+        cluster = self.cluster
+        acknowledged_index = cluster.acknowledged_index
+        for _ in range(self.random.randint(1, 4)):
+            for instance_id in list(cluster.nodes):
+                cluster.propose(instance_id)
+        waits_for_acknowledgement = self.random.random() < 0.5
+        power_loss_at = cluster.now + self.random.uniform(
+            MIN_POWER_LOSS_DELAY_S, MAX_POWER_LOSS_DELAY_S
+        )
+        while cluster.now < power_loss_at:
+            is_acknowledged = cluster.acknowledged_index > acknowledged_index
+            if waits_for_acknowledgement and is_acknowledged:
+                break
+            cluster.run(STEP_S, STEP_S)
+        # Those that have acknowledged come first: nobody else may have the entry.
+        instance_ids = self.random.sample(sorted(cluster.nodes), len(cluster.nodes))
+        instance_ids.sort(key=lambda i: -cluster.nodes[i].applied_index)
+        if self.random.random() < 0.5:
+            self.random.shuffle(instance_ids)
+        lost_ids: list[str] = []
+        for instance_id in instance_ids:
+            if len(lost_ids) < max_lost_disks and cluster.can_lose_disks(
+                [*lost_ids, instance_id]
+            ):
+                lost_ids.append(instance_id)
+        self.trace.append(f"{len(lost_ids)} of {len(instance_ids)} disks")
+        cluster.lose_power(lost_ids)
+        cluster.run(self.random.uniform(0.1, MAX_DOWN_S))
+        for instance_id in list(cluster.nodes):
+            cluster.start(instance_id)
+
     def check_leader(self) -> None:
         """Check that a leader of the group commits an entry in time."""
         end_at = self.cluster.now + ELECTION_LIMIT_S
@@ -87,6 +136,7 @@
         while self.cluster.acknowledged_index == acknowledged_index:
             assert self.cluster.now < end_at, f"no leader after {self.trace}"
             for leader_id in self.cluster.leaders():
+                self.cluster.read(leader_id)
                 self.cluster.propose(leader_id)
             self.cluster.run(0.5)
 
@@ -129,6 +179,12 @@
     schedule.lose_power(lost_disks=schedule.random.choice((0, 1)))
 
 
+@fault
+def lose_power_after_proposal(schedule: Schedule) -> None:
+    """All instances stop at once while they write; one may lose its disk."""
+    schedule.lose_power_after_proposal(max_lost_disks=schedule.random.choice((0, 1)))
+
+
 @fault
 def cut_minority(schedule: Schedule) -> None:
     """Fewer than half of the instances are cut off for a time and come back."""
@@ -162,6 +218,7 @@
     for seed in range(first, first + count):
         try:
             Schedule(seed).run()
+            Schedule(seed).run_power_losses()
         except AssertionError as error:
             failed += 1
             print(f"seed {seed}: {error}", flush=True)
--- a/packages/consensus/tests/simulation.py
+++ b/packages/consensus/tests/simulation.py
@@ -114,10 +114,50 @@
         node.stopped_at = self.now
         node.disk.crash()
 
+    def lose_power(self, lost_disk_ids=()):
+        """Stop all instances at once; some of them lose their disks.
+
+        Each of the others may have been writing what it had last received. Of that, the
+        disk keeps the beginning, up to any point.
+        """
+        for instance_id in lost_disk_ids:
+            self.lose_disk(instance_id)
+        for node in self.nodes.values():
+            if node.core is not None:
+                self._tear_writes(node)
+                self.kill(node.instance_id)
+        self.in_flight = []
+
+    def _tear_writes(self, node):
+        node.disk.crash()
+        for _, sender_id, receiver_id, message in sorted(
+            self.in_flight, key=lambda item: item[0]
+        ):
+            is_blocked = (sender_id, receiver_id) in self.blocked_links
+            if receiver_id == node.instance_id and not is_blocked:
+                if self.random.random() < 0.5:
+                    local_time = node.to_local_time(self.now)
+                    node.core.receive(sender_id, message, local_time)
+        for effect in node.core.take_effects(node.to_local_time(self.now)):
+            is_torn = self.random.random() < 0.5
+            if isinstance(effect, effects.PersistEntries) and is_torn:
+                kept_count = self.random.randint(0, len(effect.entries))
+                if kept_count:
+                    node.disk.write_entries(effect.entries[:kept_count])
+                break
+            if is_torn:
+                break
+            self._persist(node, effect)
+        node.disk.sync()
+
     def can_lose_disk(self, instance_id):
         """Return whether a quorum survives in each membership that may take effect."""
-        node = self.nodes[instance_id]
-        lost = self.lost_identities | {node.disk.identity}
+        return self.can_lose_disks([instance_id])
+
+    def can_lose_disks(self, instance_ids):
+        """Return whether a quorum survives the loss of several disks."""
+        identities = {self.nodes[i].disk.identity for i in instance_ids}
+        lost = self.lost_identities | identities
         return all(
             members.is_quorum(members.voters() - lost)
             for members in self._memberships()
@@ -175,11 +215,11 @@
             node.barriers[self.next_token] = self.acknowledged_index
             self.flush(node)
 
-    def run(self, duration_s):
+    def run(self, duration_s, step_s=STEP_S):
         """Advance the simulated time in steps."""
         end_at = self.now + duration_s
         while self.now < end_at:
-            self.now += STEP_S
+            self.now += step_s
             self._deliver_due()
             for node in self.nodes.values():
                 if node.core is not None:
@@ -246,6 +286,9 @@
     def flush(self, node):
         pending_effects = node.core.take_effects(node.to_local_time(self.now))
         if self.faults.sends_before_sync:
+            if pending_effects:
+                # Effects are synced only when there are further ones.
+                node.disk.sync()
             self._send_all(node, pending_effects)
         for effect in pending_effects:
             self._persist(node, effect)
@@ -253,8 +296,8 @@
             node.crashes_in_next_flush = False
             self.kill(node.instance_id)
             return
-        node.disk.sync()
         if not self.faults.sends_before_sync:
+            node.disk.sync()
             self._send_all(node, pending_effects)
         for effect in pending_effects:
             self._perform(node, effect)
--- a/packages/consensus/tests/test_replacements.py
+++ b/packages/consensus/tests/test_replacements.py
@@ -37,6 +37,26 @@
     replacements.Schedule(seed).run()
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_group_survives_lost_disks_and_power_losses_after_proposals(seed):
+    replacements.Schedule(seed).run_power_losses()
+
+
+# Keeps the schedules able to find a replica that answers before its sync: with disks
+# lost and all power off, an acknowledged entry is gone.
+@pytest.mark.parametrize(
+    "faults",
+    [
+        simulation.Faults(sends_before_sync=True),
+        simulation.Faults(keeps_identity_of_lost_disk=True),
+    ],
+)
+def test_schedules_detect_deliberate_faults(faults):
+    with pytest.raises(AssertionError):
+        for seed in range(20):
+            replacements.Schedule(seed, faults).run_power_losses()
+
+
 def silence(cluster, *instance_ids):
     """Cut instances off from all others, both ways."""
     for instance_id in instance_ids:
