Consensus: bound the retained log by bytes

Result: test_core_compacted_log_keeps_a_bounded_number_of_bytes, test_core_compacted_log_may_keep_no_entry and test_replica_takes_a_snapshot_after_a_number_of_bytes failed before (with the constants added) and pass.

--- a/packages/consensus/src/yuccapitch/consensus/core.py
+++ b/packages/consensus/src/yuccapitch/consensus/core.py
@@ -24,9 +24,10 @@
 )
 from yuccapitch.protocol import consensus_messages as messages
 
-# Entries kept in memory before the snapshot index, so that members that lag slightly
-# do not need the snapshot.
+# Entries, and bytes of them, kept in memory before the snapshot index, so that members
+# that lag slightly do not need the snapshot.
 RETAINED_ENTRIES = 1000
+RETAINED_BYTES = 8 * 1024 * 1024
 
 Handler = Callable[[core_state.State, str, Any, float], None]
 
@@ -196,7 +197,8 @@
         state.snapshot = core_log.Snapshot(index, term, members, data)
         persist = effects.PersistSnapshot(state.snapshot, keeps_suffix=True)
         state.effects.append(persist)
-        state.log.compact(max(state.log.base_index, index - RETAINED_ENTRIES))
+        first = max(state.log.base_index, index - RETAINED_ENTRIES) + 1
+        state.log.compact(state.log.last_before(first, index, RETAINED_BYTES))
 
     def _is_sole_voter(self) -> bool:
         return self.members.voters() == {self.identity}
--- a/packages/consensus/src/yuccapitch/consensus/log.py
+++ b/packages/consensus/src/yuccapitch/consensus/log.py
@@ -72,6 +72,18 @@
         start = first - self.base_index - 1
         return tuple(self._entries[start : last - self.base_index])
 
+    def last_before(self, first: int, last: int, max_bytes: int) -> int:
+        """Return the index before the longest end of a range within ``max_bytes``.
+
+        The range is that of the entries from ``first`` to ``last`` inclusive.
+        """
+        size = 0
+        for entry in reversed(self.slice(first, last)):
+            size += len(entry.payload)
+            if size > max_bytes:
+                return entry.index
+        return first - 1
+
     def append(self, entry: messages.LogEntry) -> None:
         """Append an entry; its index must follow the last one."""
         if entry.index != self.last_index + 1:
--- a/packages/consensus/src/yuccapitch/consensus/replica.py
+++ b/packages/consensus/src/yuccapitch/consensus/replica.py
@@ -22,6 +22,8 @@
 
 TICK_INTERVAL_S = 0.05
 SNAPSHOT_INTERVAL_ENTRIES = 10_000
+# Bytes of applied entries after which a snapshot is taken even if they are few.
+SNAPSHOT_INTERVAL_BYTES = 8 * 1024 * 1024
 
 
 class StateMachine(typing.Protocol):
@@ -97,6 +99,7 @@
         self._may_join = may_join or (lambda instance_id: instance_id in core.peer_ids)
         self._applied_index = 0
         self._snapshot_index = 0
+        self._bytes_since_snapshot = 0
         self._proposals_by_index: dict[int, _PendingProposal] = {}
         self._pending_reads_by_token: dict[int, _PendingRead] = {}
         self._next_token = 0
@@ -279,6 +282,7 @@
                 self._state_machine.restore(snapshot.data)
                 self._applied_index = snapshot.last_index
                 self._snapshot_index = snapshot.last_index
+                self._bytes_since_snapshot = 0
             case effects.BarrierReached(token, index):
                 if token in self._pending_reads_by_token:
                     self._pending_reads_by_token[token].index = index
@@ -306,6 +310,7 @@
         if entry.kind == messages.EntryKind.COMMAND:
             outcome = self._state_machine.apply(entry.index, entry.payload)
         self._applied_index = entry.index
+        self._bytes_since_snapshot += len(entry.payload)
         proposal = self._proposals_by_index.pop(entry.index, None)
         if proposal is None or proposal.future.done():
             return
@@ -337,10 +342,13 @@
 
     def _take_snapshot_if_due(self) -> None:
         index = self._applied_index
-        if index - self._snapshot_index < self._snapshot_interval_entries:
+        entry_count = index - self._snapshot_index
+        is_due_by_bytes = self._bytes_since_snapshot >= SNAPSHOT_INTERVAL_BYTES
+        if entry_count < self._snapshot_interval_entries and not is_due_by_bytes:
             return
         self._core.compact(index, self._state_machine.snapshot())
         self._snapshot_index = index
+        self._bytes_since_snapshot = 0
         self._flush()
 
 
--- a/packages/consensus/tests/test_core.py
+++ b/packages/consensus/tests/test_core.py
@@ -163,6 +163,30 @@
     assert cluster.nodes[absent_id].applied_index >= cluster.acknowledged_index
 
 
+# Guards against a process that exceeds its memory: a thousand entries of large
+# configurations were kept for members that lag.
+def test_core_compacted_log_keeps_a_bounded_number_of_bytes(
+    cluster, leader_id, monkeypatch
+):
+    monkeypatch.setattr(core, "RETAINED_BYTES", 5_000)
+    own_core = cluster.nodes[leader_id].core
+    for _ in range(20):
+        own_core.propose(b"x" * 1_000)
+        cluster.run(0.2)
+    index = own_core.commit_index
+    own_core.compact(index, b"0")
+    assert own_core.log.base_index == index - 5
+
+
+def test_core_compacted_log_may_keep_no_entry(cluster, leader_id, monkeypatch):
+    monkeypatch.setattr(core, "RETAINED_BYTES", 500)
+    own_core = cluster.nodes[leader_id].core
+    own_core.propose(b"x" * 1_000)
+    cluster.run(0.5)
+    own_core.compact(own_core.commit_index, b"0")
+    assert own_core.log.base_index == own_core.commit_index
+
+
 def test_core_failed_election_reports_the_answers_of_all_voters():
     cluster = simulation.Cluster(5)
     cluster.run(3.0)
--- a/packages/consensus/tests/test_replica.py
+++ b/packages/consensus/tests/test_replica.py
@@ -172,6 +172,26 @@
     await wait_until(lambda: group.machines_by_id[absent_id].commands == commands)
 
 
+# Guards against a process that exceeds its memory before a snapshot is due by the
+# number of entries.
+async def test_replica_takes_a_snapshot_after_a_number_of_bytes(group, monkeypatch):
+    monkeypatch.setattr(replica, "SNAPSHOT_INTERVAL_BYTES", 10_000)
+    monkeypatch.setattr(core, "RETAINED_BYTES", 2_000)
+    leader = await group.leader()
+    absent_id = next(i for i in group.instance_ids if i != leader.leader_id)
+    await group.stop(absent_id)
+    commands = [b"%d" % n * 300 for n in range(60)]
+    for command in commands:
+        await group.propose(command)
+        kept = leader.core.log.slice(
+            leader.core.log.base_index + 1, leader.applied_index
+        )
+        assert sum(len(entry.payload) for entry in kept) <= 12_000
+    assert leader.core.log.base_index > 0
+    await group.start(absent_id)
+    await wait_until(lambda: group.machines_by_id[absent_id].commands == commands)
+
+
 async def test_replica_stops_after_failed_sync():
     single = ReplicaGroup(1)
     await single.start("c0")
