--- a/packages/consensus/src/yuccapitch/consensus/disk.py
+++ b/packages/consensus/src/yuccapitch/consensus/disk.py
@@ -44,7 +44,7 @@
 
     def load(self) -> result.Result[core.RecoveredState, storage.StorageError]:
         """Read the folder, or initialize an empty one with a new identity."""
-        self._folder.mkdir(parents=True, exist_ok=True)
+        files.create_folder(self._folder)
         try:
             self._exit_stack.enter_context(files.lock(self._folder))
         except BlockingIOError:
@@ -54,6 +54,8 @@
             outcome = self._initialize()
             if outcome is not None:
                 return result.Err(outcome)
+        # A process that was killed may have replaced files without syncing their names.
+        files.sync_folder(self._folder)
         return self._read()
 
     def write_hard_state(self, hard_state: effects.HardState) -> None:
--- a/packages/consensus/src/yuccapitch/consensus/segments.py
+++ b/packages/consensus/src/yuccapitch/consensus/segments.py
@@ -36,7 +36,7 @@
         self._segments: list[_Segment] = []
         self._file: BinaryIO | None = None
         self._size = 0
-        self._has_unsynced_data = False
+        self._unwritten = bytearray()
 
     def load(
         self, snapshot_index: int
@@ -66,36 +66,39 @@
         """Open the last segment for appending, or create the first one of a new log."""
         if self._segments:
             self._open(self._segments[-1].path)
+            # A process that was killed may have written records without syncing them.
+            # They have been loaded, so that they are answered for from now on.
+            self._sync_file()
         else:
             self._start_segment()
 
     def append(self, record: records.Record) -> None:
-        """Write one record without syncing it."""
+        """Add one record; ``sync`` writes it."""
         if self._file is None or self._size >= self._max_segment_bytes:
             self._start_segment()
         if self._file is None:
             raise AssertionError("no segment is open")
         data = records.encode(record)
-        self._file.write(data)
+        self._unwritten += data
         self._size += len(data)
-        self._has_unsynced_data = True
         segment = self._segments[-1]
         segment.max_index = max(segment.max_index, _record_index(record))
 
     def sync(self) -> None:
-        """Block until all records written are on disk."""
-        if self._file is not None and self._has_unsynced_data:
-            self._file.flush()
-            os.fdatasync(self._file.fileno())
-            self._has_unsynced_data = False
+        """Block until all records added are on disk."""
+        if self._file is not None and self._unwritten:
+            # Of several writes, a loss of power may keep the last and drop the first.
+            # That would look like corruption of acknowledged records.
+            self._file.write(self._unwritten)
+            self._sync_file()
+            self._unwritten.clear()
 
     def delete_up_to(self, index: int) -> None:
         """Delete the oldest segments that have no records after ``index``."""
-        deleted = False
         while len(self._segments) > 1 and self._segments[0].max_index <= index:
             self._segments.pop(0).path.unlink()
-            deleted = True
-        if deleted:
+            # Of several names removed without a sync, a loss of power may bring back
+            # any, and a gap between segments is an error.
             files.sync_folder(self._folder)
 
     def close(self) -> None:
@@ -148,6 +151,12 @@
         self._file = open(path, "ab")
         self._size = path.stat().st_size
 
+    def _sync_file(self) -> None:
+        if self._file is None:
+            raise AssertionError("no segment is open")
+        self._file.flush()
+        os.fdatasync(self._file.fileno())
+
 
 def _record_index(record: records.Record) -> int:
     return record.first if isinstance(record, records.Truncation) else record.index
