--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -77,7 +77,11 @@
         yield path
 
 
-async def start(path: pathlib.Path, *arguments: str) -> asyncio.subprocess.Process:
+async def start(
+    path: pathlib.Path,
+    *arguments: str,
+    program: tuple[str, ...] = ("-m", "yuccapitch.platform"),
+) -> asyncio.subprocess.Process:
     sources = [*ROOT.glob("packages/*/src"), ROOT / "platform" / "src"]
     packages = next(p for p in sys.path if p.endswith("site-packages"))
     environment = {
@@ -86,7 +90,7 @@
         "YUCCAPITCH_NODE_FILE": str(path),
     }
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-S", "-m", "yuccapitch.platform", *arguments,
+        sys.executable, "-S", *program, *arguments,
         env=environment, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
     )  # fmt: skip
 
@@ -163,3 +167,22 @@
         _, errors = await process.communicate()
     assert process.returncode == 2
     assert expected_error in errors.decode()
+
+
+RUN_WITH_EXIT_HANDLER = """
+import atexit, runpy
+atexit.register(print, "the interpreter is shut down")
+runpy.run_module("yuccapitch.platform", run_name="__main__")
+"""
+
+
+# Guards against a process that is killed at the end of its grace on a busy machine,
+# because it frees all objects after everything has been closed.
+async def test_process_exits_without_a_shutdown_of_the_interpreter(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text("")
+    process = await start(path, "unknown", program=("-c", RUN_WITH_EXIT_HANDLER))
+    async with asyncio.timeout(60):
+        output, errors = await process.communicate()
+    assert (process.returncode, output) == (2, b"")
+    assert "usage" in errors.decode()
