Stops: leave a late event loop more time for the last responses

Callers saw: requests whose connection ends without an answer at the end of a planned stop, on a machine that gives the process too little processor. Cause: the requests in progress get their final response 0.5 s before the grace ends, however late the event loop runs, and the process is killed at its end. Change: the margin is three times the largest lag of the last ten seconds, up to a sixth of the grace, and 0.5 s at least.

--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -41,6 +41,10 @@
 # Part of the grace period that is reserved for the last responses and closing
 # connections.
 STOP_MARGIN_S = 0.5
+# The same while the event loop is late: this many times its lag, for reading what has
+# arrived and for sending the last responses, up to this fraction of the grace period.
+STOP_MARGIN_LAGS = 3
+MAX_STOP_MARGIN_FRACTION = 1 / 6
 # Least time before those responses in which a request is still sent to an endpoint.
 MIN_RESPONSE_TIME_S = 0.5
 # Time after the stop signal within which requests are taken without regard to whether
@@ -147,16 +151,18 @@
         self._node_settings = node_settings
         self._leader_poller.set_seeds(node_settings.seed_ids)
 
-    async def drain(self, stopped_at: float) -> None:
+    async def drain(self, stopped_at: float, loop_lag_s: float = 0.0) -> None:
         """Drain the instance; the grace began at ``stopped_at``.
 
         The instance leaves the lookup responses, waits until cached ones have expired,
         and completes the requests that it has read. ``STOP_MARGIN_S`` before the grace
-        ends, those still in progress get their final response; until
-        ``EXIT_MARGIN_S`` before it, responses are delivered and connections closed.
+        ends, or sooner if the event loop is late by ``loop_lag_s``, those still in
+        progress get their final response; until ``EXIT_MARGIN_S`` before it, responses
+        are delivered and connections closed.
         """
-        grace_ends_at = stopped_at + self._node_settings.stop_grace_s
-        ends_at = grace_ends_at - STOP_MARGIN_S
+        grace_s = self._node_settings.stop_grace_s
+        grace_ends_at = stopped_at + grace_s
+        ends_at = grace_ends_at - stop_margin_s(grace_s, loop_lag_s)
         cuts_at = grace_ends_at - timing.EXIT_MARGIN_S
         self._is_stopping = True
         self._leader_poller.wake()
@@ -382,5 +388,11 @@
             self._placer.remove_entry(ids.InstanceId(removed_id))
 
 
+def stop_margin_s(grace_s: float, loop_lag_s: float) -> float:
+    """Return the part of the grace period for the last responses."""
+    max_margin_s = MAX_STOP_MARGIN_FRACTION * grace_s
+    return max(STOP_MARGIN_S, min(STOP_MARGIN_LAGS * loop_lag_s, max_margin_s))
+
+
 def _revision(state: routing_state.RoutingState) -> int:
     return orders.NO_REVISION if state.table is None else state.table.revision
--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -39,8 +39,11 @@
     def reload(self, node_settings: settings.RoutedSettings) -> None:
         """Apply changed settings."""
 
-    async def drain(self, stopped_at: float) -> None:
-        """Complete the requests in flight; the grace began at ``stopped_at``."""
+    async def drain(self, stopped_at: float, loop_lag_s: float = 0.0) -> None:
+        """Complete the requests in flight; the grace began at ``stopped_at``.
+
+        ``loop_lag_s`` is by how much the event loop was late before.
+        """
 
 
 NodeFactory = Callable[
@@ -153,7 +156,8 @@
             _watch_settings(node, reload_event, read_changed_settings), stack, fail
         )
         tasks.start(_report_dropped(log), stack, fail)
-        tasks.start(loop_monitor.run(), stack, fail)
+        recent_lag = loop_monitor.RecentLag()
+        tasks.start(loop_monitor.run(recent_lag), stack, fail)
         # Objects created by the start live as long as the process, so garbage
         # collections need not scan them.
         gc.collect()
@@ -171,7 +175,7 @@
             events.event("process.failed", reason=failures[0])
             return EXIT_FAILED
         events.event("process.stopping")
-        await node.drain(stopped_at[0])
+        await node.drain(stopped_at[0], recent_lag.max_s)
     return EXIT_OK
 
 
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -309,3 +309,22 @@
         await node.drain(coordinator.boot_time_s() - 20.4)
         assert (await reader.read(-1)).startswith(b"HTTP/1.1 504")
     writer.close()
+
+
+# Guards against last responses that a late event loop has not sent when the process is
+# killed at the end of its grace.
+@pytest.mark.parametrize(
+    ("loop_lag_s", "margin_s"), [(0.0, 0.5), (0.1, 0.5), (0.8, 2.4), (9.0, 3.5)]
+)
+async def test_drain_ends_sooner_if_the_event_loop_is_late(
+    node, monkeypatch, loop_lag_s, margin_s
+):
+    await start_serving(node)
+    schedules = []
+    monkeypatch.setattr(node._path, "stop", schedules.append)
+    # The grace of 21 s is over, so the drain ends at once.
+    stopped_at = coordinator.boot_time_s() - 21.0
+    await node.drain(stopped_at, loop_lag_s)
+    await node._server.aclose()
+    ends_at = schedules[0].ends_at
+    assert stopped_at + 21.0 - ends_at == pytest.approx(margin_s)
--- a/packages/node/tests/test_loop_monitor.py
+++ b/packages/node/tests/test_loop_monitor.py
@@ -19,7 +19,8 @@
 
 async def test_run_reports_a_step_that_blocks_the_loop(monkeypatch, logged):
     monkeypatch.setattr(loop_monitor, "CHECK_INTERVAL_S", 0.01)
-    running = asyncio.create_task(loop_monitor.run())
+    recent_lag = loop_monitor.RecentLag()
+    running = asyncio.create_task(loop_monitor.run(recent_lag))
     await asyncio.sleep(0.05)
     time.sleep(0.3)
     await asyncio.sleep(0.05)
@@ -27,3 +28,15 @@
     with contextlib.suppress(asyncio.CancelledError):
         await running
     assert "process.stalled" in [message["message_type"] for message in logged]
+    assert recent_lag.max_s >= loop_monitor.MIN_LOGGED_LAG_S
+
+
+def test_recent_lag_forgets_old_checks():
+    recent_lag = loop_monitor.RecentLag()
+    assert recent_lag.max_s == 0.0
+    recent_lag.record(0.5)
+    for _ in range(loop_monitor.RECENT_CHECKS - 1):
+        recent_lag.record(0.1)
+    assert recent_lag.max_s == 0.5
+    recent_lag.record(0.1)
+    assert recent_lag.max_s == 0.1
--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -18,6 +18,7 @@
 
     def __init__(self, *args: object) -> None:
         self.started_at = self.stopped_at = 0.0
+        self.loop_lag_s = float("-inf")
 
     async def start(self):
         os.kill(os.getpid(), signal.SIGTERM)
@@ -25,8 +26,8 @@
         self.started_at = coordinator.boot_time_s()
         return result.Ok(None)
 
-    async def drain(self, stopped_at: float) -> None:
-        self.stopped_at = stopped_at
+    async def drain(self, stopped_at: float, loop_lag_s: float) -> None:
+        self.stopped_at, self.loop_lag_s = stopped_at, loop_lag_s
 
 
 class FakeSettings:
@@ -47,3 +48,5 @@
     )
     assert code == process.EXIT_OK
     assert 0.0 < node.stopped_at < node.started_at
+    # Nothing was checked yet.
+    assert node.loop_lag_s == 0.0
