Tests: what is unread at the end of a late control instance

Callers saw: a lookup, or an operator an order, whose connection is reset when a control instance stops on a machine that gives it too little processor. Cause: the servers are closed by the time, not once what they had accepted was read; an event loop whose iterations take longer than the checks closes them over unread requests. Change: a test whose event loop is late in each iteration, with the request in the accept queue or on an open connection.

--- a/packages/node/tests/test_control_node.py
+++ b/packages/node/tests/test_control_node.py
@@ -6,6 +6,8 @@
 import contextlib
 import dataclasses
 import pathlib
+import socket
+import time
 
 import pytest
 
@@ -92,3 +94,38 @@
         await node.drain(coordinator.boot_time_s())
     assert operators.connection_count == 1
     writer.close()
+
+
+# Guards against a lookup or an order that the kernel has received when a control
+# instance stops, and that is reset because the event loop runs late.
+@pytest.mark.parametrize("is_connected", [False, True])
+async def test_stop_of_a_late_event_loop_answers_what_is_unread(
+    node, monkeypatch, is_connected
+):
+    async def answer(request: messages.Request) -> messages.Response:
+        return messages.Response(200, [], b"done")
+
+    monkeypatch.setattr(control_node, "STOP_NOTICE_S", 0.0)
+    operators = server.Server(answer, node._clock, routes.CallerLimits)
+    port = await operators.start("127.0.0.1", 0)
+    node._servers.append(operators)
+    with socket.create_connection(("127.0.0.1", port)) as client:
+        client.settimeout(20)
+        while is_connected and not operators.connection_count:
+            await asyncio.sleep(0)
+        client.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        # Each iteration of the event loop takes longer than the checks of a stop wait.
+        late = asyncio.create_task(delay_event_loop(0.1))
+        async with asyncio.timeout(60):
+            # The grace of 20 s is over.
+            await node.drain(coordinator.boot_time_s() - 20.0)
+            await operators.aclose()
+        late.cancel()
+        received = client.recv(1000)
+    assert received.endswith(b"done")
+
+
+async def delay_event_loop(duration_s: float) -> None:
+    while True:
+        await asyncio.sleep(0)
+        time.sleep(duration_s)
