Soak: starve instances by bursts of busy processes, clients that pause as long as idle limits

Cause: a process that gets no processor for 0.2 to 0.5 s is what makes unread requests late; the soak could not produce it. Change: load.Load runs busy processes in bursts, each in a session of its own, on the cores of the instances; clinging callers reconnect, keep connections, or pause about as long as a connection may be idle in a stop.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -28,7 +28,7 @@
     parser.add_argument("--callers", type=int, default=12)
     parser.add_argument("--faults", type=int, default=3, help="concurrent faults")
     parser.add_argument(
-        "--clinging", type=int, default=2, help="callers that cling to each entry"
+        "--clinging", type=int, default=4, help="callers that cling to each entry"
     )
     parser.add_argument("--fault", action="append", help="inject only these faults")
     parser.add_argument(
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,8 @@
 LOOKUP_TIMEOUT_S = 1.0
 DEADLINE_S = 4.0
 PAUSE_S = 0.15
+# About as long as a connection may be idle in a planned stop.
+IDLE_PAUSE_S = 1.1
 UPLOAD_BYTES = 40_000
 PROBE_INTERVAL_S = 0.2
 KINDS_BY_PATH = {"/safe/": "safe", "/order/": "unsafe", "/photo/": "upload"}
@@ -55,7 +57,9 @@
                     address = self._addresses[(self._count // 8) % len(self._addresses)]
                     await self.send(pool, address, path)
 
-    async def cling(self, entry: deployment.Instance, keeps: bool) -> None:
+    async def cling(
+        self, entry: deployment.Instance, keeps: bool, pause_s: float
+    ) -> None:
         """Send requests to one entry until cancelled, stopping or not.
 
         Each opens a connection, unless it is kept until the entry closes it.
@@ -63,7 +67,7 @@
         address = f"{entry.ip}:{deployment.CALLERS_PORT}"
         async with clients.Pool(self._monitor, keeps) as pool:
             while True:
-                await asyncio.sleep(PAUSE_S * (0.5 + self._rng.random()))
+                await asyncio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
                 path = self._rng.choice(list(KINDS_BY_PATH))
                 await self.send(pool, address, path)
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -131,6 +131,7 @@
                 env=environment,
                 stdout=log,
                 stderr=log,
+                start_new_session=True,
             )
         self.load.pin(self.popen.pid)
         self.starts += 1
--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -10,9 +10,10 @@
 from collections.abc import Iterator
 
 _BUSY_PROGRAM = """
-import sys, time
+import os, sys, time
 period_s, burst_s = map(float, sys.argv[1:])
-while True:
+parent = os.getppid()
+while os.getppid() == parent:
     phase_s = time.monotonic() % period_s
     if phase_s < burst_s:
         for _ in range(10_000):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -31,6 +31,13 @@
 
 ENDPOINTS_PER_SERVICE = 6
 ENDPOINT_PORT = 8080
+# How clients cling to an entry: whether they keep connections, and their pauses.
+CLINGING_WAYS = (
+    (False, callers.PAUSE_S),
+    (False, callers.PAUSE_S),
+    (True, callers.PAUSE_S),
+    (True, callers.IDLE_PAUSE_S),
+)
 MAX_FAULT_S = 4.0
 PROGRESS_INTERVAL_S = 5.0
 # Ends a run that does not recover. Recovery is guaranteed within seconds, but the
@@ -51,7 +58,7 @@
     checks_rate_limits: bool = False
     """Whether limits are checked; instances that are killed or cut off are excused."""
     fault_names: tuple[str, ...] = tuple(sorted(faults.FAULTS_BY_NAME))
-    clinging_callers: int = 2
+    clinging_callers: int = len(CLINGING_WAYS)
     """Clients of each entry that keep coming to it while it is being stopped."""
     load: load.Load = load.Load()
     """Load beside the instances; it is no disruption."""
@@ -199,7 +206,9 @@
                 rng,
                 monitor,
             )
-            _spawn(caller.cling(entry, keeps=number % 2 == 1), stack)
+            _spawn(
+                caller.cling(entry, *CLINGING_WAYS[number % len(CLINGING_WAYS)]), stack
+            )
 
 
 async def _start_endpoints(
