--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import dataclasses
 import os
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import AsyncIterator
 
 _BUSY_PROGRAM = """
 import os, sys, time
@@ -39,17 +40,28 @@
         if self.cores:
             os.sched_setaffinity(pid, self.cores)
 
-    @contextlib.contextmanager
-    def running(self) -> Iterator[None]:
-        """Run the busy processes."""
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Run the busy processes; the loop of the clients doesn't wait for them."""
+        popens: list[subprocess.Popen[bytes]] = []
+        try:
+            await asyncio.to_thread(self._start, popens)
+            yield
+        finally:
+            await asyncio.to_thread(_end, popens)
+
+    def _start(self, popens: list[subprocess.Popen[bytes]]) -> None:
         arguments = [sys.executable, "-S", "-c", _BUSY_PROGRAM]
         arguments += [str(self.period_s), str(self.burst_s)]
-        with contextlib.ExitStack() as stack:
-            for _ in range(self.busy_processes):
-                # Where the kernel groups processes by session, each is one of its own,
-                # as the processes of other users are.
-                popen = subprocess.Popen(arguments, start_new_session=True)
-                stack.callback(popen.wait)
-                stack.callback(popen.kill)
-                self.pin(popen.pid)
-            yield
+        for _ in range(self.busy_processes):
+            # Where the kernel groups processes by session, each is one of its own, as
+            # the processes of other users are.
+            popens.append(subprocess.Popen(arguments, start_new_session=True))
+            self.pin(popens[-1].pid)
+
+
+def _end(popens: list[subprocess.Popen[bytes]]) -> None:
+    for popen in popens:
+        popen.kill()
+    for popen in popens:
+        popen.wait()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -94,7 +94,7 @@
         context = await _start_system(plan, folder, session, observations, rng, stack)
         caller = _start_observers(plan, context, observations, rng, monitor, stack)
         _spawn(_report_progress(observations, fault_counts, report_progress), stack)
-        with plan.load.running():
+        async with plan.load.running():
             await _inject(context, plan, fault_counts)
         pool = await stack.enter_async_context(clients.Pool(monitor))
         await _recover(context, observations, caller, pool)
