--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,8 @@
 import pathlib
 import random
 import signal
+import subprocess
+import sys
 import time
 import types
 
@@ -461,6 +463,24 @@
     assert (losses.KEPT not in found) is holds
 
 
+# Guards against a starved process that SIGHUP ends before its interpreter has started,
+# and which counts as one that exits on its own (seed 301 beside busy processes).
+def test_deployment_tells_whether_a_process_handles_sighup():
+    program = "import signal, sys, time; signal.signal(1, signal.SIG_IGN)\n"
+    program += "print(flush=True)\nif sys.argv[1:]: signal.signal(1, signal.SIG_DFL)\n"
+    program += "while time.process_time() < 1.2: pass\nprint(flush=True); time.sleep(9)"
+    for arguments in ([], ["unhandled"]):
+        with subprocess.Popen(
+            [sys.executable, "-S", "-c", program, *arguments], stdout=subprocess.PIPE
+        ) as popen:
+            before = deployment._is_starved_at_start(popen.pid)
+            popen.stdout.readline()
+            popen.stdout.readline()
+            after = deployment._is_starved_at_start(popen.pid)
+            popen.kill()
+        assert (before, after) == (True, False)
+
+
 # Guards against observations that are late by as much as the loop of the clients is.
 async def test_loop_monitor_measures_lag():
     monitor = clients.LoopMonitor()
