--- a/tests/soak/load.py
+++ b/tests/soak/load.py
@@ -42,7 +42,7 @@
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
-        """Run the busy processes; the clients use other cores, and don't wait for them."""
+        """Run the busy processes; the clients use other cores and don't wait."""
         popens: list[subprocess.Popen[bytes]] = []
         own_cores = os.sched_getaffinity(0)
         os.sched_setaffinity(0, own_cores - self.cores or own_cores)
