--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -30,6 +30,9 @@
     parser.add_argument(
         "--clinging", type=int, default=4, help="callers that cling to each entry"
     )
+    parser.add_argument(
+        "--idle", type=int, default=0, help="more of these, which are idle for long"
+    )
     parser.add_argument("--fault", action="append", help="inject only these faults")
     parser.add_argument(
         "--cores", type=_parse_cores, default=frozenset(), help="cores of all instances"
@@ -54,6 +57,7 @@
             options.faults,
             fault_names=tuple(options.fault or run.Plan.fault_names),
             clinging_callers=options.clinging,
+            idle_callers=options.idle,
             load=load.Load(options.cores, options.busy, options.period, options.burst),
         )
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import functools
+import itertools
 import pathlib
 import random
 import signal
@@ -60,6 +61,8 @@
     fault_names: tuple[str, ...] = tuple(sorted(faults.FAULTS_BY_NAME))
     clinging_callers: int = len(CLINGING_WAYS)
     """Clients of each entry that keep coming to it while it is being stopped."""
+    idle_callers: int = 0
+    """More of those that pause about as long as a connection may be idle."""
     load: load.Load = load.Load()
     """Load beside the instances; it is no disruption."""
 
@@ -196,19 +199,20 @@
 ) -> None:
     """Start clients that keep coming to an entry while it is being stopped."""
     rng = random.Random(plan.seed)
-    for index, entry in enumerate(context.cluster.of_role("entry")):
-        for number in range(plan.clinging_callers):
+    numbers = itertools.count(plan.callers)
+    ways = [CLINGING_WAYS[n % len(CLINGING_WAYS)] for n in range(plan.clinging_callers)]
+    ways += [CLINGING_WAYS[-1]] * plan.idle_callers
+    for entry in context.cluster.of_role("entry"):
+        for keeps, pause_s in ways:
             caller = callers.Caller(
-                plan.callers + plan.clinging_callers * index + number,
+                next(numbers),
                 entry.zone,
                 context.cluster.of_role("control"),
                 observations,
                 rng,
                 monitor,
             )
-            _spawn(
-                caller.cling(entry, *CLINGING_WAYS[number % len(CLINGING_WAYS)]), stack
-            )
+            _spawn(caller.cling(entry, keeps, pause_s), stack)
 
 
 async def _start_endpoints(
