--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -33,6 +33,9 @@
     parser.add_argument(
         "--idle", type=int, default=0, help="more of these, which are idle for long"
     )
+    parser.add_argument(
+        "--routes", type=int, default=0, help="more routes in each configuration"
+    )
     parser.add_argument("--fault", action="append", help="inject only these faults")
     parser.add_argument(
         "--cores", type=_parse_cores, default=frozenset(), help="cores of all instances"
@@ -58,6 +61,7 @@
             fault_names=tuple(options.fault or run.Plan.fault_names),
             clinging_callers=options.clinging,
             idle_callers=options.idle,
+            more_routes=options.routes,
             load=load.Load(options.cores, options.busy, options.period, options.burst),
         )
 
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -49,8 +49,10 @@
         controls: list[deployment.Instance],
         observations: history.History,
         rng: random.Random,
+        more_routes: int = 0,
     ) -> None:
         self._session = session
+        self._more_routes = more_routes
         self._controls = controls
         self._observations = observations
         self._rng = rng
@@ -70,7 +72,8 @@
     async def put_configuration(self, timeout_s: float) -> bool:
         """Send the next configuration; return whether it was acknowledged in time."""
         self.revision += self._rng.randrange(1, 4)
-        revision, content = self.revision, configuration(self.revision)
+        revision = self.revision
+        content = configuration(revision, self._more_routes)
         self._sent_by_revision[revision] = content
         loop = asyncio.get_running_loop()
         change = Change(loop.time())
@@ -83,7 +86,7 @@
 
     async def put_invalid_configuration(self) -> None:
         """Send a configuration that must be rejected."""
-        content = configuration(self.revision + 50)
+        content = configuration(self.revision + 50, self._more_routes)
         content["resources"][0]["spec"]["service"] = "nobody"
         status = await self._send("/api/config/put", content, CALL_TIMEOUT_S)
         self._observations.check(
@@ -156,12 +159,16 @@
         return None, None
 
 
-def configuration(revision: int) -> dict[str, Any]:
-    """Return a configuration with one route that only this revision has."""
+def configuration(revision: int, more_routes: int = 0) -> dict[str, Any]:
+    """Return a configuration with one route that only this revision has.
+
+    More routes, which nobody requests, make it larger.
+    """
     kinds = {"safe": "safe", "order": "unsafe", "photo": "upload"}
     routes = {f"/{name}/": (kind, name) for name, kind in kinds.items()}
     routes[f"/only-{revision}/"] = ("safe", "only")
     routes[LONG_PATH] = ("safe", "long")
+    routes |= {f"/more-{n}/": ("safe", f"more-{n}") for n in range(more_routes)}
     resources: list[dict[str, Any]] = [
         _route(name, prefix, kind, SERVICES[name == "photo"])
         for prefix, (kind, name) in routes.items()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -63,6 +63,8 @@
     """Clients of each entry that keep coming to it while it is being stopped."""
     idle_callers: int = 0
     """More of those that pause about as long as a connection may be idle."""
+    more_routes: int = 0
+    """Routes that nobody requests, which make changes long to apply."""
     load: load.Load = load.Load()
     """Load beside the instances; it is no disruption."""
 
@@ -148,7 +150,7 @@
     runner = await platform.start(cluster.list_host, deployment.LIST_PORT)
     stack.push_async_callback(runner.cleanup)
     config_operator = operator.Operator(
-        session, cluster.of_role("control"), observations, rng
+        session, cluster.of_role("control"), observations, rng, plan.more_routes
     )
     _spawn(cluster.supervise(), stack)
     await _wait_until(
