--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -24,7 +24,7 @@
 CHANGE_TIME_USED = 0.7
 ALLOWED_KEPT_LOSSES = 3
 
-STOP, REPLACED, RELOAD, CHANGE, KEPT, EARLIER = (
+STOP, REPLACED, RELOAD, CHANGE, KEPT, DISRUPTED_STOP = (
     "whole requests are answered in a planned stop",
     "a planned stop breaks off no work of endpoints",
     "whole requests are answered beside a reload",
@@ -108,7 +108,9 @@
             # the announcement came.
             is_excused = attempt.is_behind_close and not is_arrived
             holds = attempt.status is not None or is_excused
-            self._check(EARLIER, holds, attempt, f"due from {due_at}, {is_arrived=}")
+            self._check(
+                DISRUPTED_STOP, holds, attempt, f"due from {due_at}, {is_arrived=}"
+            )
 
     def check_reload(self, attempt: history.Attempt) -> None:
         """Check requests sent shortly after a reload at most, and cut after it."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -115,7 +115,7 @@
     plan = run.Plan(1, 10.0, controls=3, entries=3, callers=20, fault_names=names)
     report = await run.run(plan, tmp_path)
     assert report.violations == []
-    assert report.checks_by_guarantee[losses.EARLIER] > 0
+    assert report.checks_by_guarantee[losses.DISRUPTED_STOP] > 0
 
 
 # Guards against requests that are lost where stops, reloads and changes overlap, while
@@ -257,7 +257,7 @@
     return {violation.guarantee for violation in observations.violations}
 
 
-# What was asked before the pages' words were, and still is beside disruptions.
+# Guards against a check that asks less than before where other instances are disrupted.
 @pytest.mark.parametrize("is_disrupted", [False, True])
 @pytest.mark.parametrize(
     ("signals", "status", "answered_at", "holds"),
@@ -293,7 +293,7 @@
     )
     disruptions = [(0.0, 8.0)] if is_disrupted else []
     assert violated(observations, entry, link_disruptions=disruptions) == (
-        set() if holds else {losses.EARLIER}
+        set() if holds else {losses.DISRUPTED_STOP}
     )
 
 
@@ -350,7 +350,7 @@
     entry, observations = entry_with([STOP]), history.History()
     record(observations, entry, **({"arrives": False, "ended_at": 4.0} | fields))
     found = violated(observations, entry, link_disruptions=[(0.0, 4.0)])
-    assert found == (set() if holds else {losses.EARLIER})
+    assert found == (set() if holds else {losses.DISRUPTED_STOP})
 
 
 def test_losses_excuses_requests_that_an_endpoint_broke_off():
