Soak: record how many requests a connection had answered

Cause: of a lost request nobody could tell whether its connection was new (accept queue) or kept (idle close): a stopping instance closes each connection with its response, so that callers with long pauses come on new ones, too. Change: Attempt.answered_before.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -54,14 +54,15 @@
         self._monitor = monitor
         self._keeps = keeps
         self._streams_by_address: dict[
-            str, tuple[asyncio.StreamReader, asyncio.StreamWriter]
+            str, tuple[asyncio.StreamReader, asyncio.StreamWriter, int]
         ] = {}
+        """Streams, and the number of requests that were answered on them."""
 
     async def __aenter__(self) -> Pool:
         return self
 
     async def __aexit__(self, *args: object) -> None:
-        for _, writer in self._streams_by_address.values():
+        for _, writer, _ in self._streams_by_address.values():
             writer.close()
         self._streams_by_address.clear()
 
@@ -76,7 +77,8 @@
         writer = None
         try:
             async with asyncio.timeout(timeout_s):
-                reader, writer = await self._connect(attempt.entry)
+                reader, writer, count = await self._connect(attempt.entry)
+                attempt.answered_before = count
                 attempt.is_kept = self._keeps
                 await send(writer, attempt, message)
                 status, headers, content = await read_response(reader)
@@ -94,22 +96,22 @@
             raise
         attempt.is_from_endpoint = headers["Server-Seal"] is not None
         if self._keeps and (headers["Connection"] or "").lower() != "close":
-            self._streams_by_address[attempt.entry] = reader, writer
+            self._streams_by_address[attempt.entry] = reader, writer, count + 1
         else:
             writer.close()
         return status, content
 
     async def _connect(
         self, address: str
-    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, int]:
         if streams := self._streams_by_address.pop(address, None):
-            reader, writer = streams
+            reader, writer, _ = streams
             if not (reader.at_eof() or reader.exception() or writer.is_closing()):
                 return streams
             writer.close()
         host, _, port = address.rpartition(":")
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            return await asyncio.open_connection(host, int(port))
+            return (*await asyncio.open_connection(host, int(port)), 0)
 
 
 async def send(
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -39,6 +39,8 @@
     """When a connection that was cut was open, by the client's last look at it."""
     is_kept: bool = False
     """Whether the connection stays open after the response."""
+    answered_before: int | None = None
+    """Requests that were answered on its connection; None if that isn't counted."""
     is_behind: bool = False
     """Whether it was sent behind an unanswered request."""
     is_behind_close: bool = False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import pathlib
 import random
 import signal
@@ -515,6 +516,25 @@
     task.cancel()
 
 
+# Guards against lost requests of which nobody can tell whether their connection was new.
+async def test_client_counts_requests_on_its_connection():
+    async def answer(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    for keeps, counts in ((True, [0, 1, 2]), (False, [0, 0, 0])):
+        async with clients.Pool(clients.LoopMonitor(), keeps) as pool:
+            for count in counts:
+                sent = history.Attempt("1", "safe", f"{host}:{port}", 0.0)
+                message = clients.message("GET", "/", {}, b"")
+                assert await pool.request(sent, message, 9.0) == (200, b"ok")
+                assert sent.answered_before == count
+    server.close()
+
+
 # Guards against clients whose observations are inexact: a request that is sent whole,
 # and a connection that is closed by the instance, after a time that is measured.
 @pytest.mark.parametrize("sends_all", [False, True])
