--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -516,12 +516,13 @@
     task.cancel()
 
 
-# Guards against lost requests of which nobody can tell whether their connection was new.
+# Guards against lost requests whose connection may have been a new one or a kept one.
 async def test_client_counts_requests_on_its_connection():
     async def answer(reader, writer):
         with contextlib.suppress(asyncio.IncompleteReadError):
             while await reader.readuntil(b"\r\n\r\n"):
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        writer.close()
 
     server = await asyncio.start_server(answer, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
@@ -532,6 +533,7 @@
                 message = clients.message("GET", "/", {}, b"")
                 assert await pool.request(sent, message, 9.0) == (200, b"ok")
                 assert sent.answered_before == count
+        await asyncio.sleep(0.05)
     server.close()
 
 
