--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -16,12 +16,22 @@
 SERVICES = ("tienda", "taller")
 # Route whose requests may take longer than the grace of a planned stop.
 LONG_PATH = "/long/"
+LONG_TIMEOUT_S, ROUTE_TIMEOUT_S = 12.0, 2.5
 CALL_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.1
 # Evacuation requests are retried for this long.
 EVACUATION_TIMEOUT_S = 5.0
 
 
+@dataclasses.dataclass
+class Change:
+    """A configuration that was sent, and what its operator knows of it."""
+
+    sent_at: float
+    ended_at: float = float("inf")
+    """When it was acknowledged, or when its operator gave up."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Acknowledgement:
     """The newest acknowledged revision, and when its operator knew of it."""
@@ -39,12 +49,15 @@
         controls: list[deployment.Instance],
         observations: history.History,
         rng: random.Random,
+        more_routes: int = 0,
     ) -> None:
         self._session = session
+        self._more_routes = more_routes
         self._controls = controls
         self._observations = observations
         self._rng = rng
         self._sent_by_revision: dict[int, Any] = {}
+        self.changes: list[Change] = []
         self.revision = 0
         self.last_acknowledgement = Acknowledgement(0, float("inf"))
         self.evacuated: set[str] = set()
@@ -59,17 +72,21 @@
     async def put_configuration(self, timeout_s: float) -> bool:
         """Send the next configuration; return whether it was acknowledged in time."""
         self.revision += self._rng.randrange(1, 4)
-        revision, content = self.revision, configuration(self.revision)
+        revision = self.revision
+        content = configuration(revision, self._more_routes)
         self._sent_by_revision[revision] = content
+        loop = asyncio.get_running_loop()
+        change = Change(loop.time())
+        self.changes.append(change)
         status = await self._send("/api/config/put", content, timeout_s)
+        change.ended_at = loop.time()
         if status == 200 and revision > self.acknowledged_revision:
-            now = asyncio.get_running_loop().time()
-            self.last_acknowledgement = Acknowledgement(revision, now)
+            self.last_acknowledgement = Acknowledgement(revision, change.ended_at)
         return status == 200
 
     async def put_invalid_configuration(self) -> None:
         """Send a configuration that must be rejected."""
-        content = configuration(self.revision + 50)
+        content = configuration(self.revision + 50, self._more_routes)
         content["resources"][0]["spec"]["service"] = "nobody"
         status = await self._send("/api/config/put", content, CALL_TIMEOUT_S)
         self._observations.check(
@@ -142,12 +159,16 @@
         return None, None
 
 
-def configuration(revision: int) -> dict[str, Any]:
-    """Return a configuration with one route that only this revision has."""
+def configuration(revision: int, more_routes: int = 0) -> dict[str, Any]:
+    """Return a configuration with one route that only this revision has.
+
+    More routes, which nobody requests, make it larger.
+    """
     kinds = {"safe": "safe", "order": "unsafe", "photo": "upload"}
     routes = {f"/{name}/": (kind, name) for name, kind in kinds.items()}
     routes[f"/only-{revision}/"] = ("safe", "only")
     routes[LONG_PATH] = ("safe", "long")
+    routes |= {f"/more-{n}/": ("safe", f"more-{n}") for n in range(more_routes)}
     resources: list[dict[str, Any]] = [
         _route(name, prefix, kind, SERVICES[name == "photo"])
         for prefix, (kind, name) in routes.items()
@@ -168,7 +189,7 @@
         "host": HOST,
         "pathPrefix": prefix,
         "kind": kind,
-        "timeout": "12s" if prefix == LONG_PATH else "2500ms",
+        "timeout": f"{LONG_TIMEOUT_S if prefix == LONG_PATH else ROUTE_TIMEOUT_S}s",
         "targetLatency": "600ms",
         "priority": 2 if kind == "safe" else 1,
         "service": service,
