Servers: wait for what is unsent of the last responses

What callers saw: a truncated response from an instance whose process ends, though time was left to send the rest.

Cause: Server.aclose waits for requests without a response and for unread bytes. A response that is written counts as done, but its transport may still hold most of it, and the process ends right after.

Evidence: in test_aclose_sends_the_whole_response_to_a_request_that_is_not_read, 8.6 MB of a response of 16 MB were unsent when aclose returned, with a client that reads and 20 s left. The test failed before.

Change: bytes that the transport holds count as a response that is due. The limit of LAST_RESPONSES_S stays.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -181,8 +181,8 @@
         )
 
     def is_response_due(self) -> bool:
-        """Whether requests are unanswered, or bytes unread that may be one."""
-        if self._pending_responses:
+        """Whether a response is unsent, or bytes are unread that may be a request."""
+        if self._pending_responses or self._transport.get_write_buffer_size():
             return True
         return not self._is_closing and peer_state.is_readable(self._transport)
 
--- a/packages/gateway/tests/http1/test_server_unread.py
+++ b/packages/gateway/tests/http1/test_server_unread.py
@@ -15,6 +15,7 @@
 
 CLIENTS = 8
 IDLE_S = 60.0
+LARGE_BODY_BYTES = 16 * 1024 * 1024
 
 
 async def answer(request: messages.Request) -> messages.Response:
@@ -188,6 +189,34 @@
     assert b"connection: close" in received
 
 
+# Guards against a process that ends with the rest of its last response unsent, although
+# there is time left to send it.
+async def test_aclose_sends_the_whole_response_to_a_request_that_is_not_read(
+    monkeypatch,
+):
+    monkeypatch.setattr(server, "LAST_RESPONSES_S", 20.0)
+
+    async def answer_at_length(request: messages.Request) -> messages.Response:
+        return messages.Response(200, [], bytes(LARGE_BODY_BYTES))
+
+    def receive_all(client: socket.socket) -> int:
+        received = 0
+        while data := client.recv(1024 * 1024):
+            received += len(data)
+        return received
+
+    async with serving(answer_at_length) as (http_server, port):
+        with connecting(port) as client:
+            while not http_server.connection_count:
+                await asyncio.sleep(0)
+            (connection,) = http_server._state.connections
+            send(client, "/1")
+            receiving = asyncio.create_task(asyncio.to_thread(receive_all, client))
+            await http_server.aclose()
+            assert connection._transport.get_write_buffer_size() == 0
+            assert await receiving > LARGE_BODY_BYTES
+
+
 async def test_aclose_ends_in_time_beside_requests_that_are_not_answered():
     async def wait(request: messages.Request) -> messages.Response:
         await asyncio.Event().wait()
