Log: outlive a reader that has ended

What callers saw: an instance whose log is read through a pipe ends a few seconds after the reader of the pipe, without a drain; its connections are reset.

Cause: a line that is logged is kept after a BrokenPipeError, which eliot catches. The periodic report of dropped lines writes it again outside of eliot, and the error of that task ends the process.

Evidence: test_report_dropped_survives_a_reader_that_is_gone failed before with BrokenPipeError. That the process ends was read from code (tasks.start), not run.

Change: what can't be written because no reader is left is dropped.

--- a/packages/node/src/yuccapitch/node/routed/bounded_log.py
+++ b/packages/node/src/yuccapitch/node/routed/bounded_log.py
@@ -81,6 +81,10 @@
             except BlockingIOError:
                 # The reader is slow; the next line or report retries the write.
                 return
+            except BrokenPipeError:
+                # The reader is gone, and there is no other log to report it in.
+                self._pending.clear()
+                return
             del self._pending[:written]
 
 
--- a/packages/node/tests/test_bounded_log.py
+++ b/packages/node/tests/test_bounded_log.py
@@ -72,3 +72,15 @@
         events.event("request.answered")
         events.event("caller.refused")
         assert read_lines(read_end) == ["caller.refused "]
+
+
+# Guards against an instance that ends because the reader of its log has ended.
+def test_report_dropped_survives_a_reader_that_is_gone():
+    read_end, write_end = os.pipe()
+    os.close(read_end)
+    try:
+        with bounded_log.write_to(write_end, format_line, events.Level.DEBUG) as log:
+            events.event("process.started")
+            log.report_dropped()
+    finally:
+        os.close(write_end)
