Log: write the last lines when the process ends

Cause: lines that a slow reader's pipe did not take are kept and written with the next line or report. At the end of the log there is none, and they were discarded.

Evidence: test_write_to_writes_what_is_buffered_at_its_end failed before: no line.

Change: the end of the log reports what was dropped, and writes what it can without waiting.

--- a/packages/node/src/yuccapitch/node/routed/bounded_log.py
+++ b/packages/node/src/yuccapitch/node/routed/bounded_log.py
@@ -101,5 +101,6 @@
     try:
         yield log
     finally:
+        log.report_dropped()
         eliot.remove_destination(log)
         os.set_blocking(descriptor, True)
--- a/packages/node/tests/test_bounded_log.py
+++ b/packages/node/tests/test_bounded_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import select
 
 import pytest
 
@@ -84,3 +85,16 @@
             log.report_dropped()
     finally:
         os.close(write_end)
+
+
+# Guards against a stop that leaves no line in the log, because its reader was slow for
+# a moment and nothing was written after that.
+def test_write_to_writes_what_is_buffered_at_its_end(pipe):
+    read_end, write_end = pipe
+    with bounded_log.write_to(write_end, format_line, events.Level.DEBUG):
+        with pytest.raises(BlockingIOError):
+            while True:
+                os.write(write_end, b"x" * select.PIPE_BUF)
+        events.event("process.stopped")
+        read_lines(read_end)
+    assert "process.stopped " in read_lines(read_end)
