Links: read what has arrived before a link counts as silent

Callers saw: requests that are placed without their region's dispatcher, and places that stay taken, after an instance got no processor for a while. Cause: an event loop that is late by more than the timeout of a link, less the time since its last frame (2.5 s, heartbeats each second), reads the frames that the kernel holds and expires the timeout of the same read in one iteration. The cancelled read drops them, and the link is closed as silent. Evidence: in the new test the frame that had arrived was not handled and both ends closed the link. Change: the silence of a link is judged beside its read, after some iterations in which what has arrived is read; a read has no timeout of its own. Result: test_link_of_a_late_event_loop_reads_what_has_arrived failed before and passes; test_link_to_a_silent_peer_is_closed guards the close.

--- a/packages/protocol/src/yuccapitch/protocol/link.py
+++ b/packages/protocol/src/yuccapitch/protocol/link.py
@@ -16,6 +16,8 @@
 
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 MAX_PENDING_REQUESTS = 10_000
+# Iterations of the event loop within which a received frame is read.
+READ_TURNS = 5
 
 Handler = Callable[[str, Any], Any]
 """Called with the peer's id and a message; returns the reply or an awaitable of it."""
@@ -127,11 +129,19 @@
 
     async def run(self) -> None:
         """Handle incoming frames until the link closes, then fail pending requests."""
-        heartbeat = asyncio.create_task(self._send_heartbeats())
+        receiving = asyncio.create_task(self._receive_frames())
+        tasks = (
+            receiving,
+            asyncio.create_task(self._wait_for_silence()),
+            asyncio.create_task(self._send_heartbeats()),
+        )
         try:
-            await self._receive_frames()
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if receiving.done():
+                receiving.result()
         finally:
-            heartbeat.cancel()
+            for task in tasks:
+                task.cancel()
             self.close()
 
     def send(self, message: object) -> bool:
@@ -202,14 +212,22 @@
             if not self._has_sent:
                 self._write(frames.Kind.HEARTBEAT, 0)
 
+    async def _wait_for_silence(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            silent_at = self.last_received_at + self._timing.timeout_s
+            await asyncio.sleep(silent_at - loop.time())
+            # An event loop that is late has not read yet what has arrived meanwhile.
+            for _ in range(READ_TURNS):
+                await asyncio.sleep(0)
+            if self.last_received_at + self._timing.timeout_s <= loop.time():
+                events.event("link.silent", peer=self.peer_id)
+                return
+
     async def _receive_frames(self) -> None:
         while self._is_open:
             try:
-                async with asyncio.timeout(self._timing.timeout_s):
-                    frame = await self._read_frame()
-            except TimeoutError:
-                events.event("link.silent", peer=self.peer_id)
-                return
+                frame = await self._read_frame()
             except (OSError, asyncio.IncompleteReadError):
                 return
             if isinstance(frame, result.Err):
--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import AsyncIterator
 
 import pytest
@@ -178,3 +179,38 @@
     async with asyncio.timeout(5):
         while pair.b.send("a", node_messages.RenewalNotice(2, 0)):
             await asyncio.sleep(0)
+
+
+# Guards against a link that is closed as silent over frames which the kernel has taken,
+# because the event loop was late and did not read them.
+async def test_link_of_a_late_event_loop_reads_what_has_arrived(pair: Pair) -> None:
+    received: list[object] = []
+    pair.b.handle(node_messages.RenewalNotice, lambda peer, m: received.append(m))
+    await pair.a.request("b", node_messages.RenewalNotice(1, 0), 5)
+    links = [pair.a._links_by_id["b"], pair.b._accepted_links_by_id["a"]]
+    assert pair.a.send("b", node_messages.RenewalNotice(2, 0))
+    assert pair.b.send("a", node_messages.RenewalNotice(3, 0))
+    time.sleep(TIMING.timeout_s + 0.1)
+    for _ in range(20):
+        await asyncio.sleep(0)
+    assert received[-1] == node_messages.RenewalNotice(2, 0)
+    assert [link.is_open for link in links] == [True, True]
+
+
+async def test_link_to_a_silent_peer_is_closed(pair: Pair) -> None:
+    async def say_hello(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        hello = codec.encode(node_messages.Hello("quiet"))
+        writer.write(frames.pack(frames.Kind.HELLO, 0, hello))
+        await asyncio.Event().wait()
+
+    closed: asyncio.Queue[str] = asyncio.Queue()
+    pair.a.on_link_closed = closed.put_nowait
+    async with await asyncio.start_server(say_hello, "127.0.0.1", 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        pair.a.set_address("quiet", peers.Address("127.0.0.1", port))
+        reply = await pair.a.request("quiet", node_messages.RenewalNotice(1, 0), 30)
+        assert reply.unwrap_err().code is link.LinkErrorCode.CLOSED
+        async with asyncio.timeout(20):
+            assert await closed.get() == "quiet"
