--- a/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
@@ -81,16 +81,15 @@
     return bool(poll.poll(0))
 
 
-def close_both_ways(transport: asyncio.Transport) -> None:
-    """Close a transport; from now on the kernel rejects what the peer sends.
+def shut_down(transport: asyncio.Transport) -> None:
+    """Close a transport; the kernel rejects at once what its peer sends from now on.
 
-    ``Transport.close`` closes the socket only in the next iteration of the event loop,
-    and the kernel takes and discards what comes until then.
+    ``transport.close`` leaves the socket open until the next iteration of the event
+    loop, and the kernel would keep taking bytes that nobody reads.
     """
     sock: socket.socket | None = transport.get_extra_info("socket")
-    is_sent = not transport.is_closing() and not transport.get_write_buffer_size()
-    if sock is not None and is_sent:
-        # The peer may have closed or reset the connection already.
+    if sock is not None:
+        # Fails only if the peer has reset the connection meanwhile.
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_RDWR)
     transport.close()
--- a/packages/node/src/yuccapitch/node/lingering_transport.py
+++ b/packages/node/src/yuccapitch/node/lingering_transport.py
@@ -62,10 +62,13 @@
         if self.is_closing():
             return
         is_idle = self._loop.time() - self._last_sent_at >= LINGER_S
-        if (is_idle and not self.get_write_buffer_size()) or not self.can_write_eof():
+        if not self.can_write_eof():
+            self._transport.close()
+            return
+        if is_idle and not self.get_write_buffer_size():
             # A request that crosses the close is reset instead of being read and
             # dropped, so that its client sends it again at once.
-            peer_state.close_both_ways(self._transport)
+            peer_state.shut_down(self._transport)
             return
         self.is_lingering = True
         self._reading.discard()
