--- a/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
@@ -88,9 +88,8 @@
     loop, and the kernel would keep taking bytes that nobody reads.
     """
     sock: socket.socket | None = transport.get_extra_info("socket")
-    is_sent = not transport.is_closing() and not transport.get_write_buffer_size()
-    if sock is not None and is_sent:
-        # The peer may have closed or reset the connection already.
+    if sock is not None:
+        # Fails only if the peer has reset the connection meanwhile.
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_RDWR)
     transport.close()
