Callers' connections: no polling for headers while reading is paused

What was seen: a connection with eight requests in progress and the start of another polls its socket a hundred times a second once the header timeout is over, for as long as those requests take. Many such connections take the processor from all others.

Cause: the timer tries again after 0.01 s if bytes are unread, so that the event loop can read them first. While reading is paused, it doesn't.

Evidence: test_header_timeout_starts_again_while_reading_is_paused failed before (next timer after 0.01 s).

Change: while reading is paused, the header timeout starts again.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -445,8 +445,11 @@
 
     def _on_timer(self) -> None:
         if peer_state.is_readable(self._transport):
-            # The event loop was late; the request may have arrived in time.
-            self._arm_timer(UNREAD_RETRY_S)
+            # The event loop was late, or reading is paused. The request may have
+            # arrived in time.
+            is_paused = self._reading_pause.is_active
+            header_timeout_s = self._state.limits().header_timeout_s
+            self._arm_timer(header_timeout_s if is_paused else UNREAD_RETRY_S)
             return
         if self._is_in_headers:
             self._reject(408, "the headers did not arrive in time")
--- a/packages/gateway/tests/http1/test_server_unread.py
+++ b/packages/gateway/tests/http1/test_server_unread.py
@@ -165,6 +165,35 @@
     assert b"x-target: /1" in received
 
 
+# Guards against a timer that fires a hundred times a second for as long as the rest of
+# the headers is unread because earlier requests of the connection are not answered.
+async def test_header_timeout_starts_again_while_reading_is_paused():
+    may_respond = asyncio.Event()
+
+    async def wait(request: messages.Request) -> messages.Response:
+        await may_respond.wait()
+        return await answer(request)
+
+    async with serving(wait) as (http_server, port):
+        with connecting(port) as client:
+            for number in range(server.MAX_PIPELINED_REQUESTS):
+                send(client, f"/{number}")
+            client.sendall(b"GET /last HTTP/1.1\r\n")
+            while http_server.requests_in_flight < server.MAX_PIPELINED_REQUESTS:
+                await asyncio.sleep(0)
+            (connection,) = http_server._state.connections
+            assert connection._reading_pause.is_active and connection._is_in_headers
+            client.sendall(b"Host: h\r\n\r\n")
+            connection._on_timer()
+            assert connection._timer is not None
+            remaining_s = connection._timer.when() - asyncio.get_running_loop().time()
+            may_respond.set()
+            received = b""
+            while b"x-target: /last" not in received:
+                received += await receive(client)
+    assert remaining_s > routes.CallerLimits().header_timeout_s / 2
+
+
 # Guards against a request that the kernel holds when the process ends: its connection
 # ended without an answer.
 @pytest.mark.parametrize("state", ["waiting", "open", "incomplete"])
