Soak: SIGCONT to a running process is no disruption

Cause: at the end of the fault injection every process gets SIGCONT. Since that excused whatever was lost after it, which the check of before had asked for. Change: SIGCONT counts only in a process that was suspended before. Result: cases in the tests of losses; they failed before the change as read, not run.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -58,11 +58,17 @@
         return min(stops, default=float("inf"))
 
     def disrupted_at(self) -> list[float]:
-        """Return the times of unplanned signals; the end of a grace is planned."""
+        """Return the times of unplanned signals.
+
+        The end of a grace is planned, and SIGCONT does nothing to a running process.
+        """
+        stops = [at for at, number in self.signals if number is signal.SIGSTOP]
+        first_stop_at = min(stops, default=float("inf"))
         return [
             at
             for at, number in self.signals
-            if number in (signal.SIGSTOP, signal.SIGCONT)
+            if number is signal.SIGSTOP
+            or (number is signal.SIGCONT and at >= first_stop_at)
             or (number is signal.SIGKILL and at < self.stopped_at + STOP_GRACE_S)
         ]
 
--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -235,9 +235,10 @@
 
 
 def _events(process: deployment.Process) -> list[float]:
-    """Return when a process was started or got any signal but a reload."""
-    events = [at for at, number in process.signals if number is not signal.SIGHUP]
-    return [process.started_at, *events]
+    """Return when a process was started, stopped, killed or suspended."""
+    stops = [at for at, number in process.signals if number is signal.SIGTERM]
+    kills = [at for at, number in process.signals if number is signal.SIGKILL]
+    return [process.started_at, *stops, *kills, *process.disrupted_at()]
 
 
 def _overlaps(attempt: history.Attempt, periods: list[tuple[float, float]]) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -269,6 +269,7 @@
         ([STOP, (9.0, signal.SIGKILL)], None, 3.0, False),
         ([STOP, (7.0, signal.SIGKILL)], None, 3.0, True),
         ([(1.0, signal.SIGSTOP), STOP], None, 3.0, True),
+        ([STOP, (2.5, signal.SIGCONT)], None, 3.0, False),
         ([STOP], 504, 3.0, True),
         ([STOP], None, 7.9, True),
         ([STOP], None, AT_WORK, True),
@@ -389,8 +390,9 @@
         ([STOP], [], [(-9.0, -2.0)], True),
         ([STOP], [], [(-9.0, -3.0)], False),
         ([STOP], [], [(2.6, 9.0)], False),
-        ([(-2.0, signal.SIGCONT), STOP], [], [], True),
-        ([(-3.0, signal.SIGCONT), STOP], [], [], False),
+        ([(-4.0, signal.SIGSTOP), (-2.0, signal.SIGCONT), STOP], [], [], True),
+        ([(-4.0, signal.SIGSTOP), (-3.0, signal.SIGCONT), STOP], [], [], False),
+        ([(-2.0, signal.SIGCONT), STOP], [], [], False),
     ],
 )
 def test_losses_excuses_unplanned_disruptions(signals, control_signals, links, holds):
@@ -471,6 +473,8 @@
         ([(-2.0, signal.SIGTERM)], [], True),
         ([], [(-2.0, signal.SIGTERM)], True),
         ([], [(-3.0, signal.SIGTERM)], False),
+        ([], [(-2.0, signal.SIGCONT)], False),
+        ([], [(-2.0, signal.SIGKILL)], True),
     ],
 )
 def test_losses_asks_for_kept_connections_of_instances_in_touch(
