Daemon: pause all uploads once the bytes read ahead reach their limit

Callers saw: nothing yet; a daemon could be out of memory. Cause: each connection whose reading is paused received once more, up to 256 KiB, after the limit of all connections was used up. It noticed the limit only then. Change: the budget knows the connections that receive ahead; it pauses their transports when it is exhausted, and resumes them when it isn't any more.

--- a/packages/node/src/yuccapitch/node/read_ahead.py
+++ b/packages/node/src/yuccapitch/node/read_ahead.py
@@ -21,6 +21,7 @@
     def __init__(self, max_bytes: int = MAX_PROCESS_BYTES) -> None:
         self._max_bytes = max_bytes
         self._used_bytes = 0
+        self._paused_readings: set[ReadAhead] = set()
 
     @property
     def is_exhausted(self) -> bool:
@@ -28,8 +29,23 @@
         return self._used_bytes >= self._max_bytes
 
     def add(self, byte_count: int) -> None:
-        """Record bytes that are held from now on, or no longer if negative."""
+        """Record bytes that are held from now on, or no longer if negative.
+
+        While the budget is exhausted, no connection receives anything ahead.
+        """
+        was_exhausted = self.is_exhausted
         self._used_bytes += byte_count
+        if self.is_exhausted == was_exhausted:
+            return
+        for reading in list(self._paused_readings):
+            reading.update_transport()
+
+    def watch(self, reading: ReadAhead, is_paused: bool) -> None:
+        """Include a reading in, or exclude it from, those that receive ahead."""
+        if is_paused:
+            self._paused_readings.add(reading)
+        else:
+            self._paused_readings.discard(reading)
 
 
 class ReadAhead:
@@ -69,8 +85,7 @@
             return False
         self._held.append(data)
         self._count(len(data))
-        if self._held_bytes >= MAX_CONNECTION_BYTES or self._budget.is_exhausted:
-            self._transport_pause.start()
+        self.update_transport()
         return True
 
     def put_back(self, data: bytes) -> None:
@@ -80,13 +95,16 @@
 
     def pause(self) -> None:
         """Hold what is received from now on."""
+        if self._is_discarding:
+            return
         self._is_paused = True
-        if self._budget.is_exhausted:
-            self._transport_pause.start()
+        self._budget.watch(self, is_paused=True)
+        self.update_transport()
 
     def resume(self) -> None:
         """Deliver what is held, and then what is received."""
         self._is_paused = False
+        self._budget.watch(self, is_paused=False)
         if self._held:
             self._loop.call_soon(self._deliver_held)
         else:
@@ -95,10 +113,18 @@
     def discard(self) -> None:
         """Free what is held, hold nothing any more and end the pause."""
         self._is_discarding = True
+        self._budget.watch(self, is_paused=False)
         self._held.clear()
         self._count(-self._held_bytes)
         self._transport_pause.end()
 
+    def update_transport(self) -> None:
+        """Receive ahead, or stop to, as the limits say."""
+        if self._held_bytes >= MAX_CONNECTION_BYTES or self._budget.is_exhausted:
+            self._transport_pause.start()
+        elif self._is_paused:
+            self._transport_pause.end()
+
     def _deliver_held(self) -> None:
         while self._held and not self._is_paused:
             data = self._held.popleft()
--- a/packages/node/tests/test_read_ahead.py
+++ b/packages/node/tests/test_read_ahead.py
@@ -121,6 +121,23 @@
     assert not third.transport.is_paused
 
 
+# Guards against memory that grows with the number of paused connections: each received
+# once more after the budget had been used up.
+async def test_exhausted_budget_pauses_the_connections_that_were_paused_before() -> (
+    None
+):
+    budget = read_ahead.Budget(max_bytes=4)
+    readers = [Reader(budget) for _ in range(3)]
+    for reader in readers:
+        reader.reading.pause()
+        reader.receive(b"1")
+    assert [reader.transport.is_paused for reader in readers] == [False] * 3
+    readers[0].receive(b"2")
+    assert [reader.transport.is_paused for reader in readers] == [True] * 3
+    readers[0].reading.discard()
+    assert [reader.transport.is_paused for reader in readers] == [False] * 3
+
+
 async def test_hold_keeps_nothing_after_discard() -> None:
     reader = Reader()
     reader.reading.pause()
