--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -101,6 +101,45 @@
     assert len(delays) == startup.READ_ATTEMPTS - 1
 
 
+# Guards against an instance that ends because of a value in its changed settings that
+# raises an exception instead of being refused.
+@pytest.mark.parametrize(
+    ("valid", "malformed"),
+    [
+        ('dataDir = "/data/control"', "dataDir = 5"),
+        ("[7660,7675]", "[99999,7675]"),
+        ("[7660,7675]", "[-1,7675]"),
+        ("retryBudgetSlack = 62", "retryBudgetSlack = 1" + "0" * 400),
+        ('"10.2.0.24:8146"', "[" * 5000 + "]" * 5000),
+        ('"10.2.0.24:8146"', "1e400"),
+        ("[cloudApi]", f"[limits]\nlinkMbps = 1{'0' * 400}\n[cloudApi]"),
+    ],
+)
+def test_read_refuses_malformed_values(tmp_path, valid, malformed):
+    path = tmp_path / "local.toml"
+    path.write_text(TEXT.replace(valid, malformed))
+    assert node_file.read(path).is_err()
+
+
+# Guards against an instance that takes settings that are being written for complete.
+def test_read_refuses_settings_that_are_cut_short(tmp_path):
+    path = tmp_path / "local.toml"
+    for length in range(len(TEXT) - 1):
+        path.write_text(TEXT[:length])
+        assert node_file.read(path).is_err(), TEXT[:length]
+
+
+@pytest.mark.parametrize(
+    ("seeds", "hosts"),
+    [("", ()), ('"a:1", "a:1"', ("a", "a")), ('"10.1.0.14:8146"', ("10.1.0.14",))],
+)
+def test_read_accepts_any_number_of_seeds(tmp_path, seeds, hosts):
+    path = tmp_path / "local.toml"
+    path.write_text(TEXT.replace('["10.1.0.14:8146","10.2.0.24:8146"]', f"[{seeds}]"))
+    seed_ids = node_file.read(path).unwrap().routed.seed_ids
+    assert seed_ids == tuple(f"{host}:7660" for host in hosts)
+
+
 def test_read_names_the_variable_of_a_missing_file(tmp_path: pathlib.Path):
     reason = node_file.read(tmp_path / "none").unwrap_err()
     assert node_file.NODE_FILE_VARIABLE in reason
