Links: a malformed host name is an unreachable peer

What callers saw: nothing yet; found by a test. A seed such as a..b:8146, or one with a label of 64 characters, passes the check of the settings; the first poll then ends the instance with code 1.

Cause: the resolver raises UnicodeError for such a name, which is no OSError, so that it left the task that connects and the poll that waits for it.

Change: it counts as a failed attempt to connect, with the usual log line.

--- a/packages/protocol/src/yuccapitch/protocol/peers.py
+++ b/packages/protocol/src/yuccapitch/protocol/peers.py
@@ -161,7 +161,8 @@
                 reader, writer = await asyncio.open_connection(
                     address.host, address.port, ssl=context
                 )
-        except (OSError, TimeoutError) as error:  # ssl.SSLError is an OSError
+        except (OSError, TimeoutError, UnicodeError) as error:
+            # ssl.SSLError is an OSError. A malformed host name is a UnicodeError.
             self._record_connect_failure(peer_id, repr(error))
             return None
         link = self._new_link(reader, writer)
--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -70,6 +70,14 @@
     assert isinstance(reply, result.Err)
 
 
+# Guards against an instance that ends because a seed's name can't be encoded.
+@pytest.mark.parametrize("host", ["a..b", "x" * 64])
+async def test_peers_request_to_a_malformed_host_fails(pair: Pair, host: str) -> None:
+    pair.a.set_address("c", peers.Address(host, 7700))
+    reply = await pair.a.request("c", node_messages.RenewalNotice(1, 0), 5)
+    assert reply.unwrap_err().code is link.LinkErrorCode.CLOSED
+
+
 async def test_peers_invalid_bytes_close_only_their_connection(pair: Pair) -> None:
     reader, writer = await asyncio.open_connection(
         pair.b_address.host, pair.b_address.port
