--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -101,6 +101,35 @@
     assert len(delays) == startup.READ_ATTEMPTS - 1
 
 
+# Guards against an instance that keeps its former seeds because they were replaced
+# between the reading of its settings and the first check for changes.
+async def test_startup_applies_settings_that_change_during_the_start(
+    tmp_path, monkeypatch
+):
+    path = tmp_path / "local.toml"
+    path.write_text(TEXT)
+    loaded = node_file.read(path).unwrap()
+    path.write_text(TEXT.replace("10.2.0.24", "10.2.0.99"))
+    checks = []
+
+    async def run(role, routed, platform_adapter, read_changed_settings) -> int:
+        checks.extend(read_changed_settings(False) for _ in range(2))
+        return 0
+
+    monkeypatch.setattr(startup.process, "run", run)
+    await startup._run("control", path, loaded, 0.0)
+    assert checks[0].unwrap().seed_ids == ("10.1.0.14:7660", "10.2.0.99:7660")
+    assert checks[1] is None
+
+
+def test_settings_are_not_reported_as_changed_after_the_start(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text(TEXT)
+    watched = startup._WatchedSettingsFile(path, node_file.read(path).unwrap().routed)
+    assert watched.read_changed_settings(False) is None
+    assert watched.read_changed_settings(True).is_ok()
+
+
 # Guards against an instance that ends because of a value in its changed settings that
 # raises an exception instead of being refused.
 @pytest.mark.parametrize(
