Reload: keep the identity and the addresses of a running instance

What callers saw: nothing yet; found by a test. An entry instance that reloads settings without an address for clients fails an assertion at its next poll and ends with code 1 over the requests in flight; one that reloads another ip, region or address gives the leader those while it goes on listening at the former ones.

Cause: reload replaced all settings of the node, also those that can't change at runtime.

Change: RoutedSettings.reload takes over the seeds, the grace, the lookup TTL and the link bandwidth, which were the ones in use after a reload; the rest applies at the next start. One line in entry_node.py and control_node.py.

--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -154,7 +154,7 @@
 
     def reload(self, node_settings: settings.RoutedSettings) -> None:
         """Apply the settings that can change at runtime, such as the seeds."""
-        self._node_settings = node_settings
+        self._node_settings = self._node_settings.reload(node_settings)
         self._leader_poller.set_seeds(node_settings.seed_ids)
         self._replica.core.add_join_targets(node_settings.seed_ids)
 
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -148,7 +148,7 @@
 
     def reload(self, node_settings: settings.RoutedSettings) -> None:
         """Apply the settings that can change at runtime, such as the seeds."""
-        self._node_settings = node_settings
+        self._node_settings = self._node_settings.reload(node_settings)
         self._leader_poller.set_seeds(node_settings.seed_ids)
 
     async def drain(self, stopped_at: float, loop_lag_s: float = 0.0) -> None:
--- a/packages/node/src/yuccapitch/node/routed/settings.py
+++ b/packages/node/src/yuccapitch/node/routed/settings.py
@@ -55,3 +55,16 @@
     operator_address: ListenAddress | None = None
     lookup_address: ListenAddress | None = None
     metrics_address: ListenAddress | None = None
+
+    def reload(self, changed: RoutedSettings) -> RoutedSettings:
+        """Return these settings with the changed values that can apply at runtime.
+
+        The identity and the addresses of an instance stay what others know.
+        """
+        return dataclasses.replace(
+            self,
+            seed_ids=changed.seed_ids,
+            stop_grace_s=changed.stop_grace_s,
+            lookup_ttl_s=changed.lookup_ttl_s,
+            link_bits_per_s=changed.link_bits_per_s,
+        )
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -126,6 +126,23 @@
     assert node._routing_state.confirmed_at == 1.0
 
 
+# Guards against an entry instance that ends, or gives the leader another address than
+# the one it listens on, because its settings were changed while it ran.
+async def test_reload_keeps_the_identity_and_the_addresses(node):
+    before = next_request(node)
+    node.reload(
+        dataclasses.replace(
+            node._node_settings,
+            instance_id=ids.InstanceId("10.0.0.2:7001"),
+            region_id=ids.RegionId("south"),
+            caller_address=None,
+            seed_ids=(ids.InstanceId("10.0.0.8:7000"),),
+        )
+    )
+    assert next_request(node) == before
+    assert node._leader_poller.control_ids == ("10.0.0.8:7000",)
+
+
 # Guards against an evacuation that an instance ignores because the routes that come
 # with it are ones that its release cannot read.
 async def test_poll_response_with_refused_routes_applies_evacuations(node):
