Test: exchanged seeds keep the leader and the members

No seeds, the same seed twice, and seeds that are no members or not reachable neither end the use of the known leader nor of the members that it named, and an instance without any seed recovers with the next ones.

--- a/packages/control/tests/test_leader_polling.py
+++ b/packages/control/tests/test_leader_polling.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import pytest
 import result
 
 from yuccapitch.control import leader_polling
@@ -262,6 +263,29 @@
     assert harness.poller.control_ids == (A, B)
 
 
+# Guards against an instance that loses its leader because the new seeds are none, or
+# are not members of the group.
+@pytest.mark.parametrize("seeds", [(), (C, C), ("10.9.9.9:1",)])
+async def test_set_seeds_keeps_the_leader_and_the_members(seeds):
+    harness = PollerHarness(A)
+    harness.links.replies_by_id[A] = answer(control_ids=(A, B))
+    await harness.poller.poll()
+    harness.poller.set_seeds(seeds)
+    await harness.poller.poll()
+    assert harness.poller.leader_id == A
+    harness.links.replies_by_id = {B: answer(term=2, control_ids=(B,))}
+    async with asyncio.timeout(5):
+        await poll_until_leader(harness, B)
+
+
+async def test_search_finds_the_leader_once_there_are_seeds_again():
+    harness = PollerHarness()
+    await harness.poller.poll()
+    harness.links.replies_by_id[A] = answer()
+    harness.poller.set_seeds([A])
+    await poll_until_leader(harness, A)
+
+
 LISTED = messages.EndpointRecord(
     "e1", "orders", "10.0.1.1", 80, "north-a", 4, False, 0, 0, "north"
 )
