Soak: exchange all seeds, step the time of day

exchange_seeds makes control instances the seeds that were none (up to three; with five control instances two, then three), rewrites all settings files, sends SIGHUP to some, and stops entry instances in series meanwhile. A process that is started later gets the new seeds.

step_clock lets the time of day of three in ten instances jump by 2.4 s or 10 minutes, ahead or back, and back later. The processes of such a run start through tests.soak.stepped_clock, which adds an offset from a file to what the functions of `time` return, without preloaded libraries.

It compares places in the log now: the voters must have changed after the end that the log had when data was lost. As strict as before: the same lines count unless a clock was stepped.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import datetime
 import os
 import pathlib
 import random
@@ -16,8 +15,9 @@
 import subprocess
 import sys
 import time
+from collections.abc import Mapping
 
-from tests.soak import load
+from tests.soak import load, stepped_clock
 from yuccapitch.consensus import records
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -35,10 +35,9 @@
 STOP_GRACE_S = 6.0
 # Before the interpreter has started, SIGHUP terminates the process.
 INTERPRETER_START_S = 1.0
+STEPPED_CLOCK = "tests.soak.stepped_clock"
 
-_VOTERS_CHANGED = re.compile(
-    r"time=(\S+) .*event=consensus\.voters-changed .*voters=(.*) learners="
-)
+_VOTERS_CHANGED = re.compile(r"event=consensus\.voters-changed .*voters=(.*) learners=")
 _INSTANCE_ID = re.compile(r"[\d.]+:\d+")
 
 
@@ -90,6 +89,7 @@
     seeds: list[str]
     list_host: str
     load: load.Load = load.Load()
+    can_step_clock: bool = False
     popen: subprocess.Popen[bytes] | None = None
     starts: int = 0
     processes: list[Process] = dataclasses.field(default_factory=list)
@@ -124,7 +124,8 @@
         """Write the current settings and start the process."""
         self.folder.mkdir(parents=True, exist_ok=True)
         self.write_settings()
-        sources = [*ROOT.glob("packages/*/src"), ROOT / "platform" / "src"]
+        sources = [*ROOT.glob("packages/*/src"), ROOT / "platform" / "src", ROOT]
+        program = STEPPED_CLOCK if self.can_step_clock else "yuccapitch.platform"
         packages = next(p for p in sys.path if p.endswith("site-packages"))
         environment = {
             **os.environ,
@@ -133,7 +134,7 @@
         }
         with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(
-                [sys.executable, "-S", "-m", "yuccapitch.platform", self.role],
+                [sys.executable, "-S", "-m", program, self.role],
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -207,14 +208,22 @@
         self.delete_data()
         self.ip, self.seeds = ip, seeds
 
-    def logged_voters(self) -> tuple[float, set[str]]:
-        """Return when the voters in its log changed last, and who they are."""
-        found = _VOTERS_CHANGED.findall(self.log_path.read_text(errors="replace"))
+    def step_clock(self, offset_s: float) -> None:
+        """Set by how much the time of day of its processes is off."""
+        stepped_clock.offset_path(self.folder).write_text(str(offset_s))
+
+    def log_size(self) -> int:
+        """Return the size of its log in bytes."""
+        return self.log_path.stat().st_size if self.log_path.exists() else 0
+
+    def logged_voters(self) -> tuple[int, set[str]]:
+        """Return where in its log the voters changed last, and who they are."""
+        # One character a byte, so that places in the text are those in the file.
+        text = self.log_path.read_bytes().decode("latin-1")
+        found = list(_VOTERS_CHANGED.finditer(text))
         if not found:
-            return float("-inf"), set()
-        logged_at, voters = found[-1]
-        changed_at = datetime.datetime.fromisoformat(logged_at).timestamp()
-        return changed_at, set(_INSTANCE_ID.findall(voters))
+            return -1, set()
+        return found[-1].start(), set(_INSTANCE_ID.findall(found[-1][1]))
 
     def append_torn_record(self, rng: random.Random) -> None:
         """Append a truncated record after the synced end of the log.
@@ -252,6 +261,7 @@
         self.endpoint_net = f"{net}.3"
         seed_count = min(SEED_COUNT, controls)
         seeds = [f"{net}.1.{n + 1}:{CONTROL_PORT}" for n in range(seed_count)]
+        self.seed_names = [f"control-{n + 1}" for n in range(seed_count)]
         self.unexpected_exits: list[str] = []
         """Times, names and exit codes of processes that exited on their own."""
         self.instances_by_name: dict[str, Instance] = {}
@@ -280,19 +290,24 @@
         self._moves += 1
         return f"{self._net}.1.{100 + self._moves}"
 
-    def has_replaced_lost_data(self, lost_at: float) -> bool:
+    def log_sizes(self) -> dict[str, int]:
+        """Return the sizes of the logs by name of the instance."""
+        return {name: i.log_size() for name, i in self.instances_by_name.items()}
+
+    def has_replaced_lost_data(self, log_sizes: Mapping[str, int]) -> bool:
         """Whether a majority of logs names the control instances that exist as voters.
 
-        ``lost_at`` is the time at which data was lost last. Beside an even number of
-        instances, the group may keep one voter that is gone.
+        ``log_sizes`` are those when data was lost last; the times in the logs may be
+        stepped. Beside an even number of instances, the group may keep one voter that
+        is gone.
         """
         controls = self.of_role("control")
         ids = {instance.instance_id for instance in controls}
         max_voters = len(ids) + (len(ids) + 1) % 2
-        changes = [instance.logged_voters() for instance in controls]
+        changes = [(i.name, *i.logged_voters()) for i in controls]
         current = sum(
-            at > lost_at and voters >= ids and len(voters) <= max_voters
-            for at, voters in changes
+            at >= log_sizes[name] and voters >= ids and len(voters) <= max_voters
+            for name, at, voters in changes
         )
         return 2 * current > len(controls)
 
@@ -315,9 +330,15 @@
                     instance.seeds = self._current_seeds()
                 instance.start()
 
+    def set_seeds(self, names: list[str]) -> None:
+        """Replace the seeds; the settings files are left as they are."""
+        self.seed_names = names
+        for instance in self.instances_by_name.values():
+            instance.seeds = self._current_seeds()
+
     def _current_seeds(self) -> list[str]:
-        controls = self.of_role("control")[:SEED_COUNT]
-        return [f"{control.ip}:{CONTROL_PORT}" for control in controls]
+        seeds = [self.instances_by_name[name] for name in self.seed_names]
+        return [f"{seed.ip}:{CONTROL_PORT}" for seed in seeds]
 
     async def aclose(self) -> None:
         """Kill every process."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,7 +32,7 @@
         self.rng = rng
         self.link_disruptions: list[tuple[float, float]] = []
         """Starts and ends of faults of the links between instances."""
-        self._data_lost_at: float | None = None
+        self._log_sizes_at_loss: dict[str, int] | None = None
         self._reserved: list[endpoints.Endpoint] = []
 
     def sample_instances(self, role: str, count: int) -> list[deployment.Instance]:
@@ -42,14 +42,14 @@
 
     def has_replaced_lost_data(self) -> bool:
         """Whether the group has made up for the last loss of data."""
-        lost_at = self._data_lost_at
-        return lost_at is None or self.cluster.has_replaced_lost_data(lost_at)
+        sizes = self._log_sizes_at_loss
+        return sizes is None or self.cluster.has_replaced_lost_data(sizes)
 
     def try_lose_data(self) -> bool:
         """Record a loss of data if the group tolerates one; return whether it does."""
         if not self.has_replaced_lost_data():
             return False
-        self._data_lost_at = time.time()
+        self._log_sizes_at_loss = self.cluster.log_sizes()
         return True
 
     @contextlib.contextmanager
@@ -66,6 +66,8 @@
                 self._reserved.remove(endpoint)
 
 
+CLOCK_STEPS_S = (-600.0, -2.4, 2.4, 600.0)
+
 Fault = Callable[[FaultContext, float], Awaitable[None]]
 FAULTS_BY_NAME: dict[str, Fault] = {}
 
@@ -408,6 +410,37 @@
     await context.config_operator.evacuate(zone, "end")
 
 
+@_register_fault
+async def exchange_seeds(context: FaultContext, duration_s: float) -> None:
+    """Make other control instances the seeds while entry instances are stopped."""
+    cluster, rng = context.cluster, context.rng
+    instances = list(cluster.instances_by_name.values())
+    names = [i.name for i in cluster.of_role("control")]
+    others = [name for name in names if name not in cluster.seed_names]
+    if not others:
+        return
+    cluster.set_seeds(rng.sample(others, min(deployment.SEED_COUNT, len(others))))
+    stopping = asyncio.ensure_future(stop_in_series(context, duration_s))
+    for instance in rng.sample(instances, len(instances)):
+        instance.write_settings()
+        if rng.random() < 0.6:
+            instance.send_signal(signal.SIGHUP)
+        await asyncio.sleep(rng.random() * duration_s / len(instances))
+    await stopping
+
+
+@_register_fault
+async def step_clock(context: FaultContext, duration_s: float) -> None:
+    """Let the time of day of some instances jump, and back later."""
+    instances = list(context.cluster.instances_by_name.values())
+    chosen = context.rng.sample(instances, max(2, round(0.3 * len(instances))))
+    for instance in chosen:
+        instance.step_clock(context.rng.choice(CLOCK_STEPS_S))
+    await asyncio.sleep(duration_s)
+    for instance in chosen:
+        instance.step_clock(0.0)
+
+
 async def _block_pairs(
     context: FaultContext, pairs: set[tuple[str, str]], duration_s: float
 ) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -140,6 +140,7 @@
     links = network.Network()
     stack.push_async_callback(links.aclose)
     for instance in cluster.instances_by_name.values():
+        instance.can_step_clock = faults.step_clock.__name__ in plan.fault_names
         await links.add(instance.instance_id, (instance.ip, deployment.PROCESS_PORT))
     endpoint_list = await _start_endpoints(
         cluster.endpoint_net, observations, rng, stack
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,7 @@
     operator,
     pipelining,
     run,
+    stepped_clock,
 )
 
 SIGHUP_DURING_IMPORT = "SIGHUP ended a process that was still importing modules"
@@ -40,6 +41,8 @@
     "stop_beside_silent_links",
     "stop_in_series",
     "change_in_series",
+    "exchange_seeds",
+    "step_clock",
 }
 # Seeds that caused a violation, each with its cause, and the default seed.
 REGRESSION_SEEDS = {
@@ -134,6 +137,34 @@
         assert report.checks_by_guarantee[guarantee] > 0
 
 
+# Guards against requests that are lost where all seeds are exchanged while instances
+# stop, and against instances that follow the former seeds.
+@pytest.mark.processes
+@pytest.mark.timeout(300)
+async def test_soak_answers_whole_requests_beside_exchanged_seeds(
+    tmp_path: pathlib.Path,
+):
+    names = ("exchange_seeds", "change_routes", "stop_control")
+    plan = run.Plan(1, 12.0, controls=6, entries=3, callers=4, fault_names=names)
+    report = await run.run(plan, tmp_path)
+    assert report.violations == []
+    assert report.faults_by_name["exchange_seeds"] > 1
+
+
+# Guards against requests that are lost, and leases that end, at a step of the time of
+# day; and against a check of the voters that such a step misleads.
+@pytest.mark.processes
+@pytest.mark.timeout(300)
+async def test_soak_answers_whole_requests_beside_steps_of_the_time_of_day(
+    tmp_path: pathlib.Path,
+):
+    names = ("step_clock", "stop_in_series", "change_routes", "lose_disk")
+    plan = run.Plan(1, 12.0, controls=3, entries=3, callers=4, fault_names=names)
+    report = await run.run(plan, tmp_path)
+    assert report.violations == []
+    assert report.faults_by_name["step_clock"] > 1
+
+
 def attempt(kind: str) -> history.Attempt:
     return history.Attempt("1", kind, "10.0.0.1:80", 0.0)
 
@@ -509,6 +540,46 @@
     assert (losses.KEPT not in found) is holds
 
 
+VOTERS_CHANGED = (
+    "time={} level=info event=consensus.voters-changed voters=['127.0.1.1:7700']"
+    " learners=[]\n"
+)
+
+
+# Guards against a group that counts as incomplete, or as complete again, because the
+# time of day of an instance was stepped (seed 89 of shared/incident-lost-3.md).
+@pytest.mark.parametrize("step", [-1, 1])
+def test_deployment_finds_replaced_data_beside_steps_of_the_time_of_day(tmp_path, step):
+    cluster = deployment.Deployment(tmp_path, 1, 1)
+    control = cluster.instances_by_name["control-1"]
+    control.ip = "127.0.1.1"
+    control.folder.mkdir()
+    day = 7 + step
+    control.log_path.write_text(
+        "é is two bytes\n" + VOTERS_CHANGED.format("2026-12-07T00:00:00Z")
+    )
+    sizes = cluster.log_sizes()
+    assert not cluster.has_replaced_lost_data(sizes)
+    with control.log_path.open("a") as log:
+        log.write(VOTERS_CHANGED.format(f"2026-12-{day:02}T00:00:00Z"))
+    assert cluster.has_replaced_lost_data(sizes)
+
+
+# Guards against a stepped clock that steps nothing.
+def test_stepped_clock_steps_only_the_time_of_day(tmp_path, monkeypatch):
+    for name in ("time", "time_ns", "clock_gettime", "clock_gettime_ns"):
+        monkeypatch.setattr(time, name, getattr(time, name))
+    path = stepped_clock.offset_path(tmp_path)
+    before, boot = time.time(), time.clock_gettime(time.CLOCK_BOOTTIME)
+    stepped_clock._step(path)
+    assert 0 <= time.time() - before < 60
+    path.write_text("600.0")
+    assert 600 <= time.time() - before < 660
+    assert 600 <= time.time_ns() / 1e9 - before < 660
+    assert 600 <= time.clock_gettime(time.CLOCK_REALTIME) - before < 660
+    assert 0 <= time.clock_gettime(time.CLOCK_BOOTTIME) - boot < 60
+
+
 # Guards against a starved process that SIGHUP ends before its interpreter has started,
 # and which counts as one that exits on its own (seed 301 beside busy processes).
 def test_deployment_tells_whether_a_process_handles_sighup():
