Links: report the end of a link that the peer opened

A place that an entry instance gives back on a link which the dispatcher opened, and that is lost with it, stays taken until the deadline of its request, so that others wait or are refused meanwhile.

Cause: Peers told of the end of outgoing links only. Messages use an accepted link if there is no outgoing one, or if that is silent.

Change: Peers.on_accepted_link_closed, called for each accepted link that closes, also for one that a newer link has replaced. The placer gives the latest places back again then, as after the end of the outgoing link, but goes on using the dispatcher, which the outgoing link decides. One line in entry_node.py.

--- a/packages/gateway/src/yuccapitch/gateway/front/region_placer.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placer.py
@@ -141,6 +141,14 @@
             self._returns.mark_link_lost(self._clock())
             self._suspend_dispatcher("link lost")
 
+    def mark_accepted_link_lost(self, peer_id: str) -> None:
+        """Give places back again if they went on a link that the dispatcher opened.
+
+        Whether the dispatcher can be reached depends on the outgoing link only.
+        """
+        if peer_id == self.dispatcher_id:
+            self._returns.mark_link_lost(self._clock())
+
     async def place(
         self, request: model.PlacementRequest
     ) -> model.Granted | model.Refused:
--- a/packages/gateway/tests/front/test_region_placer.py
+++ b/packages/gateway/tests/front/test_region_placer.py
@@ -249,6 +249,25 @@
     assert granted_count(region) == 0
 
 
+# Guards against the same for a release that was sent on a link that the dispatcher had
+# opened, and against a dispatcher that goes unused although the link to it works.
+async def test_check_waiting_repeats_a_release_that_was_lost_with_an_accepted_link():
+    region = Region("e1")
+    region.use_dispatcher(A)
+    granted = await place(region, B, "b")
+    region.network.loses_returns = True
+    release(region, granted)
+    region.network.loses_returns = False
+    waiting = await wait_in_queue(region, "waiting")
+    region.placers[B].mark_accepted_link_lost(C)
+    await region.placers[B].check_waiting()
+    assert not waiting.done()
+    region.placers[B].mark_accepted_link_lost(A)
+    await region.placers[B].check_waiting()
+    assert (await waiting).endpoint == granted.endpoint
+    assert granted_count(region) == 1
+
+
 async def test_check_waiting_repeats_a_release_that_had_no_link():
     region = Region("e1")
     region.use_dispatcher(A)
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -94,6 +94,7 @@
             node_settings.link_bits_per_s,
         )
         self._links.on_link_closed = self._placer.mark_link_lost
+        self._links.on_accepted_link_closed = self._placer.mark_accepted_link_lost
         # Requests and responses share one limit: the process has to stay below it.
         budget = memory_budget.MemoryBudget()
         self._sender = endpoint_sender.Sender(
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -143,6 +143,17 @@
     assert node._leader_poller.control_ids == ("10.0.0.8:7000",)
 
 
+# Guards against a place that stays taken until the deadline of its request, because its
+# release was lost with a link that the dispatcher had opened.
+async def test_end_of_an_accepted_link_gives_places_back_again(node, monkeypatch):
+    lost_at: list[float] = []
+    monkeypatch.setattr(node._placer._returns, "mark_link_lost", lost_at.append)
+    node._placer.set_dispatcher(LEADER)
+    node._links.on_accepted_link_closed(LEADER)
+    assert len(lost_at) == 1
+    assert node._placer._remote_dispatcher_id() == LEADER
+
+
 # Guards against an evacuation that an instance ignores because the routes that come
 # with it are ones that its release cannot read.
 async def test_poll_response_with_refused_routes_applies_evacuations(node):
--- a/packages/protocol/src/yuccapitch/protocol/peers.py
+++ b/packages/protocol/src/yuccapitch/protocol/peers.py
@@ -53,6 +53,8 @@
         self._exit_stack = contextlib.AsyncExitStack()
         self.on_link_closed: Callable[[str], None] = lambda peer_id: None
         """Called with the peer's id after the outgoing link to it has closed."""
+        self.on_accepted_link_closed: Callable[[str], None] = lambda peer_id: None
+        """Called with the peer's id after a link that it opened has closed."""
         self.traffic = inner_link.Traffic()
 
     def handle(self, message_type: type, handler: inner_link.Handler) -> None:
@@ -219,6 +221,9 @@
                 self.on_link_closed(link.peer_id)
             if self._accepted_links_by_id.get(link.peer_id) is link:
                 del self._accepted_links_by_id[link.peer_id]
+            if not is_outgoing:
+                # Also one that a newer link has replaced: what was sent on it is lost.
+                self.on_accepted_link_closed(link.peer_id)
             direction = "out" if is_outgoing else "in"
             events.event("link.closed", peer=link.peer_id, direction=direction)
 
--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -222,3 +222,23 @@
         assert reply.unwrap_err().code is link.LinkErrorCode.CLOSED
         async with asyncio.timeout(20):
             assert await closed.get() == "quiet"
+
+
+# Guards against what was sent on a link that the peer opened and is lost with it
+# unnoticed, such as a place that is given back.
+async def test_peers_report_the_end_of_a_link_that_the_peer_opened(pair: Pair) -> None:
+    closed: asyncio.Queue[str] = asyncio.Queue()
+    pair.b.on_accepted_link_closed = closed.put_nowait
+    pair.b.on_link_closed = lambda peer_id: closed.put_nowait("outgoing")
+    pair.b.handle(node_messages.RenewalNotice, lambda peer, message: message)
+    await pair.a.request("b", node_messages.RenewalNotice(1, 0), 5)
+    assert pair.b.send("a", node_messages.RenewalNotice(2, 0))
+    former = pair.a._links_by_id.pop("b")
+    await asyncio.sleep(peers.RECONNECT_DELAY_S)
+    # The peer's next link may be open before the end of the former one is noticed.
+    reply = await pair.a.request("b", node_messages.RenewalNotice(3, 0), 5)
+    assert reply.is_ok()
+    former.close()
+    async with asyncio.timeout(5):
+        assert await closed.get() == "a"
+    assert pair.b._accepted_links_by_id["a"].is_open and closed.empty()
