Daemon: count the time for which the machine was suspended

After a suspension, an instance of yuccapitchd goes on with its lease, and a leader with its leadership, for as long as the suspension took, while the others have counted both as ended: it may act on a configuration that is no longer in force.

Cause: the clock of the daemon was time.monotonic, which stands still in a suspension. The routed roles use CLOCK_BOOTTIME already.

Change: CLOCK_BOOTTIME for the daemon as well. Its readings aren't compared with those of the event loop, whose clock the links, the exchanges with endpoints and the log keep for themselves.

No machine was suspended.

--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -38,12 +38,17 @@
     return code
 
 
+def boot_time_s() -> float:
+    """Return the time since boot, including the time the machine was suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class Daemon:
     """One instance that runs its roles until a signal stops it."""
 
     def __init__(self, settings: settings_table.Settings) -> None:
         self._settings = settings
-        self._clock = time.monotonic
+        self._clock = boot_time_s
         self._rng = random.Random(settings.seed)
         self._stop = asyncio.Event()
         self._failure_reason: str | None = None
