--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -94,6 +94,7 @@
             node_settings.link_bits_per_s,
         )
         self._links.on_link_closed = self._placer.mark_link_lost
+        self._links.on_accepted_link_closed = self._placer.mark_accepted_link_lost
         # Requests and responses share one limit: the process has to stay below it.
         budget = memory_budget.MemoryBudget()
         self._sender = endpoint_sender.Sender(
@@ -148,7 +149,7 @@
 
     def reload(self, node_settings: settings.RoutedSettings) -> None:
         """Apply the settings that can change at runtime, such as the seeds."""
-        self._node_settings = node_settings
+        self._node_settings = self._node_settings.reload(node_settings)
         self._leader_poller.set_seeds(node_settings.seed_ids)
 
     async def drain(self, stopped_at: float, loop_lag_s: float = 0.0) -> None:
--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -70,6 +70,14 @@
     assert isinstance(reply, result.Err)
 
 
+# Guards against an instance that ends because a seed's name can't be encoded.
+@pytest.mark.parametrize("host", ["a..b", "x" * 64])
+async def test_peers_request_to_a_malformed_host_fails(pair: Pair, host: str) -> None:
+    pair.a.set_address("c", peers.Address(host, 7700))
+    reply = await pair.a.request("c", node_messages.RenewalNotice(1, 0), 5)
+    assert reply.unwrap_err().code is link.LinkErrorCode.CLOSED
+
+
 async def test_peers_invalid_bytes_close_only_their_connection(pair: Pair) -> None:
     reader, writer = await asyncio.open_connection(
         pair.b_address.host, pair.b_address.port
@@ -214,3 +222,23 @@
         assert reply.unwrap_err().code is link.LinkErrorCode.CLOSED
         async with asyncio.timeout(20):
             assert await closed.get() == "quiet"
+
+
+# Guards against what was sent on a link that the peer opened and is lost with it
+# unnoticed, such as a place that is given back.
+async def test_peers_report_the_end_of_a_link_that_the_peer_opened(pair: Pair) -> None:
+    closed: asyncio.Queue[str] = asyncio.Queue()
+    pair.b.on_accepted_link_closed = closed.put_nowait
+    pair.b.on_link_closed = lambda peer_id: closed.put_nowait("outgoing")
+    pair.b.handle(node_messages.RenewalNotice, lambda peer, message: message)
+    await pair.a.request("b", node_messages.RenewalNotice(1, 0), 5)
+    assert pair.b.send("a", node_messages.RenewalNotice(2, 0))
+    former = pair.a._links_by_id.pop("b")
+    await asyncio.sleep(peers.RECONNECT_DELAY_S)
+    # The peer's next link may be open before the end of the former one is noticed.
+    reply = await pair.a.request("b", node_messages.RenewalNotice(3, 0), 5)
+    assert reply.is_ok()
+    former.close()
+    async with asyncio.timeout(5):
+        assert await closed.get() == "a"
+    assert pair.b._accepted_links_by_id["a"].is_open and closed.empty()
