Soak: an instance that ends itself counts as running all the while

Callers of an instance that ends itself every few seconds lost requests that it had passed on, and the soak excused most of them: each start of a process made its instance, or with a control instance all entries, count as not in touch for the contact window (4 s), also the start after an end of its own. The rule excuses starts by the bench only, and says that a process that ends by itself counts as running all the while.

Processes know now whether the one before them exited on its own, and such a start is no event. The check asks more than before, never less.

test_losses_excuses_no_starts_after_own_ends: the two cases with an own end fail with the line of before (starts always count), all four pass now.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -50,6 +50,8 @@
     signals: list[tuple[float, signal.Signals]] = dataclasses.field(
         default_factory=list
     )
+    follows_own_end: bool = False
+    """Whether the process before it exited on its own."""
 
     @property
     def stopped_at(self) -> float:
@@ -120,7 +122,7 @@
         """Whether the process is running."""
         return self.popen is not None and self.popen.poll() is None
 
-    def start(self) -> None:
+    def start(self, follows_own_end: bool = False) -> None:
         """Write the current settings and start the process."""
         self.folder.mkdir(parents=True, exist_ok=True)
         self.write_settings()
@@ -141,7 +143,7 @@
             )
         self.load.pin(self.popen.pid)
         self.starts += 1
-        self.processes.append(Process(time.monotonic()))
+        self.processes.append(Process(time.monotonic(), [], follows_own_end))
         self.is_exit_expected = False
 
     def write_settings(self) -> None:
@@ -304,8 +306,11 @@
                 instance.end_grace(time.monotonic())
                 if instance.is_running or not instance.should_run:
                     continue
-                if instance.popen is not None and not instance.is_exit_expected:
-                    code = instance.popen.returncode
+                is_own_end = instance.popen is not None and (
+                    not instance.is_exit_expected
+                )
+                if is_own_end:
+                    code = instance.popen and instance.popen.returncode
                     description = (
                         f"{instance.name} exited unexpectedly with code {code}"
                     )
@@ -313,7 +318,7 @@
                 if instance.starts:
                     # The platform writes the settings anew at each start.
                     instance.seeds = self._current_seeds()
-                instance.start()
+                instance.start(is_own_end)
 
     def _current_seeds(self) -> list[str]:
         controls = self.of_role("control")[:SEED_COUNT]
--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -238,10 +238,14 @@
 
 
 def _events(process: deployment.Process) -> list[float]:
-    """Return when a process was started, stopped, killed or suspended."""
+    """Return when a process was started, stopped, killed or suspended.
+
+    An instance whose process exits on its own counts as running all the while.
+    """
+    starts = [] if process.follows_own_end else [process.started_at]
     stops = [at for at, number in process.signals if number is signal.SIGTERM]
     kills = [at for at, number in process.signals if number is signal.SIGKILL]
-    return [process.started_at, *stops, *kills, *process.disrupted_at()]
+    return [*starts, *stops, *kills, *process.disrupted_at()]
 
 
 def _overlaps(attempt: history.Attempt, periods: list[tuple[float, float]]) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -509,6 +509,22 @@
     assert (losses.KEPT not in found) is holds
 
 
+# Guards against instances that end themselves, start anew every few seconds, and are
+# excused by that: they count as running all the while.
+@pytest.mark.parametrize("follows_own_end", [False, True])
+@pytest.mark.parametrize("is_entry", [False, True])
+def test_losses_excuses_no_starts_after_own_ends(follows_own_end, is_entry):
+    entry, control = entry_with([]), entry_with([])
+    restarted, calm = (entry, control) if is_entry else (control, entry)
+    restarted.processes[1].follows_own_end = follows_own_end
+    del calm.processes[1]
+    observations = history.History()
+    for number in range(4):
+        record(observations, entry, f"{number}", sent_at=12.0, ended_at=13.0)
+    found = violated(observations, entry, controls=[control])
+    assert (losses.KEPT in found) is follows_own_end
+
+
 # Guards against a starved process that SIGHUP ends before its interpreter has started,
 # and which counts as one that exits on its own (seed 301 beside busy processes).
 def test_deployment_tells_whether_a_process_handles_sighup():
