--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,7 +12,11 @@
 import tempfile
 from collections.abc import Callable
 
-from tests.soak import load, run
+from tests.soak import load, run, site
+
+# Options of a run as large as a site, and how often planned work outnumbers others.
+SITE_DEFAULTS = {"entries": 10, "callers": 24, "faults": 2, "clinging": 9}
+PLANNED_WEIGHT = 3
 
 
 def main() -> int:
@@ -45,8 +49,17 @@
     )
     parser.add_argument("--burst", type=float, default=0.6, help="s in which they run")
     parser.add_argument("--period", type=float, default=2.0, help="s from run to run")
+    parser.add_argument(
+        "--site", choices=site.SITES_BY_PROFILE, help="planned work on a large site"
+    )
     parser.add_argument("--folder", type=pathlib.Path, help="folder for logs")
+    if parser.parse_args().site:
+        parser.set_defaults(**SITE_DEFAULTS)
     options = parser.parse_args()
+    its_site = site.SITES_BY_PROFILE.get(options.site, site.SMALL)
+    names = tuple(options.fault or its_site.faults)
+    if options.site:
+        names += site.PLANNED_FAULTS * PLANNED_WEIGHT
     folder = options.folder or pathlib.Path(tempfile.mkdtemp(prefix="yuccapitch-soak-"))
     seeds = options.seed or [secrets.randbelow(10**9) for _ in range(options.seeds)]
     seeds_with_violations = 0
@@ -58,11 +71,12 @@
             options.entries,
             options.callers,
             options.faults,
-            fault_names=tuple(options.fault or run.Plan.fault_names),
+            fault_names=names or run.Plan.fault_names,
             clinging_callers=options.clinging,
             idle_callers=options.idle,
             more_routes=options.routes,
             load=load.Load(options.cores, options.busy, options.period, options.burst),
+            site=its_site,
         )
 
         def report_progress(line: str, seed: int = seed, number: int = number) -> None:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,10 +13,8 @@
 LOOKUP_TIMEOUT_S = 1.0
 DEADLINE_S = 4.0
 PAUSE_S = 0.15
-# About as long as a connection may be idle in a planned stop.
-IDLE_PAUSE_S = 1.1
+MAX_PATIENCE_S = 1.0
 UPLOAD_BYTES = 40_000
-PROBE_INTERVAL_S = 0.2
 KINDS_BY_PATH = {"/safe/": "safe", "/order/": "unsafe", "/photo/": "upload"}
 
 
@@ -32,6 +30,7 @@
         rng: random.Random,
         monitor: clients.LoopMonitor,
     ) -> None:
+        self._site = controls[0].site
         self._number = number
         self._zone = zone
         self._controls = controls
@@ -71,7 +70,9 @@
                 path = self._rng.choice(list(KINDS_BY_PATH))
                 await self.send(pool, address, path)
 
-    async def send(self, pool: clients.Pool, address: str, path: str) -> int | None:
+    async def send(
+        self, pool: clients.Pool, address: str, path: str, is_repeat: bool = False
+    ) -> int | None:
         """Send one request, check the response and return its status."""
         self._count += 1
         attempt_id = f"c{self._number}-{self._count}"
@@ -84,18 +85,27 @@
         attempt = history.Attempt(attempt_id, kind, address, loop.time())
         self._observations.record_start(attempt)
         method = "GET" if kind == "safe" else "POST"
-        status, response = await request(pool, method, target, attempt, body)
+        deadline_s = self._site.deadline_s_by_path[path]
+        patience_s, leaving_fraction = deadline_s + 1.0, self._site.leaving_fraction
+        if leaving_fraction and self._rng.random() < leaving_fraction:
+            patience_s = MAX_PATIENCE_S * self._rng.random()
+        status, response = await request(
+            pool, method, target, attempt, body, deadline_s, patience_s
+        )
         self._observations.record_end(attempt, status, loop.time())
         if status == 200:
             expected = endpoints.response_body(attempt_id, target, body)
             self._observations.check(
                 "complete responses", response == expected, f"{attempt}"
             )
+        elif self._site.repeats_once and not is_repeat:
+            if kind == "safe" or status in history.NOT_EXECUTED_STATUSES:
+                return await self.send(pool, address, path, is_repeat=True)
         return status
 
     async def _look_up(self, session: aiohttp.ClientSession) -> None:
         control = self._rng.choice(self._controls)
-        region = deployment.ZONES[self._zone]
+        region = self._site.regions_by_zone[self._zone]
         url = f"http://{control.ip}:{deployment.LOOKUP_PORT}/api/resolve"
         query = {"name": operator.HOST, "region": region, "zone": self._zone}
         timeout = aiohttp.ClientTimeout(total=LOOKUP_TIMEOUT_S)
@@ -127,7 +137,7 @@
         """Probe recent revisions until cancelled."""
         async with clients.Pool(self._monitor) as pool:
             while True:
-                await asyncio.sleep(PROBE_INTERVAL_S)
+                await asyncio.sleep(self._entry.site.probe_interval_s)
                 # The latest revision may not be in force yet; probe earlier ones too.
                 newest = self._config_operator.revision
                 for revision in range(max(1, newest - 4), newest + 1):
@@ -182,14 +192,16 @@
     target: str,
     attempt: history.Attempt,
     body: bytes,
+    deadline_s: float = DEADLINE_S,
+    patience_s: float = DEADLINE_S + 1.0,
 ) -> tuple[int | None, bytes]:
     """Return status and body; status None if the connection ended before a response."""
     headers = {
         "Host": operator.HOST,
         "Attempt-Id": attempt.attempt_id,
         "Affinity-Key": target.partition("?")[0],
-        "Deadline-Ms": str(round(DEADLINE_S * 1000)),
+        "Deadline-Ms": str(round(deadline_s * 1000)),
     }
-    attempt.time_limit_s = min(DEADLINE_S, operator.ROUTE_TIMEOUT_S)
+    attempt.time_limit_s = min(deadline_s, operator.ROUTE_TIMEOUT_S)
     message = clients.message(method, target, headers, body)
-    return await pool.request(attempt, message, DEADLINE_S + 1.0)
+    return await pool.request(attempt, message, patience_s)
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -10,6 +10,7 @@
 import pathlib
 import random
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -17,7 +18,7 @@
 import sys
 import time
 
-from tests.soak import load
+from tests.soak import load, site
 from yuccapitch.consensus import records
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -28,11 +29,13 @@
 SEED_COUNT = 3
 # Second byte of the first loopback network and their number; a run uses a free one.
 FIRST_NETWORK, NETWORK_COUNT = 32, 200
-ZONES = {"north-a": "north", "north-b": "north", "south-a": "south", "south-b": "south"}
+ZONES = site.SMALL.regions_by_zone
 RESTART_DELAY_S = 0.3
 # Time after an acknowledgement within which a change has to be in force everywhere.
 ORDER_APPLY_LIMIT_S = 2.5
 STOP_GRACE_S = 6.0
+AFTER_FULL_DISK_S = 1.0
+FULL_DEVICE = pathlib.Path("/dev/full")
 # Before the interpreter has started, SIGHUP terminates the process.
 INTERPRETER_START_S = 1.0
 
@@ -92,6 +95,8 @@
     seeds: list[str]
     list_host: str
     load: load.Load = load.Load()
+    site: site.Site = site.SMALL
+    is_log_full: bool = False
     popen: subprocess.Popen[bytes] | None = None
     starts: int = 0
     processes: list[Process] = dataclasses.field(default_factory=list)
@@ -99,6 +104,8 @@
     """Whether the process is restarted after it exits."""
     is_exit_expected: bool = False
     """Whether a signal of the test can have ended the process."""
+    disk_full_until: float = float("-inf")
+    """When its disk was or will be full last."""
     _torn_end: tuple[str, int] = ("", 0)
     """File and size of the log after the last record that was appended to it."""
 
@@ -133,22 +140,25 @@
             "PYTHONPATH": ":".join(map(str, [*sources, packages])),
             "YUCCAPITCH_NODE_FILE": str(self.folder / "local.toml"),
         }
-        with self.log_path.open("ab") as log:
+        output_path = FULL_DEVICE if self.is_log_full else self.log_path
+        with self.log_path.open("ab") as log, output_path.open("ab") as output:
             self.popen = subprocess.Popen(
                 [sys.executable, "-S", "-m", "yuccapitch.platform", self.role],
                 env=environment,
-                stdout=log,
+                stdout=output,
                 stderr=log,
                 start_new_session=True,
             )
         self.load.pin(self.popen.pid)
+        self.limit_files()
         self.starts += 1
         self.processes.append(Process(time.monotonic(), [], follows_own_end))
         self.is_exit_expected = False
 
     def write_settings(self) -> None:
         """Write the settings file in the platform's format."""
-        zones = "\n".join(f'{zone} = "{region}"' for zone, region in ZONES.items())
+        regions = self.site.regions_by_zone
+        zones = "\n".join(f'{zone} = "{region}"' for zone, region in regions.items())
         listen = f'inner = "{self.ip}:{PROCESS_PORT}"\n'
         if self.role == "control":
             listen += f'control = "{self.ip}:{CONTROL_PORT}"\n'
@@ -160,7 +170,7 @@
         disk = f'dataDir = "{self.data_dir}"\n' if self.role == "control" else ""
         (self.folder / "local.toml").write_text(
             f'nodeId = "{self.name}"\nip = "{self.ip}"\nzone = "{self.zone}"\n'
-            f'region = "{ZONES[self.zone]}"\nbootstrap = {is_first}\n'
+            f'region = "{regions[self.zone]}"\nbootstrap = {is_first}\n'
             f"internalPortRange = [{INNER_PORT},{INNER_PORT + 15}]\n"
             f"seeds = {self.seeds!r}\n{disk}"
             f"[zones]\n{zones}\n[listen]\n{listen}"
@@ -185,6 +195,13 @@
                 self.is_exit_expected = True
             self.popen.send_signal(number)
 
+    def limit_files(self) -> None:
+        """Let the process write to no file while its disk is full."""
+        if self.popen is not None and self.is_running:
+            is_full = time.monotonic() < self.disk_full_until
+            limits = 0 if is_full else resource.RLIM_INFINITY, resource.RLIM_INFINITY
+            resource.prlimit(self.popen.pid, resource.RLIMIT_FSIZE, limits)
+
     def end_grace(self, now: float) -> None:
         """Kill a process that is still running after its grace, as platforms do."""
         if self.is_running and now > self.processes[-1].stopped_at + STOP_GRACE_S:
@@ -245,8 +262,9 @@
         controls: int,
         entries: int,
         beside: load.Load = load.Load(),
+        its_site: site.Site = site.SMALL,
     ) -> None:
-        zones = list(ZONES)
+        zones = list(its_site.regions_by_zone)
         net = _free_network()
         self._net = net
         self._moves = 0
@@ -271,6 +289,8 @@
                     seeds,
                     self.list_host,
                     beside,
+                    its_site,
+                    role in its_site.full_log_roles,
                 )
 
     def of_role(self, role: str) -> list[Instance]:
@@ -306,9 +326,11 @@
                 instance.end_grace(time.monotonic())
                 if instance.is_running or not instance.should_run:
                     continue
-                is_own_end = instance.popen is not None and (
-                    not instance.is_exit_expected
+                may_exit_until = instance.disk_full_until + AFTER_FULL_DISK_S
+                may_exit = (
+                    instance.is_exit_expected or time.monotonic() < may_exit_until
                 )
+                is_own_end = instance.popen is not None and not may_exit
                 if is_own_end:
                     code = instance.popen and instance.popen.returncode
                     description = (
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -12,9 +12,9 @@
 
 from aiohttp import web
 
-from tests.soak import history, operator
+from tests.soak import history, network, operator, site
 
-COLD_SERVICE_TIME_S, WARM_SERVICE_TIME_S = 0.09, 0.03
+WARM_SHARE = 1 / 3
 # Longer than the grace of a planned stop.
 HELD_SERVICE_TIME_S = 8.0
 QUEUE_PER_SLOT = 3
@@ -23,6 +23,8 @@
 # Time in which the instances may learn of a limit, and the window in which it counts.
 LIMIT_NOTICE_S, LIMIT_WINDOW_S = 4.0, 4.0
 EARLIER_REFUSAL = b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+GARBLED_RESPONSES = (b"\0" * 64, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno")
+MAX_GARBLE_DELAY_S = 1.0
 # Rows of another writer, as JSON: one that does not match the columns, and values that
 # decoders refuse.
 ODD_ROWS = ('["another writer",null]', "1e999", "[" * 2000 + "]" * 2000)
@@ -40,10 +42,11 @@
         port: int,
         observations: history.History,
         rng: random.Random,
+        its_site: site.Site = site.SMALL,
     ) -> None:
         self.name, self.service, self.zone = name, service, zone
         self.host, self.port = host, port
-        self.slots = 4
+        self._site, self.slots = its_site, its_site.slots
         self.incarnation = 1
         self.is_leaving = False
         self.is_up = False
@@ -55,10 +58,13 @@
         self.shed_fraction = 0.0
         self.held_fraction = 0.0
         """Fraction of requests of the long route that take longer than a stop."""
+        self.garbled_fraction = 0.0
+        """Fraction of requests in or after whose response other bytes are sent."""
         self.repeated_fraction = 0.0
         """Fraction of requests on kept connections before whose response an earlier
         refusal is written once more."""
-        self._kept_transports: weakref.WeakSet[asyncio.Transport] = weakref.WeakSet()
+        self._ids_by_transport: weakref.WeakKeyDictionary[asyncio.Transport, str]
+        self._ids_by_transport = weakref.WeakKeyDictionary()
         self.rate_limit: float | None = None
         """Limit of the request rate that the endpoint names."""
         self.checks_rate_limit = False
@@ -99,6 +105,12 @@
             self.is_up = False
             await runner.cleanup()
 
+    def reset_connections(self) -> None:
+        """Reset all connections, with what is executed on them."""
+        for transport, attempt_id in list(self._ids_by_transport.items()):
+            self._observations.record_broken_off(attempt_id)
+            network.reset(transport)
+
     def limit_rate(self, rate_per_s: float | None) -> None:
         """Name a limit from now on, or none."""
         self.rate_limit = rate_per_s
@@ -145,7 +157,7 @@
         try:
             async with self._free_slots:
                 self._observations.record_execution(attempt_id, self.instance_id)
-                self._repeat_refusal(request.transport)
+                self._send_unasked(request.transport, attempt_id)
                 await self._execute(request)
         finally:
             self._running -= 1
@@ -153,11 +165,15 @@
         headers["Server-Seal"] = response_signature(content)
         return await self._send_response(request, content, headers)
 
-    def _repeat_refusal(self, transport: asyncio.Transport | None) -> None:
+    def _send_unasked(self, transport: asyncio.Transport | None, id_: str) -> None:
         if transport is None:
             return
-        is_kept = transport in self._kept_transports
-        self._kept_transports.add(transport)
+        is_kept = transport in self._ids_by_transport
+        self._ids_by_transport[transport] = id_
+        if self.garbled_fraction and self._rng.random() < self.garbled_fraction:
+            delay_s = MAX_GARBLE_DELAY_S * self._rng.random()
+            content = self._rng.choice(GARBLED_RESPONSES)
+            asyncio.get_running_loop().call_later(delay_s, transport.write, content)
         if is_kept and self._rng.random() < self.repeated_fraction:
             transport.write(EARLIER_REFUSAL)
 
@@ -175,9 +191,10 @@
 
     async def _execute(self, request: web.Request) -> None:
         key = request.path + request.headers.get("Affinity-Key", "")
-        service_time_s = (
-            WARM_SERVICE_TIME_S if key in self._warm_keys else COLD_SERVICE_TIME_S
-        )
+        prefix = request.path[: request.path.find("/", 1) + 1]
+        work_s_by_path = self._site.work_s_by_path
+        service_time_s = work_s_by_path.get(prefix, work_s_by_path["/safe/"])
+        service_time_s *= WARM_SHARE if key in self._warm_keys else 1.0
         self._warm_keys.add(key)
         if request.path.startswith(operator.LONG_PATH):
             if self._rng.random() < self.held_fraction:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -415,3 +415,30 @@
         context.links.blocked_pairs |= pairs
         await asyncio.sleep(duration_s)
         context.links.blocked_pairs -= pairs
+
+
+@_register_fault
+async def fill_disk(context: FaultContext, duration_s: float) -> None:
+    """Let a control instance write nothing to any of its files."""
+    instance = context.sample_instances("control", 1)[0]
+    instance.disk_full_until = time.monotonic() + max(4.5, duration_s)
+    instance.limit_files()
+    await asyncio.sleep(max(4.5, duration_s))
+    instance.limit_files()
+
+
+@_register_fault
+async def reset_endpoint_connections(context: FaultContext, duration_s: float) -> None:
+    for endpoint in context.rng.sample(context.endpoints, 8):
+        endpoint.reset_connections()
+
+
+@_register_fault
+async def garble_answers(context: FaultContext, duration_s: float) -> None:
+    """Let endpoints send what is no response, or a response that nobody awaits."""
+    with context.reserve_endpoints(0.4) as chosen:
+        for endpoint in chosen:
+            endpoint.garbled_fraction = 0.03
+        await asyncio.sleep(duration_s)
+        for endpoint in chosen:
+            endpoint.garbled_fraction = 0.0
--- a/tests/soak/network.py
+++ b/tests/soak/network.py
@@ -14,6 +14,14 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+def reset(transport: asyncio.Transport) -> None:
+    """Close a connection with a reset."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    transport.abort()
+
+
 class Network:
     """All proxies and the active network faults."""
 
@@ -63,10 +71,7 @@
     def reset(self) -> None:
         """Reset the connections to both instances."""
         for writer in self._writers:
-            sock = writer.get_extra_info("socket")
-            if sock is not None and not writer.is_closing():
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-            writer.transport.abort()
+            reset(writer.transport)
 
     async def forward(
         self,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,17 +28,10 @@
     network,
     operator,
     pipelining,
+    site,
 )
 
-ENDPOINTS_PER_SERVICE = 6
 ENDPOINT_PORT = 8080
-# How clients cling to an entry: whether they keep connections, and their pauses.
-CLINGING_WAYS = (
-    (False, callers.PAUSE_S),
-    (False, callers.PAUSE_S),
-    (True, callers.PAUSE_S),
-    (True, callers.IDLE_PAUSE_S),
-)
 MAX_FAULT_S = 4.0
 PROGRESS_INTERVAL_S = 5.0
 # Ends a run that does not recover. Recovery is guaranteed within seconds, but the
@@ -59,7 +52,7 @@
     checks_rate_limits: bool = False
     """Whether limits are checked; instances that are killed or cut off are excused."""
     fault_names: tuple[str, ...] = tuple(sorted(faults.FAULTS_BY_NAME))
-    clinging_callers: int = len(CLINGING_WAYS)
+    clinging_callers: int = len(site.SMALL.clinging_ways)
     """Clients of each entry that keep coming to it while it is being stopped."""
     idle_callers: int = 0
     """More of those that pause about as long as a connection may be idle."""
@@ -67,6 +60,7 @@
     """Routes that nobody requests, which make changes long to apply."""
     load: load.Load = load.Load()
     """Load beside the instances; it is no disruption."""
+    site: site.Site = site.SMALL
 
 
 @dataclasses.dataclass
@@ -135,14 +129,16 @@
     stack: contextlib.AsyncExitStack,
 ) -> faults.FaultContext:
     """Start all processes and their environment, and put a first configuration."""
-    cluster = deployment.Deployment(folder, plan.controls, plan.entries, plan.load)
+    cluster = deployment.Deployment(
+        folder, plan.controls, plan.entries, plan.load, plan.site
+    )
     stack.push_async_callback(cluster.aclose)
     links = network.Network()
     stack.push_async_callback(links.aclose)
     for instance in cluster.instances_by_name.values():
         await links.add(instance.instance_id, (instance.ip, deployment.PROCESS_PORT))
     endpoint_list = await _start_endpoints(
-        cluster.endpoint_net, observations, rng, stack
+        plan.site, cluster.endpoint_net, observations, rng, stack
     )
     for endpoint in endpoint_list:
         endpoint.checks_rate_limit = plan.checks_rate_limits
@@ -172,7 +168,7 @@
 ) -> callers.Caller:
     """Start the clients, probers and reads; return one of the clients."""
     controls = context.cluster.of_role("control")
-    zones = list(deployment.ZONES)
+    zones = list(plan.site.regions_by_zone)
     all_callers = [
         callers.Caller(n, zones[n % len(zones)], controls, observations, rng, monitor)
         for n in range(plan.callers)
@@ -202,8 +198,9 @@
     """Start clients that keep coming to an entry while it is being stopped."""
     rng = random.Random(plan.seed)
     numbers = itertools.count(plan.callers)
-    ways = [CLINGING_WAYS[n % len(CLINGING_WAYS)] for n in range(plan.clinging_callers)]
-    ways += [CLINGING_WAYS[-1]] * plan.idle_callers
+    all_ways = plan.site.clinging_ways
+    ways = [all_ways[n % len(all_ways)] for n in range(plan.clinging_callers)]
+    ways += [all_ways[-1]] * plan.idle_callers
     for entry in context.cluster.of_role("entry"):
         for keeps, pause_s in ways:
             caller = callers.Caller(
@@ -218,20 +215,21 @@
 
 
 async def _start_endpoints(
+    its_site: site.Site,
     net: str,
     observations: history.History,
     rng: random.Random,
     stack: contextlib.AsyncExitStack,
 ) -> list[endpoints.Endpoint]:
     endpoint_list = []
-    zones = list(deployment.ZONES)
-    for index in range(ENDPOINTS_PER_SERVICE * len(operator.SERVICES)):
-        service = operator.SERVICES[index % len(operator.SERVICES)]
+    zones = list(its_site.regions_by_zone)
+    for index, service in enumerate(its_site.services):
         zone = zones[(index // len(operator.SERVICES)) % len(zones)]
         host = f"{net}.{index + 1}"
         endpoint = endpoints.Endpoint(
-            f"i-{index}", service, zone, host, ENDPOINT_PORT, observations, rng
-        )
+            f"i-{index}", service, zone, host, ENDPOINT_PORT, observations, rng,
+            its_site,
+        )  # fmt: skip
         await endpoint.start()
         stack.push_async_callback(endpoint.stop)
         endpoint_list.append(endpoint)
@@ -260,6 +258,7 @@
     context.links.heal()
     for instance in context.cluster.instances_by_name.values():
         instance.send_signal(signal.SIGCONT)
+        instance.is_log_full = False
 
 
 async def _recover(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import pathlib
 import random
 import signal
@@ -40,6 +41,9 @@
     "stop_beside_silent_links",
     "stop_in_series",
     "change_in_series",
+    "fill_disk",
+    "reset_endpoint_connections",
+    "garble_answers",
 }
 # Seeds that caused a violation, each with its cause, and the default seed.
 REGRESSION_SEEDS = {
@@ -134,6 +138,28 @@
         assert report.checks_by_guarantee[guarantee] > 0
 
 
+# Guards against an injected full disk that takes writes, or that stays full.
+async def test_instance_fills_its_disk_for_a_time(tmp_path: pathlib.Path):
+    instance = deployment.Instance("c", "control", "", "z", tmp_path, [], "")
+    path = tmp_path / "file"
+    program = f"import sys\nfor _ in sys.stdin:\n with open({str(path)!r}, 'ab') as f:"
+    program += "\n  try: f.write(b'1'); f.flush(); print('ok', flush=True)"
+    program += "\n  except OSError as e: print(e.errno, flush=True); f.raw.close()"
+    with subprocess.Popen(
+        [sys.executable, "-S", "-c", program],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    ) as popen:
+        instance.popen = popen
+        for full_s, expected in ((0.0, "ok"), (9.0, str(errno.EFBIG)), (0.0, "ok")):
+            instance.disk_full_until = time.monotonic() + full_s
+            instance.limit_files()
+            popen.stdin.write(b"\n")
+            popen.stdin.flush()
+            assert popen.stdout.readline().decode().strip() == expected
+        popen.kill()
+
+
 def attempt(kind: str) -> history.Attempt:
     return history.Attempt("1", kind, "10.0.0.1:80", 0.0)
 
