Known red: requests lost beside full logs

Callers of an instance whose standard output takes no more bytes lose whole requests: the instance ends itself with code 1, without a drain.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,7 @@
     operator,
     pipelining,
     run,
+    site,
 )
 
 SIGHUP_DURING_IMPORT = "SIGHUP ended a process that was still importing modules"
@@ -138,6 +139,22 @@
         assert report.checks_by_guarantee[guarantee] > 0
 
 
+# Guards against instances that end themselves, over requests that they have passed on,
+# because nothing takes what they log.
+@pytest.mark.processes
+@pytest.mark.timeout(300)
+async def test_soak_loses_nothing_beside_full_logs(tmp_path: pathlib.Path):
+    its_site = site.SITES_BY_PROFILE["full-logs"]
+    plan = run.Plan(
+        1, 20.0, 3, entries=5, callers=12, concurrent_faults=2, clinging_callers=9,
+        fault_names=site.PLANNED_FAULTS, site=its_site,
+    )  # fmt: skip
+    report = await run.run(plan, tmp_path)
+    assert report.violations == []
+    for guarantee in (losses.STOP, losses.RELOAD, losses.CHANGE, losses.KEPT):
+        assert report.checks_by_guarantee[guarantee] > 0
+
+
 # Guards against an injected full disk that takes writes, or that stays full.
 async def test_instance_fills_its_disk_for_a_time(tmp_path: pathlib.Path):
     instance = deployment.Instance("c", "control", "", "z", tmp_path, [], "")
