--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import pathlib
 import random
 import signal
@@ -25,6 +26,7 @@
     operator,
     pipelining,
     run,
+    site,
     stepped_clock,
 )
 
@@ -43,6 +45,9 @@
     "change_in_series",
     "exchange_seeds",
     "step_clock",
+    "fill_disk",
+    "reset_endpoint_connections",
+    "garble_answers",
 }
 # Seeds that caused a violation, each with its cause, and the default seed.
 REGRESSION_SEEDS = {
@@ -165,6 +170,44 @@
     assert report.faults_by_name["step_clock"] > 1
 
 
+# Guards against instances that end themselves, over requests that they have passed on,
+# because nothing takes what they log.
+@pytest.mark.processes
+@pytest.mark.timeout(300)
+async def test_soak_loses_nothing_beside_full_logs(tmp_path: pathlib.Path):
+    its_site = site.SITES_BY_PROFILE["full-logs"]
+    plan = run.Plan(
+        1, 20.0, 3, entries=5, callers=12, concurrent_faults=2, clinging_callers=9,
+        fault_names=site.PLANNED_FAULTS, site=its_site,
+    )  # fmt: skip
+    report = await run.run(plan, tmp_path)
+    assert report.violations == []
+    for guarantee in (losses.STOP, losses.RELOAD, losses.CHANGE, losses.KEPT):
+        assert report.checks_by_guarantee[guarantee] > 0
+
+
+# Guards against an injected full disk that takes writes, or that stays full.
+async def test_instance_fills_its_disk_for_a_time(tmp_path: pathlib.Path):
+    instance = deployment.Instance("c", "control", "", "z", tmp_path, [], "")
+    path = tmp_path / "file"
+    program = f"import sys\nfor _ in sys.stdin:\n with open({str(path)!r}, 'ab') as f:"
+    program += "\n  try: f.write(b'1'); f.flush(); print('ok', flush=True)"
+    program += "\n  except OSError as e: print(e.errno, flush=True); f.raw.close()"
+    with subprocess.Popen(
+        [sys.executable, "-S", "-c", program],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    ) as popen:
+        instance.popen = popen
+        for full_s, expected in ((0.0, "ok"), (9.0, str(errno.EFBIG)), (0.0, "ok")):
+            instance.disk_full_until = time.monotonic() + full_s
+            instance.limit_files()
+            popen.stdin.write(b"\n")
+            popen.stdin.flush()
+            assert popen.stdout.readline().decode().strip() == expected
+        popen.kill()
+
+
 def attempt(kind: str) -> history.Attempt:
     return history.Attempt("1", kind, "10.0.0.1:80", 0.0)
 
@@ -580,6 +623,22 @@
     assert 0 <= time.clock_gettime(time.CLOCK_BOOTTIME) - boot < 60
 
 
+# Guards against instances that end themselves, start anew every few seconds, and are
+# excused by that: they count as running all the while.
+@pytest.mark.parametrize("follows_own_end", [False, True])
+@pytest.mark.parametrize("is_entry", [False, True])
+def test_losses_excuses_no_starts_after_own_ends(follows_own_end, is_entry):
+    entry, control = entry_with([]), entry_with([])
+    restarted, calm = (entry, control) if is_entry else (control, entry)
+    restarted.processes[1].follows_own_end = follows_own_end
+    del calm.processes[1]
+    observations = history.History()
+    for number in range(4):
+        record(observations, entry, f"{number}", sent_at=12.0, ended_at=13.0)
+    found = violated(observations, entry, controls=[control])
+    assert (losses.KEPT in found) is follows_own_end
+
+
 # Guards against a starved process that SIGHUP ends before its interpreter has started,
 # and which counts as one that exits on its own (seed 301 beside busy processes).
 def test_deployment_tells_whether_a_process_handles_sighup():
