Log: count lines that could not be written, name the error, log clock steps

What an instance lacks to tell the hypotheses apart: what a write of the log failed with and how many lines it cost, and whether the time of day was stepped.

Change: BoundedLog remembers the error of the last write and reports it with the lines lost once the destination takes lines again (log.write-failed); yuccapitch_log_lines_lost counts them; the reason of an own end goes to standard error too if the log fails; the loop monitor compares the time of day with the time since boot (process.clock-stepped). What ends an instance is unchanged.

The fake node of test_process.py gets the metrics that the process now registers at.

--- a/packages/node/src/yuccapitch/node/loop_monitor.py
+++ b/packages/node/src/yuccapitch/node/loop_monitor.py
@@ -1,4 +1,4 @@
-"""Detection of an event loop that runs late.
+"""Detection of an event loop that runs late, and of steps of the time of day.
 
 A loop is late because of a long step of its own or because the machine gives the
 process no processor. Whatever arrives meanwhile waits in the kernel.
@@ -8,11 +8,15 @@
 
 import asyncio
 import collections
+import dataclasses
+import time
 
 from yuccapitch.protocol import events
 
 CHECK_INTERVAL_S = 0.25
 MIN_LOGGED_LAG_S = 0.2
+# Least step of the time of day that is logged; smaller ones correct a drift.
+MIN_LOGGED_STEP_S = 0.2
 # Number of checks that the recent lag covers: ten seconds or more.
 RECENT_CHECKS = 40
 
@@ -33,16 +37,32 @@
         self._lags_s.append(lag_s)
 
 
+@dataclasses.dataclass(frozen=True)
+class ClockReading:
+    """The time of day and the time since boot, read in the same moment."""
+
+    time_of_day_s: float
+    boot_time_s: float
+
+    @property
+    def offset_s(self) -> float:
+        """The time of day at which the machine was booted."""
+        return self.time_of_day_s - self.boot_time_s
+
+
 async def run(recent_lag: RecentLag | None = None) -> None:
-    """Check periodically, until cancelled, by how much the loop is late."""
+    """Check periodically, until cancelled, how late the loop is and the clocks."""
     recent_lag = recent_lag or RecentLag()
     loop = asyncio.get_running_loop()
+    clocks = read_clocks()
     while True:
         due_at = loop.time() + CHECK_INTERVAL_S
         await asyncio.sleep(CHECK_INTERVAL_S)
         now = loop.time()
         recent_lag.record(now - due_at)
         report_lag(due_at, now)
+        last_clocks, clocks = clocks, read_clocks()
+        report_step(last_clocks, clocks)
 
 
 def report_lag(due_at: float, now: float) -> None:
@@ -50,3 +70,22 @@
     lag_s = now - due_at
     if lag_s >= MIN_LOGGED_LAG_S:
         events.event("process.stalled", lag_ms=round(lag_s * 1000))
+
+
+def report_step(last: ClockReading, current: ClockReading) -> None:
+    """Log a step of the time of day between two readings."""
+    step_s = current.offset_s - last.offset_s
+    if abs(step_s) >= MIN_LOGGED_STEP_S:
+        events.event("process.clock-stepped", step_ms=round(step_s * 1000))
+
+
+def read_clocks() -> ClockReading:
+    """Read both clocks."""
+    started_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+    while True:
+        time_of_day = time.time()
+        ended_at = time.clock_gettime(time.CLOCK_BOOTTIME)
+        # A process that is suspended between the calls reads them again.
+        if ended_at - started_at < MIN_LOGGED_STEP_S / 2:
+            return ClockReading(time_of_day, ended_at)
+        started_at = ended_at
--- a/packages/node/src/yuccapitch/node/routed/bounded_log.py
+++ b/packages/node/src/yuccapitch/node/routed/bounded_log.py
@@ -4,6 +4,7 @@
 
 import collections
 import contextlib
+import errno
 import os
 import time
 import typing
@@ -38,6 +39,15 @@
         self._tokens_by_event: dict[str, tuple[float, float]] = {}
         self._dropped_by_event: collections.Counter[str] = collections.Counter()
         self._pending = bytearray()
+        self._write_error: OSError | None = None
+        self._failed_lines = 0
+        self.lost_lines = 0
+        """Number of lines that could not be written since the start."""
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last write has failed."""
+        return self._write_error is not None
 
     def __call__(self, message: Mapping[str, typing.Any]) -> None:
         """Write one event unless its level is too low or a limit is exceeded."""
@@ -69,7 +79,11 @@
     def _append(self, line: str) -> None:
         if len(self._pending) > MAX_PENDING_BYTES:
             # The lines that exceed the buffer are counted together for all events.
-            self._dropped_by_event["pending"] += 1
+            self.lost_lines += 1
+            if self._write_error is None:
+                self._dropped_by_event["pending"] += 1
+            else:
+                self._failed_lines += 1
             return
         self._pending += line.encode() + b"\n"
         self._flush()
@@ -83,9 +97,22 @@
                 return
             except BrokenPipeError:
                 # The reader is gone, and there is no other log to report it in.
+                self.lost_lines += self._pending.count(b"\n")
                 self._pending.clear()
                 return
+            except OSError as error:
+                self._write_error = error
+                raise
             del self._pending[:written]
+            self._report_recovery()
+
+    def _report_recovery(self) -> None:
+        error, self._write_error = self._write_error, None
+        if error is None:
+            return
+        lines, self._failed_lines = self._failed_lines, 0
+        name = errno.errorcode.get(error.errno or 0, "unknown")
+        events.event("log.write-failed", errno=name, lines=lines)
 
 
 @contextlib.contextmanager
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -71,7 +71,7 @@
         self._on_failed = on_failed
         self._clock = coordinator.boot_time_s
         self._links = inner_peers.Peers(node_settings.instance_id, timing.LINK_TIMING)
-        self._metrics = metrics.RoutedMetrics()
+        self.metrics = metrics.RoutedMetrics()
         self._state = orders.OrderState()
         self._coordinator = coordinator.Coordinator(
             node_settings.instance_id,
@@ -209,7 +209,7 @@
                 adapter.operator_handler(self._coordinator),
             ),
             (node_settings.lookup_address, adapter.lookup_handler(directory)),
-            (node_settings.metrics_address, self._metrics.handle),
+            (node_settings.metrics_address, self.metrics.handle),
         )
         for address, handler in listeners:
             if address is None:
@@ -220,7 +220,7 @@
             self._servers.append(server)
 
     def _add_gauges(self) -> None:
-        routed_metrics, replica = self._metrics, self._replica
+        routed_metrics, replica = self.metrics, self._replica
         fleet = self._coordinator.fleet
         routed_metrics.add_gauge(
             "is_leader", "1 if confirmed.", lambda: float(self._coordinator.is_leader)
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -71,7 +71,7 @@
             max_age_s=routing_state.max_state_age_s(node_settings.order_apply_limit_s)
         )
         self._is_stopping = False
-        self._metrics = metrics.RoutedMetrics()
+        self.metrics = metrics.RoutedMetrics()
         self._links = inner_peers.Peers(node_settings.instance_id, timing.LINK_TIMING)
         self._leader_poller = leader_polling.LeaderPoller(
             self._links,
@@ -107,7 +107,7 @@
             self._sender,
             node_settings.retry_budget,
             self._clock,
-            self._metrics,
+            self.metrics,
             self._dispatcher.table.notices,
         )
         self._server = http_server.Server(
@@ -137,7 +137,7 @@
                 node_settings.readiness_address,
                 self._adapter.readiness_handler(self._is_ready),
             ),
-            (node_settings.metrics_address, self._metrics.handle),
+            (node_settings.metrics_address, self.metrics.handle),
         )
         for address, handler in listeners:
             if address is not None:
@@ -202,7 +202,7 @@
         return is_usable and not self._is_stopping
 
     def _add_gauges(self) -> None:
-        state, routed_metrics = self._routing_state, self._metrics
+        state, routed_metrics = self._routing_state, self.metrics
         routed_metrics.add_gauge(
             "revision",
             "Revision of the routes in use; -1 without any.",
--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -14,7 +14,12 @@
 
 from yuccapitch.control import coordinator
 from yuccapitch.node import log_lines, loop_monitor, tasks
-from yuccapitch.node.routed import adapter as routed_adapter, bounded_log, settings
+from yuccapitch.node.routed import (
+    adapter as routed_adapter,
+    bounded_log,
+    metrics as routed_metrics,
+    settings,
+)
 from yuccapitch.protocol import events
 
 EXIT_OK = 0
@@ -33,6 +38,10 @@
 class Node(typing.Protocol):
     """An instance of either role."""
 
+    @property
+    def metrics(self) -> routed_metrics.RoutedMetrics:
+        """The metrics of the process."""
+
     async def start(self) -> result.Result[None, str]:
         """Start serving, or return why it failed."""
 
@@ -152,6 +161,11 @@
         if isinstance(started, result.Err):
             events.event("process.failed", reason=started.err_value)
             return EXIT_FAILED
+        node.metrics.add_gauge(
+            "log_lines_lost",
+            "Lines of the log that could not be written.",
+            lambda: log.lost_lines,
+        )
         tasks.start(
             _watch_settings(node, reload_event, read_changed_settings), stack, fail
         )
@@ -173,6 +187,8 @@
         await stop.wait()
         if failures:
             events.event("process.failed", reason=failures[0])
+            if log.is_failing:
+                _report_on_stderr(node_settings.name, failures[0])
             return EXIT_FAILED
         events.event("process.stopping")
         await node.drain(stopped_at[0], recent_lag.max_s)
@@ -186,6 +202,11 @@
     return bounded_log.write_to(sys.stdout.fileno(), format_line, events.Level.DEBUG)
 
 
+def _report_on_stderr(name: str, reason: str) -> None:
+    with contextlib.suppress(OSError, ValueError):
+        print(f"{name} failed: {reason}", file=sys.stderr, flush=True)
+
+
 async def _report_dropped(log: bounded_log.BoundedLog) -> None:
     while True:
         await asyncio.sleep(REPORT_INTERVAL_S)
--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -19,6 +19,7 @@
     def __init__(self, *args: object) -> None:
         self.started_at = self.stopped_at = 0.0
         self.loop_lag_s = float("-inf")
+        self.metrics = mock.Mock()
 
     async def start(self):
         os.kill(os.getpid(), signal.SIGTERM)
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -61,6 +61,11 @@
     "The event loop ran late: nothing was read, sent or accepted meanwhile.",
     Level.WARNING,
 )
+declare(
+    "process.clock-stepped",
+    "The time of day was stepped against the time since boot.",
+    Level.WARNING,
+)
 declare(
     "settings.unknown-variable",
     "An environment variable has the settings' prefix but no such setting exists.",
@@ -209,6 +214,11 @@
 declare("shift.started", "Traffic of a service is being shifted to another region.")
 declare("shift.stopped", "Traffic of a service is no longer shifted.")
 declare("log.dropped", "Lines were dropped to limit the volume of the log.")
+declare(
+    "log.write-failed",
+    "Lines were lost while writes of the log failed; it takes lines again.",
+    Level.ERROR,
+)
 declare("settings.reloaded", "The settings were reloaded.")
 declare(
     "settings.reload-failed",
