--- a/packages/node/tests/test_bounded_log.py
+++ b/packages/node/tests/test_bounded_log.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import select
+import threading
 
 import pytest
 
@@ -98,3 +100,146 @@
         events.event("process.stopped")
         read_lines(read_end)
     assert "process.stopped " in read_lines(read_end)
+
+
+class FailingWrites:
+    """Writes of the log's descriptor, which fail while there is an error."""
+
+    def __init__(self, descriptor: int, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.descriptor = descriptor
+        self.error: int | None = None
+        self._write = os.write
+        monkeypatch.setattr(bounded_log.os, "write", self.write)
+
+    def write(self, descriptor: int, data: bytes) -> int:
+        if descriptor != self.descriptor:
+            return self._write(descriptor, data)
+        if self.error is not None:
+            raise OSError(self.error, os.strerror(self.error))
+        return self._write(descriptor, data)
+
+
+@pytest.fixture
+def failing_writes(pipe, monkeypatch):
+    monkeypatch.setattr(bounded_log, "RETRY_INTERVAL_S", 0.0, raising=False)
+    return FailingWrites(pipe[1], monkeypatch)
+
+
+# Guards against an instance that ends over the requests in progress because its log
+# can't be written, such as to a full disk.
+@pytest.mark.parametrize(
+    "code", [errno.ENOSPC, errno.EIO, errno.EFBIG, errno.EDQUOT, errno.EBADF]
+)
+def test_report_dropped_survives_writes_that_fail(pipe, failing_writes, code):
+    read_end, write_end = pipe
+    with bounded_log.write_to(write_end, format_line, events.Level.DEBUG) as log:
+        failing_writes.error = code
+        events.event("request.failed", number=1)
+        log.report_dropped()
+        events.event("request.failed", number=2)
+        failing_writes.error = None
+        events.event("request.failed", number=3)
+        log.report_dropped()
+        lines = read_lines(read_end)
+    assert lines[:3] == [f"request.failed {number}" for number in (1, 2, 3)]
+    assert [line.split()[0] for line in lines[3:]] == ["log.write-failed"]
+
+
+def test_write_to_counts_the_lines_that_a_failing_log_loses(
+    pipe, failing_writes, logged, monkeypatch
+):
+    read_end, write_end = pipe
+    monkeypatch.setattr(bounded_log, "MAX_PENDING_BYTES", 100)
+    with bounded_log.write_to(write_end, format_line, events.Level.DEBUG) as log:
+        failing_writes.error = errno.ENOSPC
+        for number in range(20):
+            events.event("request.failed", number=number)
+        failing_writes.error = None
+        log.report_dropped()
+        log.report_dropped()
+        written = [n for n in read_lines(read_end) if n.startswith("request.failed")]
+        assert log.lost_lines == 20 - len(written)
+    [failure] = [m for m in logged if m["message_type"] == "log.write-failed"]
+    assert (failure["errno"], failure["lines"]) == ("ENOSPC", 20 - len(written))
+    assert len(written) < 20
+
+
+# Guards against a torn line that is joined to the next one after a full disk.
+def test_write_to_completes_a_line_that_was_written_in_part(pipe, failing_writes):
+    read_end, write_end = pipe
+    with bounded_log.write_to(write_end, format_line, events.Level.DEBUG) as log:
+        with pytest.MonkeyPatch.context() as context:
+
+            def write_some(descriptor: int, data: bytes) -> int:
+                count = failing_writes.write(descriptor, bytes(data[:5]))
+                failing_writes.error = errno.ENOSPC
+                return count
+
+            context.setattr(bounded_log.os, "write", write_some)
+            events.event("request.failed", number=1)
+            log.report_dropped()
+        failing_writes.error = None
+        events.event("request.failed", number=2)
+        log.report_dropped()
+        lines = read_lines(read_end)
+    assert lines[:2] == ["request.failed 1", "request.failed 2"]
+
+
+# Guards against an instance that ends within seconds of a full disk of its log.
+def test_report_dropped_survives_a_full_device():
+    descriptor = os.open("/dev/full", os.O_WRONLY)
+    try:
+        with bounded_log.write_to(descriptor, format_line, events.Level.DEBUG) as log:
+            events.event("process.started")
+            log.report_dropped()
+            assert log.is_failing
+    finally:
+        os.close(descriptor)
+
+
+# Guards against an instance that can't start or stop without standard output.
+@pytest.mark.parametrize("closes_first", [True, False])
+def test_write_to_survives_a_closed_descriptor(closes_first):
+    read_end, descriptor = os.pipe()
+    os.close(read_end)
+    if closes_first:
+        os.close(descriptor)
+    with bounded_log.write_to(descriptor, format_line, events.Level.DEBUG) as log:
+        if not closes_first:
+            os.close(descriptor)
+        events.event("process.started")
+        log.report_dropped()
+
+
+# Guards against an event loop that waits for a slow disk: a regular file ignores the
+# non-blocking mode.
+def test_write_to_does_not_wait_for_the_disk(tmp_path, monkeypatch):
+    descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+    write, writers = os.write, []
+
+    def record_writer(target: int, data: bytes) -> int:
+        if target == descriptor:
+            writers.append(threading.current_thread())
+        return write(target, data)
+
+    monkeypatch.setattr(bounded_log.os, "write", record_writer)
+    try:
+        with bounded_log.write_to(descriptor, format_line, events.Level.DEBUG):
+            events.event("process.started")
+            events.event("process.stopped")
+    finally:
+        os.close(descriptor)
+    lines = (tmp_path / "log").read_text().splitlines()
+    assert lines == ["process.started ", "process.stopped "]
+    assert writers and threading.current_thread() not in writers
+
+
+# Guards against an event that is not logged, or an error in what logs it, because of
+# one field.
+def test_write_to_survives_a_line_that_cannot_be_encoded(pipe):
+    read_end, write_end = pipe
+    with bounded_log.write_to(write_end, format_line, events.Level.DEBUG):
+        events.event("request.failed", number="\udc80")
+        events.event("request.failed", number=2)
+        lines = read_lines(read_end)
+    assert lines == ["request.failed \\udc80", "request.failed 2"]
--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -7,6 +7,7 @@
 import signal
 from unittest import mock
 
+import pytest
 import result
 
 from yuccapitch.control import coordinator
@@ -51,3 +52,158 @@
     assert 0.0 < node.stopped_at < node.started_at
     # Nothing was checked yet.
     assert node.loop_lag_s == 0.0
+
+
+class FailingNode:
+    """Node that ends by itself, and records what becomes of it."""
+
+    def __init__(self, stack, on_failed) -> None:
+        self._stack, self._on_failed = stack, on_failed
+        self.metrics = mock.Mock()
+        self.drained_at: list[float] = []
+        self.has_closed = False
+        self.drain_error: Exception | None = None
+        self.close_error: Exception | None = None
+        self.stops_too = False
+        self.failed_at = 0.0
+
+    async def start(self):
+        self._stack.callback(self._close)
+        asyncio.get_running_loop().call_later(0.01, self._fail)
+        return result.Ok(None)
+
+    def reload(self, node_settings) -> None:
+        raise AssertionError("not reloaded")
+
+    async def drain(self, stopped_at: float, loop_lag_s: float) -> None:
+        self.drained_at.append(stopped_at)
+        if self.stops_too:
+            os.kill(os.getpid(), signal.SIGTERM)
+            await asyncio.sleep(0.05)
+        if self.drain_error is not None:
+            raise self.drain_error
+
+    def _fail(self) -> None:
+        self.failed_at = coordinator.boot_time_s()
+        self._on_failed("broken")
+
+    def _close(self) -> None:
+        self.has_closed = True
+        if self.close_error is not None:
+            raise self.close_error
+
+
+@pytest.fixture
+def run_node(monkeypatch):
+    """Return a function that runs a node and returns it with its exit code."""
+
+    async def run(read_settings=lambda _: None, **changes):
+        created = []
+
+        def create(node_settings, adapter, stack, on_failed):
+            created.append(FailingNode(stack, on_failed))
+            vars(created[0]).update(changes)
+            return created[0]
+
+        monkeypatch.setitem(process._FACTORIES_BY_ROLE, "test", create)
+        monkeypatch.setattr(process, "gc", mock.Mock())
+        log = mock.Mock(is_failing=False)
+        code = await process._run_logged(
+            "test", FakeSettings(), None, read_settings, log
+        )
+        return created[0], code
+
+    return run
+
+
+# Guards against requests in progress that are cut because their instance ends by
+# itself, such as after a background task has failed.
+async def test_run_drains_a_node_that_fails(run_node, logged):
+    node, code = await run_node()
+    assert code == process.EXIT_FAILED
+    [drained_at] = node.drained_at
+    assert node.failed_at <= drained_at < node.failed_at + 1.0
+    assert node.has_closed
+    failures = [m for m in logged if m["message_type"] == "process.failed"]
+    assert [message["reason"] for message in failures] == ["broken"]
+
+
+# Guards against an own end that takes longer than the grace because of a stop signal.
+async def test_run_counts_the_grace_from_a_failure_before_a_signal(run_node):
+    node, code = await run_node(stops_too=True)
+    assert code == process.EXIT_FAILED
+    assert len(node.drained_at) == 1
+
+
+# Guards against an error in a part of the stop that cuts what other parts still owe.
+@pytest.mark.parametrize("part", ["drain_error", "close_error"])
+async def test_run_closes_a_node_whose_stop_fails(run_node, logged, part):
+    node, code = await run_node(**{part: OSError("broken too")})
+    assert (code, node.has_closed) == (process.EXIT_FAILED, True)
+    reasons = [m.get("reason", "") for m in logged]
+    assert any("broken too" in reason for reason in reasons)
+
+
+class StoppedNode(FailingNode):
+    """Node that is stopped by a signal once its settings were read."""
+
+    def _fail(self) -> None:
+        asyncio.get_running_loop().call_later(0.1, os.kill, os.getpid(), signal.SIGTERM)
+
+
+# Guards against an instance that ends because its changed settings can't be applied.
+@pytest.mark.parametrize("error", [TypeError("odd"), OSError("gone"), None])
+async def test_run_survives_settings_that_cannot_be_applied(monkeypatch, logged, error):
+    monkeypatch.setattr(process, "SETTINGS_CHECK_INTERVAL_S", 0.01)
+    monkeypatch.setattr(process, "gc", mock.Mock())
+    nodes = []
+
+    def create(node_settings, adapter, stack, on_failed):
+        nodes.append(StoppedNode(stack, on_failed))
+        return nodes[0]
+
+    def read_settings(is_requested):
+        if error is not None:
+            raise error
+        return result.Ok(FakeSettings())
+
+    monkeypatch.setitem(process._FACTORIES_BY_ROLE, "test", create)
+    code = await process._run_logged(
+        "test", FakeSettings(), None, read_settings, mock.Mock(is_failing=False)
+    )
+    assert (code, len(nodes[0].drained_at)) == (process.EXIT_OK, 1)
+    assert "settings.reload-failed" in [m["message_type"] for m in logged]
+
+
+# Guards against an instance that ends because of what only reports.
+@pytest.mark.parametrize("part", ["report_dropped", "loop_monitor"])
+async def test_run_survives_reports_that_fail(monkeypatch, part):
+    monkeypatch.setattr(process, "REPORT_INTERVAL_S", 0.01)
+    monkeypatch.setattr(process, "gc", mock.Mock())
+    nodes = []
+
+    def create(node_settings, adapter, stack, on_failed):
+        nodes.append(StoppedNode(stack, on_failed))
+        return nodes[0]
+
+    log = mock.Mock(is_failing=False)
+    broken = mock.Mock(side_effect=OSError("broken"))
+    if part == "report_dropped":
+        log.report_dropped = broken
+    else:
+        monkeypatch.setattr(process.loop_monitor, "run", broken)
+    monkeypatch.setitem(process._FACTORIES_BY_ROLE, "test", create)
+    code = await process._run_logged("test", FakeSettings(), None, lambda _: None, log)
+    assert (code, broken.called) == (process.EXIT_OK, True)
+
+
+# Guards against errors in callbacks that are written to standard error only, or that
+# wait for it.
+async def test_run_logs_an_uncaught_error_of_a_callback(run_node, logged):
+    def fail() -> None:
+        raise ValueError("in a callback")
+
+    asyncio.get_running_loop().call_soon(fail)
+    await run_node()
+    [message] = [m for m in logged if m["message_type"] == "process.callback-failed"]
+    assert "in a callback" in message["reason"]
