Log: no error or delay of a write reaches the instance

Cause: BoundedLog let every OSError but two out of its periodic report, whose task ends the instance when it fails. A regular file also ignores the non-blocking mode, so that a slow disk held up the event loop in os.write.

Change: line_writer.LineWriter keeps what can't be written in a bounded buffer, counts what doesn't fit, tries again and writes the rest of a torn line first, so that lines stay whole. A regular file is written by a thread that decides nothing; the exit waits 0.1 s at most for it. Standard streams that are closed, missing or refuse bytes neither prevent the start nor change the exit code; closed descriptors are opened on the null device, so that no socket gets their number.

The tests name the module line_writer, where the constants moved.

--- a/packages/node/src/yuccapitch/node/routed/bounded_log.py
+++ b/packages/node/src/yuccapitch/node/routed/bounded_log.py
@@ -4,7 +4,6 @@
 
 import collections
 import contextlib
-import errno
 import os
 import time
 import typing
@@ -12,12 +11,11 @@
 
 import eliot
 
+from yuccapitch.node.routed import line_writer
 from yuccapitch.protocol import events
 
 # Rate limit of each event name, with bursts of twice as many lines.
 LINES_PER_S = 40.0
-# Maximum buffered output while the reader is not reading.
-MAX_PENDING_BYTES = 256 * 1024
 # Lower rate limit for events of successful requests: under load, their lines are
 # dropped before those of failures.
 ROUTINE_LINES_PER_S = 15.0
@@ -29,25 +27,25 @@
 
     def __init__(
         self,
-        descriptor: int,
+        writer: line_writer.LineWriter,
         format_line: typing.Callable[[Mapping[str, typing.Any]], str],
         min_level: events.Level,
     ) -> None:
-        self._descriptor = descriptor
+        self._writer = writer
         self._format_line = format_line
         self._min_level = min_level
         self._tokens_by_event: dict[str, tuple[float, float]] = {}
         self._dropped_by_event: collections.Counter[str] = collections.Counter()
-        self._pending = bytearray()
-        self._write_error: OSError | None = None
-        self._failed_lines = 0
-        self.lost_lines = 0
-        """Number of lines that could not be written since the start."""
 
     @property
     def is_failing(self) -> bool:
         """Whether the last write has failed."""
-        return self._write_error is not None
+        return self._writer.is_failing
+
+    @property
+    def lost_lines(self) -> int:
+        """Number of lines that could not be written since the start."""
+        return self._writer.lost_lines
 
     def __call__(self, message: Mapping[str, typing.Any]) -> None:
         """Write one event unless its level is too low or a limit is exceeded."""
@@ -61,11 +59,21 @@
         self._append(self._format_line(message))
 
     def report_dropped(self) -> None:
-        """Log the number of dropped lines and retry writing the buffer."""
+        """Log the number of lost lines and retry writing the buffer."""
         dropped, self._dropped_by_event = self._dropped_by_event, collections.Counter()
         for name, count in dropped.items():
             events.event("log.dropped", dropped_event=name, lines=count)
-        self._flush()
+        self._writer.flush()
+        failure = self._writer.take_failure()
+        if failure is not None:
+            events.event(
+                "log.write-failed", errno=failure.error_name, lines=failure.lost_lines
+            )
+
+    def close(self) -> None:
+        """Write the last lines, with a bounded wait."""
+        self.report_dropped()
+        self._writer.close()
 
     def _may_write(self, name: str, now: float) -> bool:
         """Take a token from the token bucket of an event; return whether it had one."""
@@ -77,57 +85,48 @@
         return has_token
 
     def _append(self, line: str) -> None:
-        if len(self._pending) > MAX_PENDING_BYTES:
+        # A line that can't be encoded is logged in part rather than not at all.
+        content = line.encode(errors="backslashreplace") + b"\n"
+        if self._writer.append(content):
+            self._writer.flush()
+        elif not self._writer.is_failing:
             # The lines that exceed the buffer are counted together for all events.
-            self.lost_lines += 1
-            if self._write_error is None:
-                self._dropped_by_event["pending"] += 1
-            else:
-                self._failed_lines += 1
-            return
-        self._pending += line.encode() + b"\n"
-        self._flush()
-
-    def _flush(self) -> None:
-        while self._pending:
-            try:
-                written = os.write(self._descriptor, self._pending)
-            except BlockingIOError:
-                # The reader is slow; the next line or report retries the write.
-                return
-            except BrokenPipeError:
-                # The reader is gone, and there is no other log to report it in.
-                self.lost_lines += self._pending.count(b"\n")
-                self._pending.clear()
-                return
-            except OSError as error:
-                self._write_error = error
-                raise
-            del self._pending[:written]
-            self._report_recovery()
-
-    def _report_recovery(self) -> None:
-        error, self._write_error = self._write_error, None
-        if error is None:
-            return
-        lines, self._failed_lines = self._failed_lines, 0
-        name = errno.errorcode.get(error.errno or 0, "unknown")
-        events.event("log.write-failed", errno=name, lines=lines)
+            self._dropped_by_event["pending"] += 1
 
 
 @contextlib.contextmanager
 def write_to(
-    descriptor: int,
+    descriptor: int | None,
     format_line: typing.Callable[[Mapping[str, typing.Any]], str],
     min_level: events.Level,
 ) -> Iterator[BoundedLog]:
     """Write events to a file descriptor inside the context."""
-    os.set_blocking(descriptor, False)
-    log = BoundedLog(descriptor, format_line, min_level)
-    eliot.add_destinations(log)
+    log = BoundedLog(line_writer.create(descriptor), format_line, min_level)
+    with _non_blocking(descriptor):
+        eliot.add_destinations(log)
+        try:
+            yield log
+        finally:
+            log.close()
+            eliot.remove_destination(log)
+
+
+@contextlib.contextmanager
+def _non_blocking(descriptor: int | None) -> Iterator[None]:
+    is_changed = _set_blocking(descriptor, False)
     try:
-        yield log
+        yield
     finally:
-        log.report_dropped()
-        eliot.remove_destination(log)
-        os.set_blocking(descriptor, True)
+        if is_changed:
+            _set_blocking(descriptor, True)
+
+
+def _set_blocking(descriptor: int | None, is_blocking: bool) -> bool:
+    """Set the mode of a descriptor; return False if it is closed."""
+    if descriptor is None:
+        return False
+    try:
+        os.set_blocking(descriptor, is_blocking)
+    except OSError:
+        return False
+    return True
--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -17,6 +17,7 @@
 from yuccapitch.node.routed import (
     adapter as routed_adapter,
     bounded_log,
+    line_writer,
     metrics as routed_metrics,
     settings,
 )
@@ -188,7 +189,9 @@
         if failures:
             events.event("process.failed", reason=failures[0])
             if log.is_failing:
-                _report_on_stderr(node_settings.name, failures[0])
+                line_writer.write_line(
+                    sys.stderr, f"{node_settings.name} failed: {failures[0]}"
+                )
             return EXIT_FAILED
         events.event("process.stopping")
         await node.drain(stopped_at[0], recent_lag.max_s)
@@ -199,12 +202,8 @@
     def format_line(message: Mapping[str, typing.Any]) -> str:
         return log_lines.format_line(message, name)
 
-    return bounded_log.write_to(sys.stdout.fileno(), format_line, events.Level.DEBUG)
-
-
-def _report_on_stderr(name: str, reason: str) -> None:
-    with contextlib.suppress(OSError, ValueError):
-        print(f"{name} failed: {reason}", file=sys.stderr, flush=True)
+    descriptor = line_writer.find_descriptor(sys.stdout)
+    return bounded_log.write_to(descriptor, format_line, events.Level.DEBUG)
 
 
 async def _report_dropped(log: bounded_log.BoundedLog) -> None:
--- a/packages/node/tests/test_bounded_log.py
+++ b/packages/node/tests/test_bounded_log.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from yuccapitch.node.routed import bounded_log
+from yuccapitch.node.routed import bounded_log, line_writer
 from yuccapitch.protocol import events
 
 
@@ -109,7 +109,7 @@
         self.descriptor = descriptor
         self.error: int | None = None
         self._write = os.write
-        monkeypatch.setattr(bounded_log.os, "write", self.write)
+        monkeypatch.setattr(line_writer.os, "write", self.write)
 
     def write(self, descriptor: int, data: bytes) -> int:
         if descriptor != self.descriptor:
@@ -121,7 +121,7 @@
 
 @pytest.fixture
 def failing_writes(pipe, monkeypatch):
-    monkeypatch.setattr(bounded_log, "RETRY_INTERVAL_S", 0.0, raising=False)
+    monkeypatch.setattr(line_writer, "RETRY_INTERVAL_S", 0.0)
     return FailingWrites(pipe[1], monkeypatch)
 
 
@@ -149,7 +149,7 @@
     pipe, failing_writes, logged, monkeypatch
 ):
     read_end, write_end = pipe
-    monkeypatch.setattr(bounded_log, "MAX_PENDING_BYTES", 100)
+    monkeypatch.setattr(line_writer, "MAX_PENDING_BYTES", 100)
     with bounded_log.write_to(write_end, format_line, events.Level.DEBUG) as log:
         failing_writes.error = errno.ENOSPC
         for number in range(20):
@@ -175,7 +175,7 @@
                 failing_writes.error = errno.ENOSPC
                 return count
 
-            context.setattr(bounded_log.os, "write", write_some)
+            context.setattr(line_writer.os, "write", write_some)
             events.event("request.failed", number=1)
             log.report_dropped()
         failing_writes.error = None
@@ -222,7 +222,7 @@
             writers.append(threading.current_thread())
         return write(target, data)
 
-    monkeypatch.setattr(bounded_log.os, "write", record_writer)
+    monkeypatch.setattr(line_writer.os, "write", record_writer)
     try:
         with bounded_log.write_to(descriptor, format_line, events.Level.DEBUG):
             events.event("process.started")
@@ -243,3 +243,27 @@
         events.event("request.failed", number=2)
         lines = read_lines(read_end)
     assert lines == ["request.failed \\udc80", "request.failed 2"]
+
+
+# Guards against an instance that waits for a disk which takes no bytes, while it serves
+# and at its end.
+def test_write_to_ends_beside_a_disk_that_hangs(tmp_path, monkeypatch):
+    descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+    write, is_released = os.write, threading.Event()
+
+    def hang(target: int, data: bytes) -> int:
+        if target == descriptor:
+            is_released.wait()
+        return write(target, data)
+
+    monkeypatch.setattr(line_writer.os, "write", hang)
+    with bounded_log.write_to(descriptor, format_line, events.Level.DEBUG) as log:
+        for number in range(5_000):
+            log({"message_type": f"event-{number}", "number": "x" * 100})
+        assert log.lost_lines > 0
+    # The thread still waits, and ends with the process.
+    assert (tmp_path / "log").read_bytes() == b""
+    is_released.set()
+    log._writer._thread.join()
+    os.close(descriptor)
+    assert (tmp_path / "log").read_text().startswith("event-0 ")
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -186,3 +186,58 @@
         output, errors = await process.communicate()
     assert (process.returncode, output) == (2, b"")
     assert "usage" in errors.decode()
+
+
+async def wait_for_listener(path: pathlib.Path) -> None:
+    host = next(
+        line.split('"')[1]
+        for line in path.read_text().splitlines()
+        if line.startswith("ip = ")
+    )
+    async with asyncio.timeout(60):
+        while True:
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection(host, CONTROL_PORT)
+                writer.close()
+                return
+            await asyncio.sleep(0.02)
+
+
+# Guards against an instance that can't start, or whose exit code is lost, because its
+# standard output and error are closed or refuse what is written to them.
+@pytest.mark.processes
+@pytest.mark.parametrize("output", [None, "/dev/full"])
+async def test_process_runs_without_standard_streams(settings_path, output):
+    def redirect() -> None:
+        for descriptor in (1, 2):
+            os.close(descriptor)
+            if output is not None:
+                os.open(output, os.O_WRONLY)
+
+    sources = [*ROOT.glob("packages/*/src"), ROOT / "platform" / "src"]
+    packages = next(p for p in sys.path if p.endswith("site-packages"))
+    environment = {
+        **os.environ,
+        "PYTHONPATH": ":".join(map(str, [*sources, packages])),
+        "YUCCAPITCH_NODE_FILE": str(settings_path),
+    }
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-S", "-m", "yuccapitch.platform", "control",
+        env=environment, preexec_fn=redirect,
+    )  # fmt: skip
+    try:
+        await wait_for_listener(settings_path)
+        process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(60):
+            assert await process.wait() == 0
+        settings_path.write_text("[")
+        refused = await asyncio.create_subprocess_exec(
+            sys.executable, "-S", "-m", "yuccapitch.platform", "control",
+            env=environment, preexec_fn=redirect,
+        )  # fmt: skip
+        async with asyncio.timeout(60):
+            assert await refused.wait() == 2
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
