Own end: drain as in a planned stop, and don't end for what only reports

Cause: any background task that failed, those that only report included, set the stop event, and process._run_logged returned without Node.drain, so that the exit stack closed connections over the requests on them.

Change: a failure leads to the same drain as a signal, bounded by the grace of the earlier of the two, and then to exit code 1. What the instance needs for serving (polls, placer, checks of waiting requests, dispatcher, coordinator) runs again after its failure, as the drain needs it. Errors of drain, close and start are logged; the rest goes on. The entry's listener for clients is opened last, so that a start that fails has taken nothing. Uncaught errors of callbacks are logged as process.callback-failed instead of going to standard error.

--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -142,12 +142,10 @@
         await self._replica.start()
         self._stack.push_async_callback(self._replica.aclose)
         tasks.start(self._replica.wait_stopped(), self._stack, self._on_failed)
-        tasks.start(self._coordinator.run(), self._stack, self._on_failed)
-        tasks.start(
-            self._coordinator.run_endpoint_updates(), self._stack, self._on_failed
-        )
-        tasks.start(self._poll_leader(), self._stack, self._on_failed)
-        tasks.start(self._dispatching.run(), self._stack, self._on_failed)
+        # A reading that fails leaves the list in use, whose age the followers know.
+        tasks.start_optional(self._coordinator.run_endpoint_updates, self._stack)
+        for run in (self._coordinator.run, self._poll_leader, self._dispatching.run):
+            tasks.start_needed(run, self._stack, self._on_failed)
         self._add_gauges()
         await self._listen()
         return result.Ok(None)
@@ -175,6 +173,11 @@
             server.drain()
         await asyncio.sleep(STOP_NOTICE_S)
         await asyncio.gather(*(server.finish(ends_at) for server in self._servers))
+        events.event(
+            "control.drain-finished",
+            in_flight=sum(server.requests_in_flight for server in self._servers),
+            took_ms=round((self._clock() - stopped_at) * 1000),
+        )
 
     def _create_core(
         self, recovered: consensus_core.RecoveredState
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -124,13 +124,8 @@
         )
         self._stack.push_async_callback(self._links.aclose)
         self._stack.callback(self._sender.close)
-        tasks.start(self._leader_poller.run(), self._stack, self._on_failed)
-        tasks.start(self._run_placer(), self._stack, self._on_failed)
-        tasks.start(self._run_wait_checks(), self._stack, self._on_failed)
-        await self._server.start(
-            node_settings.caller_address.host, node_settings.caller_address.port
-        )
-        self._stack.push_async_callback(self._server.aclose)
+        for run in (self._leader_poller.run, self._run_placer, self._run_wait_checks):
+            tasks.start_needed(run, self._stack, self._on_failed)
         self._add_gauges()
         listeners = (
             (
@@ -144,6 +139,11 @@
                 server = http_server.Server(handler, self._clock, routes.CallerLimits)
                 await server.start(address.host, address.port)
                 self._stack.push_async_callback(server.aclose)
+        # The last step that can fail, so that a start that fails cuts no request.
+        await self._server.start(
+            node_settings.caller_address.host, node_settings.caller_address.port
+        )
+        self._stack.push_async_callback(self._server.aclose)
         return result.Ok(None)
 
     def reload(self, node_settings: settings.RoutedSettings) -> None:
@@ -170,13 +170,17 @@
         cache_lifetime_s = MAX_CACHED_TTLS * self._node_settings.lookup_ttl_s
         # At least half of the grace period is left for the requests in flight.
         listens_for_s = min(cache_lifetime_s, self._node_settings.stop_grace_s / 2)
-        self._path.stop(
-            planned_stop.StopSchedule(
-                late_from=stopped_at + min(listens_for_s, MAX_UNCHECKED_STOP_S),
-                no_places_from=ends_at - MIN_RESPONSE_TIME_S,
-                ends_at=ends_at,
-            )
+        schedule = planned_stop.StopSchedule(
+            late_from=stopped_at + min(listens_for_s, MAX_UNCHECKED_STOP_S),
+            no_places_from=ends_at - MIN_RESPONSE_TIME_S,
+            ends_at=ends_at,
         )
+        try:
+            self._path.stop(schedule)
+        except Exception as error:
+            # The requests in progress still end by their own deadlines.
+            events.event("process.drain-failed", reason=repr(error))
+            self._on_failed(repr(error))
         await asyncio.sleep(stopped_at + listens_for_s - self._clock())
         await self._server.finish(cuts_at)
         for unfinished in self._server.find_unfinished():
--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -36,6 +36,7 @@
     """Settings of a node that only names itself."""
 
     name, region_id, failure_domain, seed_ids = "node-1", "north", "north-a", ()
+    stop_grace_s = 6.0
 
 
 # Guards against a process that outlives its grace, and is killed with requests in
@@ -65,10 +66,14 @@
         self.drain_error: Exception | None = None
         self.close_error: Exception | None = None
         self.stops_too = False
+        self.drain_s = 0.0
+        self.start_error: Exception | None = None
         self.failed_at = 0.0
 
     async def start(self):
         self._stack.callback(self._close)
+        if self.start_error is not None:
+            raise self.start_error
         asyncio.get_running_loop().call_later(0.01, self._fail)
         return result.Ok(None)
 
@@ -80,6 +85,7 @@
         if self.stops_too:
             os.kill(os.getpid(), signal.SIGTERM)
             await asyncio.sleep(0.05)
+        await asyncio.sleep(self.drain_s)
         if self.drain_error is not None:
             raise self.drain_error
 
@@ -144,6 +150,22 @@
     assert any("broken too" in reason for reason in reasons)
 
 
+# Guards against an instance that ends by itself and hangs, as nobody kills it.
+async def test_run_ends_a_drain_that_outlives_the_grace(run_node, monkeypatch, logged):
+    monkeypatch.setattr(FakeSettings, "stop_grace_s", 0.05)
+    node, code = await run_node(drain_s=3600.0)
+    assert (code, node.has_closed) == (process.EXIT_FAILED, True)
+    assert "process.drain-failed" in [m["message_type"] for m in logged]
+
+
+# Guards against a start that fails without a line in the log.
+async def test_run_closes_a_node_whose_start_fails(run_node, logged):
+    node, code = await run_node(start_error=OSError("address in use"))
+    assert (code, node.has_closed) == (process.EXIT_FAILED, True)
+    [message] = [m for m in logged if m["message_type"] == "process.failed"]
+    assert "address in use" in message["reason"]
+
+
 class StoppedNode(FailingNode):
     """Node that is stopped by a signal once its settings were read."""
 
--- a/packages/node/tests/test_tasks.py
+++ b/packages/node/tests/test_tasks.py
@@ -25,3 +25,40 @@
         tasks.start(asyncio.Event().wait(), stack, reasons.append)
         await asyncio.sleep(0)
     assert reasons == []
+
+
+class FailingRun:
+    """Coroutine function that fails a number of times."""
+
+    def __init__(self, failures: int) -> None:
+        self._failures = failures
+        self.runs = 0
+        self.has_succeeded = asyncio.Event()
+
+    async def run(self) -> None:
+        self.runs += 1
+        if self.runs <= self._failures:
+            raise AssertionError("broken")
+        self.has_succeeded.set()
+
+
+# Guards against requests that are taken and not answered before an instance ends, as
+# what serves them has failed.
+async def test_start_needed_reports_a_failure_and_runs_again(monkeypatch) -> None:
+    monkeypatch.setattr(tasks, "RESTART_DELAY_S", 0.0)
+    failing, reasons = FailingRun(2), []
+    async with contextlib.AsyncExitStack() as stack:
+        tasks.start_needed(failing.run, stack, reasons.append)
+        await failing.has_succeeded.wait()
+    assert (failing.runs, reasons) == (3, ["AssertionError('broken')"] * 2)
+
+
+async def test_start_optional_logs_a_failure_and_runs_again(monkeypatch, logged):
+    monkeypatch.setattr(tasks, "RESTART_DELAY_S", 0.0)
+    failing = FailingRun(1)
+    async with contextlib.AsyncExitStack() as stack:
+        tasks.start_optional(failing.run, stack)
+        await failing.has_succeeded.wait()
+    [message] = [m for m in logged if m["message_type"] == "process.task-failed"]
+    assert message["reason"] == "AssertionError('broken')"
+    assert message["location"].startswith("test_tasks.py:")
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -51,11 +51,30 @@
     "The process stopped because of a violated invariant or an unexpected error.",
     Level.ERROR,
 )
+declare(
+    "process.drain-failed",
+    "A part of the drain failed; the rest goes on.",
+    Level.ERROR,
+)
+declare(
+    "process.close-failed",
+    "Closing a part of the instance failed; the others were closed.",
+    Level.ERROR,
+)
 declare(
     "process.task-failed",
     "A background task ended with an unexpected error.",
     Level.ERROR,
 )
+declare(
+    "process.callback-failed",
+    "A callback of the event loop, or a task that nothing waits for, failed.",
+    Level.ERROR,
+)
+declare(
+    "control.drain-finished",
+    "A control instance has answered its requests, or the time for it is over.",
+)
 declare(
     "process.stalled",
     "The event loop ran late: nothing was read, sent or accepted meanwhile.",
