HTTP server: an error at one request costs no other its response

Cause: data_received raised, upon which asyncio aborts the connection; _write_ready_responses took a response from the queue before it was encoded; Server._close_idle had no bound to one connection.

Change: the request that fails gets 500 behind the responses before it, the head that can't be encoded is replaced by that of a 500, and the stop goes on with the other connections; each is logged as request.crashed.

Evidence: the three new tests of test_server.py failed on (0 of 2 responses; 200, 200 for three requests; RuntimeError out of finish) and pass now; packages/gateway and the HTTP tests of packages/node pass.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -121,13 +121,16 @@
             self._check_field_size(self._incomplete_field_bytes)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
-            if not isinstance(cause, _RequestRejected):
-                raise
-            self._reject(cause.status, cause.reason)
+            if isinstance(cause, _RequestRejected):
+                self._reject(cause.status, cause.reason)
+            else:
+                self._reject_crashed(cause or error)
         except _RequestRejected as error:
             self._reject(error.status, error.reason)
         except httptools.HttpParserError as error:
             self._reject(400, str(error))
+        except Exception as error:
+            self._reject_crashed(error)
 
     def shed(self, reason: str) -> None:
         """Refuse the request being received, which takes too much memory."""
@@ -344,15 +347,15 @@
             if self._is_closing:
                 return
             pending = self._pending_responses.pop(0)
-            response = pending.response
-            assert response is not None
+            assert pending.response is not None
             # While stopping, the close is announced with the last response only:
             # requests pipelined after this one may be unread, or at an endpoint.
             closes = not pending.keeps_alive or (
                 self._state.is_stopping and not self._has_further_requests()
             )
-            body = b"" if pending.request.method == b"HEAD" else response.body
-            head = messages.encode_response_head(response, closes)
+            head = self._encode_head(pending, closes)
+            is_head = pending.request.method == b"HEAD"
+            body = b"" if is_head else pending.response.body
             messages.write(self._transport, head, body)
             self._state.budget.retain(pending, 0)
             if self._is_writing_paused:
@@ -366,6 +369,17 @@
         if not self._pending_responses and not self._is_in_message:
             self._start_idle_time()
 
+    def _encode_head(self, pending: _PendingResponse, closes: bool) -> bytes:
+        """Encode the head of a response, or of a failure if it can't be encoded."""
+        assert pending.response is not None
+        try:
+            return messages.encode_response_head(pending.response, closes)
+        except Exception as error:
+            events.event("request.crashed", reason=repr(error))
+            # Without a response, the request would get the one of the next.
+            pending.response = messages.Response(500, [], b"")
+            return messages.encode_response_head(pending.response, closes)
+
     def _has_further_requests(self) -> bool:
         if self._pending_responses or self._is_in_message:
             return True
@@ -395,6 +409,11 @@
         self._pending_responses.append(pending)
         self._write_ready_responses()
 
+    def _reject_crashed(self, error: BaseException) -> None:
+        # An error that leaves the protocol would cut the requests in progress too.
+        events.event("request.crashed", reason=repr(error))
+        self._reject(500, "internal error")
+
     def _close_idle(self) -> None:
         is_recent = self._state.clock() - self._idle_since < LINGER_S
         if is_recent or self._transport.get_write_buffer_size():
@@ -551,7 +570,11 @@
 
     def _close_idle(self, min_idle_s: float) -> None:
         for connection in list(self._state.connections):
-            connection.close_if_idle(min_idle_s)
+            try:
+                connection.close_if_idle(min_idle_s)
+            except Exception as error:
+                # The others still have to be served and closed.
+                events.event("request.crashed", reason=repr(error))
 
 
 def configure_tcp_socket(sock: socket.socket, user_timeout_ms: int) -> None:
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -779,3 +779,64 @@
             await finishing
         writer.close()
     assert received > len(body)
+
+
+# Guards against an error in the parsing of one request that cuts the requests before it
+# on the same connection.
+async def test_serve_answers_the_requests_before_one_that_fails(monkeypatch, logged):
+    on_url = server.Connection.on_url
+
+    def fail_on_url(connection, url: bytes) -> None:
+        if url == b"/bad":
+            raise RuntimeError("broken")
+        on_url(connection, url)
+
+    async def slow(request):
+        await asyncio.sleep(0.1)
+        return await echo(request)
+
+    monkeypatch.setattr(server.Connection, "on_url", fail_on_url)
+    async with serving(slow) as (_, port):
+        response = await exchange(port, get("/0") + get("/1") + get("/bad"))
+    assert response.count(b"HTTP/1.1 200") == 2
+    assert b"HTTP/1.1 500" in response[response.index(b"x-target: /1") :]
+    [message] = [m for m in logged if m["message_type"] == "request.crashed"]
+    assert "broken" in message["reason"]
+
+
+# Guards against a response that can't be sent, whose request gets the next one's.
+async def test_serve_answers_in_order_around_a_response_that_cannot_be_sent():
+    async def respond(request):
+        field = 7 if request.target == b"/1" else request.target
+        return messages.Response(200, [(b"x-target", field)], b"")
+
+    async with serving(respond) as (_, port):
+        response = await exchange(port, get("/0") + get("/1") + get("/2", CLOSE))
+    statuses = [part[:3] for part in response.split(b"HTTP/1.1 ")[1:]]
+    assert statuses == [b"200", b"500", b"200"]
+    assert response.index(b"/0") < response.index(b"500") < response.index(b"/2")
+
+
+# Guards against a stop that fails at one connection and cuts all others.
+async def test_finish_waits_beside_a_connection_that_fails(monkeypatch, logged):
+    close_if_idle = server.Connection.close_if_idle
+
+    def fail_once(connection, min_idle_s: float) -> None:
+        monkeypatch.setattr(server.Connection, "close_if_idle", close_if_idle)
+        raise RuntimeError("broken")
+
+    async def slow(request):
+        await asyncio.sleep(0.2)
+        return await echo(request)
+
+    async with serving(slow) as (http_server, port):
+        exchanges = [
+            asyncio.create_task(exchange(port, get(f"/{n}", CLOSE))) for n in range(2)
+        ]
+        while http_server.requests_in_flight < 2:
+            await asyncio.sleep(0.01)
+        monkeypatch.setattr(server.Connection, "close_if_idle", fail_once)
+        await http_server.finish(asyncio.get_running_loop().time() + 5.0)
+        for received in await asyncio.gather(*exchanges):
+            assert received.startswith(b"HTTP/1.1 200")
+    assert "request.crashed" in [m["message_type"] for m in logged]
