--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -126,3 +126,32 @@
     assert node_file.read(path).unwrap().routed.link_bits_per_s == 2_450_000
     path.write_text(TEXT + "[limits]\nlinkMbps = 0\n")
     assert "limits.linkMbps must be" in node_file.read(path).unwrap_err()
+
+
+# Guards against an instance that ends because its settings file has values of other
+# types, or can't be read for a moment.
+@pytest.mark.parametrize(
+    ("former", "changed", "named"),
+    [
+        ('dataDir = "/data/control"', "dataDir = 7", "dataDir"),
+        ("retryBudgetSlack = 62", f"retryBudgetSlack = 1{'0' * 400}", "Slack"),
+        ('region = "north"', f"region = {'[' * 5000}{']' * 5000}", "cannot be read"),
+        ('seeds = ["10.1.0.14:8146",', "seeds = [7,", "seeds"),
+        ('region = "north"', 'region = "\udcff"', "cannot be read"),
+    ],
+)
+def test_read_reports_values_that_cannot_be_decoded(tmp_path, former, changed, named):
+    path = tmp_path / "local.toml"
+    assert former in TEXT
+    text = TEXT.replace(former, changed)
+    path.write_text(text, errors="surrogateescape")
+    assert named in node_file.read(path).unwrap_err()
+
+
+def test_watched_settings_survive_a_file_that_is_missing_at_the_start(tmp_path):
+    path = tmp_path / "local.toml"
+    watched = startup._WatchedSettingsFile(path)
+    assert watched.read_changed_settings(False).is_err()
+    path.write_text(TEXT)
+    assert watched.read_changed_settings(False).unwrap().is_bootstrap
+    assert watched.read_changed_settings(False) is None
