--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -71,7 +71,7 @@
             max_age_s=routing_state.max_state_age_s(node_settings.order_apply_limit_s)
         )
         self._is_stopping = False
-        self._metrics = metrics.RoutedMetrics()
+        self.metrics = metrics.RoutedMetrics()
         self._links = inner_peers.Peers(node_settings.instance_id, timing.LINK_TIMING)
         self._leader_poller = leader_polling.LeaderPoller(
             self._links,
@@ -108,7 +108,7 @@
             self._sender,
             node_settings.retry_budget,
             self._clock,
-            self._metrics,
+            self.metrics,
             self._dispatcher.table.notices,
         )
         self._server = http_server.Server(
@@ -125,26 +125,26 @@
         )
         self._stack.push_async_callback(self._links.aclose)
         self._stack.callback(self._sender.close)
-        tasks.start(self._leader_poller.run(), self._stack, self._on_failed)
-        tasks.start(self._run_placer(), self._stack, self._on_failed)
-        tasks.start(self._run_wait_checks(), self._stack, self._on_failed)
-        await self._server.start(
-            node_settings.caller_address.host, node_settings.caller_address.port
-        )
-        self._stack.push_async_callback(self._server.aclose)
+        for run in (self._leader_poller.run, self._run_placer, self._run_wait_checks):
+            tasks.start_needed(run, self._stack, self._on_failed)
         self._add_gauges()
         listeners = (
             (
                 node_settings.readiness_address,
                 self._adapter.readiness_handler(self._is_ready),
             ),
-            (node_settings.metrics_address, self._metrics.handle),
+            (node_settings.metrics_address, self.metrics.handle),
         )
         for address, handler in listeners:
             if address is not None:
                 server = http_server.Server(handler, self._clock, routes.CallerLimits)
                 await server.start(address.host, address.port)
                 self._stack.push_async_callback(server.aclose)
+        # The last step that can fail, so that a start that fails cuts no request.
+        await self._server.start(
+            node_settings.caller_address.host, node_settings.caller_address.port
+        )
+        self._stack.push_async_callback(self._server.aclose)
         return result.Ok(None)
 
     def reload(self, node_settings: settings.RoutedSettings) -> None:
@@ -171,13 +171,17 @@
         cache_lifetime_s = MAX_CACHED_TTLS * self._node_settings.lookup_ttl_s
         # At least half of the grace period is left for the requests in flight.
         listens_for_s = min(cache_lifetime_s, self._node_settings.stop_grace_s / 2)
-        self._path.stop(
-            planned_stop.StopSchedule(
-                late_from=stopped_at + min(listens_for_s, MAX_UNCHECKED_STOP_S),
-                no_places_from=ends_at - MIN_RESPONSE_TIME_S,
-                ends_at=ends_at,
-            )
+        schedule = planned_stop.StopSchedule(
+            late_from=stopped_at + min(listens_for_s, MAX_UNCHECKED_STOP_S),
+            no_places_from=ends_at - MIN_RESPONSE_TIME_S,
+            ends_at=ends_at,
         )
+        try:
+            self._path.stop(schedule)
+        except Exception as error:
+            # The requests in progress still end by their own deadlines.
+            events.event("process.drain-failed", reason=repr(error))
+            self._on_failed(repr(error))
         await asyncio.sleep(stopped_at + listens_for_s - self._clock())
         await self._server.finish(cuts_at)
         for unfinished in self._server.find_unfinished():
@@ -203,7 +207,7 @@
         return is_usable and not self._is_stopping
 
     def _add_gauges(self) -> None:
-        state, routed_metrics = self._routing_state, self._metrics
+        state, routed_metrics = self._routing_state, self.metrics
         routed_metrics.add_gauge(
             "revision",
             "Revision of the routes in use; -1 without any.",
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -51,16 +51,40 @@
     "The process stopped because of a violated invariant or an unexpected error.",
     Level.ERROR,
 )
+declare(
+    "process.drain-failed",
+    "A part of the drain failed; the rest goes on.",
+    Level.ERROR,
+)
+declare(
+    "process.close-failed",
+    "Closing a part of the instance failed; the others were closed.",
+    Level.ERROR,
+)
 declare(
     "process.task-failed",
     "A background task ended with an unexpected error.",
     Level.ERROR,
 )
+declare(
+    "process.callback-failed",
+    "A callback of the event loop, or a task that nothing waits for, failed.",
+    Level.ERROR,
+)
+declare(
+    "control.drain-finished",
+    "A control instance has answered its requests, or the time for it is over.",
+)
 declare(
     "process.stalled",
     "The event loop ran late: nothing was read, sent or accepted meanwhile.",
     Level.WARNING,
 )
+declare(
+    "process.clock-stepped",
+    "The time of day was stepped against the time since boot.",
+    Level.WARNING,
+)
 declare(
     "settings.unknown-variable",
     "An environment variable has the settings' prefix but no such setting exists.",
@@ -209,6 +233,11 @@
 declare("shift.started", "Traffic of a service is being shifted to another region.")
 declare("shift.stopped", "Traffic of a service is no longer shifted.")
 declare("log.dropped", "Lines were dropped to limit the volume of the log.")
+declare(
+    "log.write-failed",
+    "Lines were lost while writes of the log failed; it takes lines again.",
+    Level.ERROR,
+)
 declare("settings.reloaded", "The settings were reloaded.")
 declare(
     "settings.reload-failed",
