Log: report how long writes to its disk take

Operators saw elections that never ended beside slow disks, with nothing in logs or metrics that tells a slow disk from a lost network.

No change of behaviour. Tests: test_sync_monitor, test_replica, test_control_node, test_docs pass.

--- a/packages/consensus/src/yuccapitch/consensus/replica.py
+++ b/packages/consensus/src/yuccapitch/consensus/replica.py
@@ -83,11 +83,13 @@
         snapshot_interval_entries: int = SNAPSHOT_INTERVAL_ENTRIES,
         on_effect: Callable[[effects.Effect], None] | None = None,
         may_join: Callable[[str], bool] | None = None,
+        on_sync: Callable[[float], None] | None = None,
     ) -> None:
         """Initialize with a core and the storage from which it was recovered.
 
         ``may_join`` returns whether an instance may join the group; by default the
-        instances listed in the settings may.
+        instances listed in the settings may. ``on_sync`` is called with the duration
+        of each write to the storage, with its syncs.
         """
         self._core = core
         self._storage = storage
@@ -97,6 +99,7 @@
         self._snapshot_interval_entries = snapshot_interval_entries
         self._on_effect = on_effect
         self._may_join = may_join or (lambda instance_id: instance_id in core.peer_ids)
+        self._on_sync = on_sync or (lambda duration_s: None)
         self._applied_index = 0
         self._snapshot_index = 0
         self._bytes_since_snapshot = 0
@@ -240,8 +243,10 @@
             return
         try:
             pending_effects = self._core.take_effects(self._clock())
+            started_at = self._clock()
             if self._persist(pending_effects):
                 self._storage.sync()
+                self._on_sync(self._clock() - started_at)
             for effect in pending_effects:
                 self._execute(effect)
             self._take_snapshot_if_due()
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -25,6 +25,7 @@
     entry_directory,
     metrics,
     settings,
+    sync_monitor,
     timing,
 )
 from yuccapitch.protocol import (
@@ -96,6 +97,7 @@
             self._clock,
         )
         self._replica: consensus_replica.Replica
+        self._sync_monitor = sync_monitor.SyncMonitor()
         self._is_stopping = False
         self._servers: list[http_server.Server] = []
 
@@ -127,6 +129,7 @@
             snapshot_interval_entries=SNAPSHOT_INTERVAL_ENTRIES,
             on_effect=self._coordinator.on_effect,
             may_join=lambda instance_id: True,
+            on_sync=self._sync_monitor.observe,
         )
         self._coordinator.attach(
             self._replica,
@@ -229,6 +232,17 @@
         routed_metrics.add_gauge(
             "applied_index", "Last applied entry.", lambda: replica.applied_index
         )
+        monitor = self._sync_monitor
+        routed_metrics.add_gauge(
+            "log_sync_seconds",
+            "Duration of the last write to the log's disk, with its syncs.",
+            lambda: monitor.last_s,
+        )
+        routed_metrics.add_gauge(
+            "log_sync_longest_seconds",
+            "Longest write to the log's disk since the start.",
+            lambda: monitor.longest_s,
+        )
         routed_metrics.add_gauge(
             "voters",
             "Control instances that vote.",
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -251,6 +251,11 @@
 declare(
     "consensus.voters-changed", "An entry that sets the voters was added to the log."
 )
+declare(
+    "log.sync-slow",
+    "A write to the replicated log's disk, with its syncs, took long.",
+    Level.WARNING,
+)
 declare(
     "consensus.member-removed",
     "The leader removes a member of the group that does not answer.",
