Log: wait for the disk on a thread, and try again when it is full

Operators saw no configuration accepted in 60 s, and no leader, as long as each sync of the control instances took 0.1 s or more: the replica wrote and synced on the event loop, so that no heartbeat, answer, lookup or link was served meanwhile, a vote cost four syncs, and candidates retried before their voters' disks were done. A full disk ended a control instance, as any error of a write did.

One thread now performs the writes in order, a batch at a time, and decides nothing. The core learns which writes are durable: a leader counts its own copy, a follower acknowledges entries, a voter answers and a candidate asks only then; all else goes out at once. An election leaves voters the time that writes take. A leader whose disk stalls for 10 s steps down if the others commit without it. A write without space (ENOSPC, EDQUOT, EFBIG) is cut back to the last synced record and tried again; other errors and failed syncs fail the replica as before. Closing waits 0.5 s for the disk at most.

Evidence: test_replica_disks.

The simulation draws the duration of each write and loses power while one is under way; Faults.sends_before_sync now reports writes as durable before their sync. test_durability shows that it detects a leader, follower, voter and candidate that don't wait.

--- a/packages/consensus/src/yuccapitch/consensus/core.py
+++ b/packages/consensus/src/yuccapitch/consensus/core.py
@@ -13,6 +13,7 @@
 import result
 
 from yuccapitch.consensus import (
+    durability,
     effects,
     election,
     follower,
@@ -95,6 +96,7 @@
                 float("-inf") if is_new_disk else min(process_start, now)
             ),
             election_deadline=now,
+            durability=durability.Durability(recovered_log.last_index),
         )
         if snapshot:
             self._state.effects.append(effects.Restore(snapshot))
@@ -136,6 +138,11 @@
         """The index of the last committed entry."""
         return self._state.commit_index
 
+    @property
+    def durable_index(self) -> int:
+        """The index up to which the entries of the log are on this replica's disk."""
+        return self._state.durability.log_index
+
     @property
     def members(self) -> membership.Membership:
         """The latest membership in the log, committed or not."""
@@ -147,11 +154,30 @@
         return self._state.log
 
     def take_effects(self, now: float) -> list[effects.Effect]:
-        """Return the pending effects in order and clear them."""
+        """Return the pending effects in order and clear them.
+
+        Messages among them may be sent at once; those that rest on a write that is not
+        durable yet come after ``on_durable``.
+        """
         leader.flush(self._state, now)
+        self._state.durability.observe(now)
         pending, self._state.effects = self._state.effects, []
         return pending
 
+    def on_durable(self, count: int, duration_s: float, now: float) -> None:
+        """Record that the first ``count`` writes since the start are durable.
+
+        ``duration_s`` is the duration of the latest, with its syncs.
+        """
+        state = self._state
+        was_term_durable = state.durability.is_term_durable
+        state.durability.advance(count, duration_s, now)
+        state.effects.extend(state.durability.release())
+        if state.durability.is_term_durable and not was_term_durable:
+            election.on_term_durable(state, now)
+        leader.on_durable(state, now)
+        follower.on_durable(state)
+
     def tick(self, now: float) -> None:
         """Process the timeouts that are due."""
         leader.tick(self._state, now)
@@ -195,8 +221,7 @@
             raise AssertionError(f"cannot take a snapshot at {index}")
         members = state.log.members_at(index)
         state.snapshot = core_log.Snapshot(index, term, members, data)
-        persist = effects.PersistSnapshot(state.snapshot, keeps_suffix=True)
-        state.effects.append(persist)
+        core_state.persist_snapshot(state, state.snapshot, keeps_suffix=True)
         first = max(state.log.base_index, index - RETAINED_ENTRIES) + 1
         state.log.compact(state.log.last_before(first, index, RETAINED_BYTES))
 
--- a/packages/consensus/src/yuccapitch/consensus/effects.py
+++ b/packages/consensus/src/yuccapitch/consensus/effects.py
@@ -50,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Send:
-    """Send a message after everything persisted before it has been synced."""
+    """Send a message; everything that it rests on is durable."""
 
     peer_id: str
     message: messages.Message
--- a/packages/consensus/src/yuccapitch/consensus/election.py
+++ b/packages/consensus/src/yuccapitch/consensus/election.py
@@ -5,19 +5,40 @@
 from yuccapitch.consensus import effects, joining, leader, state as core_state
 from yuccapitch.protocol import consensus_messages as messages
 
+# Writes of a voter until its vote is durable: one under way, and that of the vote.
+WRITES_BEFORE_VOTE = 2
+# Longest write for which an election leaves time; a disk that is slower is stalled.
+MAX_WRITE_ALLOWANCE_S = 4.0
+
 
 def tick(state: core_state.State, now: float) -> None:
     """Start an election or ask for admission once the election timeout has expired."""
     if state.role is effects.Role.LEADER or now < state.election_deadline:
         return
+    if not state.durability.is_term_durable:
+        # Others learn of the term and vote only once they are durable.
+        return
     _set_retry_deadline(state, now)
     _report_failed_round(state)
     if joining.needs_admission(state):
         joining.send_join_requests(state)
-    if _can_start_election(state):
+    if _can_start_election(state, now):
         _start_pre_vote(state, now)
 
 
+def on_term_durable(state: core_state.State, now: float) -> None:
+    """Go on with an election once the term and vote are durable."""
+    if state.role is effects.Role.LEADER:
+        raise AssertionError("this replica led a term that was not durable")
+    if state.role is not effects.Role.CANDIDATE:
+        core_state.reset_election_deadline(state, now)
+        return
+    _set_vote_deadline(state, now)
+    state.votes.add(state.identity)
+    if _has_won(state):
+        leader.become_leader(state, now)
+
+
 def on_pre_vote_request(
     state: core_state.State,
     peer_id: str,
@@ -32,6 +53,8 @@
         and not _has_active_leader(state, now)
         and _is_up_to_date(state, message)
     )
+    if granted:
+        _defer_to(state, now)
     reply = messages.PreVoteReply(
         state.term, state.identity, message.sender, message.term, granted
     )
@@ -82,7 +105,9 @@
         leader.become_leader(state, now)
 
 
-def _can_start_election(state: core_state.State) -> bool:
+def _can_start_election(state: core_state.State, now: float) -> bool:
+    if state.durability.is_stalled(now):
+        return False
     if not state.is_bootstrapped:
         return state.is_founder
     return state.identity in state.log.members.voters()
@@ -113,7 +138,36 @@
     )
 
 
+def _set_vote_deadline(state: core_state.State, now: float) -> None:
+    # A voter may have to complete another write before its vote. All candidates wait
+    # for their disks alike, so that their retries have to be further apart as well.
+    write_s = _write_allowance_s(state)
+    timing = state.timing
+    state.election_deadline = now + state.random_source.uniform(
+        timing.heartbeat_interval_s + WRITES_BEFORE_VOTE * write_s,
+        timing.min_election_timeout_s + 2 * WRITES_BEFORE_VOTE * write_s,
+    )
+
+
+def _defer_to(state: core_state.State, now: float) -> None:
+    """Leave another candidate the time in which it writes its own vote.
+
+    Only once until the next contact with a leader or attempt of its own, as the other
+    one may be unable to receive the answers.
+    """
+    if state.has_deferred:
+        return
+    state.has_deferred = True
+    deferred_until = now + WRITES_BEFORE_VOTE * _write_allowance_s(state)
+    state.election_deadline = max(state.election_deadline, deferred_until)
+
+
+def _write_allowance_s(state: core_state.State) -> float:
+    return min(state.durability.write_duration_s, MAX_WRITE_ALLOWANCE_S)
+
+
 def _start_pre_vote(state: core_state.State, now: float) -> None:
+    state.has_deferred = False
     core_state.set_role(state, effects.Role.PRE_CANDIDATE, None, None)
     _request_votes(state, messages.PreVoteRequest, state.term + 1)
     if _has_won(state):
@@ -123,10 +177,9 @@
 def _start_vote(state: core_state.State, now: float) -> None:
     core_state.set_term(state, state.term + 1, state.identity)
     core_state.set_role(state, effects.Role.CANDIDATE, None, None)
-    _set_retry_deadline(state, now)
     _request_votes(state, messages.VoteRequest, state.term)
-    if _has_won(state):
-        leader.become_leader(state, now)
+    # Its own vote counts once it is durable.
+    state.votes.clear()
 
 
 def _request_votes(
--- a/packages/consensus/src/yuccapitch/consensus/follower.py
+++ b/packages/consensus/src/yuccapitch/consensus/follower.py
@@ -21,7 +21,19 @@
     _append_entries(state, message.entries)
     match_index = message.previous_index + len(message.entries)
     core_state.advance_commit(state, min(message.commit_index, match_index))
-    _reply_to_append(state, peer_id, message, success=True, match_index=match_index)
+    _reply_to_match(
+        state,
+        core_state.PendingMatch(
+            peer_id, message.sender, message.term, match_index, message.round_number
+        ),
+    )
+
+
+def on_durable(state: core_state.State) -> None:
+    """Answer for entries that have become durable."""
+    pending, state.pending_match = state.pending_match, None
+    if pending is not None and pending.term == state.term:
+        _reply_to_match(state, pending)
 
 
 def on_snapshot_request(
@@ -36,16 +48,18 @@
         return
     _accept_leader(state, peer_id, message.sender, message.term, now)
     if message.last_index <= state.commit_index:
-        _reply_to_chunk(state, peer_id, message, next_offset=0, installed=True)
+        _reply_to_installed(state, peer_id, message)
         return
     incoming = _get_incoming_snapshot(state, message)
     if message.offset == len(incoming.data):
         incoming.data.extend(message.data)
         if message.is_last:
             _install_snapshot(state, message, bytes(incoming.data))
-    installed = message.last_index <= state.commit_index
+            number = state.durability.latest_number
+            _reply_to_installed(state, peer_id, message, number)
+            return
     _reply_to_chunk(
-        state, peer_id, message, next_offset=len(incoming.data), installed=installed
+        state, peer_id, message, next_offset=len(incoming.data), installed=False
     )
 
 
@@ -97,12 +111,36 @@
         raise AssertionError(f"committed entry {missing[0].index} would be replaced")
     if missing[0].index <= own_log.last_index:
         own_log.truncate(missing[0].index)
-    state.effects.append(effects.PersistEntries(missing))
+    core_state.persist_entries(state, missing)
     for entry in missing:
         own_log.append(entry)
         core_state.report_members(state, entry)
 
 
+def _reply_to_match(state: core_state.State, pending: core_state.PendingMatch) -> None:
+    """Tell the leader how far the log matches, as far as it is durable."""
+    match_index = min(pending.match_index, state.durability.log_index)
+    reply = messages.AppendReply(
+        state.term,
+        state.identity,
+        pending.leader_identity,
+        pending.term,
+        True,
+        match_index,
+        pending.round_number,
+    )
+    core_state.send(state, pending.peer_id, reply)
+    if match_index < pending.match_index:
+        # Replies of one term are for one log, so the longest match covers the others.
+        earlier = state.pending_match
+        if (
+            earlier is None
+            or earlier.term != pending.term
+            or earlier.match_index <= pending.match_index
+        ):
+            state.pending_match = pending
+
+
 def _reply_to_append(
     state: core_state.State,
     peer_id: str,
@@ -147,17 +185,41 @@
     else:
         state.log = log.Log(snapshot)
     state.snapshot, state.incoming_snapshot = snapshot, None
+    core_state.persist_snapshot(state, snapshot, keeps_suffix)
     state.commit_index = snapshot.last_index
-    state.effects.append(effects.PersistSnapshot(snapshot, keeps_suffix))
     state.effects.append(effects.Restore(snapshot))
 
 
+def _reply_to_installed(
+    state: core_state.State,
+    peer_id: str,
+    message: messages.SnapshotRequest,
+    after_number: int | None = None,
+) -> None:
+    """Reply that the snapshot is part of the log, as soon as that is durable.
+
+    Until then, an unchanged offset confirms the leader and asks for no further chunk.
+    With ``after_number``, a second reply follows the write with that number.
+    """
+    is_durable = message.last_index <= state.durability.log_index
+    _reply_to_chunk(
+        state,
+        peer_id,
+        message,
+        next_offset=0 if is_durable else message.offset,
+        installed=is_durable,
+    )
+    if not is_durable and after_number is not None:
+        _reply_to_chunk(state, peer_id, message, 0, True, after_number)
+
+
 def _reply_to_chunk(
     state: core_state.State,
     peer_id: str,
     message: messages.SnapshotRequest,
     next_offset: int,
     installed: bool,
+    after_number: int | None = None,
 ) -> None:
     reply = messages.SnapshotReply(
         state.term,
@@ -169,4 +231,4 @@
         installed,
         message.round_number,
     )
-    core_state.send(state, peer_id, reply)
+    core_state.send(state, peer_id, reply, after_number)
--- a/packages/consensus/src/yuccapitch/consensus/leader.py
+++ b/packages/consensus/src/yuccapitch/consensus/leader.py
@@ -51,7 +51,7 @@
     """Append an entry of the current term and return its index."""
     entry = messages.LogEntry(state.log.last_index + 1, state.term, kind.value, payload)
     state.log.append(entry)
-    state.effects.append(effects.PersistEntries((entry,)))
+    core_state.persist_entries(state, (entry,))
     core_state.report_members(state, entry)
     if state.leader_state:
         state.leader_state.needs_broadcast = True
@@ -68,12 +68,21 @@
     if now - last_contact_at > state.timing.max_election_timeout_s:
         core_state.become_follower(state, state.term, now)
         return
+    if _holds_up_group(state, now):
+        core_state.become_follower(state, state.term, now)
+        return
     if now >= leader_state.next_heartbeat_at:
         leader_state.needs_broadcast = True
     silent_members.observe(state, leader_state, now)
     _remove_silent_member(state, leader_state)
 
 
+def on_durable(state: core_state.State, now: float) -> None:
+    """Count this replica's own copy of the entries that have become durable."""
+    if state.leader_state is not None:
+        _commit(state, state.leader_state, now)
+
+
 def flush(state: core_state.State, now: float) -> None:
     """Broadcast new entries, or a heartbeat, if a broadcast is due."""
     leader_state = state.leader_state
@@ -181,6 +190,16 @@
     )
 
 
+def _holds_up_group(state: core_state.State, now: float) -> bool:
+    """Return whether the disk has stalled although the others' disks have not.
+
+    A group whose other disks don't commit either has no better leader: this one still
+    confirms reads.
+    """
+    is_behind = state.durability.log_index < state.commit_index
+    return is_behind and state.durability.is_stalled(now)
+
+
 def _remove_silent_member(
     state: core_state.State, leader_state: core_state.LeaderState
 ) -> None:
@@ -266,7 +285,7 @@
 ) -> None:
     index = _quorum_value(
         state,
-        own=state.log.last_index,
+        own=state.durability.log_index,
         value_by_identity={
             i: p.match_index for i, p in leader_state.progress_by_identity.items()
         },
--- a/packages/consensus/src/yuccapitch/consensus/replica.py
+++ b/packages/consensus/src/yuccapitch/consensus/replica.py
@@ -1,4 +1,8 @@
-"""Asyncio driver of one replica: performs the effects of its core in order."""
+"""Asyncio driver of one replica: performs the effects of its core.
+
+The writes are performed in order by a thread; all else happens on the event loop, which
+never waits for the disk.
+"""
 
 from __future__ import annotations
 
@@ -17,10 +21,13 @@
     membership,
     membership_changer,
     storage as consensus_storage,
+    writer as consensus_writer,
 )
 from yuccapitch.protocol import consensus_messages as messages
 
 TICK_INTERVAL_S = 0.05
+# Time that the start waits for its writes; with a slower disk they complete later.
+START_TIMEOUT_S = 1.0
 SNAPSHOT_INTERVAL_ENTRIES = 10_000
 # Bytes of applied entries after which a snapshot is taken even if they are few.
 SNAPSHOT_INTERVAL_BYTES = 8 * 1024 * 1024
@@ -84,15 +91,16 @@
         on_effect: Callable[[effects.Effect], None] | None = None,
         may_join: Callable[[str], bool] | None = None,
         on_sync: Callable[[float], None] | None = None,
+        on_no_space: Callable[[OSError], None] | None = None,
     ) -> None:
         """Initialize with a core and the storage from which it was recovered.
 
         ``may_join`` returns whether an instance may join the group; by default the
         instances listed in the settings may. ``on_sync`` is called with the duration
-        of each write to the storage, with its syncs.
+        of each write to the storage, with its syncs, and ``on_no_space`` with the error
+        of a write that is tried again.
         """
         self._core = core
-        self._storage = storage
         self._send = send
         self._state_machine = state_machine
         self._clock = clock
@@ -100,6 +108,14 @@
         self._on_effect = on_effect
         self._may_join = may_join or (lambda instance_id: instance_id in core.peer_ids)
         self._on_sync = on_sync or (lambda duration_s: None)
+        self._writer = consensus_writer.Writer(
+            storage,
+            clock,
+            self._on_written,
+            self._fail,
+            on_no_space or (lambda error: None),
+        )
+        self._durable_count = 0
         self._applied_index = 0
         self._snapshot_index = 0
         self._bytes_since_snapshot = 0
@@ -143,11 +159,14 @@
 
     async def start(self) -> None:
         """Restore the state machine and start to take part in the group."""
-        self._exit_stack.callback(self._storage.close)
         self._stopped = asyncio.get_running_loop().create_future()
+        self._writer.start()
+        self._exit_stack.push_async_callback(self._writer.aclose)
         self._flush()
         self._core.tick(self._clock())
         self._flush()
+        # The only member of a group leads once its vote and first entry are durable.
+        await self._writer.wait_idle(START_TIMEOUT_S)
         self._exit_stack.push_async_callback(self._membership_changer.aclose)
         task = asyncio.create_task(self._run_ticks())
         self._exit_stack.push_async_callback(_cancel, task)
@@ -243,16 +262,28 @@
             return
         try:
             pending_effects = self._core.take_effects(self._clock())
-            started_at = self._clock()
-            if self._persist(pending_effects):
-                self._storage.sync()
-                self._on_sync(self._clock() - started_at)
+            self._writer.write(
+                [e for e in pending_effects if isinstance(e, consensus_writer.Write)]
+            )
             for effect in pending_effects:
                 self._execute(effect)
             self._take_snapshot_if_due()
         except Exception as error:
             self._fail(error)
 
+    def _on_written(self, written: consensus_writer.Written) -> None:
+        self._on_sync(written.duration_s)
+        self._durable_count += written.count
+        if self._is_closed:
+            return
+        try:
+            self._core.on_durable(
+                self._durable_count, written.duration_s, self._clock()
+            )
+        except Exception as error:
+            self._fail(error)
+        self._flush()
+
     def _fail(self, error: Exception) -> None:
         # The contents of the disk are no longer known, so no message may be answered.
         self._is_closed = True
@@ -260,21 +291,6 @@
         if not self._stopped.done():
             self._stopped.set_exception(error)
 
-    def _persist(self, pending_effects: list[effects.Effect]) -> bool:
-        has_written = False
-        for effect in pending_effects:
-            match effect:
-                case effects.PersistHardState(hard_state):
-                    self._storage.write_hard_state(hard_state)
-                case effects.PersistEntries(entries):
-                    self._storage.write_entries(entries)
-                case effects.PersistSnapshot(snapshot, keeps_suffix):
-                    self._storage.write_snapshot(snapshot, keeps_suffix)
-                case _:
-                    continue
-            has_written = True
-        return has_written
-
     def _execute(self, effect: effects.Effect) -> None:
         match effect:
             case effects.Send(peer_id, message):
--- a/packages/consensus/src/yuccapitch/consensus/segments.py
+++ b/packages/consensus/src/yuccapitch/consensus/segments.py
@@ -36,6 +36,7 @@
         self._segments: list[_Segment] = []
         self._file: BinaryIO | None = None
         self._size = 0
+        self._synced_size = 0
         self._unwritten = bytearray()
 
     def load(
@@ -85,12 +86,20 @@
         segment.max_index = max(segment.max_index, _record_index(record))
 
     def sync(self) -> None:
-        """Block until all records added are on disk."""
+        """Block until all records added are on disk.
+
+        After ``NoSpaceError``, none of them is; the call can be repeated.
+        """
         if self._file is not None and self._unwritten:
             # Of several writes, a loss of power may keep the last and drop the first.
             # That would look like corruption of acknowledged records.
-            self._file.write(self._unwritten)
+            try:
+                files.write(self._file, self._unwritten)
+            except files.NoSpaceError:
+                self._remove_torn_tail()
+                raise
             self._sync_file()
+            self._synced_size += len(self._unwritten)
             self._unwritten.clear()
 
     def delete_up_to(self, index: int) -> None:
@@ -143,13 +152,19 @@
         self.close()
         number = 1 + (_segment_number(self._segments[-1].path) if self._segments else 0)
         segment = _Segment(self._folder / f"log-{number:012d}.segment")
+        with files.detecting_no_space():
+            self._open(segment.path)
         self._segments.append(segment)
-        self._open(segment.path)
         files.sync_folder(self._folder)
 
+    def _remove_torn_tail(self) -> None:
+        path = self._segments[-1].path
+        _truncate(path, self._synced_size)
+        self._file = open(path, "ab")
+
     def _open(self, path: pathlib.Path) -> None:
         self._file = open(path, "ab")
-        self._size = path.stat().st_size
+        self._size = self._synced_size = path.stat().st_size
 
     def _sync_file(self) -> None:
         if self._file is None:
--- a/packages/consensus/src/yuccapitch/consensus/state.py
+++ b/packages/consensus/src/yuccapitch/consensus/state.py
@@ -5,7 +5,7 @@
 import dataclasses
 import random
 
-from yuccapitch.consensus import effects, log as core_log, membership
+from yuccapitch.consensus import durability, effects, log as core_log, membership
 from yuccapitch.protocol import consensus_messages as messages
 
 # Fraction of the minimum election timeout by which the leader lease is shortened. It
@@ -81,6 +81,20 @@
     data: bytearray = dataclasses.field(default_factory=bytearray)
 
 
+@dataclasses.dataclass(frozen=True)
+class PendingMatch:
+    """A match with the leader's log that was answered for only in part.
+
+    The rest is answered for once it is durable.
+    """
+
+    peer_id: str
+    leader_identity: str
+    term: int
+    match_index: int
+    round_number: int
+
+
 @dataclasses.dataclass
 class State:
     """Complete state of a replica's core."""
@@ -109,6 +123,12 @@
     )
     leader_state: LeaderState | None = None
     incoming_snapshot: IncomingSnapshot | None = None
+    durability: durability.Durability = dataclasses.field(
+        default_factory=lambda: durability.Durability(0)
+    )
+    pending_match: PendingMatch | None = None
+    has_deferred: bool = False
+    """Whether the election timeout was extended for another candidate."""
     is_refused: bool = False
     """Whether a member has answered that this replica is none."""
     join_target_ids: set[str] = dataclasses.field(default_factory=set)
@@ -126,9 +146,39 @@
     return [m for m in state.log.members.members if m.identity != state.identity]
 
 
-def send(state: State, peer_id: str, message: messages.Message) -> None:
-    """Add the effect that sends a message."""
-    state.effects.append(effects.Send(peer_id, message))
+def send(
+    state: State,
+    peer_id: str,
+    message: messages.Message,
+    after_number: int | None = None,
+) -> None:
+    """Send a message once the current term and vote are durable.
+
+    With ``after_number``, it also waits for the write with that number.
+    """
+    effect = effects.Send(peer_id, message)
+    number = max(state.durability.term_number, after_number or 0)
+    if state.durability.is_durable(number):
+        state.effects.append(effect)
+    else:
+        state.durability.hold(number, effect)
+
+
+def persist_entries(state: State, entries: tuple[messages.LogEntry, ...]) -> None:
+    """Write entries, replacing all entries from the first one's index on."""
+    state.durability.add_entries(entries[0].index, entries[-1].index)
+    state.effects.append(effects.PersistEntries(entries))
+
+
+def persist_snapshot(
+    state: State, snapshot: core_log.Snapshot, keeps_suffix: bool
+) -> None:
+    """Write a snapshot that replaces the entries up to it, or the whole log."""
+    if not keeps_suffix:
+        # Entries that are committed are part of the snapshot.
+        state.durability.drop_after(state.commit_index)
+    state.durability.add_snapshot(snapshot.last_index)
+    state.effects.append(effects.PersistSnapshot(snapshot, keeps_suffix))
 
 
 def refuse(
@@ -143,8 +193,9 @@
 
 
 def set_term(state: State, term: int, voted_for: str | None) -> None:
-    """Set the term and vote; they are persisted before any later message is sent."""
+    """Set the term and vote; later messages wait until they are durable."""
     state.term, state.voted_for = term, voted_for
+    state.durability.add_hard_state()
     hard_state = effects.HardState(term, voted_for)
     state.effects.append(effects.PersistHardState(hard_state))
 
@@ -171,6 +222,7 @@
         # lease, so it must deny votes for as long as its followers do.
         state.last_leader_contact_at = now
     state.leader_state = None
+    state.has_deferred = False
     is_new_term = term > state.term
     if is_new_term:
         set_term(state, term, None)
--- a/packages/consensus/tests/test_core_machine.py
+++ b/packages/consensus/tests/test_core_machine.py
@@ -123,6 +123,22 @@
 TestCoreMachine.settings = SETTINGS
 
 
+class SlowDisksMachine(CoreMachine):
+    """Also has disks that are slow or stall, and losses of all power meanwhile."""
+
+    @stateful.rule(max_sync_s=strategies.sampled_from([0.0, 0.1, 0.5, 3.0]))
+    def change_disks(self, max_sync_s):
+        self.cluster.max_sync_s = max_sync_s
+
+    @stateful.rule()
+    def lose_power(self):
+        self.cluster.lose_power()
+
+
+TestSlowDisksMachine = SlowDisksMachine.TestCase
+TestSlowDisksMachine.settings = SETTINGS
+
+
 class KeepsIdentity(CoreMachine):
     """Comes back under the old identity after its disk was lost."""
 
--- a/packages/consensus/tests/test_replacements.py
+++ b/packages/consensus/tests/test_replacements.py
@@ -42,6 +42,15 @@
     replacements.Schedule(seed).run_power_losses()
 
 
+# Guards against groups that lose entries, or don't elect a leader again, when syncs
+# take long and disks, instances and power are lost meanwhile.
+@pytest.mark.parametrize("max_sync_s", replacements.SLOW_SYNCS_S)
+@pytest.mark.parametrize("seed", range(5))
+def test_group_with_slow_syncs_survives_random_replacements(seed, max_sync_s):
+    replacements.Schedule(seed, max_sync_s=max_sync_s).run()
+    replacements.Schedule(seed, max_sync_s=max_sync_s).run_power_losses()
+
+
 # Keeps the schedules able to find a replica that answers before its sync: with disks
 # lost and all power off, an acknowledged entry is gone.
 @pytest.mark.parametrize(
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -130,6 +130,7 @@
             on_effect=self._coordinator.on_effect,
             may_join=lambda instance_id: True,
             on_sync=self._sync_monitor.observe,
+            on_no_space=self._sync_monitor.on_no_space,
         )
         self._coordinator.attach(
             self._replica,
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -251,6 +251,12 @@
 declare(
     "consensus.voters-changed", "An entry that sets the voters was added to the log."
 )
+declare(
+    "log.no-space",
+    "A write to the replicated log finds no space; it is tried again until it does.",
+    Level.ERROR,
+)
+declare("log.space-found", "A write to the replicated log succeeded again.")
 declare(
     "log.sync-slow",
     "A write to the replicated log's disk, with its syncs, took long.",
