Daemon: count the lines of the log that cannot be written

Callers: nothing changes for them. Operators lost lines of the log, on a full disk for example, and nothing said so: eliot swallows the error of a destination and tries once more, through the same destination.

Cause: the destination wrote to the buffered sys.stderr, whose errors have no counter, and whose buffer kept up to 8 KiB of lines that were never reported.

Change: LogWriter writes to the descriptor, turns each OSError into counts of failed writes and lost lines by the name of the error, which stand in two gauges and, once a line could be written again, in log.write-failed. A process without a standard error counts its lines as lost.

--- a/packages/gateway/src/yuccapitch/gateway/metric_table.py
+++ b/packages/gateway/src/yuccapitch/gateway/metric_table.py
@@ -112,6 +112,18 @@
     ("direction",),
     "Bytes sent and received on inner links since the start, without TLS and TCP.",
 )
+LOG_FAILED_WRITES = Metric(
+    "yuccapitch_log_failed_writes",
+    Kind.GAUGE,
+    ("reason",),
+    "Writes of the log that failed since the start, by the name of the error.",
+)
+LOG_LOST_LINES = Metric(
+    "yuccapitch_log_lost_lines",
+    Kind.GAUGE,
+    ("reason",),
+    "Lines of the log that were lost since the start, by reason.",
+)
 
 METRICS = (
     REQUEST_DURATION,
@@ -127,4 +139,6 @@
     CONFIG_VERSION,
     LEASE_REMAINING,
     INNER_LINK_BYTES,
+    LOG_FAILED_WRITES,
+    LOG_LOST_LINES,
 )
--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -18,6 +18,7 @@
     entry_role,
     gauges,
     http_server,
+    log_writer,
     loop_monitor,
     settings_table,
     tasks,
@@ -31,9 +32,9 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
-async def run(settings: settings_table.Settings) -> int:
+async def run(settings: settings_table.Settings, log: log_writer.LogWriter) -> int:
     """Run one instance and return its exit code."""
-    code = await Daemon(settings).run()
+    code = await Daemon(settings, log).run()
     _ignore_signals()
     return code
 
@@ -41,8 +42,11 @@
 class Daemon:
     """One instance that runs its roles until a signal stops it."""
 
-    def __init__(self, settings: settings_table.Settings) -> None:
+    def __init__(
+        self, settings: settings_table.Settings, log: log_writer.LogWriter
+    ) -> None:
         self._settings = settings
+        self._log = log
         self._clock = time.monotonic
         self._rng = random.Random(settings.seed)
         self._stop = asyncio.Event()
@@ -88,6 +92,7 @@
         links.set_address(settings.instance_id, inner)
         metrics = gateway_metrics.Metrics()
         stack.callback(metrics.close)
+        gauges.register_log_gauges(metrics, self._log.losses)
         metrics.register_gauge(
             metric_table.INNER_LINK_BYTES,
             lambda: [
--- a/packages/node/src/yuccapitch/node/logs.py
+++ b/packages/node/src/yuccapitch/node/logs.py
@@ -8,12 +8,14 @@
 
 import eliot
 
-from yuccapitch.node import log_lines, settings_table
+from yuccapitch.node import log_lines, log_writer, settings_table
 from yuccapitch.protocol import events
 
 event = events.event
 format_line = log_lines.format_line
 
+_WRITE_FAILED = "log.write-failed"
+
 _LEVELS_BY_SETTING = {
     settings_table.LogLevel.DEBUG: events.Level.DEBUG,
     settings_table.LogLevel.INFO: events.Level.INFO,
@@ -24,18 +26,32 @@
 
 @contextlib.contextmanager
 def write_to(
-    stream: typing.TextIO, instance_id: str, min_level: settings_table.LogLevel
-) -> Iterator[None]:
-    """Write events of at least this level to the stream inside the context."""
+    descriptor: int | None, instance_id: str, min_level: settings_table.LogLevel
+) -> Iterator[log_writer.LogWriter]:
+    """Write events of at least this level to the descriptor inside the context."""
     min_event_level = _LEVELS_BY_SETTING[min_level]
+    writer = log_writer.LogWriter(descriptor)
 
     def write(message: Mapping[str, typing.Any]) -> None:
         if log_lines.event_level(message) >= min_event_level:
-            stream.write(format_line(message, instance_id) + "\n")
-            stream.flush()
+            writer.write(format_line(message, instance_id) + "\n")
+            is_report = message.get("message_type") == _WRITE_FAILED
+            if writer.is_writable and not is_report:
+                _report_losses(writer)
 
     eliot.add_destinations(write)
     try:
-        yield
+        yield writer
     finally:
         eliot.remove_destination(write)
+
+
+def _report_losses(writer: log_writer.LogWriter) -> None:
+    losses = writer.take_unreported()
+    for reason in {**losses.failed_writes_by_reason, **losses.lost_lines_by_reason}:
+        events.event(
+            "log.write-failed",
+            reason=reason,
+            writes=losses.failed_writes_by_reason[reason],
+            lost_lines=losses.lost_lines_by_reason[reason],
+        )
--- a/packages/node/src/yuccapitch/node/startup.py
+++ b/packages/node/src/yuccapitch/node/startup.py
@@ -13,9 +13,11 @@
 def run() -> int:
     """Read the settings, run the instance until it stops, and return its exit code."""
     daemon_settings = settings.load(sys.argv[1:], os.environ)
+    # The interpreter has no sys.stderr if it was started without a standard error.
+    descriptor = None if sys.stderr is None else sys.stderr.fileno()
     with logs.write_to(
-        sys.stderr, daemon_settings.instance_id, daemon_settings.log_level
-    ):
+        descriptor, daemon_settings.instance_id, daemon_settings.log_level
+    ) as log:
         for name in settings.unknown_variables(os.environ):
             events.event("settings.unknown-variable", variable=name)
-        return asyncio.run(daemon.run(daemon_settings))
+        return asyncio.run(daemon.run(daemon_settings, log))
--- a/packages/node/tests/test_logs.py
+++ b/packages/node/tests/test_logs.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import ast
-import io
 import pathlib
+import tempfile
 from collections.abc import Iterator
 
 import hypothesis
@@ -17,14 +17,17 @@
 
 
 def log_lines(min_level: settings_table.LogLevel) -> list[str]:
-    stream = io.StringIO()
-    with logs.write_to(stream, "entry-1", min_level):
-        events.event("entry.lease-renewed", version=3)
-        events.event(
-            "change.refused", reason="reason on\ntwo lines", level="x", who=None
-        )
-    events.event("process.stopped")
-    return stream.getvalue().splitlines()
+    with tempfile.TemporaryFile() as file:
+        with logs.write_to(file.fileno(), "entry-1", min_level):
+            log_events()
+        events.event("process.stopped")
+        file.seek(0)
+        return file.read().decode().splitlines()
+
+
+def log_events() -> None:
+    events.event("entry.lease-renewed", version=3)
+    events.event("change.refused", reason="reason on\ntwo lines", level="x", who=None)
 
 
 def test_write_to_writes_one_line_per_event() -> None:
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -209,6 +209,11 @@
 declare("shift.started", "Traffic of a service is being shifted to another region.")
 declare("shift.stopped", "Traffic of a service is no longer shifted.")
 declare("log.dropped", "Lines were dropped to limit the volume of the log.")
+declare(
+    "log.write-failed",
+    "Writes of the log failed, or lines of it were lost; logged once it is written.",
+    Level.ERROR,
+)
 declare("settings.reloaded", "The settings were reloaded.")
 declare(
     "settings.reload-failed",
