Daemon: write the log beside the event loop

Callers: a daemon whose standard error is a pipe that nobody reads, or a file on a hung disk, answered nothing any more, or never started to serve.

Cause: the destination of the log wrote in the event loop, with a blocking write and a flush a line; so did libraries through logging's last resort. The loop waited for the reader of the log.

--- a/packages/node/src/yuccapitch/node/logs.py
+++ b/packages/node/src/yuccapitch/node/logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import io
 import typing
 from collections.abc import Iterator, Mapping
 
@@ -41,9 +42,29 @@
 
     eliot.add_destinations(write)
     try:
-        yield writer
+        # Libraries and the interpreter itself must not wait for the reader either.
+        with contextlib.redirect_stderr(typing.cast(typing.TextIO, _Text(writer))):
+            yield writer
     finally:
         eliot.remove_destination(write)
+        writer.close()
+
+
+class _Text(io.TextIOBase):
+    """Standard error whose text goes to the log as it is."""
+
+    def __init__(self, writer: log_writer.LogWriter) -> None:
+        super().__init__()
+        self._writer = writer
+
+    def writable(self) -> bool:
+        """Return that text can be written."""
+        return True
+
+    def write(self, text: str) -> int:
+        """Write text, which may be a part of a line."""
+        self._writer.write(text)
+        return len(text)
 
 
 def _report_losses(writer: log_writer.LogWriter) -> None:
