Daemon: log what the event loop's exception handler gets as events

Callers: nothing changes for them. An error in a callback of the event loop, or in a task that nobody awaits (a probe, a vote, a link), stood in the log as raw lines of a library, if at all: a task whose error was lost left no event.

Cause: the loop had its default exception handler, which writes through logging's last resort.

Change: the daemon sets a handler that logs process.callback-failed with reason and trace, and goes on.

--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -8,6 +8,8 @@
 import random
 import signal
 import time
+import traceback
+import typing
 
 import result
 
@@ -59,6 +61,7 @@
         # Installed before the start, so that a signal during it does not kill the
         # process.
         self._handle_signals()
+        asyncio.get_running_loop().set_exception_handler(_log_uncaught)
         async with contextlib.AsyncExitStack() as stack:
             started = await self._start(stack)
             if isinstance(started, result.Err):
@@ -162,6 +165,15 @@
         loop.add_signal_handler(signal.SIGHUP, events.event, "settings.reload-ignored")
 
 
+def _log_uncaught(
+    loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]
+) -> None:
+    error = context.get("exception")
+    trace = "" if error is None else "".join(traceback.format_exception(error))
+    reason = context["message"] if error is None else repr(error)
+    events.event("process.callback-failed", reason=reason, trace=trace)
+
+
 def _ignore_signals() -> None:
     # Closing the event loop restores the default actions, with which a signal would
     # replace the exit code of a stop that is complete.
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -48,7 +48,21 @@
 )
 declare(
     "process.failed",
-    "The process stopped because of a violated invariant or an unexpected error.",
+    "The process ends because of a violated invariant or an unexpected error.",
+    Level.ERROR,
+)
+declare(
+    "process.drained",
+    "The process has answered what it had taken, or the time for that is over.",
+)
+declare(
+    "process.stop-failed",
+    "A step of a stop ended with an unexpected error; the next steps follow.",
+    Level.ERROR,
+)
+declare(
+    "process.callback-failed",
+    "The event loop met an unexpected error that no part of the process handles.",
     Level.ERROR,
 )
 declare(
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -55,6 +55,8 @@
     control_peers: str
     extra_environment: dict[str, str]
     popen: subprocess.Popen[bytes] | None = None
+    script: str = "from yuccapitch.node import main\nmain.run()\n"
+    """Python source that runs yuccapitchd."""
 
     @property
     def url(self) -> str:
@@ -81,7 +83,7 @@
         }
         with self.log_path.open("ab") as log:
             self.popen = subprocess.Popen(
-                [sys.executable, "-m", "yuccapitch.node"],
+                [sys.executable, "-c", self.script],
                 env=environment(settings),
                 stdout=log,
                 stderr=log,
--- a/tests/single_process.py
+++ b/tests/single_process.py
@@ -126,9 +126,12 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    folder: pathlib.Path, endpoint_count: int = 2
+    folder: pathlib.Path, endpoint_count: int = 2, prelude: str = ""
 ) -> AsyncIterator[Deployment]:
-    """Run the process and its endpoints in this context."""
+    """Run the process and its endpoints in this context.
+
+    The prelude is Python source that the process runs first.
+    """
     async with contextlib.AsyncExitStack() as stack:
         timeout = aiohttp.ClientTimeout(total=30)
         session = await stack.enter_async_context(
@@ -138,6 +141,7 @@
         cluster.add({INSTANCE: "domain-1"}, {})
         process = cluster.processes_by_id[INSTANCE]
         process.control_peers = ""
+        process.script = prelude + process.script
         process.extra_environment = {"YUCCAPITCH_ROLE": "both"}
         fakes = [
             fake_endpoint.FakeEndpoint(f"shop-{n + 1}") for n in range(endpoint_count)
