Daemon: end by itself as in a planned stop

Callers: when a background task of the daemon failed, or its replica, the process ended at once with code 1. Requests that waited behind another on their connection and those on kept connections ended without an answer, uploads got 408. A failed loop monitor, which only reports, did the same.

Cause: Daemon.run returned EXIT_FAILED without EntryRole.drain and without HttpServer.stop_listening; the exit stack then cancelled connections that had not been asked whether they still owed anything. Each caller of tasks.start had the same consequence, also the loop monitor.

Change: an end by the instance's own decision logs process.failed with the reason, drains, stops listening, closes, and ends with code 1. Its bounds are those of the planned stop, and a signal meanwhile changes neither its length nor its code. A step of a stop that fails is logged, and the next ones follow; the code is 1 then. process.drained says what is still owed. /readyz answers 503 with the reason, as the log may be what fails, and "stopping" in a daemon without the entry role. A failed loop monitor is logged, and the instance goes on. An uncaught error of the start is printed through the log's writer.

--- a/packages/node/src/yuccapitch/node/daemon.py
+++ b/packages/node/src/yuccapitch/node/daemon.py
@@ -10,6 +10,7 @@
 import time
 import traceback
 import typing
+from collections.abc import Awaitable, Callable
 
 import result
 
@@ -68,13 +69,15 @@
                 events.event("process.failed", reason=started.err_value)
                 return EXIT_FAILED
             await self._stop.wait()
-            if self._failure_reason is not None:
+            is_planned = self._failure_reason is None
+            if is_planned:
+                events.event("process.stopping")
+            else:
                 events.event("process.failed", reason=self._failure_reason)
-                return EXIT_FAILED
-            events.event("process.stopping")
-            if self._entry is not None:
-                await self._entry.drain()
-            await self._http.stop_listening()
+            is_served = await self._stop_serving()
+            is_closed = await _run_step("close", stack.aclose)
+        if not (is_planned and is_served and is_closed):
+            return EXIT_FAILED
         events.event("process.stopped")
         return EXIT_OK
 
@@ -136,7 +139,7 @@
             self._entry = await entry_role.start(dependencies, application, stack)
             gauges.register_lease_gauges(metrics, self._entry.lease, self._clock)
         await http.serve(application, stack)
-        tasks.start(loop_monitor.run(), stack, self._fail)
+        tasks.start(loop_monitor.run(), stack, _go_on)
         _tune_garbage_collector()
         self._http = http
         events.event(
@@ -147,13 +150,30 @@
         )
         return result.Ok(None)
 
+    async def _stop_serving(self) -> bool:
+        """Answer what was taken, for a limited time; return whether no step failed."""
+        entry = self._entry
+        is_drained = entry is None or await _run_step("drain", entry.drain)
+        is_stopped = await _run_step("http", self._http.stop_listening)
+        events.event(
+            "process.drained",
+            in_flight=0 if entry is None else entry.state.in_flight,
+            cut_connections=self._http.cut_connections,
+        )
+        return is_drained and is_stopped
+
     def _fail(self, reason: str) -> None:
         # A background task violated an invariant, or the state of the disk is unknown.
         # Only a restart recovers from either.
-        self._failure_reason = reason
+        if not self._stop.is_set():
+            self._failure_reason = reason
         self._stop.set()
 
     def _not_ready_reason(self) -> str | None:
+        if self._failure_reason is not None:
+            return f"stopping after a failure: {self._failure_reason}"
+        if self._stop.is_set():
+            return "stopping"
         return None if self._entry is None else self._entry.not_ready_reason()
 
     def _handle_signals(self) -> None:
@@ -165,6 +185,21 @@
         loop.add_signal_handler(signal.SIGHUP, events.event, "settings.reload-ignored")
 
 
+async def _run_step(step: str, run_step: Callable[[], Awaitable[None]]) -> bool:
+    """Run a step of a stop; log an error, as the next steps owe answers as well."""
+    try:
+        await run_step()
+    except Exception as error:
+        trace = "".join(traceback.format_exception(error))
+        events.event("process.stop-failed", step=step, reason=repr(error), trace=trace)
+        return False
+    return True
+
+
+def _go_on(reason: str) -> None:
+    """Go on without a task that only reports, whose failure is logged already."""
+
+
 def _log_uncaught(
     loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]
 ) -> None:
--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -39,22 +39,24 @@
 class Runner(web.AppRunner):
     """Application runner whose connections format all error responses alike."""
 
-    async def finish_requests(self) -> None:
+    async def finish_requests(self) -> int:
         """Wait until requests are received and answered, then close all connections.
 
-        Connections whose requests take too long are cut.
+        Connections whose requests take too long are cut; return their number.
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FINISH_LIMIT_S):
                 while self._busy_connections():
                     await asyncio.sleep(STOP_CHECK_INTERVAL_S)
-        for connection in self._busy_connections():
+        busy_connections = self._busy_connections()
+        for connection in busy_connections:
             if connection.transport is not None:
                 _cut(connection.transport)
         # In the same step in which they were found idle: the cleanup of aiohttp drops
         # a request that is read meanwhile.
         for connection in self._connections():
             connection.force_close()
+        return len(busy_connections)
 
     def _busy_connections(self) -> list[Connection]:
         return [
--- a/packages/node/src/yuccapitch/node/http_server.py
+++ b/packages/node/src/yuccapitch/node/http_server.py
@@ -24,6 +24,8 @@
         self.address = inner_peers.Address(*self._listener.address)
         self._max_header_bytes = max_header_bytes
         self._is_stopping = False
+        self.cut_connections = 0
+        """Number of connections that a stop cut over requests."""
 
     async def serve(
         self, application: web.Application, stack: contextlib.AsyncExitStack
@@ -54,7 +56,7 @@
         # Read and answer the requests that are already in transit.
         await asyncio.sleep(IN_TRANSIT_REQUESTS_WAIT_S)
         # The cleanup of aiohttp reads nothing any more, not even the rest of a body.
-        await self._runner.finish_requests()
+        self.cut_connections = await self._runner.finish_requests()
 
     async def _close_if_stopping(
         self, request: web.Request, response: web.StreamResponse
--- a/packages/node/src/yuccapitch/node/startup.py
+++ b/packages/node/src/yuccapitch/node/startup.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import sys
+import traceback
 
 from yuccapitch.node import daemon, logs, settings
 from yuccapitch.protocol import events
@@ -20,4 +21,9 @@
     ) as log:
         for name in settings.unknown_variables(os.environ):
             events.event("settings.unknown-variable", variable=name)
-        return asyncio.run(daemon.run(daemon_settings, log))
+        try:
+            return asyncio.run(daemon.run(daemon_settings, log))
+        except Exception:
+            # The interpreter would print it directly and wait for the log's reader.
+            traceback.print_exc()
+            return daemon.EXIT_FAILED
