Entry role: guard the lease in a task of its own

Callers: none saw it. Since a daemon that ends by itself drains first, requests in flight could outlive the lease by up to their deadlines after a failure of the pools' task, while the leader counts them for MAX_IN_FLIGHT_LINGER_S only, so that a shared limit could be passed.

Cause: one task ticked the pools, reported readiness and aborted requests after the lease, so that an error in the first two ended the third as well.

Change: the abort after the lease has its own task.

Result: packages/node/tests/test_entry_role.py passes.

--- a/packages/node/src/yuccapitch/node/entry_role.py
+++ b/packages/node/src/yuccapitch/node/entry_role.py
@@ -138,6 +138,7 @@
             self.lease.run(),
             self._endpoint_monitor.run(),
             self._run_pools(),
+            self._watch_lease(),
             self._send_load_reports(),
         ):
             tasks.start(coroutine, stack, self._dependencies.on_failed)
@@ -360,6 +361,12 @@
             await asyncio.sleep(pool_service.TICK_INTERVAL_S)
             self._pools.tick()
             self._report_readiness()
+
+    async def _watch_lease(self) -> None:
+        # A task of its own, since requests in flight must respect the lease also while
+        # the instance stops after a failure of the pools.
+        while True:
+            await asyncio.sleep(pool_service.TICK_INTERVAL_S)
             self._abort_after_lease_expiry()
 
     def _abort_after_lease_expiry(self) -> None:
--- a/packages/node/tests/test_entry_role.py
+++ b/packages/node/tests/test_entry_role.py
@@ -1,15 +1,19 @@
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import dataclasses
 import itertools
 import random
 from collections.abc import Iterator
 
 import pytest
+from aiohttp import web
 
 from tests import catalogue_sample
 from yuccapitch.catalogue import ids
 from yuccapitch.control import lease_client
-from yuccapitch.gateway import config_view, metrics as gateway_metrics
+from yuccapitch.gateway import config_view, metrics as gateway_metrics, pool_service
 from yuccapitch.node import entry_role, settings_table
 from yuccapitch.protocol import link, peers as inner_peers
 
@@ -55,3 +59,28 @@
         for message in logged
         if message.get("message_type") == "entry.drain-finished"
     ] == [1]
+
+
+# Guards against requests that outlive the lease while an instance ends because of a
+# failure of its pools.
+@pytest.mark.timeout(30)
+async def test_requests_are_aborted_after_the_lease_if_the_pools_fail(
+    role: entry_role.EntryRole, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail() -> None:
+        raise AssertionError("injected")
+
+    failures: list[str] = []
+    aborted = asyncio.Event()
+    monkeypatch.setattr(pool_service, "TICK_INTERVAL_S", 0.0)
+    monkeypatch.setattr(role._pools, "tick", fail)
+    monkeypatch.setattr(role._request_path, "abort_all", aborted.set)
+    dependencies = dataclasses.replace(role._dependencies, on_failed=failures.append)
+    monkeypatch.setattr(role, "_dependencies", dependencies)
+    async with contextlib.AsyncExitStack() as stack:
+        await role.start(web.Application(), stack)
+        while not failures:
+            await asyncio.sleep(0)
+        aborted.clear()
+        await aborted.wait()
+    assert failures == ["AssertionError('injected')"]
