--- a/tests/test_daemon_log.py
+++ b/tests/test_daemon_log.py
@@ -27,6 +27,12 @@
 from yuccapitch.node import main
 main.run()
 """
+# As the interpreter does if its standard error is closed.
+CLOSE_STDERR = """
+import os, sys
+os.close(2)
+sys.stderr = None
+"""
 # A library logs an error outside the registry of events.
 RUN_WITH_LIBRARY = """
 import logging
@@ -123,6 +129,7 @@
     with open("/dev/full", "wb") as full:
         daemon = start(full)
     assert daemon.get("/healthz") == "ok\n"
+    assert 'yuccapitch_log_failed_writes{reason="ENOSPC"}' in daemon.get("/metrics")
     assert daemon.stop() == 0
 
 
@@ -146,3 +153,15 @@
     os.close(read_end)
     assert daemon.get("/healthz") == "ok\n"
     assert daemon.stop() == 0
+
+
+# Guards against a file or connection that takes the place of a closed standard error.
+def test_daemon_serves_and_stops_as_planned_without_a_standard_error(
+    start: Start,
+) -> None:
+    daemon = start(subprocess.DEVNULL, CLOSE_STDERR + RUN)
+    assert daemon.get("/healthz") == "ok\n"
+    assert 'yuccapitch_log_lost_lines{reason="closed"}' in daemon.get("/metrics")
+    descriptor = pathlib.Path(f"/proc/{daemon.process.pid}/fd/2")
+    assert descriptor.readlink() == pathlib.Path(os.devnull)
+    assert daemon.stop() == 0
