Metrics: an error while recording costs no response

Callers: none saw it. A value that cannot be recorded raised in the request path, after the endpoint had run the request, so that the caller would get 500 instead of the endpoint's response; in EntryRole.drain it would end the drain.

Cause: Metrics.record and Metrics.increment let every error out.

Change: they log metrics.record-failed and go on. Another test holds that a gauge that fails leaves the others on the page. The test of an own end also reads /readyz meanwhile.

--- a/packages/gateway/src/yuccapitch/gateway/metrics.py
+++ b/packages/gateway/src/yuccapitch/gateway/metrics.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import typing
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import prometheus_client
 from opentelemetry import metrics as otel_metrics
@@ -11,6 +12,7 @@
 from opentelemetry.sdk import metrics as otel_sdk
 
 from yuccapitch.gateway import metric_table
+from yuccapitch.protocol import events
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_PLAIN_0_0_4
 Labels = tuple[str, ...]
@@ -52,15 +54,17 @@
 
     def record(self, metric: metric_table.Metric, labels: Labels, value: float) -> None:
         """Add a value to a histogram."""
-        instrument = self._instruments_by_metric[metric.name]
-        instrument.record(value, _attributes(metric, labels))
+        with _logging_errors(metric):
+            instrument = self._instruments_by_metric[metric.name]
+            instrument.record(value, _attributes(metric, labels))
 
     def increment(
         self, metric: metric_table.Metric, labels: Labels, amount: int = 1
     ) -> None:
         """Add an amount to a counter."""
-        instrument = self._instruments_by_metric[metric.name]
-        instrument.add(amount, _attributes(metric, labels))
+        with _logging_errors(metric):
+            instrument = self._instruments_by_metric[metric.name]
+            instrument.add(amount, _attributes(metric, labels))
 
     def register_gauge(
         self, metric: metric_table.Metric, callback: GaugeCallback
@@ -106,5 +110,14 @@
                 yield otel_metrics.Observation(value, _attributes(metric, labels))
 
 
+@contextlib.contextmanager
+def _logging_errors(metric: metric_table.Metric) -> Iterator[None]:
+    # A request that was executed must not lose its response to a metric.
+    try:
+        yield
+    except Exception as error:
+        events.event("metrics.record-failed", metric=metric.name, reason=repr(error))
+
+
 def _attributes(metric: metric_table.Metric, labels: Labels) -> dict[str, str]:
     return dict(zip(metric.labels, labels, strict=True))
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -6,6 +6,7 @@
 import pathlib
 from collections.abc import Iterator
 
+import eliot
 import pytest
 
 from yuccapitch.gateway import metric_table, metrics, metrics_page
@@ -68,3 +69,27 @@
 def test_page_equals_table() -> None:
     page = ROOT / "docs" / "reference" / "metrics.md"
     assert page.read_text() == metrics_page.text()
+
+
+# Guards against a metric whose error costs an executed request its response.
+def test_value_that_cannot_be_recorded_is_logged(recorder: metrics.Metrics) -> None:
+    messages: list[dict[str, object]] = []
+    eliot.add_destinations(messages.append)
+    try:
+        recorder.record(metric_table.DRAIN_DURATION, ("too", "many"), 1.0)
+        recorder.increment(metric_table.REQUESTS, ())
+    finally:
+        eliot.remove_destination(messages.append)
+    assert [message["metric"] for message in messages] == [
+        metric_table.DRAIN_DURATION.name,
+        metric_table.REQUESTS.name,
+    ]
+
+
+def test_gauge_that_fails_leaves_the_others(recorder: metrics.Metrics) -> None:
+    def fail() -> list[tuple[metrics.Labels, float]]:
+        raise ValueError("no value")
+
+    recorder.register_gauge(metric_table.REGION_HEADROOM, fail)
+    recorder.register_gauge(metric_table.CONFIG_VERSION, lambda: [((), 3)])
+    assert "yuccapitch_config_version 3.0" in recorder.render().decode()
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -228,6 +228,7 @@
     "Writes of the log failed, or lines of it were lost; logged once it is written.",
     Level.ERROR,
 )
+declare("metrics.record-failed", "A value of a metric was lost.", Level.ERROR)
 declare("settings.reloaded", "The settings were reloaded.")
 declare(
     "settings.reload-failed",
--- a/tests/test_daemon_ends.py
+++ b/tests/test_daemon_ends.py
@@ -176,6 +176,9 @@
             "the failure is logged",
             lambda: bool(logged(deployment, "process.task-failed")),
         )
+        ready_url = deployment.process.url + "/readyz"
+        status, reason = await deployment.cluster.get(ready_url)
+        assert status == 503 and "injected" in reason
         if later_signal is not None:
             deployment.process.signal(later_signal)
         upload.send_body(BODY[4:])
