--- a/packages/node/tests/test_daemon.py
+++ b/packages/node/tests/test_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from unittest import mock
 
 import pytest
 
@@ -14,7 +15,7 @@
 async def test_daemon_counts_the_time_for_which_the_machine_was_suspended(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    instance = daemon.Daemon(settings_table.Settings())
+    instance = daemon.Daemon(settings_table.Settings(), mock.Mock())
     before = instance._clock()
     read_clock = time.clock_gettime
     suspended_s_by_clock = {time.CLOCK_BOOTTIME: 30.0, time.CLOCK_REALTIME: 30.0}
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -48,7 +48,16 @@
 )
 declare(
     "process.failed",
-    "The process stopped because of a violated invariant or an unexpected error.",
+    "The process ends because of a violated invariant or an unexpected error.",
+    Level.ERROR,
+)
+declare(
+    "process.drained",
+    "The process has answered what it had taken, or the time for that is over.",
+)
+declare(
+    "process.stop-failed",
+    "A step of a stop ended with an unexpected error; the next steps follow.",
     Level.ERROR,
 )
 declare(
@@ -235,9 +244,10 @@
 declare("log.dropped", "Lines were dropped to limit the volume of the log.")
 declare(
     "log.write-failed",
-    "Lines were lost while writes of the log failed; it takes lines again.",
+    "Writes of the log failed, or lines of it were lost; logged once it is written.",
     Level.ERROR,
 )
+declare("metrics.record-failed", "A value of a metric was lost.", Level.ERROR)
 declare("settings.reloaded", "The settings were reloaded.")
 declare(
     "settings.reload-failed",
