Log: a finalizer may log while the log holds its lock

Callers would see: an instance that stands still, with its event loop or its log thread waiting for a lock that the same thread holds.

Cause: the lock of LineWriter wasn't reentrant. A garbage collection can run at an allocation under the lock (Condition.wait_for, WriteFailure), and finalizers such as that of asyncio's Task log through the exception handler of the loop.

Change: a reentrant lock, as in the daemon's LogWriter.

Evidence: the new test, in which a stand-in for the finalizer logs under the lock, fails on (the thread is still alive after 5 s) and passes now.

--- a/packages/node/src/yuccapitch/node/routed/line_writer.py
+++ b/packages/node/src/yuccapitch/node/routed/line_writer.py
@@ -44,7 +44,8 @@
     def __init__(self, descriptor: int | None) -> None:
         """Write to a descriptor, or count all lines as lost without one."""
         self._descriptor = descriptor
-        self._lock = threading.Lock()
+        # A finalizer may log at an allocation while its own thread holds the lock.
+        self._lock = threading.RLock()
         self._pending = bytearray()
         self._last_error: OSError | None = None
         self._is_failing = False
--- a/packages/node/tests/test_bounded_log.py
+++ b/packages/node/tests/test_bounded_log.py
@@ -6,6 +6,7 @@
 import os
 import select
 import threading
+from unittest import mock
 
 import pytest
 
@@ -267,3 +268,31 @@
     log._writer._thread.join()
     os.close(descriptor)
     assert (tmp_path / "log").read_text().startswith("event-0 ")
+
+
+# Guards against a process that stands still for its log: a finalizer may log at any
+# allocation, also at one made while the log holds its lock.
+def test_line_writer_survives_a_line_of_a_finalizer(pipe, monkeypatch):
+    writer = line_writer.LineWriter(pipe[1])
+
+    class FinalizingFailure(line_writer.WriteFailure):
+        def __init__(self, *args):
+            super().__init__(*args)
+            writer.append(b"finalized\n")
+
+    def fail_and_recover():
+        failing = mock.Mock(side_effect=OSError(errno.ENOSPC, "full"))
+        with monkeypatch.context() as patch:
+            patch.setattr(writer, "_write", failing)
+            writer.append(b"first\n")
+            writer.flush()
+        writer.close()
+        return writer.take_failure()
+
+    monkeypatch.setattr(line_writer, "WriteFailure", FinalizingFailure)
+    thread = threading.Thread(target=fail_and_recover, daemon=True)
+    thread.start()
+    thread.join(5.0)
+    assert not thread.is_alive()
+    writer.flush()
+    assert read_lines(pipe[0]) == ["first", "finalized"]
