Tasks: run again after a cancelled future

Callers would see: an entry instance that no longer polls, or a control instance that no longer runs its duties, without a line in the log and without an end.

Cause: CancelledError isn't an Exception, so that a task whose awaited future was cancelled by others left _keep_running, and the done callback takes it for a task that the exit stack cancelled.

Change: a CancelledError counts as a failure unless the task itself is being cancelled.

Evidence: test_start_needed_runs_again_after_a_cancelled_future fails on (TimeoutError after 5 s: the task has ended) and passes now. By reading, no future that today's tasks await is cancelled by others.

--- a/packages/node/src/yuccapitch/node/tasks.py
+++ b/packages/node/src/yuccapitch/node/tasks.py
@@ -64,6 +64,12 @@
         try:
             await run()
             return
+        except asyncio.CancelledError as error:
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                raise
+            # Others have cancelled what the task awaited.
+            _report(error, on_failed)
         except Exception as error:
             _report(error, on_failed)
         await asyncio.sleep(RESTART_DELAY_S)
--- a/packages/node/tests/test_tasks.py
+++ b/packages/node/tests/test_tasks.py
@@ -62,3 +62,32 @@
     [message] = [m for m in logged if m["message_type"] == "process.task-failed"]
     assert message["reason"] == "AssertionError('broken')"
     assert message["location"].startswith("test_tasks.py:")
+
+
+# Guards against a task that ends unnoticed, since an awaited future was cancelled by
+# others, although the instance needs it.
+async def test_start_needed_runs_again_after_a_cancelled_future(monkeypatch) -> None:
+    monkeypatch.setattr(tasks, "RESTART_DELAY_S", 0.0)
+    has_succeeded, runs, reasons = asyncio.Event(), [], []
+
+    async def run() -> None:
+        runs.append(None)
+        if len(runs) == 1:
+            future = asyncio.get_running_loop().create_future()
+            future.cancel()
+            await future
+        has_succeeded.set()
+
+    async with contextlib.AsyncExitStack() as stack:
+        tasks.start_needed(run, stack, reasons.append)
+        async with asyncio.timeout(5.0):
+            await has_succeeded.wait()
+    assert (len(runs), reasons) == (2, ["CancelledError()"])
+
+
+async def test_start_needed_ends_when_it_is_cancelled() -> None:
+    reasons: list[str] = []
+    async with contextlib.AsyncExitStack() as stack:
+        tasks.start_needed(asyncio.Event().wait, stack, reasons.append)
+        await asyncio.sleep(0)
+    assert reasons == []
