Routed process: write standard error beside the event loop

Callers would see: an instance that answers nothing, as asyncio, warnings or the interpreter report to a standard error whose reader (a pipe, a hung disk) has stopped. asyncio logs "socket.send() raised exception." from the loop, for one.

Cause: only the lines of the instance itself went through a line writer; sys.stderr was a stream in blocking mode.

Change: sys.stderr is redirected to a threaded line writer while the instance runs. As that may be non-blocking (it can share a description with standard output), the thread waits after a write that would block, rather than spin.

What asyncio.run reports after the instance has closed still goes to the blocking stream.

--- a/packages/node/src/yuccapitch/node/routed/line_writer.py
+++ b/packages/node/src/yuccapitch/node/routed/line_writer.py
@@ -6,13 +6,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import errno
+import io
 import os
 import stat
+import sys
 import threading
 import time
 import typing
+from collections.abc import Iterator
 
 # Maximum buffered output while the destination takes none.
 MAX_PENDING_BYTES = 256 * 1024
@@ -49,6 +53,7 @@
         self._pending = bytearray()
         self._last_error: OSError | None = None
         self._is_failing = False
+        self._is_blocked = False
         self._retry_at = float("-inf")
         self._failed_lines = 0
         self.lost_lines = 0
@@ -101,6 +106,7 @@
             written = self._write(piece)
         except BlockingIOError:
             # The reader is slow; the next line or report retries the write.
+            self._is_blocked = True
             return False
         except OSError as error:
             with self._lock:
@@ -109,7 +115,7 @@
             return False
         with self._lock:
             del self._pending[:written]
-            self._is_failing = False
+            self._is_failing = self._is_blocked = False
             return bool(self._pending)
 
     def _write(self, piece: bytes) -> int:
@@ -119,7 +125,7 @@
 
 
 class ThreadedLineWriter(LineWriter):
-    """Writes in a thread, for a regular file, which ignores the non-blocking mode."""
+    """Writes in a thread, for what ignores the non-blocking mode or is without it."""
 
     def __init__(self, descriptor: int) -> None:
         """Start the thread; raise RuntimeError if there can't be another one."""
@@ -147,7 +153,7 @@
                 self._has_work.wait_for(self._needs_run)
             while self._write_once():
                 pass
-            if self._is_failing:
+            if self._is_failing or self._is_blocked:
                 self._is_closing.wait(RETRY_INTERVAL_S)
         # Lines that came while the thread was about to end.
         while self._write_once():
@@ -195,3 +201,49 @@
         return
     writer.append(line.encode(errors="backslashreplace") + b"\n")
     writer.close()
+
+
+@contextlib.contextmanager
+def standard_error_in_background() -> Iterator[None]:
+    """Write what libraries and the interpreter report without waiting for its reader.
+
+    asyncio, for example, logs to standard error from the event loop.
+    """
+    descriptor = find_descriptor(sys.stderr)
+    if descriptor is None:
+        yield
+        return
+    try:
+        writer = ThreadedLineWriter(descriptor)
+    except RuntimeError:
+        yield
+        return
+    text = typing.cast(typing.TextIO, _BackgroundText(writer, descriptor))
+    try:
+        with contextlib.redirect_stderr(text):
+            yield
+    finally:
+        writer.close()
+
+
+class _BackgroundText(io.TextIOBase):
+    """Text stream that writes through a line writer."""
+
+    def __init__(self, writer: LineWriter, descriptor: int) -> None:
+        super().__init__()
+        self._writer = writer
+        self._descriptor = descriptor
+
+    def writable(self) -> bool:
+        """Return that text can be written."""
+        return True
+
+    def fileno(self) -> int:
+        """Return the descriptor of the stream that this one replaces."""
+        return self._descriptor
+
+    def write(self, text: str) -> int:
+        """Write text, which may be a part of a line."""
+        self._writer.append(text.encode(errors="backslashreplace"))
+        self._writer.flush()
+        return len(text)
--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -118,7 +118,8 @@
     ``read_changed_settings`` returns the changed settings, or None if they are
     unchanged. Its argument is whether a signal requested the reload.
     """
-    with _logging(node_settings.name) as log:
+    background = line_writer.standard_error_in_background()
+    with background, _logging(node_settings.name) as log:
         code = await _run_logged(
             role, node_settings, adapter, read_changed_settings, log
         )
--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -5,6 +5,8 @@
 import asyncio
 import os
 import signal
+import sys
+import threading
 from unittest import mock
 
 import pytest
@@ -229,3 +231,35 @@
     await run_node()
     [message] = [m for m in logged if m["message_type"] == "process.callback-failed"]
     assert "in a callback" in message["reason"]
+
+
+# Guards against an event loop that stands still as asyncio or the interpreter reports
+# something to a standard error whose reader has stopped.
+def test_run_does_not_wait_for_the_reader_of_standard_error(monkeypatch):
+    read_end, write_end = os.pipe()
+    outcomes = []
+
+    async def report(*args):
+        print("report " * 40_000, file=sys.stderr)
+        outcomes.append("reported")
+        return process.EXIT_OK
+
+    def run():
+        outcomes.append(
+            asyncio.run(process.run("test", FakeSettings(), None, lambda _: None))
+        )
+
+    monkeypatch.setattr(process, "_run_logged", report)
+    with open(read_end, "rb") as reader, open(write_end, "w") as stream:
+        monkeypatch.setattr(sys, "stderr", stream)
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        thread.join(5.0)
+        has_ended = not thread.is_alive()
+        # Threads that still write have to end before their descriptor is closed.
+        os.set_blocking(read_end, False)
+        while thread.is_alive() or any(t.name == "log" for t in threading.enumerate()):
+            reader.read(1 << 16)
+            thread.join(0.01)
+    assert has_ended
+    assert outcomes == ["reported", process.EXIT_OK]
