Replicated log: report an error of the thread outside a write

Callers would see: a control instance that answers but makes nothing durable any more, and neither ends nor logs anything but a traceback of a thread.

Cause: only errors of the storage's calls were reported as the outcome of a batch. Another one, such as a MemoryError while the batch is prepared, ended the thread, so that the batch stayed under way for ever.

Change: every error of a batch is its outcome, after which the replica fails.

Evidence: test_writer_reports_an_error_outside_its_storage fails on (TimeoutError, limit lowered to 6 s for that run) and passes now. packages/consensus/tests/test_replica_disks.py and test_replica.py: 24 passed.

--- a/packages/consensus/src/yuccapitch/consensus/writer.py
+++ b/packages/consensus/src/yuccapitch/consensus/writer.py
@@ -126,10 +126,17 @@
 
     def _run(self) -> None:
         while (batch := self._batches.get()) is not None:
-            self._report(self._end_batch, self._perform_batch(batch))
+            self._report(self._end_batch, self._try_batch(batch))
         self._storage.close()
         self._report(self._end)
 
+    def _try_batch(self, batch: list[Write]) -> Written | Exception:
+        try:
+            return self._perform_batch(batch)
+        except Exception as error:
+            # Without an outcome, the replica would wait for ever.
+            return error
+
     def _perform_batch(self, batch: list[Write]) -> Written | Exception:
         started_at = self._clock()
         paused_s = 0.0
--- a/packages/consensus/tests/test_replica_disks.py
+++ b/packages/consensus/tests/test_replica_disks.py
@@ -8,6 +8,7 @@
 import random
 import threading
 import time
+from unittest import mock
 
 import pytest
 
@@ -15,6 +16,7 @@
 from yuccapitch.consensus import (
     core,
     disk,
+    effects,
     files,
     replica,
     segments,
@@ -186,6 +188,23 @@
     assert (await pending).is_err()
 
 
+# Guards against a replica that waits for ever, as its thread has ended without a word.
+async def test_writer_reports_an_error_outside_its_storage():
+    async with asyncio.timeout(CHANGE_LIMIT_S):
+        reported = asyncio.get_running_loop().create_future()
+        failing = writer.Writer(
+            storage.MemoryStorage("c0-first"),
+            mock.Mock(side_effect=MemoryError),
+            mock.Mock(),
+            reported.set_result,
+            mock.Mock(),
+        )
+        failing.start()
+        failing.write([effects.PersistHardState(effects.HardState(1, None))])
+        assert isinstance(await reported, MemoryError)
+        await failing.aclose()
+
+
 class _LimitedFile(io.FileIO):
     def __init__(self, path, mode, disks):
         super().__init__(path, mode)
