Replicated log: a failed report leaves a write durable

Callers would see: a control instance none of whose later writes count as durable, as the numbers of its writes are one batch behind for ever.

Cause: the duration of a write was reported before the write was counted, so that an error of the report skipped the counting.

Change: the report comes last.

The reporter of the control instances raises nothing, by reading.

--- a/packages/consensus/src/yuccapitch/consensus/replica.py
+++ b/packages/consensus/src/yuccapitch/consensus/replica.py
@@ -272,7 +272,6 @@
             self._fail(error)
 
     def _on_written(self, written: consensus_writer.Written) -> None:
-        self._on_sync(written.duration_s)
         self._durable_count += written.count
         if self._is_closed:
             return
@@ -283,6 +282,8 @@
         except Exception as error:
             self._fail(error)
         self._flush()
+        # Last, since it only reports.
+        self._on_sync(written.duration_s)
 
     def _fail(self, error: Exception) -> None:
         # The contents of the disk are no longer known, so no message may be answered.
--- a/packages/consensus/tests/test_replica_disks.py
+++ b/packages/consensus/tests/test_replica_disks.py
@@ -188,6 +188,19 @@
     assert (await pending).is_err()
 
 
+# Guards against a replica that takes none of its writes for durable any more, as a
+# report of their duration has failed.
+async def test_replica_commits_although_a_report_of_its_writes_fails(make_group):
+    async with asyncio.timeout(CHANGE_LIMIT_S):
+        group = await make_group(make_slow_storages(0.0, size=1))
+        (single,) = group.replicas_by_id.values()
+        failing = mock.Mock(side_effect=AssertionError("broken"))
+        single._on_sync = failing
+        outcomes = [await single.propose(b"a"), await single.propose(b"b")]
+    assert all(outcome.is_ok() for outcome in outcomes)
+    assert failing.called
+
+
 # Guards against a replica that waits for ever, as its thread has ended without a word.
 async def test_writer_reports_an_error_outside_its_storage():
     async with asyncio.timeout(CHANGE_LIMIT_S):
