Tasks: report a task that ends as its future was cancelled

Callers would see: an instance of either kind that goes on without one of its tasks, such as the daemon's lease, without a line in the log.

Cause: the done callback took each cancelled task for one that the exit stack cancelled. A task is also cancelled if what it awaits was cancelled by others.

Change: such a task counts as failed unless Task.cancel was called on it.

Evidence: test_start_reports_a_task_whose_future_is_cancelled fails on (no reason was reported) and passes now. By reading, no future that today's tasks await is cancelled by others.

--- a/packages/node/src/yuccapitch/node/tasks.py
+++ b/packages/node/src/yuccapitch/node/tasks.py
@@ -26,7 +26,7 @@
     """Run a coroutine until the stack closes and report a failure immediately."""
 
     def report(done: asyncio.Task[Any]) -> None:
-        error = None if done.cancelled() else done.exception()
+        error = _find_error(done)
         if error is not None:
             _report(error, on_failed)
 
@@ -59,6 +59,13 @@
     return f"{pathlib.Path(frames[-1].filename).name}:{frames[-1].lineno}"
 
 
+def _find_error(done: asyncio.Task[Any]) -> BaseException | None:
+    if not done.cancelled():
+        return done.exception()
+    # Unless the task itself was cancelled, others have cancelled what it awaited.
+    return None if done.cancelling() else asyncio.CancelledError()
+
+
 async def _keep_running(run: Run, on_failed: OnFailed) -> None:
     while True:
         try:
--- a/packages/node/tests/test_tasks.py
+++ b/packages/node/tests/test_tasks.py
@@ -27,6 +27,20 @@
     assert reasons == []
 
 
+# Guards against a task that ends unnoticed, since an awaited future was cancelled by
+# others.
+async def test_start_reports_a_task_whose_future_is_cancelled() -> None:
+    future = asyncio.get_running_loop().create_future()
+    reasons: list[str] = []
+    async with contextlib.AsyncExitStack() as stack:
+        tasks.start(asyncio.wait_for(future, None), stack, reasons.append)
+        await asyncio.sleep(0)
+        future.cancel()
+        for _ in range(3):
+            await asyncio.sleep(0)
+    assert reasons == ["CancelledError()"]
+
+
 class FailingRun:
     """Coroutine function that fails a number of times."""
 
