--- a/packages/consensus/tests/test_durability.py
+++ b/packages/consensus/tests/test_durability.py
@@ -6,17 +6,21 @@
 from __future__ import annotations
 
 import contextlib
+import random
 from unittest import mock
 
 import pytest
 
 from packages.consensus.tests import replacements, simulation
 from yuccapitch.consensus import (
+    core,
     durability,
     effects,
     election,
     follower,
     leader,
+    log,
+    membership,
     state as core_state,
     writer,
 )
@@ -134,6 +138,58 @@
     assert cluster.has_converged()
 
 
+def install_snapshot(entries):
+    """Install a snapshot at index 7 and send a heartbeat; return the core."""
+    members = membership.Membership(
+        tuple(membership.Member(i, f"{i}-first", True) for i in ("c0", "c1", "c2"))
+    )
+    recovered = core.RecoveredState(
+        "c1-first",
+        effects.HardState(3, None),
+        log.Snapshot(1, 1, members, b""),
+        entries,
+    )
+    follower_core = core.Core(
+        core.Settings("c1", ("c0", "c2"), False, core_state.Timing(0.15, 0.6, 1.0)),
+        recovered,
+        random.Random(0),
+        0.0,
+    )
+    for message in (
+        messages.SnapshotRequest(
+            3, "c0-first", "c1-first", 7, 2, membership.encode(members), 0, b"", True, 1
+        ),
+        messages.AppendRequest(3, "c0-first", "c1-first", 7, 2, (), 7, 2),
+    ):
+        follower_core.receive("c0", message, 1.0)
+    return follower_core
+
+
+def find_replies(pending_effects):
+    sent = [e.message for e in pending_effects if isinstance(e, effects.Send)]
+    return (
+        [m.installed for m in sent if isinstance(m, messages.SnapshotReply)],
+        [m.match_index for m in sent if isinstance(m, messages.AppendReply)],
+    )
+
+
+# Guards against a snapshot that counts towards a quorum and is lost with the power,
+# also where it replaces a longer log of another history.
+@pytest.mark.parametrize("last_index", [1, 5, 9])
+def test_follower_answers_for_a_snapshot_once_it_is_durable(last_index):
+    entries = tuple(make_entry(index) for index in range(2, last_index + 1))
+    follower_core = install_snapshot(entries)
+    pending_effects = follower_core.take_effects(1.0)
+    installed, matches = find_replies(pending_effects)
+    assert not any(installed)
+    assert all(match_index < 7 for match_index in matches)
+    count = sum(isinstance(e, writer.Write) for e in pending_effects)
+    assert count == 1
+    follower_core.on_durable(count, 0.0, 1.1)
+    installed, matches = find_replies(follower_core.take_effects(1.1))
+    assert (installed, matches) == ([True], [7])
+
+
 def test_leader_leads_on_if_no_disk_works():
     cluster, node = form_group()
     for instance_id in cluster.nodes:
