--- a/tests/test_own_end.py
+++ b/tests/test_own_end.py
@@ -295,7 +295,7 @@
     def fail_sync() -> None:
         raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
 
-    control.node._replica._storage.sync = fail_sync
+    control.node._replica._writer._storage.sync = fail_sync
     order = await put(control, configuration(2, "/b/"))
     assert order.status == 503
     assert control.failures
