Daemon: answer changes that are not committed in time

The coordinator of the routed roles limits its proposals; the daemon's service didn't.

Change: a change that isn't committed within 5 s is answered as unavailable with an unknown outcome. It may still be committed, as after a lost leadership.

--- a/packages/control/src/yuccapitch/control/service.py
+++ b/packages/control/src/yuccapitch/control/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from collections.abc import Callable
 
@@ -13,6 +14,8 @@
 from yuccapitch.protocol import events, node_messages, peers as inner_peers
 
 MS_PER_S = 1000
+# Time limit for a change to be committed. Disks that are full or stalled hold it up.
+COMMIT_TIMEOUT_S = 5.0
 
 HttpAddress = Callable[[str], str | None]
 """Returns the HTTP address of a control instance, or None if it is unknown."""
@@ -88,7 +91,12 @@
         if isinstance(admitted, result.Err):
             return result.Ok(admitted.err_value)
         command = self._state.build_command(change, int(time.time() * MS_PER_S))
-        proposed = await self._replica.propose(command)
+        try:
+            async with asyncio.timeout(COMMIT_TIMEOUT_S):
+                proposed = await self._replica.propose(command)
+        except TimeoutError:
+            message = f"the change was not committed in {COMMIT_TIMEOUT_S:g} s"
+            return result.Err(operator_api.Unavailable(message, True))
         match proposed:
             case result.Ok(outcome):
                 assert isinstance(
