Claims: abstain on keys from before the start also after a set clock

What callers saw: nothing; found by a test. A request that runs at most once can run twice if its holders are restarted while their time of day is behind (by 2.4 s or 10 minutes in the test) and the clock is set afterwards: they have forgotten their votes, and take the key for one of after their start.

Cause: the time of the start was read once, by a clock that was behind. docs/design/claims.md demanded a clock that doesn't step back over a restart.

Change: the start is the present wall time less the uptime, and moves only forward. After a step ahead, a holder abstains on more keys, which costs refusals, never a second run.

The tests' cluster moved its wall clock by 10 to 100 s while its steady clock stood still, which is a step now and not time that passes; both pass now.

Evidence: test_claims_holders_abstain_for_older_keys_after_a_step_of_the_clock (-600 and -2.4 s) failed without the change, with a permit to dispatch the key again, and passes now.

--- a/packages/gateway/src/yuccapitch/gateway/claim_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/claim_service.py
@@ -78,6 +78,7 @@
         self._is_leased = is_leased
         self._clock = clock
         self._wall_clock = wall_clock
+        self._started_at = clock()
         self._holder = claims.ClaimHolder(own_id, wall_clock())
         self._can_vote_at = wall_clock() + claim_keys.CLOCK_SKEW_S
         self._member_lists: tuple[claim_placement.MemberList, ...] = ()
@@ -248,6 +249,7 @@
 
     def _vote(self, message: Message) -> claim_messages.ClaimReply:
         now = self._wall_clock()
+        self._holder.record_start(now - (self._clock() - self._started_at))
         match message:
             case claim_messages.ClaimRequest():
                 return self._holder.on_claim(message, now)
--- a/packages/gateway/tests/test_claim_service.py
+++ b/packages/gateway/tests/test_claim_service.py
@@ -27,6 +27,8 @@
 
     def __init__(self) -> None:
         self.wall_s = STARTED_AT
+        self.clock_step_s = 0.0
+        """By how much the time of day of all instances is off."""
         self.is_leased = True
         self.links_by_id: dict[str, peers.Peers] = {}
         self.addresses_by_id: dict[str, peers.Address] = {}
@@ -74,12 +76,16 @@
             next(UNIQUE_NUMBERS),
             self.links_by_id[instance],
             lambda: self.is_leased,
-            time.monotonic,
-            lambda: self.wall_s,
+            self.clock,
+            lambda: self.wall_s + self.clock_step_s,
         )
         restarted.configure(None, self.lists, {})
         self.claims_by_id[instance] = restarted
 
+    def clock(self) -> float:
+        """Return a steady time, on which ``wall_s`` passes as well."""
+        return time.monotonic() + self.wall_s - STARTED_AT
+
     def configure_lists(self, *lists: claim_holders.HolderList) -> None:
         self.lists = lists
         for service in self.claims_by_id.values():
@@ -102,7 +108,7 @@
         attempt: int = 1,
         remaining_s: float = DEFAULT_REMAINING_S,
     ) -> claim_service.ClaimOutcome:
-        deadline = time.monotonic() + remaining_s
+        deadline = self.clock() + remaining_s
         return await self.claims_by_id[instance].claim(key, attempt, deadline)
 
 
@@ -221,6 +227,24 @@
     await claim_permit(cluster, "b", cluster.key())
 
 
+# Guards against a request that runs twice because its holders were restarted while
+# their time of day was behind, so that they took its key for one of after their start.
+@pytest.mark.parametrize("step_s", [-600.0, -2.4])
+async def test_claims_holders_abstain_for_older_keys_after_a_step_of_the_clock(
+    cluster: Cluster, step_s: float
+) -> None:
+    key = cluster.key()
+    await claim_permit(cluster, "a", key)
+    cluster.clock_step_s = step_s
+    for holder in cluster.holders(key):
+        cluster.restart(holder)
+    cluster.clock_step_s = 0.0
+    claimed = await cluster.claim("b", key, remaining_s=0.2)
+    assert claimed == claim_attempt.Undecided()
+    cluster.wall_s += 10.0
+    await claim_permit(cluster, "b", cluster.key())
+
+
 async def test_claims_duplicate_is_refused_despite_one_restarted_holder(
     cluster: Cluster,
 ) -> None:
--- a/packages/steering/src/yuccapitch/steering/claims.py
+++ b/packages/steering/src/yuccapitch/steering/claims.py
@@ -58,6 +58,15 @@
     def __len__(self) -> int:
         return len(self._records_by_key)
 
+    def record_start(self, started_at: float) -> None:
+        """Record when the holder started, by the present time of day.
+
+        It is later than at the start if the clock was behind then and was set since.
+        """
+        self._abstain_until = max(
+            self._abstain_until, started_at + claim_keys.CLOCK_SKEW_S
+        )
+
     def on_claim(
         self, message: claim_messages.ClaimRequest, now: float
     ) -> claim_messages.ClaimReply:
