--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -17,6 +17,7 @@
 from yuccapitch.node.routed import (
     adapter as routed_adapter,
     bounded_log,
+    library_reports,
     line_writer,
     metrics as routed_metrics,
     settings,
@@ -118,7 +119,7 @@
     ``read_changed_settings`` returns the changed settings, or None if they are
     unchanged. Its argument is whether a signal requested the reload.
     """
-    with _logging(node_settings.name) as log:
+    with _logging(node_settings.name) as log, library_reports.logged_as_events():
         code = await _run_logged(
             role, node_settings, adapter, read_changed_settings, log
         )
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -71,6 +71,11 @@
     "A callback of the event loop, or a task that nothing waits for, failed.",
     Level.ERROR,
 )
+declare(
+    "process.library-message",
+    "A library logged a warning or an error.",
+    Level.WARNING,
+)
 declare(
     "control.drain-finished",
     "A control instance has answered its requests, or the time for it is over.",
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import pathlib
+import re
 import signal
 import socket
 import sys
@@ -241,3 +242,52 @@
         if process.returncode is None:
             process.kill()
             await process.wait()
+
+
+# A control instance whose syncs fail once a file exists.
+RUN_WITH_FAILING_SYNCS = """
+import errno, os, runpy, sys
+from yuccapitch.consensus import disk
+sync = disk.DiskStorage.sync
+def fail(self):
+    if os.path.exists(os.environ["TRIGGER"]):
+        raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+    sync(self)
+disk.DiskStorage.sync = fail
+sys.argv = ["yuccapitch.platform", "control"]
+runpy.run_module("yuccapitch.platform", run_name="__main__")
+"""
+
+
+# Guards against a control instance that ends over the orders it has taken because the
+# disk of its replicated log is full.
+@pytest.mark.processes
+async def test_process_answers_orders_when_its_replica_fails(
+    settings_path, tmp_path, monkeypatch
+):
+    monkeypatch.setenv("TRIGGER", str(tmp_path / "trigger"))
+    process = await start(settings_path, program=("-c", RUN_WITH_FAILING_SYNCS))
+    try:
+        await read_until(process, "consensus.leader-elected")
+        await wait_for_listener(settings_path)
+        host = re.search(r'ip = "(\S+)"', settings_path.read_text())[1]
+        reader, writer = await asyncio.open_connection(host, CONTROL_PORT)
+        (tmp_path / "trigger").touch()
+        for _ in range(2):
+            writer.write(
+                b"POST /api/evacuations/north-a/start HTTP/1.1\r\n"
+                b"Host: control\r\nContent-Length: 0\r\n\r\n"
+            )
+        async with asyncio.timeout(60):
+            received = await reader.read(-1)
+        writer.close()
+        assert received.count(b"HTTP/1.1 503") == 2
+        failed = await read_until(process, "process.failed")
+        assert "No space left" in failed
+        assert " in_flight=0 " in await read_until(process, "control.drain-finished")
+        async with asyncio.timeout(60):
+            assert await process.wait() == 1
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
