--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -145,8 +145,26 @@
 
 
 def ignores_hangup(status: str) -> bool:
+    return ignores(status, signal.SIGHUP)
+
+
+def ignores(status: str, number: signal.Signals) -> bool:
     ignored = next(line for line in status.splitlines() if line.startswith("SigIgn"))
-    return bool(int(ignored.split()[1], 16) & 1 << (signal.SIGHUP - 1))
+    return bool(int(ignored.split()[1], 16) & 1 << (number - 1))
+
+
+# Guards against a signal that ends an instance because its log has no reader any more,
+# or has reached the largest size of a file.
+@pytest.mark.processes
+async def test_process_ignores_the_signals_of_writes_that_fail(settings_path):
+    process = await start(settings_path, "control")
+    try:
+        await read_until(process, "process.started")
+        status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+        assert ignores(status, signal.SIGPIPE) and ignores(status, signal.SIGXFSZ)
+    finally:
+        process.kill()
+        await process.wait()
 
 
 @pytest.mark.processes
