--- a/tests/test_own_end.py
+++ b/tests/test_own_end.py
@@ -240,6 +240,25 @@
             assert await entry.process.wait() == EXIT_FAILED
 
 
+# Guards against an end that leaves no trace, as it is the log that fails.
+@pytest.mark.processes
+async def test_entry_that_fails_names_the_reason_beside_a_full_disk(group, tmp_path):
+    async with running_entry(group, tmp_path, stdout="/dev/full") as (entry, _):
+        connection = await entry.connect()
+        entry.endpoint.delay_s = 1.0
+        connection.send("last")
+        await routed.wait_until(
+            lambda: "last" in entry.endpoint.executed_attempt_ids, "a request"
+        )
+        entry.trigger.touch()
+        assert await connection.read_status() == 200
+        async with asyncio.timeout(30):
+            assert await entry.process.wait() == EXIT_FAILED
+        assert entry.process.stderr is not None
+        errors = (await entry.process.stderr.read()).decode()
+        assert "entry-1 failed: AssertionError('broken')" in errors
+
+
 # Guards against an own end that takes longer than the grace of its failure because a
 # stop signal comes later.
 @pytest.mark.processes
