Own end: don't give up a drain that begins after the grace

Change: the bound, which only ends a drain that hangs, is 2 s after the grace or after now. The drain keeps to the grace itself, as before.

--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -30,6 +30,8 @@
 # rare collections are enough.
 GC_ALLOCATION_THRESHOLD = 20_000
 REPORT_INTERVAL_S = 5.0
+# Time after the grace until a drain that hangs is given up.
+MAX_DRAIN_DELAY_S = 2.0
 # The settings file may change without a signal, so it is also checked periodically.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 
@@ -251,8 +253,10 @@
     node: Node, stop: _Stop, stopped_at: float, ends_at: float, loop_lag_s: float
 ) -> None:
     try:
-        # Nobody kills an instance that ends by itself.
-        async with asyncio.timeout(ends_at - coordinator.boot_time_s()):
+        # Nobody kills an instance that ends by itself. The drain keeps to the grace
+        # itself, and may come late after a long start or in a late event loop.
+        left_s = max(0.0, ends_at - coordinator.boot_time_s())
+        async with asyncio.timeout(left_s + MAX_DRAIN_DELAY_S):
             await node.drain(stopped_at, loop_lag_s)
     except Exception as error:
         events.event(
--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -153,6 +153,7 @@
 # Guards against an instance that ends by itself and hangs, as nobody kills it.
 async def test_run_ends_a_drain_that_outlives_the_grace(run_node, monkeypatch, logged):
     monkeypatch.setattr(FakeSettings, "stop_grace_s", 0.05)
+    monkeypatch.setattr(process, "MAX_DRAIN_DELAY_S", 0.05)
     node, code = await run_node(drain_s=3600.0)
     assert (code, node.has_closed) == (process.EXIT_FAILED, True)
     assert "process.drain-failed" in [m["message_type"] for m in logged]
@@ -166,6 +167,15 @@
     assert "address in use" in message["reason"]
 
 
+# Guards against a drain that is given up at once because the start took longer than
+# the grace, or because the event loop was late.
+async def test_run_drains_a_node_whose_grace_is_over(run_node, monkeypatch, logged):
+    monkeypatch.setattr(FakeSettings, "stop_grace_s", -1.0)
+    node, code = await run_node(drain_s=0.05)
+    assert (code, len(node.drained_at)) == (process.EXIT_FAILED, 1)
+    assert "process.drain-failed" not in [m["message_type"] for m in logged]
+
+
 class StoppedNode(FailingNode):
     """Node that is stopped by a signal once its settings were read."""
 
