Entry: an instance that leaves the list keeps the requests that wait in it

Callers saw: requests that wait for a place at an entry instance which dispatches itself got 503 five seconds later when it was stopped (planned, or by itself), though slots were free after one second.

Cause: a stopping instance leaves the leader's list of entries, sees its own id among the removed ones, and removes "the requests of an instance that is gone" from its own dispatcher: their places are given back while they run, those that wait are dropped without a decision.

Change: an instance doesn't remove itself.

--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -388,7 +388,8 @@
         self._dispatcher.table.capacity_share = share
         self._placer.set_peers(ids.InstanceId(peer.instance_id) for peer in peers)
         self._placer.set_dispatcher(dispatcher_id)
-        for removed_id in removed_ids:
+        # A stopping instance leaves the list, and still places what it has taken.
+        for removed_id in removed_ids - {node_settings.instance_id}:
             self._placer.remove_entry(ids.InstanceId(removed_id))
 
 
--- a/tests/test_own_end.py
+++ b/tests/test_own_end.py
@@ -220,6 +220,29 @@
         assert "event=entry.drain-finished " in log and "in_flight=0" in log
 
 
+# Guards against requests that wait at an entry instance for a place when it is stopped,
+# and are refused at the end of its grace, as it takes itself for gone.
+@pytest.mark.processes
+async def test_entry_that_stops_places_the_requests_that_wait(group, tmp_path):
+    async with running_entry(group, tmp_path) as (entry, _):
+        await routed.wait_until(
+            lambda: f" dispatcher={entry.host}:" in entry.log_path.read_text(),
+            "the entry instance as dispatcher",
+        )
+        connections = [await entry.connect() for _ in range(6)]
+        entry.endpoint.delay_s = 1.0
+        for number, connection in enumerate(connections):
+            connection.send(f"request-{number}")
+        await routed.wait_until(
+            lambda: len(entry.endpoint.executed_attempt_ids) >= 5, "a full endpoint"
+        )
+        entry.process.send_signal(signal.SIGTERM)
+        for connection in connections:
+            assert await connection.read_status() == 200
+        async with asyncio.timeout(30):
+            assert await entry.process.wait() == 0
+
+
 # Guards against connections that wait in the accept queue while their instance ends by
 # itself, and end without an answer.
 @pytest.mark.processes
