Tests: a failed leader that drains costs no other instance its lease

Callers: nothing changes. Since a daemon that ends by itself drains first, a leader whose disk fails goes on answering lease requests for some seconds; the other instances must not wait for it meanwhile.

Cause: suspected by reading only: a refusal names the leader that it knows.

Change: a test of three instances with both roles, the leader's files limited to one byte, so that each write fails with EFBIG.

--- a/tests/test_daemon_ends.py
+++ b/tests/test_daemon_ends.py
@@ -8,10 +8,13 @@
 import re
 import resource
 import signal
+from typing import Any
 
+import aiohttp
 import pytest
 
-from tests import single_process
+from tests import declarations, processes, single_process
+from tests.fakes import endpoint as fake_endpoint
 
 pytestmark = pytest.mark.processes
 
@@ -126,18 +129,28 @@
     )
 
 
+def fail_disk(process: processes.Process) -> None:
+    """Make each further write to a file fail with EFBIG, those of the log too."""
+    assert process.popen is not None
+    limits = (1, resource.RLIM_INFINITY)
+    resource.prlimit(process.popen.pid, resource.RLIMIT_FSIZE, limits)
+
+
 async def post_change(
-    deployment: single_process.Deployment, change_id: str
+    process: processes.Process,
+    session: aiohttp.ClientSession,
+    declaration: dict[str, Any],
+    change_id: str,
 ) -> tuple[int, str]:
-    """Order the current declaration; return the status and code of the error."""
+    """Order a declaration; return the status and code of the error."""
     change = {
         "change_id": change_id,
         "base_version": 1,
-        "declaration": deployment.declaration,
+        "declaration": declaration,
         "owner": "north",
     }
-    url = deployment.process.url + "/v1/catalogue/changes"
-    async with deployment.session.post(url, json=change) as response:
+    url = process.url + "/v1/catalogue/changes"
+    async with session.post(url, json=change) as response:
         return response.status, (await response.json())["error"]
 
 
@@ -210,19 +223,57 @@
         for client in clients:
             client.send("GET", "/s/shop/1")
         await wait_for_work(deployment, 3)
-        assert deployment.process.popen is not None
-        pid = deployment.process.popen.pid
-        # Each further write to a file fails with EFBIG, those of the log too.
-        resource.prlimit(pid, resource.RLIMIT_FSIZE, (1, resource.RLIM_INFINITY))
-        deployment.declaration["regions"]["east"]["capacity"] = 99
-        undecided = await post_change(deployment, "change-1")
-        refused = await post_change(deployment, "change-2")
+        fail_disk(deployment.process)
+        declaration = {**deployment.declaration, "regions": {"east": {"capacity": 99}}}
+        undecided, refused = [
+            await post_change(
+                deployment.process, deployment.session, declaration, change_id
+            )
+            for change_id in ("change-1", "change-2")
+        ]
         assert undecided == (503, "unknown-outcome")
         assert refused == (503, "unavailable")
         assert [await client.read_status() for client in clients] == [200] * 3
         assert await deployment.process.wait(WAIT_S) == 1
 
 
+# Guards against instances that keep asking a failed leader for their leases while it
+# answers what it has taken.
+async def test_instances_keep_their_leases_while_a_failed_leader_ends(
+    cluster: processes.Cluster,
+) -> None:
+    domains = {"both-1": "domain-1", "both-2": "domain-2", "both-3": "domain-1"}
+    cluster.add(domains, {}, {"YUCCAPITCH_ROLE": "both"})
+    cluster.start()
+    async with fake_endpoint.running(fake_endpoint.FakeEndpoint()) as port:
+        instances = cluster.instances()
+        for instance in instances.values():
+            instance["roles"] = ["control", "entry"]
+        declaration = declarations.small(instances, {"shop-1": port})
+        await cluster.apply(declaration)
+        await cluster.wait_until_ready(*cluster.processes_by_id.values())
+        _, status = await cluster.get(
+            cluster.processes_by_id["both-1"].url + "/v1/status"
+        )
+        leader = cluster.processes_by_id.pop(status["leader"])
+        try:
+            fail_disk(leader)
+            changed = {**declaration, "regions": {"east": {"capacity": 99}}}
+            undecided = await post_change(leader, cluster.session, changed, "change-1")
+            assert undecided == (503, "unknown-outcome")
+            ending = asyncio.create_task(leader.wait(WAIT_S))
+            while not ending.done():
+                for process in cluster.processes_by_id.values():
+                    # Every request gets a response.
+                    await cluster.get(process.url + "/s/shop/")
+            assert await ending == 1
+        finally:
+            leader.kill()
+        for process in cluster.processes_by_id.values():
+            assert "event=entry.lease-granted" in process.log_path.read_text()
+            assert "event=entry.lease-lapsed" not in process.log_path.read_text()
+
+
 # Guards against a report that ends an instance.
 async def test_daemon_goes_on_without_its_loop_monitor(tmp_path: pathlib.Path) -> None:
     async with single_process.running(tmp_path, prelude=FAILING_MONITOR) as deployment:
