Log writer: count an error of a non-blocking descriptor

Callers: none saw it. If another process made the shared pipe of the log non-blocking, an error of the wait for it would have ended the writer's thread, and lines would have been lost as "buffer-full" from then on.

Cause: the wait stood outside the try block of the write.

Change: write and wait are one function, whose errors are counted.

Result: packages/node/tests/test_log_writer.py three times, 13 passed each; tests/test_daemon_log.py, 5 passed.

--- a/packages/node/src/yuccapitch/node/log_writer.py
+++ b/packages/node/src/yuccapitch/node/log_writer.py
@@ -104,10 +104,7 @@
             if not data:
                 return
             try:
-                written = os.write(self._descriptor, data)
-            except BlockingIOError:
-                # Whoever shares the descriptor has made it non-blocking.
-                select.select([], [self._descriptor], [], RETRY_INTERVAL_S)
+                written = _write_some(self._descriptor, data)
             except OSError as error:
                 if not self._may_retry(error):
                     return
@@ -139,3 +136,13 @@
         if lines:
             for losses in (self.losses, self._unreported):
                 losses.lost_lines_by_reason[reason] += lines
+
+
+def _write_some(descriptor: int, data: bytes) -> int:
+    """Write the start of the data, which may be empty; return its length."""
+    try:
+        return os.write(descriptor, data)
+    except BlockingIOError:
+        # Whoever shares the descriptor has made it non-blocking.
+        select.select([], [descriptor], [], RETRY_INTERVAL_S)
+        return 0
--- a/packages/node/tests/test_log_writer.py
+++ b/packages/node/tests/test_log_writer.py
@@ -128,6 +128,23 @@
     released.set()
 
 
+# Guards against lines lost because another process made the shared pipe non-blocking.
+def test_writer_waits_for_the_reader_of_a_non_blocking_pipe() -> None:
+    read_end, write_end = os.pipe()
+    os.set_blocking(write_end, False)
+    lines = "".join(f"line {number}\n" for number in range(50_000))
+    writer = log_writer.LogWriter(write_end)
+    writer.write(lines)
+    received = b""
+    while len(received) < len(lines):
+        received += os.read(read_end, log_writer.MAX_WRITE_BYTES)
+    writer.close()
+    os.close(read_end)
+    os.close(write_end)
+    assert received.decode() == lines
+    assert not writer.losses.lost_lines_by_reason
+
+
 def test_write_to_reports_losses_once_the_log_is_written(
     writes: FailingWrites, path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
