--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -40,7 +40,7 @@
     {"/safe/": 0.64, "/order/": 0.84, "/photo/": 0.76, "/long/": 2.56},
     {"/safe/": 3.0, "/order/": 4.0, "/photo/": 4.0},
     # The last pause is up to four fifths of the idle limit.
-    ((False, 0.5), (True, 0.5), (True, 1.1), (True, 4.0)) * 2 + ((True, 10.0),),
+    ((False, 0.15), (True, 0.5), (True, 1.1), (True, 4.0)) * 2 + ((True, 10.0),),
     9, 1.0, True, 0.04,
 )  # fmt: skip
 SITES_BY_PROFILE = {
