Known red: a late loop counts the 3 s after SIGTERM from when it handles it

Callers get a 504 for a request that they sent more than 3 s after SIGTERM, was passed on, and whose endpoint is still at work when the stop ends: rule LOST. An instance takes requests without regard to their duration for 3 s from the moment at which its loop handles the signal, and a late loop handles it late; the rule counts from the signal. KNOWN-RED 40 reads the same (SIGTERM while the instance was starting, 504 after 2.6 s) and may be this.

--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -347,3 +347,18 @@
     await node._server.aclose()
     ends_at = schedules[0].ends_at
     assert stopped_at + 21.0 - ends_at == pytest.approx(margin_s)
+
+
+# Guards against a request that was sent later than 3 s after the stop signal, is taken
+# since a late event loop handled the signal late, and is cut while its endpoint works.
+@pytest.mark.parametrize("loop_lag_s", [0.0, 0.4])
+async def test_drain_takes_requests_unchecked_by_the_time_of_the_signal(
+    node, monkeypatch, loop_lag_s
+):
+    node.reload(dataclasses.replace(node._node_settings, lookup_ttl_s=5.0))
+    schedules = []
+    monkeypatch.setattr(node._path, "stop", schedules.append)
+    handled_at = coordinator.boot_time_s() - node._node_settings.stop_grace_s
+    await node.drain(handled_at, loop_lag_s)
+    signalled_at = handled_at - loop_lag_s
+    assert schedules[0].late_from <= signalled_at + 3.0
