--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,9 +14,8 @@
 
 from tests.soak import load, run, site
 
-# Options of a run as large as a site, and how often planned work outnumbers others.
+# Options of a run as large as a site.
 SITE_DEFAULTS = {"entries": 10, "callers": 24, "faults": 2, "clinging": 9}
-PLANNED_WEIGHT = 3
 
 
 def main() -> int:
@@ -59,7 +58,7 @@
     its_site = site.SITES_BY_PROFILE.get(options.site, site.SMALL)
     names = tuple(options.fault or its_site.faults)
     if options.site:
-        names += site.PLANNED_FAULTS * PLANNED_WEIGHT
+        names += site.PLANNED_FAULTS
     folder = options.folder or pathlib.Path(tempfile.mkdtemp(prefix="yuccapitch-soak-"))
     seeds = options.seed or [secrets.randbelow(10**9) for _ in range(options.seeds)]
     seeds_with_violations = 0
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -198,9 +198,9 @@
     def limit_files(self) -> None:
         """Let the process write to no file while its disk is full."""
         if self.popen is not None and self.is_running:
-            is_full = time.monotonic() < self.disk_full_until
-            limits = 0 if is_full else resource.RLIM_INFINITY, resource.RLIM_INFINITY
-            resource.prlimit(self.popen.pid, resource.RLIMIT_FSIZE, limits)
+            hard = resource.getrlimit(resource.RLIMIT_FSIZE)[1]
+            soft = 0 if time.monotonic() < self.disk_full_until else hard
+            resource.prlimit(self.popen.pid, resource.RLIMIT_FSIZE, (soft, hard))
 
     def end_grace(self, now: float) -> None:
         """Kill a process that is still running after its grace, as platforms do."""
@@ -326,10 +326,8 @@
                 instance.end_grace(time.monotonic())
                 if instance.is_running or not instance.should_run:
                     continue
-                may_exit_until = instance.disk_full_until + AFTER_FULL_DISK_S
-                may_exit = (
-                    instance.is_exit_expected or time.monotonic() < may_exit_until
-                )
+                until = instance.disk_full_until + AFTER_FULL_DISK_S
+                may_exit = instance.is_exit_expected or time.monotonic() < until
                 is_own_end = instance.popen is not None and not may_exit
                 if is_own_end:
                     code = instance.popen and instance.popen.returncode
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -435,7 +435,6 @@
 
 @_register_fault
 async def garble_answers(context: FaultContext, duration_s: float) -> None:
-    """Let endpoints send what is no response, or a response that nobody awaits."""
     with context.reserve_endpoints(0.4) as chosen:
         for endpoint in chosen:
             endpoint.garbled_fraction = 0.03
--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -153,7 +153,10 @@
             for a in self._observations.attempts_by_id.values()
             if a.is_kept and self._is_arrived(a) and self._is_in_touch(a)
         ]
-        lost = [a for a in kept if self._is_lost(a)]
+        # At any time, also a close after the deadline or the timeout counts.
+        spoilt = self._observations.broken_off_ids
+        cut = [a for a in kept if a.status is None and a.is_cut]
+        lost = [a for a in cut if a.attempt_id not in spoilt]
         self._observations.checks_by_guarantee[KEPT] += len(kept)
         if len(lost) > ALLOWED_KEPT_LOSSES:
             detail = f"{len(lost)} lost: {lost}"
@@ -181,7 +184,7 @@
         id_ = attempt.attempt_id
         return (
             attempt.status is not None
-            and attempt.status >= 500
+            and attempt.status >= 400
             and not attempt.is_from_endpoint
             and self._observations.executions_by_attempt_id[id_] > 0
             and id_ not in self._observations.answered_at_by_attempt_id
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-PLANNED_FAULTS = ("stop_in_turn", "stop_in_series", "change_in_series", "reload")
+PLANNED_FAULTS = ("stop_in_turn", "stop_in_series", "change_in_series", "reload") * 3
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -431,6 +431,7 @@
     ("fields", "holds"),
     [
         ({"status": 502}, False),
+        ({"status": 408}, False),
         ({"status": 502, "is_from_endpoint": True}, True),
         ({"status": 502, "answered_at": 2.4}, True),
         ({"status": 503, "arrives": False}, True),
@@ -520,7 +521,7 @@
         ({}, 3, True),
         ({"is_kept": False}, 4, True),
         ({"arrives": False}, 4, True),
-        ({"time_limit_s": 0.5}, 4, True),
+        ({"time_limit_s": 0.5}, 4, False),
         ({"status": 502}, 4, True),
     ],
 )
