Entry: count the time of unchecked requests from the stop signal

Cause: the 3 s in which a stopping instance takes requests without regard to their duration began when its event loop handled the signal, and a late loop handles it late.

Change: they are shortened by the recent lag of the loop, by which the signal may have come earlier.

--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -171,8 +171,10 @@
         cache_lifetime_s = MAX_CACHED_TTLS * self._node_settings.lookup_ttl_s
         # At least half of the grace period is left for the requests in flight.
         listens_for_s = min(cache_lifetime_s, self._node_settings.stop_grace_s / 2)
+        # A late event loop handles the stop signal by up to its lag later.
+        unchecked_s = max(0.0, MAX_UNCHECKED_STOP_S - loop_lag_s)
         schedule = planned_stop.StopSchedule(
-            late_from=stopped_at + min(listens_for_s, MAX_UNCHECKED_STOP_S),
+            late_from=stopped_at + min(listens_for_s, unchecked_s),
             no_places_from=ends_at - MIN_RESPONSE_TIME_S,
             ends_at=ends_at,
         )
