--- a/packages/consensus/src/yuccapitch/consensus/disk.py
+++ b/packages/consensus/src/yuccapitch/consensus/disk.py
@@ -44,19 +44,10 @@
 
     def load(self) -> result.Result[core.RecoveredState, storage.StorageError]:
         """Read the folder, or initialize an empty one with a new identity."""
-        files.create_folder(self._folder)
         try:
-            self._exit_stack.enter_context(files.lock(self._folder))
-        except BlockingIOError:
-            return result.Err(_folder_in_use_error(self._folder))
-        files.remove_temporary_files(self._folder)
-        if not (self._folder / _IDENTITY).exists():
-            outcome = self._initialize()
-            if outcome is not None:
-                return result.Err(outcome)
-        # A process that was killed may have replaced files without syncing their names.
-        files.sync_folder(self._folder)
-        return self._read()
+            return self._load()
+        except files.NoSpaceError as error:
+            return result.Err(_no_space_error(self._folder, error))
 
     def write_hard_state(self, hard_state: effects.HardState) -> None:
         """Replace the file with term and vote; the new file is synced at once."""
@@ -86,6 +77,21 @@
         """Close the files and release the folder's lock."""
         self._exit_stack.close()
 
+    def _load(self) -> result.Result[core.RecoveredState, storage.StorageError]:
+        files.create_folder(self._folder)
+        try:
+            self._exit_stack.enter_context(files.lock(self._folder))
+        except BlockingIOError:
+            return result.Err(_folder_in_use_error(self._folder))
+        files.remove_temporary_files(self._folder)
+        if not (self._folder / _IDENTITY).exists():
+            outcome = self._initialize()
+            if outcome is not None:
+                return result.Err(outcome)
+        # A process that was killed may have replaced files without syncing their names.
+        files.sync_folder(self._folder)
+        return self._read()
+
     def _initialize(self) -> storage.StorageError | None:
         # A folder with a log but no identity has lost files. A new identity must not
         # reuse an old log: it would vote on the basis of a history it does not know.
@@ -162,6 +168,12 @@
     )
 
 
+def _no_space_error(folder: pathlib.Path, error: OSError) -> storage.StorageError:
+    return storage.StorageError(
+        str(folder), 0, f"cannot be written ({error.strerror})", "free space"
+    )
+
+
 def _encode_snapshot(snapshot: log.Snapshot) -> bytes:
     header = {
         "last_index": snapshot.last_index,
--- a/packages/consensus/tests/test_replica_disks.py
+++ b/packages/consensus/tests/test_replica_disks.py
@@ -290,3 +290,16 @@
         assert not any(r.is_leader for r in group.replicas_by_id.values())
         disks.full_folders = set()
         await group.propose(b"b")
+
+
+# Guards against a start that ends with a traceback because its disk is full.
+def test_disk_without_space_for_a_new_log_is_an_error(disks, tmp_path):
+    disks.full_folders = {tmp_path}
+    first = disk.DiskStorage(tmp_path, lambda: "first")
+    error = first.load().unwrap_err()
+    first.close()
+    assert "(no space)" in str(error)
+    disks.full_folders = set()
+    second = disk.DiskStorage(tmp_path, lambda: "second")
+    assert second.load().unwrap().identity == "second"
+    second.close()
