--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -17,9 +17,11 @@
 from yuccapitch.node.routed import (
     adapter as routed_adapter,
     bounded_log,
+    library_reports,
     line_writer,
     metrics as routed_metrics,
     settings,
+    timing,
 )
 from yuccapitch.protocol import events
 
@@ -29,6 +31,10 @@
 # rare collections are enough.
 GC_ALLOCATION_THRESHOLD = 20_000
 REPORT_INTERVAL_S = 5.0
+# Time after the grace until a drain that hangs is given up.
+MAX_DRAIN_DELAY_S = 2.0
+# Longest wait for a slow disk that takes the last lines of the log, within the grace.
+MAX_LAST_WRITES_S = 1.0
 # The settings file may change without a signal, so it is also checked periodically.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 
@@ -119,7 +125,8 @@
     unchanged. Its argument is whether a signal requested the reload.
     """
     background = line_writer.standard_error_in_background()
-    with background, _logging(node_settings.name) as log:
+    reports = library_reports.logged_as_events()
+    with background, _logging(node_settings.name) as log, reports:
         code = await _run_logged(
             role, node_settings, adapter, read_changed_settings, log
         )
@@ -208,6 +215,10 @@
     await _drain(node, stop, stopped_at, ends_at, recent_lag.max_s)
     if stop.failures and not is_own_end:
         _report_failure(node_settings.name, stop.failures[0], log)
+    left_s = ends_at - timing.EXIT_MARGIN_S - coordinator.boot_time_s()
+    log.max_last_writes_s = max(
+        line_writer.LAST_WRITES_S, min(left_s, MAX_LAST_WRITES_S)
+    )
 
 
 class _Stop:
@@ -251,8 +262,10 @@
     node: Node, stop: _Stop, stopped_at: float, ends_at: float, loop_lag_s: float
 ) -> None:
     try:
-        # Nobody kills an instance that ends by itself.
-        async with asyncio.timeout(ends_at - coordinator.boot_time_s()):
+        # Nobody kills an instance that ends by itself. The drain keeps to the grace
+        # itself, and may come late after a long start or in a late event loop.
+        left_s = max(0.0, ends_at - coordinator.boot_time_s())
+        async with asyncio.timeout(left_s + MAX_DRAIN_DELAY_S):
             await node.drain(stopped_at, loop_lag_s)
     except Exception as error:
         events.event(
