--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -124,7 +124,9 @@
     ``read_changed_settings`` returns the changed settings, or None if they are
     unchanged. Its argument is whether a signal requested the reload.
     """
-    with _logging(node_settings.name) as log, library_reports.logged_as_events():
+    background = line_writer.standard_error_in_background()
+    reports = library_reports.logged_as_events()
+    with background, _logging(node_settings.name) as log, reports:
         code = await _run_logged(
             role, node_settings, adapter, read_changed_settings, log
         )
