Stop: count unchecked requests from before a late signal

Cause: an instance takes requests unchecked for 3 s from when it handles SIGTERM, less the lag that the loop monitor has measured. The monitor checks each 0.25 s, so the lag that delays the signal itself is measured too small by up to that, and not at all in a process that has just started. Platforms count from when they sent the signal.

Change: a handler of the interpreter, which runs as soon as the process has a processor, records the signal. It came after the last check of the event loop, so that check bounds its age, and the time of unchecked requests begins there. The handler of the event loop starts the stop, as before.

--- a/packages/node/src/yuccapitch/node/loop_monitor.py
+++ b/packages/node/src/yuccapitch/node/loop_monitor.py
@@ -22,9 +22,11 @@
 
 
 class RecentLag:
-    """The largest lag of the last checks."""
+    """The largest lag of the last checks, and when the last one was."""
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
+        """Create a record without checks; ``now`` is the time since boot."""
+        self.checked_at = now
         self._lags_s: collections.deque[float] = collections.deque(maxlen=RECENT_CHECKS)
 
     @property
@@ -32,8 +34,9 @@
         """The largest lag, in seconds; 0 without any check."""
         return max(self._lags_s, default=0.0)
 
-    def record(self, lag_s: float) -> None:
-        """Add the lag of one check."""
+    def record(self, lag_s: float, now: float) -> None:
+        """Add the lag of one check, made at a time since boot."""
+        self.checked_at = now
         self._lags_s.append(lag_s)
 
 
@@ -52,16 +55,16 @@
 
 async def run(recent_lag: RecentLag | None = None) -> None:
     """Check periodically, until cancelled, how late the loop is and the clocks."""
-    recent_lag = recent_lag or RecentLag()
     loop = asyncio.get_running_loop()
     clocks = read_clocks()
+    recent_lag = recent_lag or RecentLag(clocks.boot_time_s)
     while True:
         due_at = loop.time() + CHECK_INTERVAL_S
         await asyncio.sleep(CHECK_INTERVAL_S)
         now = loop.time()
-        recent_lag.record(now - due_at)
-        report_lag(due_at, now)
         last_clocks, clocks = clocks, read_clocks()
+        recent_lag.record(now - due_at, clocks.boot_time_s)
+        report_lag(due_at, now)
         report_step(last_clocks, clocks)
 
 
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -160,7 +160,9 @@
         self._leader_poller.set_seeds(node_settings.seed_ids)
         self._replica.core.add_join_targets(node_settings.seed_ids)
 
-    async def drain(self, stopped_at: float, loop_lag_s: float = 0.0) -> None:
+    async def drain(
+        self, stopped_at: float, loop_lag_s: float = 0.0, signal_age_s: float = 0.0
+    ) -> None:
         """Stop serving and let another control instance take over.
 
         Requests that were read, such as orders on their way to a quorum, are answered.
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -152,7 +152,9 @@
         self._node_settings = self._node_settings.reload(node_settings)
         self._leader_poller.set_seeds(node_settings.seed_ids)
 
-    async def drain(self, stopped_at: float, loop_lag_s: float = 0.0) -> None:
+    async def drain(
+        self, stopped_at: float, loop_lag_s: float = 0.0, signal_age_s: float = 0.0
+    ) -> None:
         """Drain the instance; the grace began at ``stopped_at``.
 
         The instance leaves the lookup responses, waits until cached ones have expired,
@@ -160,6 +162,9 @@
         ends, or sooner if the event loop is late by ``loop_lag_s``, those still in
         progress get their final response; until ``EXIT_MARGIN_S`` before it, responses
         are delivered and connections closed.
+
+        Platforms count from when they sent the signal, up to ``signal_age_s`` before
+        ``stopped_at``.
         """
         grace_s = self._node_settings.stop_grace_s
         grace_ends_at = stopped_at + grace_s
@@ -171,8 +176,8 @@
         cache_lifetime_s = MAX_CACHED_TTLS * self._node_settings.lookup_ttl_s
         # At least half of the grace period is left for the requests in flight.
         listens_for_s = min(cache_lifetime_s, self._node_settings.stop_grace_s / 2)
-        # A late event loop handles the stop signal by up to its lag later.
-        unchecked_s = max(0.0, MAX_UNCHECKED_STOP_S - loop_lag_s)
+        handling_delay_s = max(loop_lag_s, signal_age_s)
+        unchecked_s = max(0.0, MAX_UNCHECKED_STOP_S - handling_delay_s)
         schedule = planned_stop.StopSchedule(
             late_from=stopped_at + min(listens_for_s, unchecked_s),
             no_places_from=ends_at - MIN_RESPONSE_TIME_S,
--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -7,6 +7,7 @@
 import gc
 import signal
 import sys
+import types
 import typing
 from collections.abc import Callable, Mapping
 
@@ -57,10 +58,13 @@
     def reload(self, node_settings: settings.RoutedSettings) -> None:
         """Apply changed settings."""
 
-    async def drain(self, stopped_at: float, loop_lag_s: float = 0.0) -> None:
+    async def drain(
+        self, stopped_at: float, loop_lag_s: float = 0.0, signal_age_s: float = 0.0
+    ) -> None:
         """Complete the requests in flight; the grace began at ``stopped_at``.
 
-        ``loop_lag_s`` is by how much the event loop was late before.
+        ``loop_lag_s`` is by how much the event loop was late before, ``signal_age_s``
+        how long before ``stopped_at`` the signal can have been sent.
         """
 
 
@@ -142,11 +146,19 @@
     read_changed_settings: ReadChangedSettings,
     log: bounded_log.BoundedLog,
 ) -> int:
-    stop = _Stop(coordinator.boot_time_s)
+    recent_lag = loop_monitor.RecentLag(coordinator.boot_time_s())
+    stop = _Stop(coordinator.boot_time_s, recent_lag)
     try:
         async with contextlib.AsyncExitStack() as stack:
             await _run_node(
-                role, node_settings, adapter, read_changed_settings, log, stop, stack
+                role,
+                node_settings,
+                adapter,
+                read_changed_settings,
+                log,
+                stop,
+                recent_lag,
+                stack,
             )
     except Exception as error:
         # The exit stack has closed the other parts.
@@ -164,15 +176,18 @@
     read_changed_settings: ReadChangedSettings,
     log: bounded_log.BoundedLog,
     stop: _Stop,
+    recent_lag: loop_monitor.RecentLag,
     stack: contextlib.AsyncExitStack,
 ) -> None:
     reload_event = asyncio.Event()
     # Installed before the node starts, so that a signal during the start does not
     # kill the process.
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.request)
-    loop.add_signal_handler(signal.SIGINT, stop.request)
     loop.add_signal_handler(signal.SIGHUP, reload_event.set)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.request)
+        # Called beside the handler above, and before the event loop gets to that one.
+        signal.signal(number, stop.record_signal)
     stack.callback(loop.set_exception_handler, loop.get_exception_handler())
     loop.set_exception_handler(_log_callback_error)
     node = _FACTORIES_BY_ROLE[role](node_settings, adapter, stack, stop.fail)
@@ -187,7 +202,6 @@
         "Lines of the log that could not be written.",
         lambda: log.lost_lines,
     )
-    recent_lag = loop_monitor.RecentLag()
     tasks.start_optional(
         lambda: _watch_settings(node, reload_event, read_changed_settings), stack
     )
@@ -210,7 +224,8 @@
     if is_own_end:
         _report_failure(node_settings.name, stop.failures[0], log)
     else:
-        events.event("process.stopping")
+        signal_age_ms = round(stop.signal_age_s * 1000)
+        events.event("process.stopping", signal_age_ms=signal_age_ms)
     ends_at = stopped_at + node_settings.stop_grace_s
     await _drain(node, stop, stopped_at, ends_at, recent_lag.max_s)
     if stop.failures and not is_own_end:
@@ -224,13 +239,29 @@
 class _Stop:
     """The first request to stop, by a signal or by a failure, and all failures."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], recent_lag: loop_monitor.RecentLag
+    ) -> None:
         self._clock = clock
+        self._recent_lag = recent_lag
         self._is_requested = asyncio.Event()
         # The grace begins with the request, also if the node is still starting.
         self._requested_at = float("inf")
+        self.signal_age_s = 0.0
+        """How long before the request its signal can have been sent."""
         self.failures: list[str] = []
 
+    def record_signal(self, number: int, frame: types.FrameType | None) -> None:
+        """Record when a signal came.
+
+        The interpreter calls it as soon as the process has a processor, so the signal
+        came after the last check of the event loop.
+        """
+        now = self._clock()
+        if now < self._requested_at:
+            self._requested_at = now
+            self.signal_age_s = max(0.0, now - self._recent_lag.checked_at)
+
     def request(self) -> None:
         """Let the instance drain and end."""
         self._requested_at = min(self._requested_at, self._clock())
@@ -266,7 +297,7 @@
         # itself, and may come late after a long start or in a late event loop.
         left_s = max(0.0, ends_at - coordinator.boot_time_s())
         async with asyncio.timeout(left_s + MAX_DRAIN_DELAY_S):
-            await node.drain(stopped_at, loop_lag_s)
+            await node.drain(stopped_at, loop_lag_s, stop.signal_age_s)
     except Exception as error:
         events.event(
             "process.drain-failed", reason=repr(error), location=tasks.locate(error)
--- a/packages/node/tests/test_loop_monitor.py
+++ b/packages/node/tests/test_loop_monitor.py
@@ -19,7 +19,7 @@
 
 async def test_run_reports_a_step_that_blocks_the_loop(monkeypatch, logged):
     monkeypatch.setattr(loop_monitor, "CHECK_INTERVAL_S", 0.01)
-    recent_lag = loop_monitor.RecentLag()
+    recent_lag = loop_monitor.RecentLag(0.0)
     running = asyncio.create_task(loop_monitor.run(recent_lag))
     await asyncio.sleep(0.05)
     time.sleep(0.3)
@@ -32,14 +32,14 @@
 
 
 def test_recent_lag_forgets_old_checks():
-    recent_lag = loop_monitor.RecentLag()
-    assert recent_lag.max_s == 0.0
-    recent_lag.record(0.5)
+    recent_lag = loop_monitor.RecentLag(10.0)
+    assert (recent_lag.max_s, recent_lag.checked_at) == (0.0, 10.0)
+    recent_lag.record(0.5, 11.0)
     for _ in range(loop_monitor.RECENT_CHECKS - 1):
-        recent_lag.record(0.1)
+        recent_lag.record(0.1, 12.0)
     assert recent_lag.max_s == 0.5
-    recent_lag.record(0.1)
-    assert recent_lag.max_s == 0.1
+    recent_lag.record(0.1, 13.0)
+    assert (recent_lag.max_s, recent_lag.checked_at) == (0.1, 13.0)
 
 
 def read_after(boot_s: float, step_s: float) -> loop_monitor.ClockReading:
--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -7,13 +7,14 @@
 import signal
 import sys
 import threading
+import time
 from unittest import mock
 
 import pytest
 import result
 
 from yuccapitch.control import coordinator
-from yuccapitch.node.routed import process
+from yuccapitch.node.routed import entry_node, process
 
 
 class StartingNode:
@@ -30,7 +31,9 @@
         self.started_at = coordinator.boot_time_s()
         return result.Ok(None)
 
-    async def drain(self, stopped_at: float, loop_lag_s: float) -> None:
+    async def drain(
+        self, stopped_at: float, loop_lag_s: float, signal_age_s: float
+    ) -> None:
         self.stopped_at, self.loop_lag_s = stopped_at, loop_lag_s
 
 
@@ -57,6 +60,44 @@
     assert node.loop_lag_s == 0.0
 
 
+class LateNode:
+    """Node whose event loop stands still while its stop signal comes."""
+
+    def __init__(self, *args: object) -> None:
+        self.metrics = mock.Mock()
+        self.signalled_at = 0.0
+        self.taken_unchecked_until = 0.0
+
+    async def start(self):
+        asyncio.get_running_loop().call_later(0.05, self._stand_still)
+        return result.Ok(None)
+
+    async def drain(self, stopped_at: float, *delays_s: float) -> None:
+        self.taken_unchecked_until = (
+            stopped_at + entry_node.MAX_UNCHECKED_STOP_S - max(delays_s)
+        )
+
+    def _stand_still(self) -> None:
+        # Neither Python code nor the event loop runs meanwhile, as in a process that
+        # the machine gives no processor.
+        signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGTERM])
+        self.signalled_at = coordinator.boot_time_s()
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(0.3)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGTERM])
+
+
+# Guards against a request that is taken unchecked later than 3 s after the stop signal,
+# as the instance counts from when it handles the signal, and is cut while its endpoint
+# works.
+async def test_run_counts_unchecked_requests_from_before_a_late_signal(monkeypatch):
+    node = LateNode()
+    monkeypatch.setitem(process._FACTORIES_BY_ROLE, "test", lambda *args: node)
+    monkeypatch.setattr(process, "gc", mock.Mock())
+    await process._run_logged("test", FakeSettings(), None, lambda _: None, mock.Mock())
+    assert 0.0 < node.taken_unchecked_until <= node.signalled_at + 3.0
+
+
 class FailingNode:
     """Node that ends by itself, and records what becomes of it."""
 
@@ -82,7 +123,9 @@
     def reload(self, node_settings) -> None:
         raise AssertionError("not reloaded")
 
-    async def drain(self, stopped_at: float, loop_lag_s: float) -> None:
+    async def drain(
+        self, stopped_at: float, loop_lag_s: float, signal_age_s: float
+    ) -> None:
         self.drained_at.append(stopped_at)
         if self.stops_too:
             os.kill(os.getpid(), signal.SIGTERM)
