HTTP: don't let the kernel cut peers that read late

Callers got 502 in place of an upload's response while its endpoint was at work, which a planned stop must not do, and clients that read late got no response at all.

Cause: TCP_USER_TIMEOUT is meant for peers that are gone. Linux counts it also while a peer acknowledges zero-window probes, so 1.5 s towards endpoints and 5 s towards clients ended connections whose peer was alive and did not read.

Evidence: trial on, an endpoint with a receive buffer of 4 KiB that works for 3 s before it reads the body: uploads of 20 kB to 3 MB end after 1.8 s with ETIMEDOUT.

Change: requests whose body an endpoint may not take at once, and connections of clients, get 15 s, which outlasts their deadlines. Other requests keep 1.5 s, by which a silent endpoint is noticed.

Result: the new tests (two cases of the client, one of the server) fail on the code before with the same errors, and pass.

--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -19,6 +19,12 @@
 DEFAULT_KEEP_ALIVE_TIMEOUT_S = 5.0
 # Time that sent data may stay unacknowledged before the kernel drops the connection.
 TCP_USER_TIMEOUT_MS = 1500
+# The kernel counts this time also while an endpoint acknowledges, but does not read on
+# because its slots are in use. Up to this size, every endpoint takes a body at once.
+MAX_SMALL_BODY_BYTES = 4 * 1024
+# The same time for larger bodies. It outlasts the deadlines of uploads, by which their
+# senders give up.
+LARGE_BODY_USER_TIMEOUT_MS = 15_000
 # Limit on the bytes before the body of a response, with its interim responses, and on
 # the memory that its header fields take.
 MAX_HEAD_BYTES = 256 * 1024
@@ -80,7 +86,7 @@
         self._has_headers = False
         self._has_final_headers = False
         self._is_in_message = False
-        self._unwritten = False
+        self._user_timeout_ms = TCP_USER_TIMEOUT_MS
         self.is_usable = False
         self.use_count = 0
         self.idle_since = 0.0
@@ -91,7 +97,7 @@
         self._transport = typing.cast(asyncio.Transport, transport)
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            server.configure_tcp_socket(sock, TCP_USER_TIMEOUT_MS)
+            server.configure_tcp_socket(sock, self._user_timeout_ms)
         self.is_usable = True
         self._parser = httptools.HttpResponseParser(self)
 
@@ -127,6 +133,7 @@
         self._has_final_headers = False
         was_reused = self.use_count > 0
         self.use_count += 1
+        self._limit_unacknowledged_time(len(body))
         messages.write(self._transport, data, body)
         try:
             outcome = await self._future
@@ -263,6 +270,18 @@
             return
         self._complete()
 
+    def _limit_unacknowledged_time(self, body_bytes: int) -> None:
+        timeout_ms = TCP_USER_TIMEOUT_MS
+        if body_bytes > MAX_SMALL_BODY_BYTES:
+            timeout_ms = LARGE_BODY_USER_TIMEOUT_MS
+        if timeout_ms == self._user_timeout_ms:
+            return
+        self._user_timeout_ms = timeout_ms
+        assert self._transport is not None
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            server.set_user_timeout(sock, timeout_ms)
+
     def _complete(self) -> None:
         self._is_in_message = False
         if self._future is None or self._future.done():
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -28,8 +28,9 @@
 # Time after which a timer that expired over unread bytes is checked again.
 UNREAD_RETRY_S = 0.01
 # Time that sent data may stay unacknowledged before the kernel drops the connection
-# (TCP_USER_TIMEOUT).
-TCP_USER_TIMEOUT_MS = 5000
+# (TCP_USER_TIMEOUT). The kernel counts it also while a client acknowledges, but does
+# not read its responses, so that it has to outlast the deadlines of clients.
+TCP_USER_TIMEOUT_MS = 15_000
 # Keep-alive probes detect a peer that disappeared while a response is awaited.
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -581,13 +582,19 @@
     """Disable Nagle's algorithm, set TCP_USER_TIMEOUT and enable keep-alive probes."""
     if sock.family == socket.AF_INET:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
+        set_user_timeout(sock, user_timeout_ms)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def set_user_timeout(sock: socket.socket, timeout_ms: int) -> None:
+    """Set for how long sent data may stay unacknowledged (TCP_USER_TIMEOUT)."""
+    if sock.family == socket.AF_INET:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class _PendingResponse:
     request: messages.Request
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -6,6 +6,7 @@
 import contextlib
 import select
 import socket
+import time
 import tracemalloc
 
 import pytest
@@ -14,6 +15,10 @@
 
 COMPLETE = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+# More than the kernel takes for a connection to an endpoint that does not read.
+UNREAD_BODY_BYTES = 8 * 1024 * 1024
+# Longer than sent data may stay unacknowledged.
+LATE_READ_S = 3.0
 
 
 @contextlib.asynccontextmanager
@@ -198,6 +203,42 @@
     tcp_server.close()
 
 
+# Guards against uploads that fail while their endpoint is at work: the kernel ends the
+# connection to an endpoint that reads the body only after a while.
+@pytest.mark.parametrize("is_reused", [False, True], ids=["new", "reused"])
+async def test_exchange_waits_for_an_endpoint_that_reads_the_body_late(is_reused):
+    async def respond_late(reader, writer):
+        for length in (0, UNREAD_BODY_BYTES)[not is_reused :]:
+            await reader.readuntil(b"\r\n\r\n")
+            if length:
+                writer.transport.pause_reading()
+                await asyncio.sleep(LATE_READ_S)
+                writer.transport.resume_reading()
+            await reader.readexactly(length)
+            writer.write(COMPLETE)
+        await reader.read(-1)
+        writer.close()
+
+    with socket.socket() as sock:
+        # A small window, as of an endpoint with many connections.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.bind(("127.0.0.1", 0))
+        tcp_server = await asyncio.start_server(respond_late, sock=sock, limit=4096)
+        pool = client.Pool("127.0.0.1", sock.getsockname()[1], time.monotonic)
+        if is_reused:
+            assert (await send(pool)).body == b"ok"
+        connection = await pool.acquire(5.0, 5.0)
+        assert connection.use_count == int(is_reused)
+        head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % UNREAD_BODY_BYTES
+        async with asyncio.timeout(20):
+            outcome = await connection.exchange(
+                head, is_first, False, bytes(UNREAD_BODY_BYTES)
+            )
+        connection.close()
+        tcp_server.close()
+    assert isinstance(outcome, messages.Response), outcome
+
+
 HEAD = b"HTTP/1.1 200 OK\r\nId: 1\r\n"
 CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 # More than any limit of the client, and little enough for a test machine.
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -44,6 +44,10 @@
 
 
 CLOSE = "Connection: close\r\n"
+# More than the kernel takes for a connection to a client that does not read.
+LATE_RESPONSE_BYTES = 8 * 1024 * 1024
+# About half of the longest time for which clients wait.
+LATE_READ_S = 7.0
 
 
 async def test_serve_answers_a_request_with_content_length():
@@ -194,6 +198,28 @@
     assert b"x-target: /late" in response
 
 
+# Guards against responses that are lost as the kernel ends the connection of a client
+# that reads them only after a while.
+async def test_serve_answers_a_client_that_reads_late():
+    async def respond(request):
+        return messages.Response(200, [], bytes(LATE_RESPONSE_BYTES))
+
+    async with serving(respond) as (_, port):
+        with socket.socket() as sock:
+            # A small window, as of a client with many connections.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(("127.0.0.1", port))
+            sock.sendall(get("/"))
+            await asyncio.sleep(LATE_READ_S)
+            sock.setblocking(False)
+            reader, writer = await asyncio.open_connection(sock=sock)
+            async with asyncio.timeout(20):
+                await reader.readuntil(b"\r\n\r\n")
+                body = await reader.readexactly(LATE_RESPONSE_BYTES)
+            writer.close()
+    assert len(body) == LATE_RESPONSE_BYTES
+
+
 POST = b"POST / HTTP/1.1\r\nHost: h\r\n"
 CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 ENDLESS_BYTES = 32 * 1024 * 1024
