--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -8,6 +8,7 @@
 import hashlib
 import json
 import random
+import socket
 import weakref
 
 from aiohttp import web
@@ -24,6 +25,11 @@
 LIMIT_NOTICE_S, LIMIT_WINDOW_S = 4.0, 4.0
 EARLIER_REFUSAL = b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 GARBLE = b"\0" * 64
+# Receive buffer of a connection, so that most of an upload waits for its reader.
+RECEIVE_BUFFER_BYTES = 8192
+# Time for which a late reader leaves the body of a request unread; less than the
+# timeout of a route.
+LATE_READ_S = 2.2
 EXTRA_RESPONSE = "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 2\r\n\r\nno"
 MAX_GARBLE_DELAY_S = 1.0
 # Rows of another writer, as JSON: one that does not match the columns, and values that
@@ -61,6 +67,8 @@
         """Fraction of requests of the long route that take longer than a stop."""
         self.garbled_fraction = 0.0
         """Fraction of requests in or after which other bytes are sent."""
+        self.late_read_fraction = 0.0
+        """Fraction of bodies that are read only once the request is executed."""
         self.repeated_fraction = 0.0
         """Fraction of requests on kept connections before whose response an earlier
         refusal is written once more."""
@@ -94,9 +102,11 @@
             app, access_log=None, handle_signals=False, shutdown_timeout=0.0
         )
         await self._runner.setup()
-        await web.TCPSite(
-            self._runner, self.host, self.port, reuse_address=True
-        ).start()
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.bind((self.host, self.port))
+        await web.SockSite(self._runner, sock).start()
         self.is_up = True
 
     async def stop(self) -> None:
@@ -139,8 +149,13 @@
             raise
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
-        body = await request.read()
         attempt_id = request.headers.get("Attempt-Id", "")
+        is_read_late = (
+            request.can_read_body and self._rng.random() < self.late_read_fraction
+        )
+        if is_read_late and request.transport is not None:
+            request.transport.pause_reading()
+        body = b"" if is_read_late else await request.read()
         headers = {"Attempt-Id": attempt_id, "Server-Load": f"{self._running},0,4"}
         if self.is_leaving:
             headers["Server-Leaving"] = "1"
@@ -160,12 +175,20 @@
                 self._observations.record_execution(attempt_id, self.instance_id)
                 self._send_unasked(request.transport, attempt_id)
                 await self._execute(request)
+                if is_read_late:
+                    body = await self._read_late(request)
         finally:
             self._running -= 1
         content = response_body(attempt_id, request.path_qs, body)
         headers["Server-Seal"] = response_signature(content)
         return await self._send_response(request, content, headers)
 
+    async def _read_late(self, request: web.Request) -> bytes:
+        await asyncio.sleep(LATE_READ_S)
+        if request.transport is not None:
+            request.transport.resume_reading()
+        return await request.read()
+
     def _send_unasked(self, transport: asyncio.Transport | None, id_: str) -> None:
         if transport is None:
             return
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -362,6 +362,17 @@
             endpoint.repeated_fraction = 0.0
 
 
+@_register_fault
+async def read_late(context: FaultContext, duration_s: float) -> None:
+    """Let endpoints read the bodies of requests only once they are executed."""
+    with context.reserve_endpoints(0.3) as chosen:
+        for endpoint in chosen:
+            endpoint.late_read_fraction = 0.5
+        await asyncio.sleep(duration_s)
+        for endpoint in chosen:
+            endpoint.late_read_fraction = 0.0
+
+
 @_register_fault
 async def limit_endpoints(context: FaultContext, duration_s: float) -> None:
     """Let endpoints name limits far below what their slots take."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -48,6 +48,7 @@
     "fill_disk",
     "reset_endpoint_connections",
     "garble_answers",
+    "read_late",
 }
 # Seeds that caused a violation, each with its cause, and the default seed.
 REGRESSION_SEEDS = {
@@ -186,6 +187,19 @@
         assert report.checks_by_guarantee[guarantee] > 0
 
 
+# Guards against uploads that a stopping instance fails while their endpoint is at work,
+# since the kernel ends the connection to an endpoint that reads the body late.
+@pytest.mark.processes
+@pytest.mark.timeout(300)
+async def test_soak_answers_uploads_that_endpoints_read_late(tmp_path: pathlib.Path):
+    names = ("read_late", "stop_in_series")
+    plan = run.Plan(1, 10.0, controls=3, entries=4, callers=12, fault_names=names)
+    report = await run.run(plan, tmp_path)
+    assert report.violations == []
+    assert report.checks_by_guarantee[losses.REPLACED] > 0
+    assert report.faults_by_name["read_late"] > 1
+
+
 # Guards against an injected full disk that takes writes, or that stays full.
 async def test_instance_fills_its_disk_for_a_time(tmp_path: pathlib.Path):
     instance = deployment.Instance("c", "control", "", "z", tmp_path, [], "")
