Links: bytes of a long message prove that the peer is alive

Requests that waited on a link were lost with it although its peer was alive: the link counts as silent 2 s after the last complete message, so one that takes longer closes it, and again when it is sent once more. On links of 2 Mbit/s, as grown sites have them, that is a message of 0.5 MB.

Now the time counts from the last bytes.

Result: the new test fails on the code before (link.silent) and passes.

--- a/packages/protocol/src/yuccapitch/protocol/link.py
+++ b/packages/protocol/src/yuccapitch/protocol/link.py
@@ -88,7 +88,7 @@
         self._is_open = False
         self._has_sent = False
         self.last_received_at = asyncio.get_running_loop().time()
-        """Time of the last complete frame, in the event loop's clock."""
+        """Time at which bytes were received last, in the event loop's clock."""
         self.peer_id = ""
 
     @property
@@ -247,8 +247,7 @@
                 LinkError(LinkErrorCode.REMOTE, unpacked.err_value.reason)
             )
         header = unpacked.ok_value
-        payload = await self._reader.readexactly(header.length)
-        self.last_received_at = asyncio.get_running_loop().time()
+        payload = await self._read_payload(header.length)
         self._traffic.received_bytes += frames.HEADER_BYTES + header.length
         if not frames.is_intact(header, payload):
             return result.Err(
@@ -256,6 +255,19 @@
             )
         return result.Ok((header, payload))
 
+    async def _read_payload(self, length: int) -> bytes:
+        loop = asyncio.get_running_loop()
+        payload = bytearray()
+        # A long message proves on its way that the peer is alive.
+        self.last_received_at = loop.time()
+        while len(payload) < length:
+            part = await self._reader.read(length - len(payload))
+            if not part:
+                raise asyncio.IncompleteReadError(bytes(payload), length)
+            payload += part
+            self.last_received_at = loop.time()
+        return bytes(payload)
+
     def _handle_frame(self, header: frames.Header, payload: bytes) -> None:
         if header.kind in (frames.Kind.HEARTBEAT, frames.Kind.HELLO):
             return
--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -8,7 +8,14 @@
 import pytest
 import result
 
-from yuccapitch.protocol import codec, frames, link, node_messages, peers
+from yuccapitch.protocol import (
+    codec,
+    frames,
+    link,
+    node_messages,
+    peers,
+    subscription_messages,
+)
 
 TIMING = link.LinkTiming(heartbeat_interval_s=0.05, timeout_s=1.0)
 
@@ -224,6 +231,30 @@
             assert await closed.get() == "quiet"
 
 
+# Guards against a link that is closed as silent, with all requests that wait on it,
+# while a long message of its peer arrives slowly.
+async def test_link_stays_open_while_a_long_message_arrives(pair: Pair) -> None:
+    received: asyncio.Queue[object] = asyncio.Queue()
+    pair.b.handle(
+        subscription_messages.SubmitRequest, lambda peer, m: received.put_nowait(m)
+    )
+    message = subscription_messages.SubmitRequest(bytes(200_000))
+    frame = frames.pack(frames.Kind.ONE_WAY, 0, codec.encode(message))
+    reader, writer = await asyncio.open_connection(
+        pair.b_address.host, pair.b_address.port
+    )
+    hello = codec.encode(node_messages.Hello("slow"))
+    writer.write(frames.pack(frames.Kind.HELLO, 0, hello))
+    pieces = 8
+    size = len(frame) // pieces + 1
+    for n in range(pieces):
+        writer.write(frame[n * size : (n + 1) * size])
+        await asyncio.sleep(TIMING.timeout_s / 5)
+    async with asyncio.timeout(20):
+        assert await received.get() == message
+    writer.close()
+
+
 # Guards against what was sent on a link that the peer opened and is lost with it
 # unnoticed, such as a place that is given back.
 async def test_peers_report_the_end_of_a_link_that_the_peer_opened(pair: Pair) -> None:
