Links: a handler that fails costs its own message only

Cause: the error left Link.run, or the task of the handler. Now it is logged as link.handler-failed, and a request gets a failure as its reply.

Result: both cases of the new test fail on the code before and pass.

--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -118,6 +118,11 @@
     "Connections that wait could not be accepted; tried again while listening.",
     Level.ERROR,
 )
+declare(
+    "link.handler-failed",
+    "Handling a message of another instance failed; the link stays open.",
+    Level.ERROR,
+)
 declare("link.opened", "An inner link to or from another instance was opened.")
 declare(
     "link.failed",
--- a/packages/protocol/src/yuccapitch/protocol/link.py
+++ b/packages/protocol/src/yuccapitch/protocol/link.py
@@ -302,19 +302,39 @@
                 reason = f"no handler for {type(message).__name__}"
                 self._reply_failure(header.correlation_id, reason)
             return
-        reply = handler(self.peer_id, message)
-        if inspect.isawaitable(reply):
-            task = asyncio.create_task(self._await_and_reply(header, reply))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-        else:
-            self._reply(header, reply)
+        try:
+            reply = handler(self.peer_id, message)
+            if not inspect.isawaitable(reply):
+                self._reply(header, reply)
+                return
+        except Exception as error:
+            self._fail_handling(header, message, error)
+            return
+        task = asyncio.create_task(self._await_and_reply(header, message, reply))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _await_and_reply(
-        self, header: frames.Header, reply: Awaitable[object]
+        self, header: frames.Header, message: object, reply: Awaitable[object]
     ) -> None:
         with contextlib.suppress(asyncio.CancelledError):
-            self._reply(header, await reply)
+            try:
+                self._reply(header, await reply)
+            except Exception as error:
+                self._fail_handling(header, message, error)
+
+    def _fail_handling(
+        self, header: frames.Header, message: object, error: Exception
+    ) -> None:
+        # Other requests of the link still wait for their replies.
+        events.event(
+            "link.handler-failed",
+            peer=self.peer_id,
+            message=type(message).__name__,
+            reason=repr(error),
+        )
+        if header.kind is frames.Kind.REQUEST:
+            self._reply_failure(header.correlation_id, "the handler failed")
 
     def _reply(self, header: frames.Header, reply: object) -> None:
         if header.kind is not frames.Kind.REQUEST:
--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -255,6 +255,42 @@
     writer.close()
 
 
+class BrokenHandlers:
+    """Handlers of an instance, one of which fails."""
+
+    def __init__(self, is_async: bool) -> None:
+        self._is_async = is_async
+
+    def fail(self, peer_id: str, message: object) -> object:
+        if self._is_async:
+            return self._fail_later()
+        raise AssertionError("broken")
+
+    async def answer(self, peer_id: str, message: object) -> object:
+        await asyncio.sleep(0.2)
+        return message
+
+    async def _fail_later(self) -> object:
+        raise AssertionError("broken")
+
+
+# Guards against a message whose handler fails and that closes its link, with all
+# requests that wait on it, or that never gets a reply.
+@pytest.mark.parametrize("is_async", [False, True])
+async def test_link_survives_a_handler_that_fails(pair: Pair, is_async: bool) -> None:
+    handlers = BrokenHandlers(is_async)
+    pair.b.handle(node_messages.RenewalNotice, handlers.answer)
+    pair.b.handle(subscription_messages.SubmitRequest, handlers.fail)
+    await pair.a.request("b", node_messages.RenewalNotice(1, 0), 5)
+    waiting = asyncio.create_task(
+        pair.a.request("b", node_messages.RenewalNotice(2, 0), 5)
+    )
+    await asyncio.sleep(0)
+    failed = await pair.a.request("b", subscription_messages.SubmitRequest(b""), 5)
+    assert failed.unwrap_err().code is link.LinkErrorCode.REMOTE
+    assert (await waiting).unwrap() == node_messages.RenewalNotice(2, 0)
+
+
 # Guards against what was sent on a link that the peer opened and is lost with it
 # unnoticed, such as a place that is given back.
 async def test_peers_report_the_end_of_a_link_that_the_peer_opened(pair: Pair) -> None:
