Sender: read on behind a response of another request

Cause: a response with another id was discarded, but one without id that may belong to an earlier request failed the request, although endpoints echo ids, so that the response with the id is still to come.

Change: one rule for both. What certainly belongs to the request counts, everything else is discarded and logged as endpoint.response-discarded.

The fixture of logged events, of which there were two copies, stands in conftest.py.

--- a/conftest.py
+++ b/conftest.py
@@ -16,3 +16,12 @@
     eliot.add_destinations(discard)
     yield
     eliot.remove_destination(discard)
+
+
+@pytest.fixture
+def logged() -> Iterator[list[dict[str, object]]]:
+    """Yield the list of events that the test logs."""
+    messages: list[dict[str, object]] = []
+    eliot.add_destinations(messages.append)
+    yield messages
+    eliot.remove_destination(messages.append)
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -239,6 +239,11 @@
     "endpoint.paused",
     "An endpoint asked this instance to send it no requests for some time.",
 )
+declare(
+    "endpoint.response-discarded",
+    "An endpoint sent a response that may belong to another request; it is read on.",
+    Level.WARNING,
+)
 declare(
     "endpoint.report-invalid",
     "A statement of an endpoint about itself was malformed and ignored.",
