Stop: count the grace from before a signal that was late

Cause: the grace counted from when the signal was handled, and an instance that gets no processor handles it seconds late. The platform counts from when it sent it.

Change: the signal came after the last check of the event loop. If that check is overdue, the grace counts from it. Final responses are due before the earliest time at which the platform can kill the process and, where both are possible, not before the last sixth of the grace by the latest time at which the signal can have come.

--- a/packages/node/src/yuccapitch/node/loop_monitor.py
+++ b/packages/node/src/yuccapitch/node/loop_monitor.py
@@ -68,6 +68,14 @@
         report_step(last_clocks, clocks)
 
 
+def signal_delay_s(age_s: float) -> float:
+    """Return by how much a signal was late at most, 0 if the loop ran in time.
+
+    ``age_s`` is the time since the last check, after which the signal came.
+    """
+    return age_s if age_s >= CHECK_INTERVAL_S + MIN_LOGGED_LAG_S else 0.0
+
+
 def report_lag(due_at: float, now: float) -> None:
     """Log a long time, in seconds, between when a timer was due and when it ran."""
     lag_s = now - due_at
--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -18,7 +18,7 @@
 )
 from yuccapitch.control import coordinator, leader_polling, orders
 from yuccapitch.gateway.http1 import server as http_server
-from yuccapitch.node import tasks
+from yuccapitch.node import loop_monitor, tasks
 from yuccapitch.node.routed import (
     adapter as routed_adapter,
     control_dispatching,
@@ -168,7 +168,8 @@
         Requests that were read, such as orders on their way to a quorum, are answered.
         They are due long before the grace ends, also if the event loop is late.
         """
-        grace_ends_at = stopped_at + self._node_settings.stop_grace_s
+        signalled_at = stopped_at - loop_monitor.signal_delay_s(signal_age_s)
+        grace_ends_at = signalled_at + self._node_settings.stop_grace_s
         ends_at = min(
             grace_ends_at - timing.EXIT_MARGIN_S,
             stopped_at + STOP_NOTICE_S + MAX_FINISH_S,
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -22,7 +22,7 @@
     messages as http_messages,
     server as http_server,
 )
-from yuccapitch.node import tasks
+from yuccapitch.node import loop_monitor, tasks
 from yuccapitch.node.routed import (
     adapter as routed_adapter,
     dispatcher_inputs,
@@ -167,8 +167,17 @@
         ``stopped_at``.
         """
         grace_s = self._node_settings.stop_grace_s
-        grace_ends_at = stopped_at + grace_s
-        ends_at = grace_ends_at - stop_margin_s(grace_s, loop_lag_s)
+        signalled_at = stopped_at - loop_monitor.signal_delay_s(signal_age_s)
+        grace_ends_at = signalled_at + grace_s
+        ends_at = max(
+            grace_ends_at - stop_margin_s(grace_s, loop_lag_s),
+            # If the signal was not late after all, the grace ends later. Work in its
+            # last part is not waited for anyway.
+            min(
+                stopped_at + (1 - MAX_STOP_MARGIN_FRACTION) * grace_s,
+                grace_ends_at - STOP_MARGIN_S,
+            ),
+        )
         cuts_at = grace_ends_at - timing.EXIT_MARGIN_S
         self._is_stopping = True
         self._leader_poller.wake()
@@ -189,7 +198,7 @@
             # The requests in progress still end by their own deadlines.
             events.event("process.drain-failed", reason=repr(error))
             self._on_failed(repr(error))
-        await asyncio.sleep(stopped_at + listens_for_s - self._clock())
+        await asyncio.sleep(signalled_at + listens_for_s - self._clock())
         await self._server.finish(cuts_at)
         for unfinished in self._server.find_unfinished():
             events.event(
--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -226,7 +226,8 @@
     else:
         signal_age_ms = round(stop.signal_age_s * 1000)
         events.event("process.stopping", signal_age_ms=signal_age_ms)
-    ends_at = stopped_at + node_settings.stop_grace_s
+    signalled_at = stopped_at - loop_monitor.signal_delay_s(stop.signal_age_s)
+    ends_at = signalled_at + node_settings.stop_grace_s
     await _drain(node, stop, stopped_at, ends_at, recent_lag.max_s)
     if stop.failures and not is_own_end:
         _report_failure(node_settings.name, stop.failures[0], log)
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -8,6 +8,7 @@
 import socket
 import time
 import zlib
+from unittest import mock
 
 import pytest
 import result
@@ -390,3 +391,40 @@
     await node.drain(handled_at, loop_lag_s)
     signalled_at = handled_at - loop_lag_s
     assert schedules[0].late_from <= signalled_at + 3.0
+
+
+# Guards against requests that are passed on, and cut when the process is killed, as the
+# instance got no processor for most of its grace and counts from when it gets one.
+@pytest.mark.parametrize(
+    ("signal_age_s", "ends_after_s"),
+    [(0.25, 20.5), (0.5, 20.0), (3.0, 17.5), (4.0, 16.5), (20.9, -0.4)],
+)
+async def test_drain_counts_the_grace_from_before_a_late_signal(
+    node, monkeypatch, signal_age_s, ends_after_s
+):
+    await start_serving(node)
+    schedules = []
+    monkeypatch.setattr(node._path, "stop", schedules.append)
+    monkeypatch.setattr(node._server, "finish", mock.AsyncMock())
+    node.reload(dataclasses.replace(node._node_settings, lookup_ttl_s=0.0))
+    handled_at = coordinator.boot_time_s()
+    await node.drain(handled_at, 0.0, signal_age_s)
+    assert schedules[0].ends_at - handled_at == pytest.approx(ends_after_s)
+    assert schedules[0].late_from <= max(handled_at, handled_at - signal_age_s + 3.0)
+    node._server.finish.assert_awaited_once_with(
+        pytest.approx(handled_at + ends_after_s + 0.3)
+    )
+    await node._server.aclose()
+
+
+# Guards against a request that is read at the end of the grace and passed on.
+async def test_drain_refuses_requests_once_the_grace_is_nearly_over(node):
+    port = await start_serving(node)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"GET /short HTTP/1.1\r\nHost: h\r\ntime-left: 3000\r\n\r\n")
+    # The event loop stood still for nearly all of the grace of 21 s.
+    async with asyncio.timeout(20):
+        await node.drain(coordinator.boot_time_s(), 0.0, 20.7)
+        assert (await reader.read(-1)).startswith(b"HTTP/1.1 503")
+    assert not node._path._sender.sent
+    writer.close()
