Stop: one function for its end, tests of each use of the signal's age

The process of an instance passed the record of the loop's lag through two functions; the request to stop owns it now. When the drain ends stands in a function of its own. No change of behaviour.

--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -169,15 +169,7 @@
         grace_s = self._node_settings.stop_grace_s
         signalled_at = stopped_at - loop_monitor.signal_delay_s(signal_age_s)
         grace_ends_at = signalled_at + grace_s
-        ends_at = max(
-            grace_ends_at - stop_margin_s(grace_s, loop_lag_s),
-            # If the signal was not late after all, the grace ends later. Work in its
-            # last part is not waited for anyway.
-            min(
-                stopped_at + (1 - MAX_STOP_MARGIN_FRACTION) * grace_s,
-                grace_ends_at - STOP_MARGIN_S,
-            ),
-        )
+        ends_at = stop_ends_at(signalled_at, stopped_at, grace_s, loop_lag_s)
         cuts_at = grace_ends_at - timing.EXIT_MARGIN_S
         self._is_stopping = True
         self._leader_poller.wake()
@@ -410,6 +402,23 @@
             self._placer.remove_entry(ids.InstanceId(removed_id))
 
 
+def stop_ends_at(
+    signalled_at: float, stopped_at: float, grace_s: float, loop_lag_s: float
+) -> float:
+    """Return when the requests in progress get their final response.
+
+    The signal was sent between ``signalled_at`` and ``stopped_at``, so that the process
+    may be killed a grace after the former. Platforms expect that endpoints are waited
+    for until the last part of a grace that began with the latter.
+    """
+    grace_ends_at = signalled_at + grace_s
+    waits_until = stopped_at + (1 - MAX_STOP_MARGIN_FRACTION) * grace_s
+    return max(
+        grace_ends_at - stop_margin_s(grace_s, loop_lag_s),
+        min(waits_until, grace_ends_at - STOP_MARGIN_S),
+    )
+
+
 def stop_margin_s(grace_s: float, loop_lag_s: float) -> float:
     """Return the part of the grace period for the last responses."""
     max_margin_s = MAX_STOP_MARGIN_FRACTION * grace_s
--- a/packages/node/src/yuccapitch/node/routed/process.py
+++ b/packages/node/src/yuccapitch/node/routed/process.py
@@ -146,19 +146,11 @@
     read_changed_settings: ReadChangedSettings,
     log: bounded_log.BoundedLog,
 ) -> int:
-    recent_lag = loop_monitor.RecentLag(coordinator.boot_time_s())
-    stop = _Stop(coordinator.boot_time_s, recent_lag)
+    stop = _Stop(coordinator.boot_time_s)
     try:
         async with contextlib.AsyncExitStack() as stack:
             await _run_node(
-                role,
-                node_settings,
-                adapter,
-                read_changed_settings,
-                log,
-                stop,
-                recent_lag,
-                stack,
+                role, node_settings, adapter, read_changed_settings, log, stop, stack
             )
     except Exception as error:
         # The exit stack has closed the other parts.
@@ -176,7 +168,6 @@
     read_changed_settings: ReadChangedSettings,
     log: bounded_log.BoundedLog,
     stop: _Stop,
-    recent_lag: loop_monitor.RecentLag,
     stack: contextlib.AsyncExitStack,
 ) -> None:
     reload_event = asyncio.Event()
@@ -206,7 +197,7 @@
         lambda: _watch_settings(node, reload_event, read_changed_settings), stack
     )
     tasks.start_optional(lambda: _report_dropped(log), stack)
-    tasks.start_optional(lambda: loop_monitor.run(recent_lag), stack)
+    tasks.start_optional(lambda: loop_monitor.run(stop.recent_lag), stack)
     # Objects created by the start live as long as the process, so garbage
     # collections need not scan them.
     gc.collect()
@@ -228,7 +219,7 @@
         events.event("process.stopping", signal_age_ms=signal_age_ms)
     signalled_at = stopped_at - loop_monitor.signal_delay_s(stop.signal_age_s)
     ends_at = signalled_at + node_settings.stop_grace_s
-    await _drain(node, stop, stopped_at, ends_at, recent_lag.max_s)
+    await _drain(node, stop, stopped_at, ends_at)
     if stop.failures and not is_own_end:
         _report_failure(node_settings.name, stop.failures[0], log)
     left_s = ends_at - timing.EXIT_MARGIN_S - coordinator.boot_time_s()
@@ -240,11 +231,10 @@
 class _Stop:
     """The first request to stop, by a signal or by a failure, and all failures."""
 
-    def __init__(
-        self, clock: Callable[[], float], recent_lag: loop_monitor.RecentLag
-    ) -> None:
+    def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._recent_lag = recent_lag
+        self.recent_lag = loop_monitor.RecentLag(clock())
+        """How late the event loop was, which tells how late the request may be."""
         self._is_requested = asyncio.Event()
         # The grace begins with the request, also if the node is still starting.
         self._requested_at = float("inf")
@@ -261,7 +251,7 @@
         now = self._clock()
         if now < self._requested_at:
             self._requested_at = now
-            self.signal_age_s = max(0.0, now - self._recent_lag.checked_at)
+            self.signal_age_s = max(0.0, now - self.recent_lag.checked_at)
 
     def request(self) -> None:
         """Let the instance drain and end."""
@@ -290,15 +280,13 @@
     return started.err_value if isinstance(started, result.Err) else None
 
 
-async def _drain(
-    node: Node, stop: _Stop, stopped_at: float, ends_at: float, loop_lag_s: float
-) -> None:
+async def _drain(node: Node, stop: _Stop, stopped_at: float, ends_at: float) -> None:
     try:
         # Nobody kills an instance that ends by itself. The drain keeps to the grace
         # itself, and may come late after a long start or in a late event loop.
         left_s = max(0.0, ends_at - coordinator.boot_time_s())
         async with asyncio.timeout(left_s + MAX_DRAIN_DELAY_S):
-            await node.drain(stopped_at, loop_lag_s, stop.signal_age_s)
+            await node.drain(stopped_at, stop.recent_lag.max_s, stop.signal_age_s)
     except Exception as error:
         events.event(
             "process.drain-failed", reason=repr(error), location=tasks.locate(error)
--- a/packages/node/tests/test_control_node.py
+++ b/packages/node/tests/test_control_node.py
@@ -8,6 +8,7 @@
 import pathlib
 import socket
 import time
+from unittest import mock
 
 import pytest
 
@@ -15,7 +16,7 @@
 from yuccapitch.control import coordinator
 from yuccapitch.gateway.front import request_path
 from yuccapitch.gateway.http1 import messages, server
-from yuccapitch.node.routed import control_node, settings
+from yuccapitch.node.routed import control_node, settings, timing
 
 
 class FakeAdapter:
@@ -125,6 +126,20 @@
     assert received.endswith(b"done")
 
 
+# Guards against a control instance that is killed before it has answered, as it counts
+# the grace from when it handled a late signal.
+async def test_drain_counts_the_grace_from_before_a_late_signal(node, monkeypatch):
+    monkeypatch.setattr(control_node, "STOP_NOTICE_S", 0.0)
+    finish = mock.AsyncMock()
+    node._servers.append(mock.Mock(finish=finish, requests_in_flight=0))
+    handled_at = coordinator.boot_time_s()
+    # The grace is 20 s.
+    await node.drain(handled_at, 0.0, 19.0)
+    finish.assert_awaited_once_with(
+        pytest.approx(handled_at + 1.0 - timing.EXIT_MARGIN_S)
+    )
+
+
 async def delay_event_loop(duration_s: float) -> None:
     while True:
         await asyncio.sleep(0)
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -380,40 +380,56 @@
 
 # Guards against a request that was sent later than 3 s after the stop signal, is taken
 # since a late event loop handled the signal late, and is cut while its endpoint works.
-@pytest.mark.parametrize("loop_lag_s", [0.0, 0.4])
+@pytest.mark.parametrize(
+    ("loop_lag_s", "signal_age_s"), [(0.0, 0.0), (0.4, 0.0), (0.0, 0.25), (0.1, 0.4)]
+)
 async def test_drain_takes_requests_unchecked_by_the_time_of_the_signal(
-    node, monkeypatch, loop_lag_s
+    node, monkeypatch, loop_lag_s, signal_age_s
 ):
     node.reload(dataclasses.replace(node._node_settings, lookup_ttl_s=5.0))
     schedules = []
     monkeypatch.setattr(node._path, "stop", schedules.append)
     handled_at = coordinator.boot_time_s() - node._node_settings.stop_grace_s
-    await node.drain(handled_at, loop_lag_s)
-    signalled_at = handled_at - loop_lag_s
+    await node.drain(handled_at, loop_lag_s, signal_age_s)
+    signalled_at = handled_at - max(loop_lag_s, signal_age_s)
     assert schedules[0].late_from <= signalled_at + 3.0
 
 
 # Guards against requests that are passed on, and cut when the process is killed, as the
 # instance got no processor for most of its grace and counts from when it gets one.
 @pytest.mark.parametrize(
-    ("signal_age_s", "ends_after_s"),
-    [(0.25, 20.5), (0.5, 20.0), (3.0, 17.5), (4.0, 16.5), (20.9, -0.4)],
+    ("signal_age_s", "loop_lag_s", "ends_after_s", "cuts_after_s"),
+    [
+        (0.25, 0.0, 20.5, 20.8),
+        (0.5, 0.0, 20.0, 20.3),
+        (3.0, 0.0, 17.5, 17.8),
+        (4.0, 0.0, 16.5, 16.8),
+        (20.9, 0.0, -0.4, -0.1),
+        # The last sixth of the grace is 3.5 s.
+        (0.6, 9.0, 17.5, 20.2),
+        (4.0, 9.0, 16.5, 16.8),
+    ],
 )
 async def test_drain_counts_the_grace_from_before_a_late_signal(
-    node, monkeypatch, signal_age_s, ends_after_s
+    node, monkeypatch, signal_age_s, loop_lag_s, ends_after_s, cuts_after_s
 ):
     await start_serving(node)
     schedules = []
     monkeypatch.setattr(node._path, "stop", schedules.append)
     monkeypatch.setattr(node._server, "finish", mock.AsyncMock())
-    node.reload(dataclasses.replace(node._node_settings, lookup_ttl_s=0.0))
+    node.reload(dataclasses.replace(node._node_settings, lookup_ttl_s=9.0))
     handled_at = coordinator.boot_time_s()
-    await node.drain(handled_at, 0.0, signal_age_s)
+    with monkeypatch.context() as patches:
+        sleep = mock.AsyncMock()
+        patches.setattr(asyncio, "sleep", sleep)
+        await node.drain(handled_at, loop_lag_s, signal_age_s)
     assert schedules[0].ends_at - handled_at == pytest.approx(ends_after_s)
-    assert schedules[0].late_from <= max(handled_at, handled_at - signal_age_s + 3.0)
     node._server.finish.assert_awaited_once_with(
-        pytest.approx(handled_at + ends_after_s + 0.3)
+        pytest.approx(handled_at + cuts_after_s)
     )
+    # Connections are accepted for half of the grace.
+    [listens_for_s] = sleep.await_args.args
+    assert handled_at + listens_for_s <= handled_at + cuts_after_s + 0.2 - 10.5
     await node._server.aclose()
 
 
--- a/packages/node/tests/test_process.py
+++ b/packages/node/tests/test_process.py
@@ -14,7 +14,7 @@
 import result
 
 from yuccapitch.control import coordinator
-from yuccapitch.node.routed import entry_node, process
+from yuccapitch.node.routed import entry_node, line_writer, process
 
 
 class StartingNode:
@@ -63,7 +63,8 @@
 class LateNode:
     """Node whose event loop stands still while its stop signal comes."""
 
-    def __init__(self, *args: object) -> None:
+    def __init__(self, late_s: float) -> None:
+        self._late_s = late_s
         self.metrics = mock.Mock()
         self.signalled_at = 0.0
         self.taken_unchecked_until = 0.0
@@ -83,7 +84,7 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGTERM])
         self.signalled_at = coordinator.boot_time_s()
         os.kill(os.getpid(), signal.SIGTERM)
-        time.sleep(0.3)
+        time.sleep(self._late_s)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGTERM])
 
 
@@ -91,13 +92,23 @@
 # as the instance counts from when it handles the signal, and is cut while its endpoint
 # works.
 async def test_run_counts_unchecked_requests_from_before_a_late_signal(monkeypatch):
-    node = LateNode()
+    node = LateNode(0.3)
     monkeypatch.setitem(process._FACTORIES_BY_ROLE, "test", lambda *args: node)
     monkeypatch.setattr(process, "gc", mock.Mock())
     await process._run_logged("test", FakeSettings(), None, lambda _: None, mock.Mock())
     assert 0.0 < node.taken_unchecked_until <= node.signalled_at + 3.0
 
 
+# Guards against a process that waits for a slow log until it is killed, because it
+# counts the grace from when it handled a late signal.
+async def test_run_leaves_no_time_for_the_log_after_a_late_signal(monkeypatch):
+    node, log = LateNode(6.0), mock.Mock()
+    monkeypatch.setitem(process._FACTORIES_BY_ROLE, "test", lambda *args: node)
+    monkeypatch.setattr(process, "gc", mock.Mock())
+    await process._run_logged("test", FakeSettings(), None, lambda _: None, log)
+    assert log.max_last_writes_s == line_writer.LAST_WRITES_S
+
+
 class FailingNode:
     """Node that ends by itself, and records what becomes of it."""
 
