HTTP: bodies take the memory and the work that they are counted with

Cause: each body was a bytearray. Several that grow beside each other are moved in memory again and again, and the allocator keeps what they have left. Each piece costs its work whatever its length, and the limit counts bytes only. A body whose length is above the limit was read up to it, though its caller can't get anything of it. The budget was a constant, while the settings name the memory of the process.

Now the pieces are kept as they came and joined at the end, small pieces are counted and limited, a length above the limit is refused at the head, and the budget follows from limits.memoryMb: what is left beside the process itself, for two copies.

--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -10,7 +10,13 @@
 
 import httptools
 
-from yuccapitch.gateway.http1 import memory_budget, messages, peer_state, server
+from yuccapitch.gateway.http1 import (
+    body_buffer,
+    memory_budget,
+    messages,
+    peer_state,
+    server,
+)
 
 # Fraction of the endpoint's keep-alive timeout after which an idle connection is no
 # longer reused.
@@ -33,6 +39,7 @@
 # Limit on the bytes that the parser reads without completing a field or a part of the
 # body: it keeps an incomplete trailer field.
 MAX_INCOMPLETE_FIELD_BYTES = 64 * 1024
+# Limit on the bytes of a response on the wire, and of its body.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
@@ -81,7 +88,7 @@
         self._matches_request: ResponseMatcher = _match_any
         self._is_head = False
         self._headers: messages.HeaderList = []
-        self._body = bytearray()
+        self._body = body_buffer.BodyBuffer()
         self._is_self_delimited = True
         self._has_headers = False
         self._has_final_headers = False
@@ -167,7 +174,8 @@
         """End the exchange in progress and close the connection."""
         self._fail(Fault.MALFORMED, reason)
         self._budget.release(self)
-        self._headers, self._body = [], bytearray()
+        self._headers = []
+        self._body.clear()
         self.close()
 
     def data_received(self, data: bytes) -> None:
@@ -179,8 +187,11 @@
         if self._received_bytes > MAX_RESPONSE_BYTES:
             self.fail("response exceeds the size limit")
             return
-        self._budget.charge(self, len(data))
+        if not self._has_final_headers:
+            # The parser keeps what doesn't complete a field.
+            self._budget.charge(self, len(data))
         self._incomplete_field_bytes += len(data)
+        body_memory_bytes = self._body.memory_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
@@ -192,6 +203,7 @@
             # The response itself may be complete and only the bytes after it invalid.
             self.is_usable = False
             self._fail(Fault.MALFORMED, repr(error))
+        self._budget.charge(self, max(0, self._body.memory_bytes - body_memory_bytes))
         if not self._has_final_headers:
             self._head_bytes += len(data)
             if self._head_bytes > MAX_HEAD_BYTES:
@@ -220,7 +232,8 @@
         if self._future is None or self._future.done():
             # An extra response after the complete one belongs to no request.
             self.is_usable = False
-        self._headers, self._body = [], bytearray()
+        self._headers = []
+        self._body.clear()
         self._is_in_message, self._has_headers = True, False
         self._has_final_headers = False
 
@@ -250,6 +263,12 @@
             or messages.find_header(self._headers, b"content-length") is not None
             or messages.find_header(self._headers, b"transfer-encoding") is not None
         )
+        has_body = status >= 200 and status not in (204, 304) and not self._is_head
+        length = messages.find_header(self._headers, b"content-length")
+        max_body_bytes = min(MAX_RESPONSE_BYTES, self._budget.max_bytes)
+        if has_body and length is not None and int(length) > max_body_bytes:
+            # The caller gets nothing of a body that can't be received whole.
+            raise _ResponseRejected(f"response body of {int(length)} bytes")
         if self._is_head and status >= 200:
             self.is_usable = False
             self._complete()
@@ -257,7 +276,9 @@
     def on_body(self, body: bytes) -> None:
         """Append a body chunk."""
         self._incomplete_field_bytes = 0
-        self._body += body
+        self._body.append(body)
+        if self._body.is_fragmented:
+            raise _ResponseRejected("response body has too many small pieces")
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is an interim one (1xx)."""
@@ -287,7 +308,7 @@
         if self._future is None or self._future.done():
             return
         response = messages.Response(
-            self._parser.get_status_code(), self._headers, bytes(self._body)
+            self._parser.get_status_code(), self._headers, self._body.join()
         )
         if not self._matches_request(response):
             # A late response to an earlier request. The response to this request may
--- a/packages/gateway/src/yuccapitch/gateway/http1/memory_budget.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/memory_budget.py
@@ -6,9 +6,16 @@
 
 from yuccapitch.protocol import events
 
-# A body of 64 MiB is held twice, as received and in the transport that sends it on, and
-# leaves room for the rest of a process of 200 MB.
-MAX_BUFFERED_BYTES = 80 * 1024 * 1024
+# Memory of a process beside the messages: interpreter, modules, lists of endpoints and
+# instances, inner links.
+RESERVED_BYTES = 60_000_000
+# A body is held twice while its pieces are joined, and while the transport that sends
+# it on has a copy.
+COPIES = 2
+# Assumed if the memory of a process isn't limited by its settings.
+DEFAULT_MEMORY_LIMIT_BYTES = 200_000_000
+# Least budget, which still takes the usual messages of a few connections.
+MIN_BUFFERED_BYTES = 8 * 1024 * 1024
 
 
 class Receiver(typing.Protocol):
@@ -18,6 +25,12 @@
         """Discard the incomplete message and free its memory."""
 
 
+def buffered_bytes(memory_limit_bytes: int) -> int:
+    """Return the budget of a process that may use ``memory_limit_bytes`` in all."""
+    available_bytes = (memory_limit_bytes - RESERVED_BYTES) // COPIES
+    return max(MIN_BUFFERED_BYTES, available_bytes)
+
+
 class MemoryBudget:
     """Memory of all messages together, incomplete and complete ones.
 
@@ -25,9 +38,11 @@
     end it. Complete ones are kept, as work was done for them or depends on them.
     """
 
-    def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
+    def __init__(
+        self, max_bytes: int = buffered_bytes(DEFAULT_MEMORY_LIMIT_BYTES)
+    ) -> None:
         """Allow ``max_bytes`` of messages together."""
-        self._max_bytes = max_bytes
+        self.max_bytes = max_bytes
         self._incomplete_bytes_by_receiver: dict[Receiver, int] = {}
         self._complete_bytes_by_holder: dict[object, int] = {}
         self.used_bytes = 0
@@ -40,7 +55,7 @@
         sizes[receiver] = sizes.get(receiver, 0) + byte_count
         self.used_bytes += byte_count
         self.peak_bytes = max(self.peak_bytes, self.used_bytes)
-        while self.used_bytes > self._max_bytes and sizes:
+        while self.used_bytes > self.max_bytes and sizes:
             largest = max(sizes, key=sizes.__getitem__)
             events.event(
                 "message.discarded", bytes=sizes[largest], used_bytes=self.used_bytes
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -11,7 +11,12 @@
 import httptools
 
 from yuccapitch.catalogue import routes
-from yuccapitch.gateway.http1 import memory_budget, messages, peer_state
+from yuccapitch.gateway.http1 import (
+    body_buffer,
+    memory_budget,
+    messages,
+    peer_state,
+)
 from yuccapitch.protocol import events, listener
 
 # Pipelined requests of one connection that are processed concurrently. At this limit,
@@ -84,7 +89,7 @@
         self._headers: messages.HeaderList = []
         self._field_bytes = 0
         self._incomplete_field_bytes = 0
-        self._body = bytearray()
+        self._body = body_buffer.BodyBuffer()
         self._headers_received_at = 0.0
         self._is_in_headers = False
         self._is_in_message = False
@@ -211,7 +216,7 @@
             self._arm_timer(self._state.limits().header_timeout_s)
         self._is_in_message = self._is_in_headers = True
         self._target, self._headers = b"", []
-        self._body = bytearray()
+        self._body.clear()
         self._field_bytes = self._incomplete_field_bytes = 0
 
     def on_url(self, url: bytes) -> None:
@@ -252,10 +257,14 @@
         if self._is_rejected:
             return
         self._incomplete_field_bytes = 0
-        self._body += body
-        if len(self._body) > self._state.limits().max_body_bytes:
-            raise _RequestRejected(413, f"the body is over {len(self._body)} bytes")
-        self._state.budget.charge(self, len(body))
+        former_bytes = self._body.memory_bytes
+        self._body.append(body)
+        size_bytes = self._body.size_bytes
+        if size_bytes > self._state.limits().max_body_bytes:
+            raise _RequestRejected(413, f"the body is over {size_bytes} bytes")
+        if self._body.is_fragmented:
+            raise _RequestRejected(413, "the body comes in too many small pieces")
+        self._state.budget.charge(self, self._body.memory_bytes - former_bytes)
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
@@ -269,13 +278,13 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            bytes(self._body),
+            self._body.join(),
             self._headers_received_at,
             self._id,
             self._request_count,
             self._is_client_connected,
         )
-        self._body = bytearray()
+        self._body.clear()
         pending = _PendingResponse(request, self._parser.should_keep_alive())
         self._pending_responses.append(pending)
         self._state.budget.retain(pending, request.memory_size())
@@ -387,7 +396,8 @@
         return peer_state.is_readable(self._transport)
 
     def _free_memory(self) -> None:
-        self._headers, self._body = [], bytearray()
+        self._headers = []
+        self._body.clear()
         self._state.budget.release(self)
         self._state.budget.retain(self, 0)
         for pending in self._pending_responses:
@@ -397,7 +407,8 @@
         if self._is_rejected:
             return
         self._is_rejected = True
-        self._headers, self._body = [], bytearray()
+        self._headers = []
+        self._body.clear()
         self._state.budget.release(self)
         events.event("caller.refused", status=status, reason=reason)
         self._disarm_timer()
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from yuccapitch.gateway.http1 import client, memory_budget, messages
+from yuccapitch.gateway.http1 import body_buffer, client, memory_budget, messages
 
 COMPLETE = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
@@ -339,6 +339,45 @@
     assert peak_bytes < MAX_FIELDS_MEMORY_BYTES
 
 
+# Guards against an entry instance that reads what is of no use to its caller.
+async def test_exchange_refuses_a_body_above_the_limit_at_its_head():
+    head = HEAD + b"Content-Length: 999999999999\r\n\r\n"
+    async with endless(head, b"x") as source:
+        outcome = await send(source.pool)
+        assert isinstance(outcome, client.Failure)
+        assert outcome.fault is client.Fault.MALFORMED
+        async with asyncio.timeout(20):
+            await source.is_closed.wait()
+    # What the kernel takes for a connection that is not read.
+    assert source.sent_bytes < 16 * 1024 * 1024
+
+
+# Guards against an event loop that is taken up by the smallest pieces of a body, each
+# of which costs as much as a large one.
+async def test_exchange_bounds_the_work_of_a_body_in_tiny_pieces(monkeypatch):
+    piece_count = 0
+    on_body = client.Connection.on_body
+
+    def count(connection, body):
+        nonlocal piece_count
+        piece_count += 1
+        on_body(connection, body)
+
+    monkeypatch.setattr(client.Connection, "on_body", count)
+    async with endless(CHUNKED_HEAD, b"1\r\nx\r\n") as source:
+        outcome = await send(source.pool)
+    assert isinstance(outcome, client.Failure)
+    # The rest of the piece that was read last is not handed on.
+    assert piece_count <= 16_384 + 1
+
+
+async def test_exchange_receives_a_body_in_many_pieces():
+    count = body_buffer.MAX_SMALL_PIECES // 2
+    chunks = b"2\r\nok\r\n" * count + b"0\r\n\r\n"
+    async with endpoint(CHUNKED_HEAD + chunks) as pool:
+        assert (await send(pool)).body == b"ok" * count
+
+
 async def test_exchange_discards_the_trailer_section_of_a_response():
     async with endpoint(CHUNKED) as pool:
         response = await send(pool)
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -96,7 +96,9 @@
         self._links.on_link_closed = self._placer.mark_link_lost
         self._links.on_accepted_link_closed = self._placer.mark_accepted_link_lost
         # Requests and responses share one limit: the process has to stay below it.
-        self._budget = memory_budget.MemoryBudget()
+        self._budget = memory_budget.MemoryBudget(
+            memory_budget.buffered_bytes(node_settings.memory_limit_bytes)
+        )
         self._sender = endpoint_sender.Sender(
             adapter.header_names,
             self._clock,
--- a/packages/node/src/yuccapitch/node/routed/settings.py
+++ b/packages/node/src/yuccapitch/node/routed/settings.py
@@ -8,6 +8,7 @@
 
 from yuccapitch.catalogue import ids
 from yuccapitch.gateway.front import request_path, routing_state
+from yuccapitch.gateway.http1 import memory_budget
 
 RegionsByDomain = Mapping[ids.FailureDomainId, ids.RegionId]
 
@@ -46,6 +47,8 @@
     """Time after the acknowledgement of an order until which it has to be in force."""
     link_bits_per_s: float = float("inf")
     """Bandwidth of the machine's link in each direction."""
+    memory_limit_bytes: int = memory_budget.DEFAULT_MEMORY_LIMIT_BYTES
+    """Memory above which the platform ends the process."""
     started_at_s: float | None = None
     """Start time of the process, by a clock that includes suspended time."""
     data_dir: pathlib.Path | None = None
--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -8,6 +8,7 @@
 import pytest
 
 from yuccapitch.gateway.front import routing_state
+from yuccapitch.gateway.http1 import memory_budget
 from yuccapitch.platform import node_file, startup, units
 
 TEXT = """
@@ -71,6 +72,20 @@
     assert "configApply" in node_file.read(path).unwrap_err()
 
 
+def test_decode_reads_the_memory_of_a_process():
+    fields = tomllib.loads(TEXT)
+    default = memory_budget.DEFAULT_MEMORY_LIMIT_BYTES
+    assert node_file.decode(fields).unwrap().routed.memory_limit_bytes == default
+    fields["limits"] = {"memoryMb": 300}
+    assert node_file.decode(fields).unwrap().routed.memory_limit_bytes == 300_000_000
+
+
+@pytest.mark.parametrize("value", [0, -1, "300", True, 10**400, float("nan")])
+def test_decode_rejects_an_unusable_limit_on_memory(value):
+    fields = tomllib.loads(TEXT) | {"limits": {"memoryMb": value}}
+    assert "limits.memoryMb" in node_file.decode(fields).unwrap_err()
+
+
 def test_read_reports_all_errors(tmp_path: pathlib.Path):
     path = tmp_path / "local.toml"
     path.write_text(
