HTTP client: refuse statuses without a meaning and early responses that are reset

Causes: a body without a length was complete as soon as the endpoint ended its side of the connection, also over an upload that was still being sent, whose reset came after. Each status below 200 counted as an interim response, so that 000 or 099 was followed by waiting; 101 as well, though no request asks for another protocol. 600 to 999 were passed on.

Now such a body is complete once the request has been sent, and broken if the connection is lost before. A status outside 100 to 599, or 101, ends the exchange at once as invalid: the caller gets 502, as the endpoint may have run the request, and safe requests go to another endpoint.

On the code before, the tests of 000, 001, 099 (timeouts), 600 and 999 (passed on) fail, new and reused, and that of the end before the reset; the plain reset and 101 with no further bytes were refused before too.

--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -39,6 +39,15 @@
 # Limit on the bytes that the parser reads without completing a field or a part of the
 # body: it keeps an incomplete trailer field.
 MAX_INCOMPLETE_FIELD_BYTES = 64 * 1024
+# Status codes with a meaning in HTTP (RFC 9110, section 15). Those above would have to
+# count as failures of an unknown kind, which callers can't act on; those below 200 are
+# interim, and below 100 nothing would follow them.
+VALID_STATUSES = range(100, 600)
+# Answers a request for another protocol, and no such request is sent on.
+SWITCHING_PROTOCOLS_STATUS = 101
+# Interval at which a request that is still being sent is checked, once the response to
+# it has ended with the endpoint's side of the connection.
+SENT_CHECK_INTERVAL_S = 0.01
 # Limit on the bytes of a response on the wire, and of its body.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
@@ -212,12 +221,15 @@
             self.fail("response has an endless trailer field or chunk extension")
 
     def eof_received(self) -> bool:
-        """Complete a response that is delimited by the end of the connection."""
+        """Complete a response that is delimited by the end of the connection.
+
+        While the request is still being sent, that end doesn't show yet whether the
+        endpoint has closed the connection or is about to reset it.
+        """
         self.is_usable = False
         if self._is_in_message and not self._is_self_delimited and self._has_headers:
-            self._complete()
-        else:
-            self._fail(Fault.BROKEN, "closed by the endpoint")
+            return self._complete_once_sent()
+        self._fail(Fault.BROKEN, "closed by the endpoint")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -255,6 +267,8 @@
     def on_headers_complete(self) -> None:
         """Determine how the end of the response is delimited."""
         status = self._parser.get_status_code()
+        if status not in VALID_STATUSES or status == SWITCHING_PROTOCOLS_STATUS:
+            raise _ResponseRejected(f"status {status:03} has no meaning here")
         self._has_headers = True
         self._has_final_headers = status >= 200
         self._is_self_delimited = (
@@ -291,6 +305,18 @@
             return
         self._complete()
 
+    def _complete_once_sent(self) -> bool:
+        """Complete the response; return whether the request has to be sent first."""
+        if self._future is None or self._future.done():
+            return False
+        assert self._transport is not None
+        if self._transport.get_write_buffer_size() == 0:
+            self._complete()
+            return False
+        loop = asyncio.get_running_loop()
+        loop.call_later(SENT_CHECK_INTERVAL_S, self._complete_once_sent)
+        return True
+
     def _limit_unacknowledged_time(self, body_bytes: int) -> None:
         timeout_ms = TCP_USER_TIMEOUT_MS
         if body_bytes > MAX_SMALL_BODY_BYTES:
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -451,6 +451,71 @@
         assert isinstance(await exchange, client.Failure)
 
 
+# Guards against an upload whose response breaks off and is passed on as whole, as the
+# endpoint resets the connection over the body that it hasn't read.
+@pytest.mark.parametrize("ends_first", [False, True], ids=["reset", "end-and-reset"])
+async def test_exchange_fails_if_an_early_response_ends_with_a_reset(ends_first):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        loop = asyncio.get_running_loop()
+        pool = client.Pool("127.0.0.1", listener.getsockname()[1], loop.time)
+        connection = await pool.acquire(5.0, 5.0)
+        peer, _ = listener.accept()
+        head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % UNREAD_BODY_BYTES
+        with peer:
+            exchanging = asyncio.create_task(
+                connection.exchange(head, is_first, False, bytes(UNREAD_BODY_BYTES))
+            )
+            await asyncio.sleep(0)
+            peer.sendall(DELIMITED_BY_CLOSE + bytes(3000))
+            if ends_first:
+                peer.shutdown(socket.SHUT_WR)
+                await asyncio.sleep(0.05)
+        # Closed with unread bytes, which resets the connection.
+        async with asyncio.timeout(20):
+            outcome = await exchanging
+    assert isinstance(outcome, client.Failure)
+    assert outcome.fault is client.Fault.BROKEN
+    connection.close()
+
+
+async def test_exchange_completes_an_early_response_once_the_request_is_sent():
+    async def respond_early(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(DELIMITED_BY_CLOSE + b"ok")
+        writer.write_eof()
+        await asyncio.sleep(0.05)
+        await reader.readexactly(UNREAD_BODY_BYTES)
+        writer.close()
+
+    tcp_server = await asyncio.start_server(respond_early, "127.0.0.1", 0)
+    loop = asyncio.get_running_loop()
+    pool = client.Pool("127.0.0.1", tcp_server.sockets[0].getsockname()[1], loop.time)
+    connection = await pool.acquire(5.0, 5.0)
+    head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % UNREAD_BODY_BYTES
+    async with asyncio.timeout(20):
+        outcome = await connection.exchange(
+            head, is_first, False, bytes(UNREAD_BODY_BYTES)
+        )
+    tcp_server.close()
+    assert outcome.body == b"ok"
+    assert not connection.is_usable
+    connection.close()
+
+
+# Guards against an endpoint in trouble whose status has no meaning: it reached callers
+# as an answer, or they waited for what follows an interim response until the deadline.
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"101", b"600", b"999"])
+@pytest.mark.parametrize("is_reused", [False, True], ids=["new", "reused"])
+async def test_exchange_fails_on_a_status_without_a_meaning(status, is_reused):
+    invalid = COMPLETE.replace(b"200", status)
+    async with endpoint(*([COMPLETE] * is_reused), invalid) as pool:
+        if is_reused:
+            assert (await send(pool)).body == b"ok"
+        outcome = await send(pool)
+    assert isinstance(outcome, client.Failure)
+    assert outcome.fault is client.Fault.MALFORMED
+
+
 async def send_and_cut(pool: client.Pool):
     """Send a request whose connection the endpoint closes after the response."""
     connection = await pool.acquire(5.0, 5.0)
