--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -10,7 +10,7 @@
 import pytest
 
 from yuccapitch.catalogue import routes
-from yuccapitch.gateway.http1 import memory_budget, messages, server
+from yuccapitch.gateway.http1 import body_buffer, memory_budget, messages, server
 
 LIMITS = routes.CallerLimits(200, 50, 0.2, 0.3)
 
@@ -318,6 +318,24 @@
     assert budget.used_bytes == 0
 
 
+# Guards against clients that take up the event loop by the smallest pieces of a body.
+async def test_serve_refuses_an_upload_in_too_many_small_pieces():
+    async def accept(request):
+        return messages.Response(200, [], b"%d" % len(request.body))
+
+    async with serving(accept, UPLOAD_LIMITS) as (_, port):
+        head = POST + f"{CLOSE}Transfer-Encoding: chunked\r\n\r\n".encode()
+        few, many = (
+            head + b"1\r\nx\r\n" * count + b"0\r\n\r\n"
+            for count in (
+                body_buffer.MAX_SMALL_PIECES,
+                2 * body_buffer.MAX_SMALL_PIECES,
+            )
+        )
+        assert (await exchange(port, few)).startswith(b"HTTP/1.1 200 ")
+        assert (await exchange(port, many)).startswith(b"HTTP/1.1 413 ")
+
+
 @pytest.mark.parametrize("size", [0, 300_000])
 async def test_serve_frees_the_memory_of_a_client_that_leaves(size):
     budget = memory_budget.MemoryBudget()
