Placement: shares below one request go to the first ranked instances

Cause: while a region's dispatcher does not reply, each of its instances places with a share of 1/n. A share of less than one request was rounded up at each instance: the limiter of a cold endpoint starts with a token and a burst of at least one; two of three ways into the cold state took the whole rate whatever the share; a limiter kept the share of the moment of its creation. The same class: the first request at an endpoint that names a limit, and the probes of a failing endpoint, were each instance's own.

Fix: the instances of a region are ranked for each endpoint by rendezvous hashing. A rate is used by the first ranked only, one for every 3 requests a second, and together they use 0.45 of it: the region's dispatcher may go on with the whole rate for the others, and 2 + 0.9 r + max(1, 0.15 r) + 0.41 r stays below 1.5 r + 5 in a second. A failing endpoint is probed by the first. To the others the endpoint is not available; a request for which no other endpoint is left is refused at once with a Retry-After instead of waiting. A change of the instances changes the limiters.

Tests changed: three tests set the attribute capacity_share, which is derived now; they let dispatchers share endpoints instead and assert the same. test_dispatchers_of_all_regions_together_keep_to_the_limit reads the share from the endpoint's state.

--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -35,6 +35,7 @@
     peers as inner_peers,
     subscription_messages as messages,
 )
+from yuccapitch.steering.placement import apportionment
 
 # Clients may use a cached lookup response for up to three times its TTL.
 MAX_CACHED_TTLS = 3
@@ -407,10 +408,13 @@
             leader_polling.set_address_from_id(self._links, dispatcher_id)
         is_dispatcher = dispatcher_id == node_settings.instance_id
         # If the region's dispatcher is unavailable, every entry instance of the region
-        # places its own requests and uses an equal part of each endpoint's slots.
-        share = 1.0 if is_dispatcher else 1 / max(1, len(peers))
-        self._dispatcher.table.capacity_share = share
-        self._placer.set_peers(ids.InstanceId(peer.instance_id) for peer in peers)
+        # places its own requests and uses its part of each endpoint's limits.
+        peer_ids = [ids.InstanceId(peer.instance_id) for peer in peers]
+        shares = apportionment.Apportionment(node_settings.instance_id, peer_ids)
+        self._dispatcher.table.set_apportionment(
+            None if is_dispatcher else shares, self._clock()
+        )
+        self._placer.set_peers(peer_ids)
         self._placer.set_dispatcher(dispatcher_id)
         # A stopping instance leaves the list, and still places what it has taken.
         for removed_id in removed_ids - {node_settings.instance_id}:
--- a/packages/steering/src/yuccapitch/steering/placement/cold_start_limiter.py
+++ b/packages/steering/src/yuccapitch/steering/placement/cold_start_limiter.py
@@ -13,11 +13,20 @@
     """Token bucket that limits the request rate of one cold endpoint."""
 
     def __init__(self, rate_per_s: float, share: float, now: float) -> None:
-        """Limit to ``share`` of ``rate_per_s``; other dispatchers may use the rest."""
-        self._rate_per_s = rate_per_s * share * RATE_UTILIZATION
-        self._burst = max(1.0, BURST_REQUESTS * share)
-        self._tokens = min(1.0, self._burst)
+        """Limit to ``share`` of ``rate_per_s``; other dispatchers may use the rest.
+
+        Without a share, no request may be sent.
+        """
+        self._permitted_rate_per_s = rate_per_s
+        self._tokens = 0.0
         self._updated_at = now
+        self._set_share(share)
+        self._tokens = min(1.0, self._burst)
+
+    def update(self, share: float, now: float) -> None:
+        """Limit to another share from now on; a higher one gives no burst."""
+        self._refill(now)
+        self._set_share(share)
 
     def has_token(self, now: float) -> bool:
         """Return whether a request may be sent now."""
@@ -29,6 +38,11 @@
         self._refill(now)
         self._tokens -= 1.0
 
+    def _set_share(self, share: float) -> None:
+        self._rate_per_s = self._permitted_rate_per_s * share * RATE_UTILIZATION
+        self._burst = max(1.0, BURST_REQUESTS * share) if share > 0 else 0.0
+        self._tokens = min(self._tokens, self._burst)
+
     def _refill(self, now: float) -> None:
         elapsed_s = max(0.0, now - self._updated_at)
         self._updated_at = now
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -39,6 +39,15 @@
 MAX_RETRY_AFTER_S = 5.0
 
 
+# A warm endpoint that is in one of these states is not waited for.
+_NOT_WORTH_WAITING = frozenset(
+    (
+        endpoint_state.Availability.LIMITED,
+        endpoint_state.Availability.NOT_SHARED,
+    )
+)
+
+
 @dataclasses.dataclass(slots=True)
 class _ActiveGrant:
     request: model.PlacementRequest
@@ -55,16 +64,10 @@
         region_id: ids.RegionId,
         domain_of_entry: Callable[[ids.InstanceId], ids.FailureDomainId | None],
         rng: random.Random,
-        capacity_share: float = 1.0,
     ) -> None:
-        """Create a dispatcher of ``region_id`` without endpoints.
-
-        It uses ``capacity_share`` of the slots of each endpoint and of the request rate
-        of a cold one. The share is below 1 while other instances of the region also
-        place requests.
-        """
+        """Create a dispatcher of ``region_id`` without endpoints."""
         self._rng = rng
-        self._table = table.EndpointTable(region_id, capacity_share)
+        self._table = table.EndpointTable(region_id)
         self.estimates = estimates.PlacementEstimates(self._table)
         self._selector = endpoint_selector.EndpointSelector(
             self._table, self.estimates.durations, domain_of_entry
@@ -290,7 +293,7 @@
         now: float,
     ) -> model.Granted:
         prediction = state.begin(request.object_id, now)
-        state.record_send(now, self._table.rate_share(state))
+        state.record_send(now)
         self._grants_by_attempt_id[request.attempt_id] = _ActiveGrant(
             request, state, prediction, now
         )
@@ -304,6 +307,8 @@
         states: list[endpoint_state.EndpointState],
         now: float,
     ) -> model.Refused | None:
+        if self._table.is_left_to_others(states, now):
+            return self._refuse_unshared(request)
         queue = self._queue(request.service_id)
         warm_s = self.estimates.durations.warm_s(request.route_id)
         mean_s = self.estimates.durations.mean_s(request.route_id)
@@ -327,8 +332,7 @@
             return self._refuse(request, reason, wait_s + mean_s)
         is_warm_anywhere = any(
             state.is_warm(request.object_id, now)
-            and self._table.availability(state, now)
-            is not endpoint_state.Availability.LIMITED
+            and self._table.availability(state, now) not in _NOT_WORTH_WAITING
             for state in states
         )
         accepts_cold_at = now
@@ -444,6 +448,9 @@
             if service_id not in has_free_endpoint:
                 has_free_endpoint[service_id] = self._table.has_free(service_id, now)
             if not has_free_endpoint[service_id]:
+                if self._table.is_left_to_others(eligible, now):
+                    queue.remove(item.request.attempt_id)
+                    decisions.append(self._refuse_unshared(item.request))
                 continue
             state = self._selector.select(item.request, eligible, now, accepts_cold)
             if state is None:
@@ -466,6 +473,10 @@
             )
         return decisions
 
+    def _refuse_unshared(self, request: model.PlacementRequest) -> model.Refused:
+        reason = model.RefusalReason.LATE
+        return self._refuse(request, reason, table.NOT_SHARED_RETRY_S)
+
     def _refuse(
         self,
         request: model.PlacementRequest,
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -7,6 +7,7 @@
 
 from yuccapitch.catalogue import routes
 from yuccapitch.steering.placement import (
+    apportionment,
     cache_capacity,
     cold_start_limiter,
     model,
@@ -49,6 +50,8 @@
     """Has got as many requests as the limit allows that it has named."""
     CLOSED = "closed"
     """Backing off after a failure, or busy with a probe request."""
+    NOT_SHARED = "not shared"
+    """Left to other instances, which together use all that its limit allows."""
 
 
 class EndpointState:
@@ -60,10 +63,15 @@
         service: routes.RoutedService,
         capacity: cache_capacity.CacheCapacity,
         now: float,
+        share: apportionment.Share = apportionment.WHOLE,
     ) -> None:
         """Create the state of an endpoint without any measurement."""
         self.endpoint = endpoint
         self.service = service
+        self.share = share
+        """Part of the endpoint's limits that this instance uses."""
+        self.region_rate_fraction = 1.0
+        """Fraction of a limit named by the endpoint that this region uses."""
         self.capacity = capacity
         """Cache capacity, shared by the endpoints of a service."""
         self.in_flight = 0
@@ -84,23 +92,26 @@
         self._evicted_object_ids: collections.OrderedDict[str, None]
         self._evicted_object_ids = collections.OrderedDict()
         if endpoint.cold_left_s > 0:
-            self.mark_cold(now, endpoint.cold_left_s, 1.0)
+            self.mark_cold(now, endpoint.cold_left_s)
 
     def update(self, endpoint: model.Endpoint, service: routes.RoutedService) -> None:
         """Apply the current entry of the platform's list."""
         self.endpoint, self.service = endpoint, service
 
-    def mark_cold(self, now: float, duration_s: float, rate_share: float) -> None:
-        """Treat the endpoint as warming up, with empty caches, for ``duration_s``.
+    def set_share(self, share: apportionment.Share, now: float) -> None:
+        """Use another part of the endpoint's limits from now on."""
+        self.share = share
+        if self._cold_start_limiter is not None:
+            self._cold_start_limiter.update(self._cold_rate_share, now)
 
-        ``rate_share`` is the fraction of its cold request rate that is used.
-        """
+    def mark_cold(self, now: float, duration_s: float) -> None:
+        """Treat the endpoint as warming up, with empty caches, for ``duration_s``."""
         self.cold_until = max(self.cold_until, now + duration_s)
         self._used_at_by_object_id.clear()
         self._evicted_object_ids.clear()
         if self._cold_start_limiter is None and self.service.cold_rate_per_s > 0:
             self._cold_start_limiter = cold_start_limiter.ColdStartLimiter(
-                self.service.cold_rate_per_s, rate_share, now
+                self.service.cold_rate_per_s, self._cold_rate_share, now
             )
 
     def is_cold(self, now: float) -> bool:
@@ -115,9 +126,11 @@
         The failure rate is compared with the median of the service, so that no endpoint
         is closed when all of them fail alike.
         """
+        excess = self.failure_rate - median_failure_rate
+        if not self._has_share(excess, now):
+            return Availability.NOT_SHARED
         if now < self._backoff_until:
             return Availability.CLOSED
-        excess = self.failure_rate - median_failure_rate
         if excess > MAX_EXCESS_FAILURE_RATE and (
             self.in_flight > 0 or now < self._failed_at + FAILURE_BACKOFF_S
         ):
@@ -156,18 +169,24 @@
         else:
             limiter.update(report.rate_per_s, now)
 
-    def record_send(self, now: float, rate_share: float) -> None:
-        """Count a request towards the limit; ``rate_share`` is the usable fraction."""
+    @property
+    def rate_share(self) -> float:
+        """Fraction of a limit named by the endpoint that this instance uses."""
+        fraction = self.region_rate_fraction
+        return fraction * self.share.of_rate(fraction * (self.rate_limit_per_s or 0.0))
+
+    def record_send(self, now: float) -> None:
+        """Count a request towards the limit that the endpoint names."""
         if self._rate_limiter is not None:
-            self._rate_limiter.record_send(now, rate_share)
+            self._rate_limiter.record_send(now, self.rate_share)
 
-    def usable_slots(self, slots: float, rate_share: float) -> float:
+    def usable_slots(self, slots: float) -> float:
         """Return how many of ``slots`` requests at the limited rate can occupy."""
         limit_per_s = self.rate_limit_per_s
         if limit_per_s is None or self._mean_duration_s is None:
             return slots
         # Little's law: requests in progress are their rate times their duration.
-        return min(slots, limit_per_s * rate_share * self._mean_duration_s)
+        return min(slots, limit_per_s * self.rate_share * self._mean_duration_s)
 
     def is_warm(self, object_id: str, now: float) -> bool:
         """Return whether the endpoint served the object recently enough to cache it."""
@@ -238,6 +257,22 @@
         """Continue with the health that a previous dispatcher measured."""
         self.slowness, self.failure_rate = slowness, failure_rate
 
+    def _has_share(self, excess_failure_rate: float, now: float) -> bool:
+        """Return whether this instance uses the endpoint in its present condition."""
+        if self.share.is_first:
+            return True
+        if excess_failure_rate > MAX_EXCESS_FAILURE_RATE:
+            # The first instance alone probes whether the endpoint has recovered.
+            return False
+        if self._rate_limiter is not None and not self.rate_share:
+            return False
+        is_limited = self._cold_start_limiter is not None and self.is_cold(now)
+        return not is_limited or self._cold_rate_share > 0
+
+    @property
+    def _cold_rate_share(self) -> float:
+        return self.share.of_rate(self.service.cold_rate_per_s)
+
     def _predict(self, object_id: str, now: float) -> cache_capacity.CachePrediction:
         if not self.is_warm(object_id, now):
             return cache_capacity.CachePrediction(
@@ -279,7 +314,7 @@
         self._consecutive_unreachable += 1
         self._back_off(now, min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2.0**doublings))
         # It may have restarted, which empties its caches.
-        self.mark_cold(now, self.service.cold_duration_s, 1.0)
+        self.mark_cold(now, self.service.cold_duration_s)
 
     def _mark_misdirected(self, now: float) -> None:
         # Another endpoint has the address now. Wait for the next endpoint list.
--- a/packages/steering/src/yuccapitch/steering/placement/table.py
+++ b/packages/steering/src/yuccapitch/steering/placement/table.py
@@ -7,6 +7,7 @@
 
 from yuccapitch.catalogue import ids, routes
 from yuccapitch.steering.placement import (
+    apportionment,
     cache_capacity,
     eligibility,
     endpoint_notices,
@@ -20,6 +21,9 @@
 FIRST_LIST_RETRY_S = 0.3
 # Retry delay for a service that currently has no endpoint.
 NO_ENDPOINT_RETRY_S = 1.0
+# Retry delay for a service whose endpoints are all left to other instances, until the
+# region's dispatcher replies again.
+NOT_SHARED_RETRY_S = 1.0
 # Maximum number of extra requests in flight to another region, relative to the slots.
 MAX_IN_TRANSIT_RATIO = 0.5
 
@@ -27,14 +31,21 @@
 # not assigned. They use it only for requests that no endpoint of their own may serve.
 OTHER_REGIONS_RATE_SHARE = 0.2
 
+_UNUSABLE = frozenset(
+    (
+        endpoint_state.Availability.CLOSED,
+        endpoint_state.Availability.NOT_SHARED,
+    )
+)
+
 
 class EndpointTable:
     """Endpoints by service, with eligibility, slot limits and round trips."""
 
-    def __init__(self, region_id: ids.RegionId, capacity_share: float) -> None:
-        """Use ``capacity_share`` of the slots and cold request rate of endpoints."""
+    def __init__(self, region_id: ids.RegionId) -> None:
+        """Create a table without endpoints, which uses the whole of their limits."""
         self.region_id = region_id
-        self.capacity_share = capacity_share
+        self._apportionment: apportionment.Apportionment | None = None
         self.notices = endpoint_notices.EndpointNotices()
         self.states_by_id: dict[ids.EndpointId, endpoint_state.EndpointState] = {}
         self._states_by_service_id: dict[ids.ServiceId, eligibility.States] = {}
@@ -52,6 +63,23 @@
         self._eligible_version = -1
         self._limits: dict[tuple[int, ids.RegionId, float], int] = {}
 
+    @property
+    def capacity_share(self) -> float:
+        """The average part of endpoints' limits that an instance uses."""
+        if self._apportionment is None:
+            return 1.0
+        return 1.0 / self._apportionment.instance_count
+
+    def set_apportionment(
+        self, shares: apportionment.Apportionment | None, now: float
+    ) -> None:
+        """Share the limits of endpoints; None if this instance uses the whole."""
+        if shares == self._apportionment:
+            return
+        self._apportionment = shares
+        for endpoint_id, state in self.states_by_id.items():
+            state.set_share(self._share(endpoint_id), now)
+
     def update(
         self,
         endpoints: Iterable[model.Endpoint],
@@ -83,12 +111,15 @@
             )
             if state is None or is_new:
                 capacity = self.cache_capacity(endpoint.service_id)
-                state = endpoint_state.EndpointState(endpoint, service, capacity, now)
+                share = self._share(endpoint.endpoint_id)
+                state = endpoint_state.EndpointState(
+                    endpoint, service, capacity, now, share
+                )
                 if self._has_endpoints:
                     state.untried_since = now
-                    state.mark_cold(now, service.cold_duration_s, self.capacity_share)
+                    state.mark_cold(now, service.cold_duration_s)
             elif endpoint.failure_domain in reinstated_domains:
-                state.mark_cold(now, service.cold_duration_s, self.capacity_share)
+                state.mark_cold(now, service.cold_duration_s)
             elif self._is_reassigned(state.endpoint, endpoint):
                 reassigned.append(endpoint.endpoint_id)
             state.update(endpoint, service)
@@ -103,6 +134,8 @@
                 *(state.endpoint.region_id for state in self.states_by_id.values()),
             )
         )
+        for state in self.states_by_id.values():
+            state.region_rate_fraction = self._region_rate_fraction(state)
         self._has_endpoints = self._has_endpoints or bool(self.states_by_id)
         self._eligible_by_scope.clear()
         return reassigned
@@ -153,8 +186,7 @@
             self.usable_limit(state, self.limit(state))
             for state in states
             # A limit that is never reached: busy endpoints count as well.
-            if state.availability(now, 1 << 30)
-            is not endpoint_state.Availability.CLOSED
+            if state.availability(now, 1 << 30) not in _UNUSABLE
         )
 
     def local_and_remote_slots(
@@ -168,8 +200,7 @@
                 endpoint.serving_region_id != self.region_id
                 or not self.is_usable(endpoint)
                 # A limit that is never reached: busy endpoints count as well.
-                or state.availability(now, 1 << 30)
-                is endpoint_state.Availability.CLOSED
+                or state.availability(now, 1 << 30) in _UNUSABLE
             ):
                 continue
             slots = self.usable_limit(state, endpoint.slots)
@@ -204,20 +235,7 @@
         """Return how many of ``limit`` requests an endpoint's rate limit allows."""
         if state.rate_limit_per_s is None:
             return limit
-        return state.usable_slots(limit, self.rate_share(state))
-
-    def rate_share(self, state: endpoint_state.EndpointState) -> float:
-        """Return the fraction of an endpoint's rate limit that this table may use.
-
-        The dispatchers of all regions may send to an endpoint, without knowing of the
-        requests of each other.
-        """
-        other_regions = len(self._region_ids) - 1
-        if not other_regions:
-            return self.capacity_share
-        if state.endpoint.serving_region_id == self.region_id:
-            return self.capacity_share * (1.0 - OTHER_REGIONS_RATE_SHARE)
-        return self.capacity_share * OTHER_REGIONS_RATE_SHARE / other_regions
+        return state.usable_slots(limit)
 
     def median_failure_rate(self, service_id: ids.ServiceId) -> float:
         """Return the median failure rate of the endpoints of a service."""
@@ -260,6 +278,33 @@
         """Return the round-trip time to a region."""
         return self._round_trip_s_by_region_id.get(region_id, DEFAULT_ROUND_TRIP_S)
 
+    def is_left_to_others(
+        self, states: Iterable[endpoint_state.EndpointState], now: float
+    ) -> bool:
+        """Return whether other instances use all of these endpoints, and not this."""
+        if self._apportionment is None:
+            return False
+        not_shared = endpoint_state.Availability.NOT_SHARED
+        return all(self.availability(state, now) is not_shared for state in states)
+
+    def _share(self, endpoint_id: ids.EndpointId) -> apportionment.Share:
+        if self._apportionment is None:
+            return apportionment.WHOLE
+        return self._apportionment.share(endpoint_id)
+
+    def _region_rate_fraction(self, state: endpoint_state.EndpointState) -> float:
+        """Return the fraction of an endpoint's rate limit that this region may use.
+
+        The dispatchers of all regions may send to an endpoint, without knowing of the
+        requests of each other.
+        """
+        other_regions = len(self._region_ids) - 1
+        if not other_regions:
+            return 1.0
+        if state.endpoint.serving_region_id == self.region_id:
+            return 1.0 - OTHER_REGIONS_RATE_SHARE
+        return OTHER_REGIONS_RATE_SHARE / other_regions
+
     def _find_eligible(
         self,
         service_id: ids.ServiceId,
--- a/packages/steering/tests/placement/builders.py
+++ b/packages/steering/tests/placement/builders.py
@@ -5,7 +5,7 @@
 import random
 
 from yuccapitch.catalogue import ids, routes
-from yuccapitch.steering.placement import dispatcher, model
+from yuccapitch.steering.placement import apportionment, dispatcher, model
 
 SERVICE = ids.ServiceId("orders")
 NORTH, SOUTH = ids.RegionId("north"), ids.RegionId("south")
@@ -65,3 +65,18 @@
     services = {SERVICE: service(cold_rate_per_s)}
     region_dispatcher.table.update(endpoints, services, evacuated, 0.0)
     return region_dispatcher
+
+
+def instance_ids(count: int) -> list[ids.InstanceId]:
+    return [ids.InstanceId(f"10.0.0.{number}:7000") for number in range(count)]
+
+
+def share_endpoints(
+    dispatchers: list[dispatcher.Dispatcher], now: float = 0.0
+) -> list[dispatcher.Dispatcher]:
+    """Let the dispatchers place by themselves, each with its part of the limits."""
+    peer_ids = instance_ids(len(dispatchers))
+    for instance_id, own_dispatcher in zip(peer_ids, dispatchers, strict=True):
+        shares = apportionment.Apportionment(instance_id, peer_ids)
+        own_dispatcher.table.set_apportionment(shares, now)
+    return dispatchers
--- a/packages/steering/tests/placement/test_dispatcher_load.py
+++ b/packages/steering/tests/placement/test_dispatcher_load.py
@@ -99,12 +99,13 @@
 
 def test_limit_follows_round_trips_and_the_share_of_the_slots():
     remote = builders.endpoint("e1", region=builders.SOUTH, slots=10)
-    dispatcher = builders.make_dispatcher(remote, builders.endpoint("e2"))
+    endpoints = (remote, builders.endpoint("e2"))
+    dispatcher, other = (builders.make_dispatcher(*endpoints) for _ in range(2))
     state = dispatcher.table.states_by_id[remote.endpoint_id]
     assert dispatcher.table.limit(state) == 11
     dispatcher.table.observe_round_trip(builders.SOUTH, 0.3)
     assert dispatcher.table.limit(state) == 13
-    dispatcher.table.capacity_share = 0.5
+    builders.share_endpoints([dispatcher, other])
     assert dispatcher.table.limit(state) == 6
 
 
--- a/packages/steering/tests/placement/test_endpoint_notices.py
+++ b/packages/steering/tests/placement/test_endpoint_notices.py
@@ -163,10 +163,13 @@
 TestNotices.settings = hypothesis.settings(max_examples=50, deadline=None)
 
 
-@pytest.mark.parametrize("share", [1.0, 0.25])
-def test_leaving_endpoints_count_as_no_slots(share):
-    dispatcher = builders.make_dispatcher(E1, builders.endpoint("e2"))
-    dispatcher.table.capacity_share = share
+@pytest.mark.parametrize("instance_count", [1, 4])
+def test_leaving_endpoints_count_as_no_slots(instance_count):
+    dispatchers = [
+        builders.make_dispatcher(E1, builders.endpoint("e2"))
+        for _ in range(instance_count)
+    ]
+    dispatcher = builders.share_endpoints(dispatchers)[0]
     before, _ = dispatcher.table.local_and_remote_slots(SERVICE, 0.0)
     dispatcher.record_leaving(E1.endpoint_id)
     after, _ = dispatcher.table.local_and_remote_slots(SERVICE, 0.0)
--- a/packages/steering/tests/placement/test_rate_limit.py
+++ b/packages/steering/tests/placement/test_rate_limit.py
@@ -151,20 +151,18 @@
     ]
     tables = []
     for region in regions:
-        created = table.EndpointTable(region, 1.0)
+        created = table.EndpointTable(region)
         services = {builders.SERVICE: builders.service()}
         created.update(endpoints, services, frozenset(), 0.0)
         tables.append(created)
     for name in names:
-        shares = [t.rate_share(t.states_by_id[ids.EndpointId(name)]) for t in tables]
+        shares = [t.states_by_id[ids.EndpointId(name)].rate_share for t in tables]
         assert sum(shares) == pytest.approx(1.0)
         assert min(shares) > 0.0
 
 
 def test_entries_that_place_by_themselves_share_the_limit():
-    dispatchers = [make_limited(4.0) for _ in range(4)]
-    for dispatcher in dispatchers:
-        dispatcher.table.capacity_share = 0.25
+    dispatchers = builders.share_endpoints([make_limited(4.0) for _ in range(4)])
     sent_at = run_load(dispatchers, 20.0, 60.0)
     allowed = TOLERATED_FACTOR * 4.0 * WINDOW_S + TOLERATED_REQUESTS
     assert largest_window(sent_at) <= allowed
--- /dev/null
+++ b/packages/steering/tests/placement/test_shared_endpoints.py
@@ -0,0 +1,254 @@
+"""Limits of one endpoint while the instances of a region place by themselves."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable, Iterable
+
+import builders
+import pytest
+
+from yuccapitch.catalogue import ids
+from yuccapitch.steering.placement import dispatcher, model
+
+COLD = ids.EndpointId("cold")
+ANSWERED = model.Outcome.ANSWERED
+COLD_RATE_PER_S = 2.5
+SERVICES = {builders.SERVICE: builders.service(COLD_RATE_PER_S)}
+START, STEP_S = 10.0, 0.01
+# Requests in one second that platforms tolerate in relation to the rate, and beyond it.
+TOLERATED_FACTOR, TOLERATED_REQUESTS = 1.5, 5
+# Instances of a small region, a middle one and the largest one.
+INSTANCE_COUNTS = [1, 2, 8, 60]
+
+
+class Region:
+    """Dispatchers that serve one stream of requests each; endpoints answer at once."""
+
+    def __init__(self, *dispatchers: dispatcher.Dispatcher) -> None:
+        self.dispatchers = dispatchers
+        self.now = START
+        self.sent_at: list[float] = []
+        """Times of the requests to the observed endpoint."""
+        self.refusals: list[tuple[float, model.Refused]] = []
+        """Refusals, each after the time that the request has waited."""
+        self._requested_at: dict[model.AttemptId, float] = {}
+        self._open: collections.deque[tuple[float, int, model.Granted]]
+        self._open = collections.deque()
+        self._number = 0
+
+    def run(self, duration_s: float, outcome: model.Outcome = ANSWERED) -> None:
+        """Let each dispatcher get a request at each step."""
+        ends_at = self.now + duration_s
+        while self.now < ends_at:
+            for index, placer in enumerate(self.dispatchers):
+                self._number += 1
+                request = builders.request(self._number, now=self.now)
+                self._requested_at[request.attempt_id] = self.now
+                self._record(index, [placer.place(request, self.now)])
+                self._record(index, placer.tick(self.now))
+            self._answer(outcome)
+            self.now += STEP_S
+
+    def _answer(self, outcome: model.Outcome) -> None:
+        while self._open and self._open[0][0] <= self.now:
+            _, index, granted = self._open.popleft()
+            is_observed = granted.endpoint.endpoint_id == COLD
+            decided = self.dispatchers[index].release(
+                granted.attempt_id,
+                outcome if is_observed else ANSWERED,
+                None,
+                None,
+                self.now,
+            )
+            self._record(index, decided)
+
+    def _record(self, index: int, decisions: Iterable[model.Decision | None]) -> None:
+        for decision in decisions:
+            if isinstance(decision, model.Granted):
+                self._open.append((self.now + 0.1, index, decision))
+                if decision.endpoint.endpoint_id == COLD:
+                    self.sent_at.append(self.now)
+            elif isinstance(decision, model.Refused):
+                waited_s = self.now - self._requested_at[decision.attempt_id]
+                self.refusals.append((waited_s, decision))
+
+
+def endpoint(name: str = COLD, **changes: object) -> model.Endpoint:
+    return builders.endpoint(name, **{"slots": 5, **changes})
+
+
+def update(
+    placer: dispatcher.Dispatcher, *endpoints: model.Endpoint, now: float = START
+) -> None:
+    placer.table.update(endpoints, SERVICES, frozenset(), now)
+
+
+def add_new(placer: dispatcher.Dispatcher) -> None:
+    update(placer, endpoint("other", is_leaving=True))
+    update(placer, endpoint("other", is_leaving=True), endpoint())
+
+
+def add_listed_cold(placer: dispatcher.Dispatcher) -> None:
+    update(placer, endpoint(cold_left_s=3.0))
+
+
+def add_reinstated(placer: dispatcher.Dispatcher) -> None:
+    domains = frozenset((endpoint().failure_domain,))
+    placer.table.update([endpoint()], SERVICES, domains, START)
+    update(placer, endpoint())
+
+
+def add_unreachable(placer: dispatcher.Dispatcher) -> None:
+    update(placer, endpoint(), now=START - 1.0)
+    granted = placer.place(builders.request(-1, now=START - 1.0), START - 1.0)
+    assert isinstance(granted, model.Granted)
+    unreachable = model.Outcome.UNREACHABLE
+    placer.release(granted.attempt_id, unreachable, None, None, START - 0.6)
+
+
+WAYS_TO_BE_COLD = [add_new, add_listed_cold, add_reinstated, add_unreachable]
+
+
+def make_region(count: int, prepare: Callable[[dispatcher.Dispatcher], None]):
+    """Return a region whose instances all place by themselves."""
+    placers = [builders.make_dispatcher() for _ in range(count)]
+    builders.share_endpoints(placers)
+    for placer in placers:
+        prepare(placer)
+    return Region(*placers)
+
+
+def largest_second(sent_at: list[float]) -> int:
+    return max(
+        (sum(start <= at < start + 1.0 for at in sent_at) for start in sent_at),
+        default=0,
+    )
+
+
+# Guards against shares below one request that are rounded up: sixty instances sent
+# sixty to two hundred and forty requests to a cold endpoint within a second.
+@pytest.mark.parametrize("count", INSTANCE_COUNTS)
+@pytest.mark.parametrize("prepare", WAYS_TO_BE_COLD)
+def test_cold_endpoint_gets_no_more_than_its_rate_from_all_instances(count, prepare):
+    region = make_region(count, prepare)
+    region.run(2.3)
+    assert largest_second(region.sent_at) <= COLD_RATE_PER_S + 1
+    assert region.sent_at
+
+
+# Guards against instances that place by themselves on top of a dispatcher that goes on
+# with the whole rate for the others.
+@pytest.mark.parametrize("count", INSTANCE_COUNTS)
+@pytest.mark.parametrize("prepare", WAYS_TO_BE_COLD)
+def test_cold_endpoint_bears_a_dispatcher_beside_those_that_place_alone(count, prepare):
+    alone = make_region(count, prepare)
+    dispatching = builders.make_dispatcher()
+    prepare(dispatching)
+    region = Region(*alone.dispatchers, dispatching)
+    region.run(2.3)
+    allowed = TOLERATED_FACTOR * COLD_RATE_PER_S + TOLERATED_REQUESTS
+    assert largest_second(region.sent_at) <= allowed
+
+
+# Guards against a limiter that keeps the share of the moment at which it was created.
+def test_cold_endpoint_gets_its_rate_after_the_dispatcher_of_all_is_lost():
+    placers = [builders.make_dispatcher() for _ in range(60)]
+    for placer in placers:
+        add_listed_cold(placer)
+    builders.share_endpoints(placers)
+    region = Region(*placers)
+    region.run(2.3)
+    assert largest_second(region.sent_at) <= COLD_RATE_PER_S + 1
+
+
+def test_instance_that_becomes_the_dispatcher_uses_the_whole_rate():
+    region = make_region(60, add_listed_cold)
+    last = max(
+        region.dispatchers,
+        key=lambda placer: placer.table.states_by_id[COLD].share.rank,
+    )
+    last.table.set_apportionment(None, START)
+    alone = Region(last)
+    alone.run(2.9)
+    assert (
+        0.7 * COLD_RATE_PER_S * 2.9 <= len(alone.sent_at) <= 2 + COLD_RATE_PER_S * 2.9
+    )
+
+
+# Guards against requests that wait for an endpoint that only other instances use.
+def test_request_is_refused_at_once_if_others_use_the_only_endpoint():
+    region = make_region(60, add_listed_cold)
+    region.run(0.5)
+    assert region.sent_at
+    at_once = [refused for waited_s, refused in region.refusals if waited_s == 0.0]
+    assert len(at_once) >= 59 * 50
+    assert min(refused.retry_after_s for refused in at_once) >= 0.1
+
+
+def test_request_finds_another_endpoint_if_others_use_the_cold_one():
+    def prepare(placer: dispatcher.Dispatcher) -> None:
+        cold, warm = endpoint(cold_left_s=3.0), endpoint("warm", slots=300)
+        update(placer, cold, warm)
+
+    region = make_region(60, prepare)
+    region.run(0.05)
+    assert not region.refusals
+
+
+def test_queued_request_is_refused_once_others_use_the_only_endpoint():
+    region = make_region(60, lambda placer: update(placer, endpoint()))
+    last = max(
+        region.dispatchers,
+        key=lambda placer: placer.table.states_by_id[COLD].share.rank,
+    )
+    first, second = (builders.request(number, now=START) for number in (1, 2))
+    assert isinstance(last.place(first, START), model.Granted)
+    assert last.place(second, START) is None
+    unreachable = model.Outcome.UNREACHABLE
+    last.release(first.attempt_id, unreachable, None, None, START + 0.1)
+    refused = list(last.tick(START + 0.1))
+    assert [decision.attempt_id for decision in refused] == [second.attempt_id]
+    assert isinstance(refused[0], model.Refused)
+    assert refused[0].retry_after_s >= 1.0
+
+
+# Guards against as many first requests as instances at an endpoint in need.
+@pytest.mark.parametrize("count", INSTANCE_COUNTS)
+@pytest.mark.parametrize("rate_per_s", [0.5, 2.0, 6.0, 20.0])
+def test_limited_endpoint_gets_no_more_than_its_limit_from_all_instances(
+    count, rate_per_s
+):
+    def prepare(placer: dispatcher.Dispatcher) -> None:
+        update(placer, endpoint(slots=60))
+        report = model.RateLimitReport(rate_per_s)
+        placer.observe_rate_limit(COLD, report, START, START)
+
+    alone = make_region(count, prepare)
+    dispatching = builders.make_dispatcher()
+    prepare(dispatching)
+    region = Region(*alone.dispatchers, dispatching)
+    region.run(6.0)
+    window_s = 4.0
+    most = max(
+        sum(start <= at < start + window_s for at in region.sent_at)
+        for start in region.sent_at
+    )
+    assert most <= TOLERATED_FACTOR * rate_per_s * window_s + TOLERATED_REQUESTS
+
+
+# Guards against a failing endpoint that each instance probes by itself.
+def test_failing_endpoint_gets_one_request_at_a_time_from_all_instances():
+    def prepare(placer: dispatcher.Dispatcher) -> None:
+        others = [endpoint(f"warm-{number}", slots=300) for number in range(2)]
+        update(placer, endpoint(), *others)
+        placer.table.states_by_id[COLD].restore_health(1.0, 0.9)
+
+    region = make_region(60, prepare)
+    # All others are so slow that requests prefer the failing one.
+    for placer in region.dispatchers:
+        for state in placer.table.states_by_id.values():
+            if state.endpoint.endpoint_id != COLD:
+                state.restore_health(20.0, 0.0)
+    region.run(1.0, outcome=model.Outcome.FAILED)
+    assert 1 <= largest_second(region.sent_at) <= 2
