Placement: instances that place alone divide an endpoint's slots exactly

Cause: EndpointTable.limit granted one place at least to each share.

Evidence: test_endpoint_gets_no_more_requests_at_a_time_than_it_has_slots printed 4, 8 and 60 requests in flight from 2, 8 and 60 instances at an endpoint of 5 slots.

Fix: each of n instances has floor(S / n) of the S places, and those ranked below S mod n one more. An instance without a place treats the endpoint as left to others, so that its requests go elsewhere or are refused at once.

Result: 5 in each case; a property test shows that the places of all add up to the limit for any number of instances.

--- a/packages/steering/src/yuccapitch/steering/placement/apportionment.py
+++ b/packages/steering/src/yuccapitch/steering/placement/apportionment.py
@@ -34,6 +34,11 @@
     rate_fraction: float = 1.0
     """Fraction of a rate that all of these instances use together."""
 
+    def of_count(self, limit: int) -> int:
+        """Return how many of ``limit`` requests this instance may have in flight."""
+        quotient, remainder = divmod(limit, self.instance_count)
+        return quotient + (self.rank < remainder)
+
     def of_rate(self, rate_per_s: float) -> float:
         """Return the fraction of a rate that this instance uses; it may be 0."""
         shared_per_s = self.rate_fraction * rate_per_s
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -123,11 +123,12 @@
     ) -> Availability:
         """Return whether a request may be sent now, with ``limit`` in flight at most.
 
+        A limit of 0 means that all slots of the endpoint are left to other instances.
         The failure rate is compared with the median of the service, so that no endpoint
         is closed when all of them fail alike.
         """
         excess = self.failure_rate - median_failure_rate
-        if not self._has_share(excess, now):
+        if limit <= 0 or not self._has_share(excess, now):
             return Availability.NOT_SHARED
         if now < self._backoff_until:
             return Availability.CLOSED
--- a/packages/steering/src/yuccapitch/steering/placement/table.py
+++ b/packages/steering/src/yuccapitch/steering/placement/table.py
@@ -61,7 +61,7 @@
             tuple[ids.ServiceId, frozenset[ids.RegionId]], eligibility.EligibleEndpoints
         ] = {}
         self._eligible_version = -1
-        self._limits: dict[tuple[int, ids.RegionId, float], int] = {}
+        self._limits: dict[tuple[int, ids.RegionId], int] = {}
 
     @property
     def capacity_share(self) -> float:
@@ -211,18 +211,19 @@
         return local_slots, remote_slots
 
     def limit(self, state: endpoint_state.EndpointState) -> int:
-        """Return how many requests an endpoint may have in flight."""
+        """Return how many requests of this instance an endpoint may have in flight.
+
+        It is 0 if other instances use all slots of the endpoint.
+        """
         endpoint = state.endpoint
-        key = (endpoint.slots, endpoint.region_id, self.capacity_share)
+        key = (endpoint.slots, endpoint.region_id)
         limit = self._limits.get(key)
         if limit is None:
             limit = self._limits[key] = self._find_limit(*key)
-        return limit
+        return state.share.of_count(limit)
 
-    def _find_limit(
-        self, slots: float, region_id: ids.RegionId, capacity_share: float
-    ) -> int:
-        slots *= capacity_share
+    def _find_limit(self, slots: float, region_id: ids.RegionId) -> int:
+        """Return how many requests of all instances may be in flight."""
         round_trip_s = self.round_trip_s(region_id)
         if round_trip_s > 0:
             # A request in transit does not occupy a slot yet. The number of extra
--- a/packages/steering/tests/placement/test_apportionment.py
+++ b/packages/steering/tests/placement/test_apportionment.py
@@ -29,6 +29,13 @@
     assert sorted(ranks) == list(range(count))
 
 
+@hypothesis.given(COUNTS, NAMES, strategies.integers(0, 500))
+def test_shares_of_a_count_add_up_to_it_and_differ_by_one_at_most(count, name, limit):
+    counts = [share.of_count(limit) for share in shares_of_all(count, name)]
+    assert sum(counts) == limit
+    assert max(counts) - min(counts) <= 1
+
+
 @hypothesis.given(COUNTS, NAMES, strategies.floats(0.0, 500.0))
 def test_shares_of_a_rate_add_up_to_the_part_of_those_that_place_alone(
     count, name, rate_per_s
