Endpoint lists: pass on that an endpoint is cold again

Cause: differences between lists left out the remaining warm-up time, a rise as well as the countdown, and the state of a known endpoint did not apply it. The reverse too: the leader kept the time that was left when a list was first read, but said that the list was as old as its last reading, so that who joined later took endpoints for cold that were warm.

Evidence: test_update_endpoints_reports_an_endpoint_that_is_cold_again printed False for a rise from 0 to 900 ms; the test of the dispatcher placed 9 requests at once where 1 is allowed; a follower kept 900 ms after 500 ms had passed.

Fix: a rise of more than 200 ms is a change of the list, a decrease is none. The leader keeps its last reading, and followers count down the times that they hold. The dispatcher starts a warm-up for an entry that it has not applied before, if it ends later than the known one by more than 200 ms. The list for those that join is encoded anew after each reading that differs, which is when endpoints are cold.

Result: the tests pass; those of the coordinator, of dispatching control instances and of entry nodes too. A negative age of the list, which one of them has, no longer adds to the time left.

--- a/packages/control/src/yuccapitch/control/coordinator.py
+++ b/packages/control/src/yuccapitch/control/coordinator.py
@@ -509,7 +509,7 @@
     def _compress_endpoints(self) -> bytes:
         return self._compressed_lists.get(
             messages.EndpointList,
-            self.fleet.endpoints_version,
+            self.fleet.endpoints_reading,
             lambda: messages.EndpointList(self.fleet.endpoints),
         )
 
--- a/packages/control/src/yuccapitch/control/endpoint_history.py
+++ b/packages/control/src/yuccapitch/control/endpoint_history.py
@@ -12,6 +12,8 @@
 
 from yuccapitch.protocol import subscription_messages as messages
 
+# Longest rise of the remaining warm-up time that is no news: readings take time.
+MAX_WARM_UP_JITTER_MS = 200
 # Number of versions kept; a follower that is further behind gets the full list.
 MAX_VERSIONS = 64
 
@@ -35,8 +37,7 @@
 
     def add(self, version: int, former: RecordsById, listed: RecordsById) -> None:
         """Record the difference between the former list and that of a version."""
-        old, new = without_warm_up_time(former), without_warm_up_time(listed)
-        changed = {i: listed[i] for i in listed if old.get(i) != new[i]}
+        changed = {i: listed[i] for i in listed if is_changed(former.get(i), listed[i])}
         removed = frozenset(former.keys() - listed.keys())
         self._version_changes.append(_VersionChange(version, changed, removed))
 
@@ -78,15 +79,33 @@
     return {**kept, **changed}
 
 
-def without_warm_up_time(
-    records_by_id: RecordsById,
-) -> dict[str, messages.EndpointRecord]:
-    """Return the records with the remaining warm-up time cleared.
+def is_changed(
+    former: messages.EndpointRecord | None, listed: messages.EndpointRecord
+) -> bool:
+    """Return whether followers have to be told of a record.
 
-    The remaining time decreases continuously, so comparing it would report a change on
-    every read of the list.
+    The remaining warm-up time decreases continuously, which they know. If it rises, the
+    endpoint is cold again.
     """
+    if former is None:
+        return True
+    rise_ms = listed.cold_left_ms - former.cold_left_ms
+    if rise_ms > MAX_WARM_UP_JITTER_MS:
+        return True
+    return dataclasses.replace(former, cold_left_ms=listed.cold_left_ms) != listed
+
+
+def count_down(
+    records_by_id: RecordsById, elapsed_ms: int
+) -> dict[str, messages.EndpointRecord]:
+    """Return the records with the remaining warm-up time after ``elapsed_ms``."""
     return {
-        endpoint_id: dataclasses.replace(record, cold_left_ms=0)
+        endpoint_id: (
+            dataclasses.replace(
+                record, cold_left_ms=max(0, record.cold_left_ms - elapsed_ms)
+            )
+            if record.cold_left_ms
+            else record
+        )
         for endpoint_id, record in records_by_id.items()
     }
--- a/packages/control/src/yuccapitch/control/fleet.py
+++ b/packages/control/src/yuccapitch/control/fleet.py
@@ -45,6 +45,8 @@
         self.endpoints_by_id: dict[str, messages.EndpointRecord] = {}
         self.endpoints_version = 0
         self.endpoints_read_at: float | None = None
+        self.endpoints_reading = 0
+        """Counts the readings that differ, if only in the remaining warm-up time."""
         self.instances_version = 0
         self.dispatcher_ids_by_region: dict[str, str] = {}
         self._entries_by_id: dict[str, _TrackedEntry] = {}
@@ -160,30 +162,40 @@
     ) -> bool:
         """Replace the endpoints by the platform's list.
 
-        Return whether anything but the remaining warm-up time changed.
+        Return whether anything changed but a remaining warm-up time that decreased.
         """
         self.endpoints_read_at = now
         listed_by_id = {record.endpoint_id: record for record in records}
-        normalize = endpoint_history.without_warm_up_time
-        is_changed = normalize(listed_by_id) != normalize(self.endpoints_by_id)
+        former_by_id = self.endpoints_by_id
+        is_changed = listed_by_id.keys() != former_by_id.keys() or any(
+            endpoint_history.is_changed(former_by_id[endpoint_id], record)
+            for endpoint_id, record in listed_by_id.items()
+        )
         if is_changed:
-            _log_endpoint_changes(self.endpoints_by_id, listed_by_id)
+            _log_endpoint_changes(former_by_id, listed_by_id)
             self.endpoints_version += 1
-            self._history.add(
-                self.endpoints_version, self.endpoints_by_id, listed_by_id
-            )
-            self.endpoints_by_id = listed_by_id
+            self._history.add(self.endpoints_version, former_by_id, listed_by_id)
+        if listed_by_id != former_by_id:
+            self.endpoints_reading += 1
+        # Those told later of a record get the warm-up time that is left by then.
+        self.endpoints_by_id = listed_by_id
         return is_changed
 
     def endpoint_changes(self, version: int) -> messages.EndpointChanges | None:
         """Return the changes after a version, or None if the full list is needed."""
-        return self._history.changes_since(version, self.endpoints_version)
+        changes = self._history.changes_since(version, self.endpoints_version)
+        if changes is None:
+            return None
+        current = (self.endpoints_by_id[r.endpoint_id] for r in changes.changed)
+        return messages.EndpointChanges(tuple(current), changes.removed_ids)
 
     def apply_leader_answer(self, answer: messages.PollResponse, now: float) -> None:
         """Copy the leader's endpoints, instances and dispatchers.
 
         This instance answers from the copy, and starts from it when it becomes leader.
         """
+        if answer.endpoints_age_ms >= 0:
+            self._count_down_to(now - answer.endpoints_age_ms / 1000)
         if answer.endpoints is not None:
             self.endpoints_by_id = {e.endpoint_id: e for e in answer.endpoints}
             self.endpoints_version += 1
@@ -192,8 +204,6 @@
                 self.endpoints_by_id, answer.endpoint_changes
             )
             self.endpoints_version += 1
-        if answer.endpoints_age_ms >= 0:
-            self.endpoints_read_at = now - answer.endpoints_age_ms / 1000
         if answer.instances is not None:
             former = self._entries_by_id
             self._entries_by_id = {}
@@ -221,6 +231,16 @@
         self._history.clear()
         self.instances_version += 1
         self.endpoints_version += 1
+        self.endpoints_reading += 1
+
+    def _count_down_to(self, read_at: float) -> None:
+        """Reduce the remaining warm-up times to those at a later reading."""
+        if self.endpoints_read_at is not None:
+            elapsed_ms = round(max(0.0, read_at - self.endpoints_read_at) * 1000)
+            self.endpoints_by_id = endpoint_history.count_down(
+                self.endpoints_by_id, elapsed_ms
+            )
+        self.endpoints_read_at = read_at
 
     def _remove_entry(self, instance_id: str, reason: str, now: float) -> bool:
         self._unconfirmed_by_id.pop(instance_id, None)
--- a/packages/control/tests/test_fleet.py
+++ b/packages/control/tests/test_fleet.py
@@ -24,6 +24,14 @@
     return dataclasses.replace(base, **changes)  # type: ignore[arg-type]
 
 
+def endpoints_answer(
+    endpoints: tuple[messages.EndpointRecord, ...] | None, age_ms: int
+) -> messages.PollResponse:
+    return messages.PollResponse(
+        1, 0, None, 1, endpoints, age_ms, 1, None, (), 500, (), None, 1
+    )
+
+
 def dispatchers(fleet: control_fleet.Fleet) -> list[str]:
     return [dispatcher.instance_id for dispatcher in fleet.dispatchers]
 
@@ -111,6 +119,46 @@
     assert fleet.update_endpoints([record("a", is_leaving=True)], 2.0)
 
 
+# Guards against an endpoint that is cold again under the same start, of which nobody
+# was told.
+def test_update_endpoints_reports_an_endpoint_that_is_cold_again():
+    fleet = control_fleet.Fleet()
+    fleet.update_endpoints([record("a"), record("b")], 0.0)
+    assert fleet.update_endpoints([record("a", cold_left_ms=900), record("b")], 1.0)
+    changes = fleet.endpoint_changes(1)
+    assert changes is not None
+    assert [(r.endpoint_id, r.cold_left_ms) for r in changes.changed] == [("a", 900)]
+    assert not fleet.update_endpoints(
+        [record("a", cold_left_ms=1000), record("b")], 1.1
+    )
+
+
+# Guards against a follower that takes an endpoint for cold long after its warm-up,
+# because it is told of the time that was left when the endpoint was first read.
+def test_followers_are_told_of_the_warm_up_time_that_is_left():
+    fleet = control_fleet.Fleet()
+    fleet.update_endpoints([record("b")], 0.0)
+    known_version = fleet.endpoints_version
+    fleet.update_endpoints([record("a", cold_left_ms=900)], 0.1)
+    former_reading = fleet.endpoints_reading
+    fleet.update_endpoints([record("a", cold_left_ms=100)], 0.9)
+    assert [r.cold_left_ms for r in fleet.endpoints] == [100]
+    assert fleet.endpoints_reading > former_reading
+    changes = fleet.endpoint_changes(known_version)
+    assert changes is not None
+    assert [r.cold_left_ms for r in changes.changed] == [100]
+
+
+def test_apply_leader_answer_counts_down_the_remaining_warm_up_time():
+    leader, fleet = control_fleet.Fleet(), control_fleet.Fleet()
+    leader.update_endpoints([record("a", cold_left_ms=900)], 0.0)
+    fleet.apply_leader_answer(endpoints_answer(leader.endpoints, age_ms=0), 10.0)
+    fleet.apply_leader_answer(endpoints_answer(None, age_ms=100), 10.5)
+    assert [r.cold_left_ms for r in fleet.endpoints] == [500]
+    fleet.apply_leader_answer(endpoints_answer(None, age_ms=0), 20.0)
+    assert [r.cold_left_ms for r in fleet.endpoints] == [0]
+
+
 def test_begin_leadership_restarts_the_heartbeat_timeout():
     fleet = control_fleet.Fleet()
     fleet.record_entry_heartbeat(heartbeat("a"), 0.0)
--- a/packages/node/src/yuccapitch/node/routed/dispatcher_inputs.py
+++ b/packages/node/src/yuccapitch/node/routed/dispatcher_inputs.py
@@ -161,7 +161,7 @@
         region,
         record.slots,
         record.is_leaving,
-        max(0, record.cold_left_ms - age_ms) / 1000,
+        max(0, record.cold_left_ms - max(0, age_ms)) / 1000,
         record.incarnation,
         ids.RegionId(record.serving_region_id or region),
     )
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -34,6 +34,8 @@
 # mean duration.
 SLOWNESS_EWMA_WEIGHT = 0.15
 MAX_SLOWNESS = 20.0
+# Longest extension of a warm-up that is taken for the delay of a list.
+MAX_WARM_UP_JITTER_S = 0.2
 # Limits above which an endpoint is unhealthy. The summary for the next dispatcher lists
 # only unhealthy endpoints; smaller deviations are measured again within a few requests.
 UNHEALTHY_SLOWNESS = 1.5
@@ -94,9 +96,17 @@
         if endpoint.cold_left_s > 0:
             self.mark_cold(now, endpoint.cold_left_s)
 
-    def update(self, endpoint: model.Endpoint, service: routes.RoutedService) -> None:
+    def update(
+        self, endpoint: model.Endpoint, service: routes.RoutedService, now: float
+    ) -> None:
         """Apply the current entry of the platform's list."""
+        is_listed_anew = endpoint is not self.endpoint
         self.endpoint, self.service = endpoint, service
+        # An entry that was applied before says nothing of the present time.
+        if is_listed_anew and endpoint.cold_left_s > 0:
+            extension_s = now + endpoint.cold_left_s - self.cold_until
+            if extension_s > MAX_WARM_UP_JITTER_S:
+                self.mark_cold(now, endpoint.cold_left_s)
 
     def set_share(self, share: apportionment.Share, now: float) -> None:
         """Use another part of the endpoint's limits from now on."""
--- a/packages/steering/src/yuccapitch/steering/placement/table.py
+++ b/packages/steering/src/yuccapitch/steering/placement/table.py
@@ -122,7 +122,7 @@
                 state.mark_cold(now, service.cold_duration_s)
             elif self._is_reassigned(state.endpoint, endpoint):
                 reassigned.append(endpoint.endpoint_id)
-            state.update(endpoint, service)
+            state.update(endpoint, service, now)
             self.states_by_id[endpoint.endpoint_id] = state
             service_states = self._states_by_service_id.setdefault(
                 endpoint.service_id, []
--- a/packages/steering/tests/placement/test_dispatcher.py
+++ b/packages/steering/tests/placement/test_dispatcher.py
@@ -187,6 +187,32 @@
     assert sum(isinstance(d, model.Granted) for d in decisions) == 1
 
 
+# Guards against an endpoint that is listed as cold again, with the same start, and that
+# dispatchers went on to take for warm.
+def test_update_treats_an_endpoint_as_cold_that_is_listed_so_again():
+    dispatcher = builders.make_dispatcher(builders.endpoint("e1", slots=9))
+    first = place_and_grant(dispatcher, builders.request(1, key="7"))
+    dispatcher.release(first.attempt_id, ANSWERED, None, None, 0.1)
+    services = {builders.SERVICE: builders.service(cold_rate_per_s=1.0)}
+    cold_again = builders.endpoint("e1", slots=9, cold_left_s=3.0)
+    dispatcher.table.update([cold_again], services, frozenset(), 1.0)
+    decisions = [dispatcher.place(builders.request(n, "7", 1.0), 1.0) for n in range(9)]
+    assert sum(isinstance(d, model.Granted) for d in decisions) == 1
+    assert dispatcher.warm_objects(ids.EndpointId("e1"), 0.5) == [("read/7", 1.0)]
+
+
+def test_update_does_not_prolong_a_warm_up_by_an_entry_applied_before():
+    cold = builders.endpoint("e1", slots=9, cold_left_s=3.0)
+    dispatcher = builders.make_dispatcher(cold)
+    services = {builders.SERVICE: builders.service(cold_rate_per_s=1.0)}
+    dispatcher.table.update([cold], services, frozenset(), 2.5)
+    # A full list repeats the time that is left, with the delay of its way.
+    delayed = builders.endpoint("e1", slots=9, cold_left_s=0.5)
+    dispatcher.table.update([delayed], services, frozenset(), 2.6)
+    state = dispatcher.table.states_by_id[ids.EndpointId("e1")]
+    assert not state.is_cold(3.0)
+
+
 def test_update_treats_endpoints_as_cold_after_their_evacuation():
     domain = ids.FailureDomainId("north-a")
     dispatcher = builders.make_dispatcher(
