HTTP server: limit the pipelined requests that are processed at once

Cause: reading pauses at eight unanswered requests, but one read of the transport takes 256 KiB, and the parser passes on every request in it. Each became a task with its objects.

What was read is now parsed only up to the limit. The rest waits, counted as memory, and is parsed once a response has made room, so that nothing is lost, also in a planned stop. It is parted at ends of heads; a body with a length is parsed whole, a chunked one in parts of 16 KiB at least, so that blank lines in a body don't part it into small pieces.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -16,12 +16,16 @@
     memory_budget,
     messages,
     peer_state,
+    unparsed,
 )
 from yuccapitch.protocol import events, listener
 
 # Pipelined requests of one connection that are processed concurrently. At this limit,
-# reading from the connection is paused.
+# reading from the connection is paused, and what was read behind them isn't parsed.
 MAX_PIPELINED_REQUESTS = 8
+# Least part of a chunked body that is parsed at once. The end of the body isn't known,
+# so that requests behind it may be in the same part.
+CHUNKED_PART_BYTES = 16 * 1024
 # Lingering close: time for which a closed connection is still read. Closing a socket
 # with unread bytes sends a reset, which may discard the last response before the
 # client has read it.
@@ -90,6 +94,8 @@
         self._field_bytes = 0
         self._incomplete_field_bytes = 0
         self._body = body_buffer.BodyBuffer()
+        self._body_length: int | None = None
+        self._unparsed = unparsed.UnparsedBytes()
         self._headers_received_at = 0.0
         self._is_in_headers = False
         self._is_in_message = False
@@ -120,23 +126,8 @@
             return
         if not self._is_in_message:
             self._arm_timer(self._state.limits().header_timeout_s)
-        self._incomplete_field_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-            # The parser keeps an incomplete field and reports it only once it ends.
-            self._check_field_size(self._incomplete_field_bytes)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if isinstance(cause, _RequestRejected):
-                self._reject(cause.status, cause.reason)
-            else:
-                self._reject_crashed(cause or error)
-        except _RequestRejected as error:
-            self._reject(error.status, error.reason)
-        except httptools.HttpParserError as error:
-            self._reject(400, str(error))
-        except Exception as error:
-            self._reject_crashed(error)
+        self._unparsed.append(data)
+        self._parse()
 
     def shed(self, reason: str) -> None:
         """Refuse the request being received, which takes too much memory."""
@@ -193,7 +184,9 @@
         """Whether a response is unsent, or bytes are unread that may be a request."""
         if self._pending_responses or self._transport.get_write_buffer_size():
             return True
-        return not self._is_closing and peer_state.is_readable(self._transport)
+        if self._is_closing:
+            return False
+        return self._has_unparsed_bytes()
 
     def close_if_idle(self, min_idle_s: float) -> None:
         """Close the connection if it has had no request in progress for this time.
@@ -202,7 +195,7 @@
         """
         if self._is_closing or self._pending_responses or self._is_in_message:
             return
-        if peer_state.is_readable(self._transport):
+        if self._has_unparsed_bytes():
             return
         if self._state.clock() - self._idle_since >= min_idle_s:
             self._close_idle()
@@ -217,6 +210,7 @@
         self._is_in_message = self._is_in_headers = True
         self._target, self._headers = b"", []
         self._body.clear()
+        self._body_length = None
         self._field_bytes = self._incomplete_field_bytes = 0
 
     def on_url(self, url: bytes) -> None:
@@ -239,8 +233,10 @@
         self._is_in_headers = False
         self._field_bytes = self._incomplete_field_bytes = 0
         length = messages.find_header(self._headers, b"content-length")
-        if length is not None and int(length) > limits.max_body_bytes:
-            raise _RequestRejected(413, f"the body is {int(length)} bytes")
+        if length is not None:
+            self._body_length = int(length)
+            if self._body_length > limits.max_body_bytes:
+                raise _RequestRejected(413, f"the body is {self._body_length} bytes")
         if self._parser.should_upgrade():
             raise _RequestRejected(501, "upgrades are not supported")
         if sum(1 for name, _ in self._headers if name == b"host") != 1:
@@ -295,6 +291,46 @@
         if len(self._pending_responses) >= MAX_PIPELINED_REQUESTS:
             self._reading_pause.start()
 
+    def _parse(self) -> None:
+        """Parse what was received, up to the limit on pipelined requests."""
+        while len(self._unparsed) and not (self._is_closing or self._is_rejected):
+            max_heads = MAX_PIPELINED_REQUESTS - len(self._pending_responses)
+            # An incomplete head, also a faulty one, is seen without waiting.
+            if max_heads <= 0 and self._unparsed.has_end_of_head:
+                break
+            self._parse_part(self._take_part(max_heads))
+        self._state.budget.retain(self._unparsed, self._unparsed.memory_bytes)
+
+    def _take_part(self, max_heads: int) -> memoryview:
+        if not self._is_in_message or self._is_in_headers:
+            return self._unparsed.take(max(1, max_heads), 0)
+        # A body may look like the ends of many heads. It isn't parted at each.
+        if self._body_length is not None:
+            return self._unparsed.take(0, self._body_length - self._body.size_bytes)
+        return self._unparsed.take(max(1, max_heads), CHUNKED_PART_BYTES)
+
+    def _parse_part(self, part: memoryview) -> None:
+        self._incomplete_field_bytes += len(part)
+        try:
+            self._parser.feed_data(part)
+            # The parser keeps an incomplete field and reports it only once it ends.
+            self._check_field_size(self._incomplete_field_bytes)
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            if isinstance(cause, _RequestRejected):
+                self._reject(cause.status, cause.reason)
+            else:
+                self._reject_crashed(cause or error)
+        except _RequestRejected as error:
+            self._reject(error.status, error.reason)
+        except httptools.HttpParserError as error:
+            self._reject(400, str(error))
+        except Exception as error:
+            self._reject_crashed(error)
+
+    def _has_unparsed_bytes(self) -> bool:
+        return len(self._unparsed) > 0 or peer_state.is_readable(self._transport)
+
     def _add_field_bytes(self, size: int, memory_size: int) -> None:
         if self._is_rejected:
             return
@@ -374,6 +410,9 @@
             if closes:
                 self._close()
                 return
+        self._parse()
+        if self._is_closing:
+            return
         if len(self._pending_responses) < MAX_PIPELINED_REQUESTS:
             self._reading_pause.end()
         if not self._pending_responses and not self._is_in_message:
@@ -393,9 +432,10 @@
     def _has_further_requests(self) -> bool:
         if self._pending_responses or self._is_in_message:
             return True
-        return peer_state.is_readable(self._transport)
+        return self._has_unparsed_bytes()
 
     def _free_memory(self) -> None:
+        self._discard_unparsed()
         self._headers = []
         self._body.clear()
         self._state.budget.release(self)
@@ -403,10 +443,15 @@
         for pending in self._pending_responses:
             self._state.budget.retain(pending, 0)
 
+    def _discard_unparsed(self) -> None:
+        self._unparsed.clear()
+        self._state.budget.retain(self._unparsed, 0)
+
     def _reject(self, status: int, reason: str) -> None:
         if self._is_rejected:
             return
         self._is_rejected = True
+        self._discard_unparsed()
         self._headers = []
         self._body.clear()
         self._state.budget.release(self)
@@ -443,6 +488,7 @@
             return
         self._is_closing = True
         self._disarm_timer()
+        self._discard_unparsed()
         # Pipelined requests behind the last response are cancelled, and those not yet
         # passed to the handler are dropped. The client sends them again.
         self._cancel_tasks()
@@ -475,7 +521,7 @@
             self._timer = None
 
     def _on_timer(self) -> None:
-        if peer_state.is_readable(self._transport):
+        if self._has_unparsed_bytes():
             # The event loop was late, or reading is paused. The request may have
             # arrived in time.
             is_paused = self._reading_pause.is_active
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -336,6 +336,114 @@
         assert (await exchange(port, many)).startswith(b"HTTP/1.1 413 ")
 
 
+@pytest.fixture
+def held_handler():
+    """Return a handler that answers once its event is set, and what it has taken."""
+    return HeldHandler()
+
+
+class HeldHandler:
+    """Handler whose requests wait until they may be answered."""
+
+    def __init__(self) -> None:
+        self.may_respond = asyncio.Event()
+        self.targets: list[bytes] = []
+        self.most_at_once = 0
+        self._at_once = 0
+
+    async def __call__(self, request):
+        self.targets.append(request.target)
+        self._at_once += 1
+        self.most_at_once = max(self.most_at_once, self._at_once)
+        await self.may_respond.wait()
+        self._at_once -= 1
+        return await echo(request)
+
+
+def blank_lines_upload(target: str, is_chunked: bool) -> bytes:
+    """Return an upload whose body looks like the ends of many heads."""
+    body = b"\r\n\r\n" * 2 * body_buffer.MAX_SMALL_PIECES
+    head = f"POST {target} HTTP/1.1\r\nHost: h\r\n".encode()
+    if is_chunked:
+        chunk = b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
+        return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk
+    return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+PIPELINED_REQUESTS = 2000
+
+
+# Guards against clients that end an instance by its memory or take up its event loop:
+# thousands of tiny requests, read at once, were all processed at once.
+async def test_serve_processes_a_limited_number_of_pipelined_requests(held_handler):
+    budget = memory_budget.MemoryBudget()
+    async with serving(held_handler, UPLOAD_LIMITS, budget) as (http_server, port):
+        targets = [b"/%d" % number for number in range(PIPELINED_REQUESTS)]
+        requests = b"".join(get(target.decode()) for target in targets[:-1])
+        sending = asyncio.create_task(
+            exchange(port, requests + get(targets[-1].decode(), CLOSE))
+        )
+        while not http_server.requests_in_flight:
+            await asyncio.sleep(0)
+        (connection,) = http_server._state.connections
+        # All that a read of the transport takes is counted.
+        assert budget.used_bytes > PIPELINED_REQUESTS
+        in_flight = http_server.requests_in_flight
+        held_handler.may_respond.set()
+        response = await sending
+    assert in_flight <= server.MAX_PIPELINED_REQUESTS
+    assert held_handler.most_at_once <= server.MAX_PIPELINED_REQUESTS
+    assert held_handler.targets == targets
+    answered = [
+        line.removeprefix(b"x-target: ")
+        for line in response.split(b"\r\n")
+        if line.startswith(b"x-target: ")
+    ]
+    assert answered == targets
+    assert budget.used_bytes == 0
+
+
+# Guards against requests that were read and not parsed when an instance stops.
+async def test_drain_answers_the_pipelined_requests_behind_the_limit(held_handler):
+    count = 3 * server.MAX_PIPELINED_REQUESTS
+    async with serving(held_handler, UPLOAD_LIMITS) as (http_server, port):
+        requests = b"".join(get(f"/{number}") for number in range(count))
+        sending = asyncio.create_task(exchange(port, requests))
+        while not http_server.requests_in_flight:
+            await asyncio.sleep(0)
+        http_server.drain()
+        held_handler.may_respond.set()
+        response = await sending
+    assert response.count(b"HTTP/1.1 200 ") == count
+    assert response.count(b"connection: close") == 1
+
+
+# Guards against uploads that are taken for pipelined requests: parted at each blank
+# line, their bodies would come in too many small pieces.
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunked"])
+async def test_serve_takes_uploads_of_blank_lines_before_many_requests(is_chunked):
+    counts: list[int] = []
+    at_once = 0
+
+    async def record(request):
+        nonlocal at_once
+        at_once += 1
+        counts.append(at_once)
+        await asyncio.sleep(0)
+        at_once -= 1
+        return messages.Response(200, [], b"%d" % len(request.body))
+
+    async with serving(record, UPLOAD_LIMITS) as (_, port):
+        data = blank_lines_upload("/", is_chunked)
+        followers = get("/") * PIPELINED_REQUESTS + get("/", CLOSE)
+        response = await exchange(port, data + followers)
+    assert response.count(b"HTTP/1.1 200 ") == PIPELINED_REQUESTS + 2
+    assert b"\r\n\r\n%d" % (8 * body_buffer.MAX_SMALL_PIECES) in response
+    # Where a chunked body ends is known only once it was parsed.
+    behind_chunks = server.CHUNKED_PART_BYTES // len(get("/")) if is_chunked else 0
+    assert max(counts) <= server.MAX_PIPELINED_REQUESTS + behind_chunks
+
+
 @pytest.mark.parametrize("size", [0, 300_000])
 async def test_serve_frees_the_memory_of_a_client_that_leaves(size):
     budget = memory_budget.MemoryBudget()
