HTTP server: bound the responses that a client doesn't read

Cause: a response that was handed to the transport made room for the next request, however much the transport still held. The bytes were counted, but complete messages can't be discarded, so that one such connection took the whole budget of all.

Above 1 MiB of unsent responses of a connection, what comes next isn't parsed until most of them are sent, and reading is paused at 64 KiB of it. Nothing is lost: the client gets all responses, in order, once it reads.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -26,6 +26,12 @@
 # Least part of a chunked body that is parsed at once. The end of the body isn't known,
 # so that requests behind it may be in the same part.
 CHUNKED_PART_BYTES = 16 * 1024
+# Responses that the transport of a connection holds. Above, what the client sends on
+# isn't parsed until it has read most of them.
+MAX_UNSENT_BYTES = 1024 * 1024
+# Unparsed bytes of a connection at which reading is paused. A client that closes its
+# end below is noticed at once.
+MAX_UNPARSED_BYTES = 64 * 1024
 # Lingering close: time for which a closed connection is still read. Closing a socket
 # with unread bytes sends a reset, which may discard the last response before the
 # client has read it.
@@ -138,10 +144,12 @@
         self._is_writing_paused = True
 
     def resume_writing(self) -> None:
-        """Begin the lingering close once the last response has been sent."""
+        """Parse on, or begin the lingering close once the last response is sent."""
         self._is_writing_paused = False
         self._state.budget.retain(self, 0)
-        if self._is_closing and not self._transport.is_closing():
+        if not self._is_closing:
+            self._parse_on()
+        elif not self._transport.is_closing():
             self._linger()
 
     def eof_received(self) -> bool:
@@ -294,12 +302,34 @@
     def _parse(self) -> None:
         """Parse what was received, up to the limit on pipelined requests."""
         while len(self._unparsed) and not (self._is_closing or self._is_rejected):
-            max_heads = MAX_PIPELINED_REQUESTS - len(self._pending_responses)
-            # An incomplete head, also a faulty one, is seen without waiting.
-            if max_heads <= 0 and self._unparsed.has_end_of_head:
+            if self._must_wait():
                 break
+            max_heads = MAX_PIPELINED_REQUESTS - len(self._pending_responses)
             self._parse_part(self._take_part(max_heads))
         self._state.budget.retain(self._unparsed, self._unparsed.memory_bytes)
+        if len(self._unparsed) >= MAX_UNPARSED_BYTES:
+            self._reading_pause.start()
+
+    def _parse_on(self) -> None:
+        """Parse and read what waited for earlier responses."""
+        self._parse()
+        if self._is_closing:
+            return
+        has_place = len(self._pending_responses) < MAX_PIPELINED_REQUESTS
+        if has_place and len(self._unparsed) < MAX_UNPARSED_BYTES:
+            self._reading_pause.end()
+
+    def _must_wait(self) -> bool:
+        if len(self._pending_responses) < MAX_PIPELINED_REQUESTS:
+            if not self._is_writing_paused:
+                return False
+            if self._transport.get_write_buffer_size() <= MAX_UNSENT_BYTES:
+                return False
+        if self._is_in_message and not self._is_in_headers and self._body_length:
+            # The request was begun before, and nothing behind it is parsed with it.
+            return False
+        # An incomplete head, also a faulty one, is seen without waiting.
+        return self._unparsed.has_end_of_head
 
     def _take_part(self, max_heads: int) -> memoryview:
         if not self._is_in_message or self._is_in_headers:
@@ -410,11 +440,9 @@
             if closes:
                 self._close()
                 return
-        self._parse()
+        self._parse_on()
         if self._is_closing:
             return
-        if len(self._pending_responses) < MAX_PIPELINED_REQUESTS:
-            self._reading_pause.end()
         if not self._pending_responses and not self._is_in_message:
             self._start_idle_time()
 
@@ -524,9 +552,9 @@
         if self._has_unparsed_bytes():
             # The event loop was late, or reading is paused. The request may have
             # arrived in time.
-            is_paused = self._reading_pause.is_active
+            is_waiting = self._reading_pause.is_active or len(self._unparsed) > 0
             header_timeout_s = self._state.limits().header_timeout_s
-            self._arm_timer(header_timeout_s if is_paused else UNREAD_RETRY_S)
+            self._arm_timer(header_timeout_s if is_waiting else UNREAD_RETRY_S)
             return
         if self._is_in_headers:
             self._reject(408, "the headers did not arrive in time")
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -482,6 +482,40 @@
         writer.close()
 
 
+# Guards against a client that ends an instance by its memory, or has others refused:
+# it sends requests on and doesn't read the responses.
+async def test_serve_bounds_the_responses_that_a_client_does_not_read():
+    size, count = 512 * 1024, 80
+    handled = 0
+
+    async def respond(request):
+        nonlocal handled
+        handled += 1
+        return messages.Response(200, [], bytes(size))
+
+    async with serving(respond, UPLOAD_LIMITS) as (http_server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        for number in range(count):
+            writer.write(get("/", CLOSE if number == count - 1 else ""))
+            if number == server.MAX_PIPELINED_REQUESTS:
+                # The others are read while responses are unsent.
+                while not http_server.find_unfinished():
+                    await asyncio.sleep(0)
+        (connection,) = http_server._state.connections
+        while not connection._is_writing_paused:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.5)
+        (unfinished,) = http_server.find_unfinished()
+        handled_unread = handled
+        async with asyncio.timeout(20):
+            received = await reader.read()
+        writer.close()
+    most = server.MAX_UNSENT_BYTES + (server.MAX_PIPELINED_REQUESTS + 1) * size
+    assert unfinished.unsent_bytes <= most
+    assert handled_unread < count
+    assert received.count(b"HTTP/1.1 200 ") == handled == count
+
+
 # Guards against endpoints that work on for a client that has left: a connection with
 # many unanswered requests, or whose responses are not read, is closed late.
 @pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
