HTTP server: count incomplete fields and the objects of requests as memory

Cause: the parser keeps an incomplete field, up to the limit on headers, and the budget of messages learned of it only at the field's end. A small request was counted with its bytes, not with its task and objects.

Now an incomplete field is charged as it comes, and each request with its objects.

On the code before, the tests printed "assert 1328 > 65536" (counted bytes of fields of 12 KiB on eight connections) and that REQUEST_OBJECT_BYTES is missing. The test of requests that come while complete ones exceed the budget passed before; there was none.

--- a/packages/gateway/src/yuccapitch/gateway/http1/messages.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/messages.py
@@ -16,6 +16,9 @@
 # Memory of a stored field beside the characters of its name and value: a tuple, two
 # bytes objects and the slot in the list.
 FIELD_OBJECT_BYTES = 160
+# Memory of a request beside its target, headers and body: the task that handles it and
+# the objects of both.
+REQUEST_OBJECT_BYTES = 2048
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1), which apply to one connection only, and
 # Content-Length, which the encoders below add for each connection.
@@ -60,7 +63,7 @@
     def memory_size(self) -> int:
         """Return about how much memory the request takes, in bytes."""
         fields = sum(field_memory_size(name, value) for name, value in self.headers)
-        return len(self.target) + fields + len(self.body)
+        return REQUEST_OBJECT_BYTES + len(self.target) + fields + len(self.body)
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -99,6 +99,7 @@
         self._headers: messages.HeaderList = []
         self._field_bytes = 0
         self._incomplete_field_bytes = 0
+        self._charged_field_bytes = 0
         self._body = body_buffer.BodyBuffer()
         self._body_length: int | None = None
         self._unparsed = unparsed.UnparsedBytes()
@@ -273,7 +274,7 @@
     def on_message_complete(self) -> None:
         """Pass the complete request to the handler."""
         self._is_in_message = False
-        self._incomplete_field_bytes = 0
+        self._incomplete_field_bytes = self._charged_field_bytes = 0
         self._state.budget.release(self)
         if self._is_closing or self._is_rejected:
             return
@@ -345,6 +346,7 @@
             self._parser.feed_data(part)
             # The parser keeps an incomplete field and reports it only once it ends.
             self._check_field_size(self._incomplete_field_bytes)
+            self._charge_incomplete_field(part)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, _RequestRejected):
@@ -358,6 +360,19 @@
         except Exception as error:
             self._reject_crashed(error)
 
+    def _charge_incomplete_field(self, part: memoryview) -> None:
+        if self._is_rejected:
+            return
+        former_bytes, self._charged_field_bytes = self._charged_field_bytes, 0
+        if self._is_in_headers:
+            line_start = bytes(part).rfind(b"\n") + 1
+            self._charged_field_bytes = len(part) - line_start
+            if not line_start:
+                self._charged_field_bytes += former_bytes
+        if self._charged_field_bytes != former_bytes:
+            added_bytes = self._charged_field_bytes - former_bytes
+            self._state.budget.charge(self, added_bytes)
+
     def _has_unparsed_bytes(self) -> bool:
         return len(self._unparsed) > 0 or peer_state.is_readable(self._transport)
 
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -318,6 +318,67 @@
     assert budget.used_bytes == 0
 
 
+# Guards against clients that end an instance by its memory together: what the parser
+# keeps of an incomplete field, and the objects of a request, weren't counted.
+@pytest.mark.parametrize("pieces", [1, 3])
+async def test_serve_refuses_incomplete_fields_that_exceed_the_budget(pieces):
+    budget = memory_budget.MemoryBudget(64 * 1024)
+    piece = b"x" * (12 * 1024 // pieces)
+    async with serving(limits=UPLOAD_LIMITS, budget=budget) as (http_server, port):
+        clients = [await asyncio.open_connection("127.0.0.1", port) for _ in range(8)]
+        for _, writer in clients:
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nX: ")
+        for _ in range(pieces):
+            for _, writer in clients:
+                writer.write(piece)
+            await asyncio.sleep(0.1)
+        peak_bytes = budget.peak_bytes
+        for _, writer in clients:
+            writer.write(b"\r\nConnection: close\r\n\r\n")
+        responses = []
+        for reader, writer in clients:
+            with contextlib.suppress(ConnectionError):
+                responses.append((await reader.read())[:12])
+            writer.close()
+    assert peak_bytes > budget.max_bytes
+    assert responses.count(b"HTTP/1.1 503") >= 3
+    assert responses.count(b"HTTP/1.1 200") >= 3
+    assert budget.used_bytes == 0
+
+
+async def test_serve_counts_the_objects_of_small_requests(held_handler):
+    budget = memory_budget.MemoryBudget()
+    async with serving(held_handler, UPLOAD_LIMITS, budget) as (http_server, port):
+        sending = asyncio.create_task(
+            exchange(port, get("/") * 3 + get("/", CLOSE)),
+        )
+        while http_server.requests_in_flight < 4:
+            await asyncio.sleep(0)
+        assert budget.used_bytes >= 4 * messages.REQUEST_OBJECT_BYTES
+        held_handler.may_respond.set()
+        await sending
+    assert budget.used_bytes == 0
+
+
+# Guards against requests that are taken on while those before them, which can't be
+# discarded, take all the memory.
+async def test_serve_refuses_requests_while_complete_ones_exceed_the_budget(
+    held_handler,
+):
+    budget = memory_budget.MemoryBudget(100_000)
+    async with serving(held_handler, UPLOAD_LIMITS, budget) as (http_server, port):
+        retained = object()
+        budget.retain(retained, budget.max_bytes)
+        refusal = await exchange(port, get("/refused"))
+        budget.retain(retained, 0)
+        held_handler.may_respond.set()
+        response = await exchange(port, get("/taken", CLOSE))
+    assert refusal.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: 1" in refusal
+    assert response.startswith(b"HTTP/1.1 200 ")
+    assert held_handler.targets == [b"/taken"]
+
+
 # Guards against clients that take up the event loop by the smallest pieces of a body.
 async def test_serve_refuses_an_upload_in_too_many_small_pieces():
     async def accept(request):
