--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -318,6 +318,67 @@
     assert budget.used_bytes == 0
 
 
+# Guards against clients that end an instance by its memory together: what the parser
+# keeps of an incomplete field, and the objects of a request, weren't counted.
+@pytest.mark.parametrize("pieces", [1, 3])
+async def test_serve_refuses_incomplete_fields_that_exceed_the_budget(pieces):
+    budget = memory_budget.MemoryBudget(64 * 1024)
+    piece = b"x" * (12 * 1024 // pieces)
+    async with serving(limits=UPLOAD_LIMITS, budget=budget) as (http_server, port):
+        clients = [await asyncio.open_connection("127.0.0.1", port) for _ in range(8)]
+        for _, writer in clients:
+            writer.write(b"GET / HTTP/1.1\r\nHost: h\r\nX: ")
+        for _ in range(pieces):
+            for _, writer in clients:
+                writer.write(piece)
+            await asyncio.sleep(0.1)
+        peak_bytes = budget.peak_bytes
+        for _, writer in clients:
+            writer.write(b"\r\nConnection: close\r\n\r\n")
+        responses = []
+        for reader, writer in clients:
+            with contextlib.suppress(ConnectionError):
+                responses.append((await reader.read())[:12])
+            writer.close()
+    assert peak_bytes > budget.max_bytes
+    assert responses.count(b"HTTP/1.1 503") >= 3
+    assert responses.count(b"HTTP/1.1 200") >= 3
+    assert budget.used_bytes == 0
+
+
+async def test_serve_counts_the_objects_of_small_requests(held_handler):
+    budget = memory_budget.MemoryBudget()
+    async with serving(held_handler, UPLOAD_LIMITS, budget) as (http_server, port):
+        sending = asyncio.create_task(
+            exchange(port, get("/") * 3 + get("/", CLOSE)),
+        )
+        while http_server.requests_in_flight < 4:
+            await asyncio.sleep(0)
+        assert budget.used_bytes >= 4 * messages.REQUEST_OBJECT_BYTES
+        held_handler.may_respond.set()
+        await sending
+    assert budget.used_bytes == 0
+
+
+# Guards against requests that are taken on while those before them, which can't be
+# discarded, take all the memory.
+async def test_serve_refuses_requests_while_complete_ones_exceed_the_budget(
+    held_handler,
+):
+    budget = memory_budget.MemoryBudget(100_000)
+    async with serving(held_handler, UPLOAD_LIMITS, budget) as (http_server, port):
+        retained = object()
+        budget.retain(retained, budget.max_bytes)
+        refusal = await exchange(port, get("/refused"))
+        budget.retain(retained, 0)
+        held_handler.may_respond.set()
+        response = await exchange(port, get("/taken", CLOSE))
+    assert refusal.startswith(b"HTTP/1.1 503 ")
+    assert b"retry-after: 1" in refusal
+    assert response.startswith(b"HTTP/1.1 200 ")
+    assert held_handler.targets == [b"/taken"]
+
+
 # Guards against clients that take up the event loop by the smallest pieces of a body.
 async def test_serve_refuses_an_upload_in_too_many_small_pieces():
     async def accept(request):
@@ -336,6 +397,114 @@
         assert (await exchange(port, many)).startswith(b"HTTP/1.1 413 ")
 
 
+@pytest.fixture
+def held_handler():
+    """Return a handler that answers once its event is set, and what it has taken."""
+    return HeldHandler()
+
+
+class HeldHandler:
+    """Handler whose requests wait until they may be answered."""
+
+    def __init__(self) -> None:
+        self.may_respond = asyncio.Event()
+        self.targets: list[bytes] = []
+        self.most_at_once = 0
+        self._at_once = 0
+
+    async def __call__(self, request):
+        self.targets.append(request.target)
+        self._at_once += 1
+        self.most_at_once = max(self.most_at_once, self._at_once)
+        await self.may_respond.wait()
+        self._at_once -= 1
+        return await echo(request)
+
+
+def blank_lines_upload(target: str, is_chunked: bool) -> bytes:
+    """Return an upload whose body looks like the ends of many heads."""
+    body = b"\r\n\r\n" * 2 * body_buffer.MAX_SMALL_PIECES
+    head = f"POST {target} HTTP/1.1\r\nHost: h\r\n".encode()
+    if is_chunked:
+        chunk = b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
+        return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk
+    return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+PIPELINED_REQUESTS = 2000
+
+
+# Guards against clients that end an instance by its memory or take up its event loop:
+# thousands of tiny requests, read at once, were all processed at once.
+async def test_serve_processes_a_limited_number_of_pipelined_requests(held_handler):
+    budget = memory_budget.MemoryBudget()
+    async with serving(held_handler, UPLOAD_LIMITS, budget) as (http_server, port):
+        targets = [b"/%d" % number for number in range(PIPELINED_REQUESTS)]
+        requests = b"".join(get(target.decode()) for target in targets[:-1])
+        sending = asyncio.create_task(
+            exchange(port, requests + get(targets[-1].decode(), CLOSE))
+        )
+        while not http_server.requests_in_flight:
+            await asyncio.sleep(0)
+        (connection,) = http_server._state.connections
+        # All that a read of the transport takes is counted.
+        assert budget.used_bytes > PIPELINED_REQUESTS
+        in_flight = http_server.requests_in_flight
+        held_handler.may_respond.set()
+        response = await sending
+    assert in_flight <= server.MAX_PIPELINED_REQUESTS
+    assert held_handler.most_at_once <= server.MAX_PIPELINED_REQUESTS
+    assert held_handler.targets == targets
+    answered = [
+        line.removeprefix(b"x-target: ")
+        for line in response.split(b"\r\n")
+        if line.startswith(b"x-target: ")
+    ]
+    assert answered == targets
+    assert budget.used_bytes == 0
+
+
+# Guards against requests that were read and not parsed when an instance stops.
+async def test_drain_answers_the_pipelined_requests_behind_the_limit(held_handler):
+    count = 3 * server.MAX_PIPELINED_REQUESTS
+    async with serving(held_handler, UPLOAD_LIMITS) as (http_server, port):
+        requests = b"".join(get(f"/{number}") for number in range(count))
+        sending = asyncio.create_task(exchange(port, requests))
+        while not http_server.requests_in_flight:
+            await asyncio.sleep(0)
+        http_server.drain()
+        held_handler.may_respond.set()
+        response = await sending
+    assert response.count(b"HTTP/1.1 200 ") == count
+    assert response.count(b"connection: close") == 1
+
+
+# Guards against uploads that are taken for pipelined requests: parted at each blank
+# line, their bodies would come in too many small pieces.
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunked"])
+async def test_serve_takes_uploads_of_blank_lines_before_many_requests(is_chunked):
+    counts: list[int] = []
+    at_once = 0
+
+    async def record(request):
+        nonlocal at_once
+        at_once += 1
+        counts.append(at_once)
+        await asyncio.sleep(0)
+        at_once -= 1
+        return messages.Response(200, [], b"%d" % len(request.body))
+
+    async with serving(record, UPLOAD_LIMITS) as (_, port):
+        data = blank_lines_upload("/", is_chunked)
+        followers = get("/") * PIPELINED_REQUESTS + get("/", CLOSE)
+        response = await exchange(port, data + followers)
+    assert response.count(b"HTTP/1.1 200 ") == PIPELINED_REQUESTS + 2
+    assert b"\r\n\r\n%d" % (8 * body_buffer.MAX_SMALL_PIECES) in response
+    # Where a chunked body ends is known only once it was parsed.
+    behind_chunks = server.CHUNKED_PART_BYTES // len(get("/")) if is_chunked else 0
+    assert max(counts) <= server.MAX_PIPELINED_REQUESTS + behind_chunks
+
+
 @pytest.mark.parametrize("size", [0, 300_000])
 async def test_serve_frees_the_memory_of_a_client_that_leaves(size):
     budget = memory_budget.MemoryBudget()
@@ -374,6 +543,40 @@
         writer.close()
 
 
+# Guards against a client that ends an instance by its memory, or has others refused:
+# it sends requests on and doesn't read the responses.
+async def test_serve_bounds_the_responses_that_a_client_does_not_read():
+    size, count = 512 * 1024, 80
+    handled = 0
+
+    async def respond(request):
+        nonlocal handled
+        handled += 1
+        return messages.Response(200, [], bytes(size))
+
+    async with serving(respond, UPLOAD_LIMITS) as (http_server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        for number in range(count):
+            writer.write(get("/", CLOSE if number == count - 1 else ""))
+            if number == server.MAX_PIPELINED_REQUESTS:
+                # The others are read while responses are unsent.
+                while not http_server.find_unfinished():
+                    await asyncio.sleep(0)
+        (connection,) = http_server._state.connections
+        while not connection._is_writing_paused:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.5)
+        (unfinished,) = http_server.find_unfinished()
+        handled_unread = handled
+        async with asyncio.timeout(20):
+            received = await reader.read()
+        writer.close()
+    most = server.MAX_UNSENT_BYTES + (server.MAX_PIPELINED_REQUESTS + 1) * size
+    assert unfinished.unsent_bytes <= most
+    assert handled_unread < count
+    assert received.count(b"HTTP/1.1 200 ") == handled == count
+
+
 # Guards against endpoints that work on for a client that has left: a connection with
 # many unanswered requests, or whose responses are not read, is closed late.
 @pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
