Soak: enforce a memory limit on the instances

The kernel keeps the peak, so none is missed between samples. Such an end is a violation by itself, with name and peak, and excuses no lost request. The report prints the peak of each role.

The unit tests of the watcher fail without the kernel's peak.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,7 +12,7 @@
 import tempfile
 from collections.abc import Callable
 
-from tests.soak import load, run, site
+from tests.soak import deployment, load, run, site
 
 SITE_DEFAULTS = {"entries": 10, "callers": 24, "faults": 2, "clinging": 9}
 
@@ -47,6 +47,12 @@
     )
     parser.add_argument("--burst", type=float, default=0.6, help="s in which they run")
     parser.add_argument("--period", type=float, default=2.0, help="s from run to run")
+    parser.add_argument(
+        "--memory-mb",
+        type=float,
+        default=deployment.MEMORY_LIMIT_MB,
+        help="memory above which an instance is killed",
+    )
     parser.add_argument("--site", choices=site.SITES_BY_PROFILE, help="large site")
     parser.add_argument("--folder", type=pathlib.Path, help="folder for logs")
     if parser.parse_args().site:
@@ -73,6 +79,7 @@
             more_routes=options.routes,
             load=load.Load(options.cores, options.busy, options.period, options.burst),
             site=its_site,
+            memory_limit_mb=options.memory_mb,
         )
 
         def report_progress(line: str, seed: int = seed, number: int = number) -> None:
@@ -89,6 +96,10 @@
                     "served": report.served,
                     "attempts": report.attempts,
                     "max lag of clients": round(report.max_lag_s, 3),
+                    "peak MB": {
+                        role: round(peak_mb)
+                        for role, peak_mb in sorted(report.peak_mb_by_role.items())
+                    },
                     "faults": dict(sorted(report.faults_by_name.items())),
                     "checks": dict(sorted(report.checks_by_guarantee.items())),
                     "broken": [f"{v.guarantee}: {v.detail}" for v in report.violations],
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -31,6 +31,7 @@
 FIRST_NETWORK, NETWORK_COUNT = 32, 200
 ZONES = site.SMALL.regions_by_zone
 RESTART_DELAY_S = 0.3
+MEMORY_LIMIT_MB = 200
 # Time after an acknowledgement within which a change has to be in force everywhere.
 ORDER_APPLY_LIMIT_S = 2.5
 STOP_GRACE_S = 6.0
@@ -53,6 +54,10 @@
     )
     follows_own_end: bool = False
     """Whether the process before it exited on its own."""
+    is_over_memory_limit: bool = False
+    """Whether it was killed for its memory, which counts as an end of its own."""
+    shared_peak_bytes: int = 0
+    """Most file-backed and shared memory that was seen resident."""
 
     @property
     def stopped_at(self) -> float:
@@ -103,6 +108,7 @@
     """Whether the process is restarted after it exits."""
     is_exit_expected: bool = False
     """Whether a signal of the test can have ended the process."""
+    memory_limit_mb: float = MEMORY_LIMIT_MB
     disk_full_until: float = float("-inf")
     """When its disk was or will be full last."""
     _torn_end: tuple[str, int] = ("", 0)
@@ -177,6 +183,7 @@
             f'[bounds]\nconfigApply = "{ORDER_APPLY_LIMIT_S}s"\n'
             f'grace = "{STOP_GRACE_S}s"\nretryBudgetRatio = 0.2\n'
             'budgetWindow = "10s"\nretryBudgetSlack = 60\nttl_max = "5s"\n'
+            f"[limits]\nmemoryMb = {self.memory_limit_mb}\n"
             f'[cloudApi]\naddress = "{self.list_host}:{LIST_PORT}"\n'
         )
 
@@ -271,6 +278,7 @@
         entries: int,
         beside: load.Load = load.Load(),
         its_site: site.Site = site.SMALL,
+        memory_limit_mb: float = MEMORY_LIMIT_MB,
     ) -> None:
         zones = list(its_site.regions_by_zone)
         net = _free_network()
@@ -300,6 +308,7 @@
                     beside,
                     its_site,
                     role in its_site.full_log_roles,
+                    memory_limit_mb=memory_limit_mb,
                 )
 
     def of_role(self, role: str) -> list[Instance]:
@@ -342,8 +351,12 @@
                     continue
                 until = instance.disk_full_until + AFTER_FULL_DISK_S
                 may_exit = instance.is_exit_expected or time.monotonic() < until
-                is_own_end = instance.popen is not None and not may_exit
-                if is_own_end:
+                is_killed_for_memory = (
+                    instance.starts > 0 and instance.processes[-1].is_over_memory_limit
+                )
+                is_unexpected = instance.popen is not None and not may_exit
+                is_own_end = is_unexpected or is_killed_for_memory
+                if is_unexpected and not is_killed_for_memory:
                     code = instance.popen and instance.popen.returncode
                     description = (
                         f"{instance.name} exited unexpectedly with code {code}"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,6 +25,7 @@
     history,
     load,
     losses,
+    memory,
     network,
     operator,
     pipelining,
@@ -37,6 +38,7 @@
 # Ends a run that does not recover. Recovery is guaranteed within seconds, but the
 # speed of test machines varies.
 RECOVERY_TIMEOUT_S = 60.0
+MEMORY = "processes stay within their memory limit"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,6 +63,8 @@
     load: load.Load = load.Load()
     """Load beside the instances; it is no disruption."""
     site: site.Site = site.SMALL
+    memory_limit_mb: float = deployment.MEMORY_LIMIT_MB
+    """Memory above which an instance is killed, as the platform does."""
 
 
 @dataclasses.dataclass
@@ -75,6 +79,8 @@
     attempts: int
     max_lag_s: float
     """Longest time by which the event loop of the clients was late."""
+    peak_mb_by_role: dict[str, float]
+    """Most memory that a process of each role used, in MB."""
 
 
 async def run(
@@ -91,6 +97,10 @@
         monitor = clients.LoopMonitor()
         _spawn(monitor.run(), stack)
         context = await _start_system(plan, folder, session, observations, rng, stack)
+        watcher = memory.Watcher(
+            context.cluster.instances_by_name.values(), plan.memory_limit_mb
+        )
+        _spawn(watcher.run(), stack)
         caller = _start_observers(plan, context, observations, rng, monitor, stack)
         _spawn(_report_progress(observations, fault_counts, report_progress), stack)
         async with plan.load.running():
@@ -106,9 +116,10 @@
         losses.check(observations, surroundings)
         for ended in context.cluster.unexpected_exits:
             observations.check("processes do not exit unexpectedly", False, ended)
-    observations.checks_by_guarantee["processes do not exit unexpectedly"] += (
-        plan.controls + plan.entries
-    )
+        for ended in watcher.ends:
+            observations.check(MEMORY, False, ended)
+    for guarantee in ("processes do not exit unexpectedly", MEMORY):
+        observations.checks_by_guarantee[guarantee] += plan.controls + plan.entries
     return Report(
         plan.seed,
         fault_counts,
@@ -117,6 +128,7 @@
         observations.served(),
         len(observations.attempts_by_id),
         monitor.max_lag_s,
+        dict(watcher.peak_mb_by_role),
     )
 
 
@@ -130,7 +142,12 @@
 ) -> faults.FaultContext:
     """Start all processes and their environment, and put a first configuration."""
     cluster = deployment.Deployment(
-        folder, plan.controls, plan.entries, plan.load, plan.site
+        folder,
+        plan.controls,
+        plan.entries,
+        plan.load,
+        plan.site,
+        plan.memory_limit_mb,
     )
     stack.push_async_callback(cluster.aclose)
     links = network.Network()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,12 +23,14 @@
     faults,
     history,
     losses,
+    memory,
     operator,
     pipelining,
     run,
     site,
     stepped_clock,
 )
+from yuccapitch.platform import node_file
 
 SIGHUP_DURING_IMPORT = "SIGHUP ended a process that was still importing modules"
 SETTINGS_DURING_WRITE = "a process read its settings file while it was being written"
@@ -761,3 +763,66 @@
     reader.feed_data(content)
     assert await caller.receive(reader) is goes_on
     assert [v.guarantee for v in observations.violations] == violated
+
+
+GROWING_PROGRAM = """
+import sys
+used = b"1" * int(sys.argv[1])
+del used
+print(flush=True)
+sys.stdin.read()
+"""
+
+
+# Guards against a memory limit that nothing enforces, or that a peak between two
+# samples passes, and against an end for memory that excuses lost requests.
+@pytest.mark.parametrize(("used_mb", "is_killed"), [(20, False), (80, True)])
+def test_memory_watcher_kills_above_the_limit(tmp_path, used_mb, is_killed):
+    entry = deployment.Instance("e-7", "entry", "", "z", tmp_path, [], "")
+    watcher = memory.Watcher([entry], 60)
+    with subprocess.Popen(
+        [sys.executable, "-S", "-c", GROWING_PROGRAM, f"{used_mb * 1_000_000}"],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    ) as popen:
+        popen.stdout.readline()
+        entry.popen, entry.processes = popen, [deployment.Process(1.0)]
+        watcher.check(entry)
+        watcher.check(entry)
+        popen.stdin.close()
+        assert popen.wait() == (-signal.SIGKILL if is_killed else 0)
+    assert used_mb <= watcher.peak_mb_by_role["entry"] < used_mb + 20
+    assert ["e-7" in end for end in watcher.ends] == [True] * is_killed
+    assert entry.processes[0].disrupted_at() == []
+
+
+# Guards against an end for memory that counts as that of an expected signal, and one
+# that is reported twice.
+@pytest.mark.parametrize("is_expected", [False, True])
+@pytest.mark.parametrize("is_over", [False, True])
+async def test_deployment_counts_ends_for_memory_as_own_ends(
+    tmp_path, is_expected, is_over
+):
+    cluster = deployment.Deployment(tmp_path, 0, 1)
+    entry = cluster.instances_by_name["entry-1"]
+    started = asyncio.get_running_loop().create_future()
+    entry.start = started.set_result
+    entry.starts, entry.is_exit_expected = 1, is_expected
+    entry.processes = [deployment.Process(1.0, is_over_memory_limit=is_over)]
+    entry.popen = subprocess.Popen([sys.executable, "-S", "-c", ""])
+    entry.popen.wait()
+    task = asyncio.create_task(cluster.supervise())
+    assert await started is (is_over or not is_expected)
+    task.cancel()
+    is_reported = not is_over and not is_expected
+    assert len(cluster.unexpected_exits) == is_reported
+
+
+def test_instance_writes_its_memory_limit(tmp_path):
+    entry = deployment.Instance(
+        "e", "entry", "127.0.0.1", "north-a", tmp_path, ["127.0.0.2:8146"],
+        "127.0.0.3", memory_limit_mb=123,
+    )  # fmt: skip
+    entry.write_settings()
+    node_settings = node_file.read(tmp_path / "local.toml").unwrap()
+    assert node_settings.routed.memory_limit_bytes == 123_000_000
