Soak: faults of endpoints that answer invalidly

Change: respond_without_end, break_off and answer_with_invalid_status let endpoints answer each nth request so. The bytes without end come from threads, as the event loop is that of the clients too. Beside break_off, four more clients send uploads of 6 MiB. Each response has to have a status from 200 to 599, each 2xx has to be the whole 200 of its endpoint (probes included), the caller of an invalid answer gets another one while its instance is undisturbed, and behind an invalid status nothing is waited for.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,7 +15,8 @@
 PAUSE_S = 0.15
 MAX_PATIENCE_S = 1.0
 UPLOAD_BYTES = 40_000
-KINDS_BY_PATH = {"/safe/": "safe", "/order/": "unsafe", "/photo/": "upload"}
+UPLOAD_PATH = "/photo/"
+KINDS_BY_PATH = {"/safe/": "safe", "/order/": "unsafe", UPLOAD_PATH: "upload"}
 
 
 class Caller:
@@ -29,8 +30,10 @@
         observations: history.History,
         rng: random.Random,
         monitor: clients.LoopMonitor,
+        upload_bytes: int = UPLOAD_BYTES,
     ) -> None:
         self._site = controls[0].site
+        self._upload_bytes = upload_bytes
         self._number = number
         self._zone = zone
         self._controls = controls
@@ -70,6 +73,18 @@
                 path = self._rng.choice(list(KINDS_BY_PATH))
                 await self.send(pool, address, path)
 
+    async def upload(self, pause_s: float) -> None:
+        """Send uploads only, to the entries that were looked up, until cancelled."""
+        async with (
+            aiohttp.ClientSession() as session,
+            clients.Pool(self._monitor) as pool,
+        ):
+            while True:
+                await asyncio.sleep(pause_s * self._rng.uniform(0.8, 1.2))
+                await self._look_up(session)
+                if self._addresses:
+                    await self.send(pool, self._addresses[0], UPLOAD_PATH)
+
     async def send(
         self, pool: clients.Pool, address: str, path: str, is_repeat: bool = False
     ) -> int | None:
@@ -80,7 +95,7 @@
         kind = KINDS_BY_PATH[path]
         body = b"" if kind == "safe" else self._rng.randbytes(300)
         if kind == "upload":
-            body = self._rng.randbytes(UPLOAD_BYTES)
+            body = self._rng.randbytes(self._upload_bytes)
         loop = asyncio.get_running_loop()
         attempt = history.Attempt(attempt_id, kind, address, loop.time())
         self._observations.record_start(attempt)
@@ -93,12 +108,11 @@
             pool, method, target, attempt, body, deadline_s, patience_s
         )
         self._observations.record_end(attempt, status, loop.time())
+        expected = endpoints.response_body(attempt_id, target, body)
+        self._observations.check_response(attempt, status, response, expected)
         if status == 200:
-            expected = endpoints.response_body(attempt_id, target, body)
-            self._observations.check(
-                "complete responses", response == expected, f"{attempt}"
-            )
-        elif self._site.repeats_once and not is_repeat:
+            return status
+        if self._site.repeats_once and not is_repeat:
             if kind == "safe" or status in history.NOT_EXECUTED_STATUSES:
                 return await self.send(pool, address, path, is_repeat=True)
         return status
@@ -154,8 +168,10 @@
         attempt = history.Attempt(attempt_id, "safe", address, loop.time())
         self._observations.record_start(attempt)
         target = f"/only-{revision}/x"
-        status, _ = await request(pool, "GET", target, attempt, b"")
+        status, response = await request(pool, "GET", target, attempt, b"")
         self._observations.record_end(attempt, status, loop.time())
+        expected = endpoints.response_body(attempt_id, target, b"")
+        self._observations.check_response(attempt, status, response, expected)
         self._check_in_force(acknowledged, attempt, revision)
         if status == 200 and start == self._entry.starts:
             detail = f"{self._entry.name} served {revision} after {newest_served}"
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -133,7 +133,10 @@
     status_line = await reader.readuntil(b"\r\n")
     fields = await reader.readuntil(b"\r\n\r\n")
     headers = http.client.parse_headers(io.BytesIO(fields))
-    content = await reader.readexactly(int(headers["Content-Length"]))
+    # An instance knows the length of each response.
+    if (length := headers["Content-Length"]) is None:
+        raise ValueError("a response without a length")
+    content = await reader.readexactly(int(length))
     return int(status_line.split()[1]), headers, content
 
 
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import concurrent.futures
 import contextlib
 import hashlib
 import json
@@ -13,7 +14,7 @@
 
 from aiohttp import web
 
-from tests.soak import history, network, operator, site
+from tests.soak import history, invalid_answers, network, operator, site
 
 WARM_SHARE = 1 / 3
 # Longer than the grace of a planned stop.
@@ -32,6 +33,11 @@
 LATE_READ_S = 2.2
 EXTRA_RESPONSE = "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nContent-Length: 2\r\n\r\nno"
 MAX_GARBLE_DELAY_S = 1.0
+# Body of an upload that is still being written while its answer is broken off; more
+# than the kernel takes of it.
+LARGE_UPLOAD_BYTES = 6 * 1024 * 1024
+# Answers at once that are without end; any more wait.
+MAX_ENDLESS_ANSWERS = 8
 # Rows of another writer, as JSON: one that does not match the columns, and values that
 # decoders refuse.
 ODD_ROWS = ('["another writer",null]', "1e999", "[" * 2000 + "]" * 2000)
@@ -72,6 +78,14 @@
         self.repeated_fraction = 0.0
         """Fraction of requests on kept connections before whose response an earlier
         refusal is written once more."""
+        self.invalid_answers: tuple[invalid_answers.Answer, ...] = ()
+        """What some requests are answered with instead."""
+        self.is_broken_off = False
+        """Whether these answers go to uploads only, before their bodies are read."""
+        self.invalid_interval = 1
+        """Number of requests of which one is answered so."""
+        self._invalid_candidates = 0
+        self._executor: concurrent.futures.ThreadPoolExecutor
         self._ids_by_transport: weakref.WeakKeyDictionary[asyncio.Transport, str]
         self._ids_by_transport = weakref.WeakKeyDictionary()
         self.rate_limit: float | None = None
@@ -96,6 +110,7 @@
         self._warm_keys.clear()
         self._free_slots = asyncio.Semaphore(self.slots)
         self._running = 0
+        self._executor = concurrent.futures.ThreadPoolExecutor(MAX_ENDLESS_ANSWERS)
         app = web.Application(client_max_size=1 << 26)
         app.router.add_route("*", "/{path:.*}", self._handle)
         self._runner = web.AppRunner(
@@ -115,6 +130,7 @@
             runner, self._runner = self._runner, None
             self.is_up = False
             await runner.cleanup()
+            self._executor.shutdown(wait=False)
 
     def reset_connections(self) -> None:
         """Reset all connections, with what is executed on them."""
@@ -150,6 +166,8 @@
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         attempt_id = request.headers.get("Attempt-Id", "")
+        if (answer := self._draw_invalid_answer(request)) is not None:
+            return await self._answer_invalidly(request, answer)
         is_read_late = (
             request.can_read_body and self._rng.random() < self.late_read_fraction
         )
@@ -183,6 +201,49 @@
         headers["Server-Seal"] = response_signature(content)
         return await self._send_response(request, content, headers)
 
+    def _draw_invalid_answer(
+        self, request: web.Request
+    ) -> invalid_answers.Answer | None:
+        is_for_this = request.headers.get("Expect-Instance") == self.instance_id
+        if not (self.invalid_answers and is_for_this and request.transport):
+            return None
+        if self.is_broken_off and not request.can_read_body:
+            return None
+        self._invalid_candidates += 1
+        if self._invalid_candidates % self.invalid_interval:
+            return None
+        is_large = (request.content_length or 0) >= LARGE_UPLOAD_BYTES
+        drawn = [
+            answer
+            for answer in self.invalid_answers
+            if is_large or answer not in invalid_answers.AFTER_END_ANSWERS
+        ]
+        return self._rng.choice(drawn)
+
+    async def _answer_invalidly(
+        self, request: web.Request, answer: invalid_answers.Answer
+    ) -> web.StreamResponse:
+        transport, attempt_id = request.transport, request.headers["Attempt-Id"]
+        assert transport is not None
+        if self.is_broken_off:
+            transport.pause_reading()
+        else:
+            await request.read()
+        self._observations.record_execution(attempt_id, self.instance_id)
+        self._observations.record_invalid_answer(
+            attempt_id,
+            asyncio.get_running_loop().time(),
+            answer in invalid_answers.ANSWERS_BY_GROUP[invalid_answers.INVALID_STATUS],
+        )
+        fields = (
+            f"Attempt-Id: {attempt_id}\r\nServer-Seal: {response_signature(b'')}\r\n"
+        )
+        await answer(
+            invalid_answers.Exchange(transport, fields.encode(), self._executor)
+        )
+        network.reset(transport)
+        return web.Response(status=500)
+
     async def _read_late(self, request: web.Request) -> bytes:
         await asyncio.sleep(LATE_READ_S)
         if request.transport is not None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Awaitable, Callable, Iterator
 
-from tests.soak import deployment, endpoints, network, operator
+from tests.soak import deployment, endpoints, invalid_answers, network, operator
 
 
 class FaultContext:
@@ -66,6 +66,9 @@
                 self._reserved.remove(endpoint)
 
 
+# Of how many requests one is answered invalidly, and for how long at least.
+INVALID_INTERVALS = (1, 2, 3, 5)
+MIN_INVALID_S = 2.0
 CLOCK_STEPS_S = (-600.0, -2.4, 2.4, 600.0)
 
 Fault = Callable[[FaultContext, float], Awaitable[None]]
@@ -484,3 +487,34 @@
         await asyncio.sleep(duration_s)
         for endpoint in chosen:
             endpoint.garbled_fraction = 0.0
+
+
+@_register_fault
+async def respond_without_end(context: FaultContext, duration_s: float) -> None:
+    """Let endpoints answer some requests with bytes without end."""
+    await _answer_invalidly(context, duration_s, invalid_answers.WITHOUT_END)
+
+
+@_register_fault
+async def break_off(context: FaultContext, duration_s: float) -> None:
+    """Let endpoints break off answers to uploads that are still being written."""
+    await _answer_invalidly(context, duration_s, invalid_answers.BROKEN_OFF)
+
+
+@_register_fault
+async def answer_with_invalid_status(context: FaultContext, duration_s: float) -> None:
+    await _answer_invalidly(context, duration_s, invalid_answers.INVALID_STATUS)
+
+
+async def _answer_invalidly(
+    context: FaultContext, duration_s: float, group: str
+) -> None:
+    answers = invalid_answers.ANSWERS_BY_GROUP[group]
+    with context.reserve_endpoints(0.4) as chosen:
+        for endpoint in chosen:
+            endpoint.invalid_answers = tuple(answers)
+            endpoint.is_broken_off = group == invalid_answers.BROKEN_OFF
+            endpoint.invalid_interval = context.rng.choice(INVALID_INTERVALS)
+        await asyncio.sleep(max(MIN_INVALID_S, duration_s))
+        for endpoint in chosen:
+            endpoint.invalid_answers = ()
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -7,6 +7,7 @@
 
 # Statuses that guarantee that a request was not executed and never will be.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
+VALID_STATUS, WHOLE = "statuses are valid", "complete responses"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,6 +57,15 @@
         return self.seen_open_at if self.is_cut else self.ended_at
 
 
+@dataclasses.dataclass(frozen=True)
+class InvalidAnswer:
+    """What an endpoint answered an attempt with, if not with a valid response."""
+
+    sent_at: float
+    is_status: bool
+    """Whether it is whole but for its status, so that nothing follows it."""
+
+
 class History:
     """Observations of a run, checked as soon as they are recorded."""
 
@@ -68,6 +78,8 @@
         """Attempts that were passed on to an endpoint, executed or not."""
         self.broken_off_ids: set[str] = set()
         """Attempts that an endpoint broke off, or whose response it spoilt."""
+        self.invalid_answers_by_attempt_id: dict[str, InvalidAnswer] = {}
+        """The last invalid answer to each attempt that had any."""
         self.checks_by_guarantee: collections.Counter[str] = collections.Counter()
         self.violations: list[Violation] = []
 
@@ -109,6 +121,13 @@
         """Record that an endpoint ended an attempt without a whole response."""
         self.broken_off_ids.add(attempt_id)
 
+    def record_invalid_answer(
+        self, attempt_id: str, now: float, is_status: bool
+    ) -> None:
+        """Record that an endpoint begins an invalid answer to an attempt."""
+        self.invalid_answers_by_attempt_id[attempt_id] = InvalidAnswer(now, is_status)
+        self.record_broken_off(attempt_id)
+
     def record_answer(self, attempt_id: str, now: float) -> None:
         """Record that an endpoint has sent its whole response to an attempt."""
         self.answered_at_by_attempt_id.setdefault(attempt_id, now)
@@ -124,6 +143,20 @@
                 f"{attempt} was executed before the response",
             )
 
+    def check_response(
+        self, attempt: Attempt, status: int | None, content: bytes, expected: bytes
+    ) -> None:
+        """Check that a response has a status, and that a success is a whole one."""
+        if status is None:
+            return
+        self.check(VALID_STATUS, 200 <= status < 600, f"{attempt} got {status}")
+        if 200 <= status < 300:
+            holds = status == 200 and content == expected
+            detail = (
+                f"{attempt} got {status} and {len(content)} bytes: {content[:99]!r}"
+            )
+            self.check(WHOLE, holds, detail)
+
     def served(self) -> int:
         """Return the number of successful attempts."""
         return sum(a.status == 200 for a in self.attempts_by_id.values())
--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -23,14 +23,16 @@
 CHANGE_LOSS_RATIO = 3.0
 CHANGE_TIME_USED = 0.7
 ALLOWED_KEPT_LOSSES = 3
+TIMEOUT_STATUS = 504
 
-STOP, REPLACED, RELOAD, CHANGE, KEPT, DISRUPTED_STOP = (
+STOP, REPLACED, RELOAD, CHANGE, KEPT, DISRUPTED_STOP, INVALID = (
     "whole requests are answered in a planned stop",
     "a planned stop breaks off no work of endpoints",
     "whole requests are answered beside a reload",
     "whole requests are answered beside a change",
     "requests of kept connections are answered at any time",
     "whole requests are answered in a planned stop beside disruptions",
+    "invalid answers of endpoints become failures in time",
 )
 
 
@@ -54,6 +56,7 @@
         checker.check_stop(attempt)
         checker.check_stop_beside_disruptions(attempt)
         checker.check_reload(attempt)
+        checker.check_invalid_answer(attempt)
     checker.check_changes()
     checker.check_kept_connections()
 
@@ -126,6 +129,26 @@
         if is_beside and self._is_calm(attempt):
             self._check(RELOAD, not self._is_lost(attempt), attempt)
 
+    def check_invalid_answer(self, attempt: history.Attempt) -> None:
+        """Check that the caller of an invalid answer gets another one.
+
+        Behind an invalid status, nothing is left to wait for.
+        """
+        answers = self._observations.invalid_answers_by_attempt_id
+        answer = answers.get(attempt.attempt_id)
+        if answer is None or not self._is_in_touch(attempt):
+            return
+        is_cut = attempt.status is None and attempt.is_cut
+        time_left_s = attempt.sent_at + attempt.time_limit_s - answer.sent_at
+        is_waited_for = (
+            answer.is_status
+            # Others may be sent to another endpoint, which takes its own time.
+            and attempt.kind != "safe"
+            and time_left_s > END_DELAY_S
+            and attempt.status in (None, TIMEOUT_STATUS)
+        )
+        self._check(INVALID, not (is_cut or is_waited_for), attempt, f"{answer}")
+
     def check_changes(self) -> None:
         """Compare how often an instance loses requests beside changes and otherwise."""
         for entry in self._surroundings.entries:
--- a/tests/soak/pipelining.py
+++ b/tests/soak/pipelining.py
@@ -118,9 +118,6 @@
         attempt.is_from_endpoint = headers["Server-Seal"] is not None
         now = asyncio.get_running_loop().time()
         self._observations.record_end(attempt, status, now)
-        if status == 200:
-            expected = endpoints.response_body(attempt_id, target, b"")
-            self._observations.check(
-                "complete responses", content == expected, f"{attempt}"
-            )
+        expected = endpoints.response_body(attempt_id, target, b"")
+        self._observations.check_response(attempt, status, content, expected)
         return (headers["Connection"] or "").lower() != "close"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -33,6 +33,8 @@
 )
 
 ENDPOINT_PORT = 8080
+# Clients with large uploads, the first of their numbers, and the pause of each.
+LARGE_UPLOADERS, LARGE_UPLOADER_NUMBER, LARGE_UPLOAD_PAUSE_S = 4, 1_000_000, 0.4
 MAX_FAULT_S = 4.0
 PROGRESS_INTERVAL_S = 5.0
 # Ends a run that does not recover. Recovery is guaranteed within seconds, but the
@@ -202,6 +204,8 @@
         )
         _spawn(pipelining_caller.run(), stack)
     _start_clinging_callers(plan, context, observations, monitor, stack)
+    if faults.break_off.__name__ in plan.fault_names:
+        _start_large_uploads(plan, controls, observations, monitor, stack)
     _spawn(_poll_configuration(context.config_operator, context.cluster, rng), stack)
     return all_callers[0]
 
@@ -232,6 +236,28 @@
             _spawn(caller.cling(entry, keeps, pause_s), stack)
 
 
+def _start_large_uploads(
+    plan: Plan,
+    controls: list[deployment.Instance],
+    observations: history.History,
+    monitor: clients.LoopMonitor,
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    """Start a few clients whose uploads the kernel doesn't take at once."""
+    rng = random.Random(plan.seed)
+    for number, zone in enumerate(list(plan.site.regions_by_zone)[:LARGE_UPLOADERS]):
+        caller = callers.Caller(
+            LARGE_UPLOADER_NUMBER + number,
+            zone,
+            controls,
+            observations,
+            rng,
+            monitor,
+            endpoints.LARGE_UPLOAD_BYTES,
+        )
+        _spawn(caller.upload(LARGE_UPLOAD_PAUSE_S), stack)
+
+
 async def _start_endpoints(
     its_site: site.Site,
     net: str,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from tests import ports
 from tests.soak import (
     callers,
     clients,
@@ -22,6 +23,7 @@
     endpoints,
     faults,
     history,
+    invalid_answers,
     losses,
     memory,
     operator,
@@ -51,6 +53,9 @@
     "reset_endpoint_connections",
     "garble_answers",
     "read_late",
+    "respond_without_end",
+    "break_off",
+    "answer_with_invalid_status",
 }
 # Seeds that caused a violation, each with its cause, and the default seed.
 REGRESSION_SEEDS = {
@@ -826,3 +831,103 @@
     entry.write_settings()
     node_settings = node_file.read(tmp_path / "local.toml").unwrap()
     assert node_settings.routed.memory_limit_bytes == 123_000_000
+
+
+@pytest.mark.parametrize(
+    ("status", "content", "found"),
+    [
+        (200, b"whole", set()),
+        (200, b"who", {history.WHOLE}),
+        (204, b"", {history.WHOLE}),
+        (299, b"whole", {history.WHOLE}),
+        (None, b"", set()),
+        (404, b"", set()),
+        (502, b"who", set()),
+        (0, b"", {history.VALID_STATUS}),
+        (99, b"whole", {history.VALID_STATUS}),
+        (199, b"", {history.VALID_STATUS}),
+        (600, b"", {history.VALID_STATUS}),
+        (999, b"whole", {history.VALID_STATUS}),
+    ],
+)
+def test_history_detects_responses_that_are_not_whole(status, content, found):
+    observations = history.History()
+    observations.check_response(attempt("safe"), status, content, b"whole")
+    assert {v.guarantee for v in observations.violations} == found
+
+
+@pytest.mark.parametrize(
+    ("is_status", "fields", "holds"),
+    [
+        (True, {"status": 502}, True),
+        (True, {"status": 504}, False),
+        (True, {"is_cut": False}, False),
+        (True, {}, False),
+        (False, {}, False),
+        (False, {"status": 502}, True),
+        # Bytes still come in.
+        (False, {"status": 504}, True),
+        # Sent shortly before the end of the request's time.
+        (True, {"status": 504, "time_limit_s": 1.5}, True),
+        (True, {"status": 504, "time_limit_s": 1.6}, False),
+        # Another endpoint may take until then.
+        (True, {"status": 504, "kind": "safe"}, True),
+    ],
+)
+@pytest.mark.parametrize("is_disrupted", [False, True])
+def test_losses_detects_invalid_answers_that_do_not_fail(
+    is_status, fields, holds, is_disrupted
+):
+    entry, observations = entry_with([]), history.History()
+    fields = {"kind": "upload"} | fields
+    kind = fields.pop("kind")
+    record(observations, entry, **fields).kind = kind
+    observations.record_invalid_answer("1", 2.0, is_status)
+    disruptions = [(0.0, 8.0)] if is_disrupted else []
+    found = violated(observations, entry, link_disruptions=disruptions)
+    assert (losses.INVALID not in found) is (holds or is_disrupted)
+
+
+INVALID_ANSWERS = [
+    pytest.param(group, answer, id=f"{group}-{number}")
+    for group, answers in invalid_answers.ANSWERS_BY_GROUP.items()
+    for number, answer in enumerate(answers)
+]
+
+
+# Guards against faulty answers that nobody gets, and that go on once they are closed.
+@pytest.mark.parametrize(("group", "answer"), INVALID_ANSWERS)
+async def test_endpoint_answers_invalidly(group, answer):
+    observations = history.History()
+    endpoint = endpoints.Endpoint(
+        "i", "tienda", "z", "127.0.0.1", ports.free_ports(1)[0], observations,
+        random.Random(1),
+    )  # fmt: skip
+    observations.record_start(attempt("upload"))
+    await endpoint.start()
+    endpoint.invalid_answers, endpoint.invalid_interval = (answer,), 2
+    endpoint.is_broken_off = group == invalid_answers.BROKEN_OFF
+    headers = {"Host": "h", "Attempt-Id": "1", "Expect-Instance": endpoint.instance_id}
+    body = bytes(endpoints.LARGE_UPLOAD_BYTES)
+    reader, writer = await asyncio.open_connection("127.0.0.1", endpoint.port)
+    # The first of two is answered as usual.
+    writer.write(clients.message("POST", "/photo/1", headers, b"1"))
+    assert (await clients.read_response(reader))[0] == 200
+    writer.write(clients.message("POST", "/photo/1", headers, body))
+    received = b""
+    with contextlib.suppress(ConnectionError):
+        while len(received) < 5_000_000:
+            async with asyncio.timeout(20):
+                data = await reader.read(1 << 16)
+            received += data
+            if not data or group == invalid_answers.INVALID_STATUS:
+                break
+    assert (len(received) >= 5_000_000) is (group == invalid_answers.WITHOUT_END)
+    assert observations.invalid_answers_by_attempt_id["1"].is_status is (
+        group == invalid_answers.INVALID_STATUS
+    )
+    if group == invalid_answers.INVALID_STATUS:
+        assert int(received.split()[1]) not in range(100, 600)
+    writer.transport.abort()
+    await endpoint.stop()
+    endpoint._executor.shutdown(wait=True)
