Routed roles: one limit on the messages of all servers of a process

Cause: each server that was created without a budget got one of its own, of the size for a process of 200 MB: three in a control instance, and two beside that of the clients in an entry instance. All of them took bodies up to 64 MiB, though lookups, scrapes and readiness checks have none.

Evidence (tests on the code before): `ValueError: too many values to unpack (expected 1)` for the budgets of a control instance, `assert {None} == {<MemoryBudget>}` for those of an entry instance, `assert b'200' == b'413'` for 9 MiB to the operators' port and 100,000 bytes to those for lookups and metrics.

Change: one budget a process, sized by the memory in its settings; bodies up to 8 MiB (operators), twice the largest declaration, and 64 KiB (lookups, metrics, readiness).

--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -9,7 +9,6 @@
 
 import result
 
-from yuccapitch.catalogue import routes
 from yuccapitch.consensus import (
     core as consensus_core,
     disk,
@@ -17,13 +16,14 @@
     state as core_state,
 )
 from yuccapitch.control import coordinator, leader_polling, orders
-from yuccapitch.gateway.http1 import server as http_server
+from yuccapitch.gateway.http1 import memory_budget, server as http_server
 from yuccapitch.node import loop_monitor, tasks
 from yuccapitch.node.routed import (
     adapter as routed_adapter,
     control_dispatching,
     entry_directory,
     metrics,
+    server_limits,
     settings,
     sync_monitor,
     timing,
@@ -217,14 +217,26 @@
             (
                 node_settings.operator_address,
                 adapter.operator_handler(self._coordinator),
+                server_limits.order_limits,
             ),
-            (node_settings.lookup_address, adapter.lookup_handler(directory)),
-            (node_settings.metrics_address, self.metrics.handle),
+            (
+                node_settings.lookup_address,
+                adapter.lookup_handler(directory),
+                server_limits.query_limits,
+            ),
+            (
+                node_settings.metrics_address,
+                self.metrics.handle,
+                server_limits.query_limits,
+            ),
+        )
+        budget = memory_budget.MemoryBudget(
+            memory_budget.buffered_bytes(node_settings.memory_limit_bytes)
         )
-        for address, handler in listeners:
+        for address, handler, limits in listeners:
             if address is None:
                 continue
-            server = http_server.Server(handler, self._clock, routes.CallerLimits)
+            server = http_server.Server(handler, self._clock, limits, budget)
             await server.start(address.host, address.port)
             self._stack.push_async_callback(server.aclose)
             self._servers.append(server)
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -8,7 +8,7 @@
 
 import result
 
-from yuccapitch.catalogue import ids, routes
+from yuccapitch.catalogue import ids
 from yuccapitch.control import coordinator, leader_polling, orders
 from yuccapitch.gateway.front import (
     endpoint_sender,
@@ -27,6 +27,7 @@
     adapter as routed_adapter,
     dispatcher_inputs,
     metrics,
+    server_limits,
     settings,
     timing,
 )
@@ -142,7 +143,9 @@
         )
         for address, handler in listeners:
             if address is not None:
-                server = http_server.Server(handler, self._clock, routes.CallerLimits)
+                server = http_server.Server(
+                    handler, self._clock, server_limits.query_limits, self._budget
+                )
                 await server.start(address.host, address.port)
                 self._stack.push_async_callback(server.aclose)
         # The last step that can fail, so that a start that fails cuts no request.
--- a/packages/node/tests/test_control_node.py
+++ b/packages/node/tests/test_control_node.py
@@ -15,16 +15,26 @@
 from yuccapitch.catalogue import ids, routes
 from yuccapitch.control import coordinator
 from yuccapitch.gateway.front import request_path
-from yuccapitch.gateway.http1 import messages, server
+from yuccapitch.gateway.http1 import memory_budget, messages, server
 from yuccapitch.node.routed import control_node, settings, timing
 
 
 class FakeAdapter:
-    """Adapter without endpoints or handlers."""
+    """Adapter without endpoints and with handlers that answer with nothing."""
 
     def endpoint_source(self):
         return None
 
+    def operator_handler(self, control):
+        return answer_nothing
+
+    def lookup_handler(self, directory):
+        return answer_nothing
+
+
+async def answer_nothing(request: messages.Request) -> messages.Response:
+    return messages.Response(200, [], b"")
+
 
 @pytest.fixture
 def node(tmp_path: pathlib.Path) -> control_node.ControlNode:
@@ -47,6 +57,47 @@
     )
 
 
+def listen_on(node: control_node.ControlNode, *fields: str) -> None:
+    addresses = {field: settings.ListenAddress("127.0.0.1", 0) for field in fields}
+    node._node_settings = dataclasses.replace(node._node_settings, **addresses)
+
+
+# Guards against a control instance whose servers each hold as many bytes as the process
+# may, so that uploads and lookups without end together take it beyond its memory.
+async def test_servers_share_the_memory_that_the_settings_allow(node):
+    listen_on(node, "operator_address", "lookup_address", "metrics_address")
+    async with node._stack:
+        await node._listen()
+        budgets = {server._state.budget for server in node._servers}
+    assert len(node._servers) == 3
+    limit_bytes = node._node_settings.memory_limit_bytes
+    (budget,) = budgets
+    assert budget.max_bytes == memory_budget.buffered_bytes(limit_bytes)
+
+
+# Guards against uploads that are received up to 64 MiB, though they are of no use.
+@pytest.mark.parametrize(
+    ("field", "size_bytes"),
+    [
+        ("operator_address", 9 * 1024 * 1024),
+        ("lookup_address", 100_000),
+        ("metrics_address", 100_000),
+    ],
+)
+async def test_servers_refuse_bodies_that_are_of_no_use(node, field, size_bytes):
+    listen_on(node, field)
+    async with node._stack:
+        await node._listen()
+        port = node._servers[0]._listener.address[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+        writer.write(head % size_bytes + b"x" * size_bytes)
+        async with asyncio.timeout(60):
+            status_line = await reader.readline()
+        writer.transport.abort()
+    assert status_line.split()[1] == b"413"
+
+
 # Guards against an order that a control instance has read and leaves without a response
 # because it is stopped while the order is being committed.
 async def test_drain_answers_requests_in_progress(node, monkeypatch):
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -46,6 +46,9 @@
         table = routes.RouteTable(routes.Revision(1), [], [], routes.CallerLimits())
         return result.Ok(table)
 
+    def readiness_handler(self, is_ready):
+        return None
+
 
 @pytest.fixture
 def node() -> entry_node.EntryNode:
@@ -444,3 +447,27 @@
         assert (await reader.read(-1)).startswith(b"HTTP/1.1 503")
     assert not node._path._sender.sent
     writer.close()
+
+
+# Guards against readiness checks and scrapes that hold as many bytes again as the
+# requests of clients may.
+async def test_servers_share_the_memory_that_the_settings_allow(node, monkeypatch):
+    budgets = set()
+    create = entry_node.http_server.Server.__init__
+
+    def record(server, handler, clock, limits, budget=None):
+        budgets.add(budget)
+        create(server, handler, clock, limits, budget)
+
+    monkeypatch.setattr(entry_node.http_server.Server, "__init__", record)
+    address = settings.ListenAddress("127.0.0.1", 0)
+    node._node_settings = dataclasses.replace(
+        node._node_settings,
+        inner_address=address,
+        caller_address=address,
+        readiness_address=address,
+        metrics_address=address,
+    )
+    async with node._stack:
+        await node.start()
+    assert budgets == {node._budget}
