Inner links: check the lengths within a message before decoding it

One frame of some 30 bytes with a valid checksum ends any instance of the routed roles, control or entry, from anyone who reaches its inner port: the first frame is decoded before its sender is known.

For a string it allocates as much as is claimed, and returns what lies there; after the end of the message it reads zeros, so that a list of claimed 2^31 - 1 structs is filled, each as an empty one; values of a type without size are skipped one by one. Frames were checked for their checksum only, which guards against corruption and not against the sender.

Change: a walk over the encoded message that compares each length with what is there, refuses types that no message has, and limits values to 300,000 and nesting to 16. The longest list of endpoints (20,000) still passes.

--- a/packages/protocol/src/yuccapitch/protocol/codec.py
+++ b/packages/protocol/src/yuccapitch/protocol/codec.py
@@ -3,7 +3,7 @@
 The thrift definition of a message is derived from the dataclass: field n of
 the class is field n of the struct, so new fields may only be added at the end. The
 decoder does not check for truncated or corrupt input: frames carry the length and a
-checksum.
+checksum, and `wire_format` checks the lengths within a message.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 import result
 from thriftpy2 import protocol as thrift_protocol, thrift, utils
 
-from yuccapitch.protocol import registry
+from yuccapitch.protocol import registry, wire_format
 
 _new_factory: Any = thrift_protocol.TCyBinaryProtocolFactory
 _FACTORY = _new_factory()
@@ -53,6 +53,7 @@
     if cls is None:
         return result.Err(CodecError(f"unknown message number {number}"))
     try:
+        wire_format.check_struct(data, _NUMBER_BYTES)
         payload = utils.deserialize(
             _get_schema(cls).payload_type(), data[_NUMBER_BYTES:], _FACTORY
         )
