Daemon: limit the answers to probes and the platform's lists

Cause: a probe read its body with response.json(), without a limit, and decompressed it. The library doesn't limit framing either: interim responses, empty lines and spaces before a value, chunks of one byte and a trailer without end are read on. JSON that is nested too deeply ended the probe with an error that nothing logs. The platform's list was read by one content.read(4 MiB), which returns what is there: a list in several pieces was cut, and one above the limit wasn't told from a cut one.

Now probes and lists use connections that limit the head of a response and the bytes beside its body, and abort at once. A probe's body has 64 KiB at most, a list 1 MiB and 16,384 instances; a length above that is refused at the head. No compression is asked for or undone. The reason is in endpoint.probe-failed and platform.list-failed.

--- /dev/null
+++ b/packages/gateway/src/yuccapitch/gateway/client_connection.py
@@ -0,0 +1,210 @@
+"""Connections of the HTTP client, bounded in what a peer may send over them."""
+
+from __future__ import annotations
+
+import functools
+from typing import Any
+
+import aiohttp
+import result
+from aiohttp import client_proto, http, streams
+
+MAX_HEAD_BYTES = 256 * 1024
+"""Limit on the bytes before the body of a response, with its interim responses."""
+MAX_FRAMING_BYTES = 96 * 1024
+"""Limit on the bytes of a chunked response that are no part of its body.
+
+These are the lengths and extensions of chunks and the trailer section. As chunks cost
+about the same work whatever their length, this allows some 16,000 chunks of one byte.
+"""
+BODY_BYTES_PER_FRAMING_BYTE = 16
+"""Bytes of the body that allow one byte more beside it, for long responses."""
+HEAD_PIECE_BYTES = 4 * 1024
+"""Bytes of a head that are parsed before its limit is checked."""
+BODY_PIECE_BYTES = 64 * 1024
+"""The same for the bytes behind it."""
+VALID_STATUSES = range(100, 600)
+"""Status codes with a meaning in HTTP (RFC 9110, section 15)."""
+SWITCHING_PROTOCOLS_STATUS = 101
+"""Answers a request for another protocol, and no such request is sent."""
+SENT_CHECK_INTERVAL_S = 0.01
+"""Interval at which a request that is still being sent is checked.
+
+It is checked once the response to it has ended with the peer's side of the connection.
+"""
+
+
+class ResponseRejected(aiohttp.ClientPayloadError):
+    """The peer sent what is no response to the request, or too much of it."""
+
+
+class Connector(aiohttp.TCPConnector):
+    """Opens bounded connections."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._factory = functools.partial(  # type: ignore[assignment]
+            Connection, loop=self._loop
+        )
+
+
+class Connection(client_proto.ResponseHandler):
+    """A connection that is closed at once when a response exceeds a limit."""
+
+    _is_request_written = False
+    _is_rejected = False
+    _message: http.RawResponseMessage | None = None
+    """Head of the final response to the present request."""
+    _body: streams.StreamReader | None = None
+    _head_bytes = 0
+    _tail_bytes = 0
+    """Bytes received behind the head, with those that are not parsed yet."""
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepare the connection for a request."""
+        self._is_request_written = False
+        self._message, self._body = None, None
+        self._head_bytes = self._tail_bytes = 0
+        super().set_response_params(**params)
+
+    def start_timeout(self) -> None:
+        """Note that the request is written, and wait for the response."""
+        self._is_request_written = True
+        super().start_timeout()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; without any, parse those that were received before."""
+        if self._parser is None or self._payload_parser is not None:
+            super().data_received(data)
+            return
+        start = 0
+        while not self._is_rejected:
+            has_head = self._message is not None
+            if has_head and start < len(data) and self._has_whole_response():
+                self._reject("bytes that belong to no request")
+                return
+            size = BODY_PIECE_BYTES if has_head else HEAD_PIECE_BYTES
+            self._parse(data[start : start + size])
+            start += size
+            if start >= len(data):
+                return
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Hand over the head of a response; leave out interim responses."""
+        message, body = data
+        if self._is_rejected:
+            return
+        if (
+            message.code not in VALID_STATUSES
+            or message.code == SWITCHING_PROTOCOLS_STATUS
+        ):
+            self._reject(f"status {message.code:03} has no meaning here")
+        elif message.code < 200:
+            return
+        elif self._message is not None:
+            self._reject("bytes that belong to no request")
+        else:
+            self._message, self._body = message, body
+            super().feed_data(data, size)
+
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """End a response that is delimited by the end of the connection.
+
+        While the request is still being sent, that end doesn't show yet whether the
+        peer has closed the connection or is about to reset it.
+        """
+        super().eof_received()
+        if self._is_delimited_by_close() and not self._is_request_sent():
+            self._loop.call_later(SENT_CHECK_INTERVAL_S, self._close_once_sent)
+            return True
+        return False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail a response that is incomplete, unless its end delimits it."""
+        if exc is not None:
+            self._fail_body(aiohttp.ClientPayloadError(f"connection lost: {exc!r}"))
+        super().connection_lost(exc)
+
+    def _parse(self, data: bytes) -> None:
+        if self._message is None:
+            self._head_bytes += len(data)
+        else:
+            self._tail_bytes += len(data)
+        super().data_received(data)
+        if self._is_rejected:
+            return
+        error = self.exception()
+        if error is not None and self._parser is not None and not self.is_connected():
+            # The parser failed, which the library doesn't tell the reader of the body.
+            self._fail_body(aiohttp.ClientPayloadError(f"invalid response: {error!r}"))
+        elif self._message is None and self._head_bytes > MAX_HEAD_BYTES:
+            self._reject(f"head larger than {MAX_HEAD_BYTES} bytes")
+        elif self._has_endless_framing():
+            self._reject(f"more than {MAX_FRAMING_BYTES} bytes between small chunks")
+
+    def _has_endless_framing(self) -> bool:
+        if self._body is None or self._message is None or self._reading_paused:
+            # While reading is paused, received bytes may not be parsed yet.
+            return False
+        if not self._message.chunked:
+            return False
+        body_bytes = self._body.total_raw_bytes
+        return (
+            self._tail_bytes - body_bytes
+            > MAX_FRAMING_BYTES + body_bytes // BODY_BYTES_PER_FRAMING_BYTE
+        )
+
+    def _has_whole_response(self) -> bool:
+        return self._body is not None and self._body.is_eof()
+
+    def _is_delimited_by_close(self) -> bool:
+        return (
+            self._message is not None
+            and not self._has_whole_response()
+            and not self._message.chunked
+            and "Content-Length" not in self._message.headers
+        )
+
+    def _is_request_sent(self) -> bool:
+        return (
+            self._is_request_written
+            and self.transport is not None
+            and self.transport.get_write_buffer_size() == 0
+        )
+
+    def _close_once_sent(self) -> None:
+        if self.transport is None:
+            return
+        if self.exception() is not None:
+            self._reject("its end came before that of the request, which failed")
+        elif self._is_request_sent():
+            self.transport.close()
+        else:
+            self._loop.call_later(SENT_CHECK_INTERVAL_S, self._close_once_sent)
+
+    def _reject(self, reason: str) -> None:
+        self._is_rejected = True
+        error = ResponseRejected(reason)
+        self._fail_body(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _fail_body(self, error: aiohttp.ClientPayloadError) -> None:
+        if self._body is not None and not self._body.is_eof():
+            self._body.set_exception(error)
+
+
+async def read_body(
+    response: aiohttp.ClientResponse, max_bytes: int
+) -> result.Result[bytes, str]:
+    """Read a body of a limited size whole."""
+    fault = f"body larger than {max_bytes} bytes"
+    if response.content_length is not None and response.content_length > max_bytes:
+        return result.Err(fault)
+    body = bytearray()
+    while piece := await response.content.readany():
+        body += piece
+        if len(body) > max_bytes:
+            return result.Err(fault)
+    return result.Ok(bytes(body))
--- a/packages/gateway/src/yuccapitch/gateway/endpoint_monitor.py
+++ b/packages/gateway/src/yuccapitch/gateway/endpoint_monitor.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import json
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -12,15 +13,23 @@
 import result
 
 from yuccapitch.catalogue import ids, model
-from yuccapitch.gateway import config_view, exchange, load_report
+from yuccapitch.gateway import (
+    client_connection,
+    config_view,
+    exchange,
+    load_report,
+)
 from yuccapitch.protocol import events
 from yuccapitch.steering import health, leaving, probes
 
 TICK_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 1.0
+MAX_PROBE_BYTES = 64 * 1024
+"""Limit on the body of the response to a probe, which is a load report."""
 PLATFORM_LIST_INTERVAL_S = 1.0
 PLATFORM_LIST_TIMEOUT_S = 2.0
-MAX_PLATFORM_LIST_BYTES = 4 * 1024 * 1024
+MAX_PLATFORM_LIST_BYTES = 1024 * 1024
+"""Limit on the body of a platform's list; it takes some times that once decoded."""
 
 
 @dataclasses.dataclass
@@ -96,7 +105,12 @@
             timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
             self._session = await stack.enter_async_context(
                 aiohttp.ClientSession(
-                    timeout=timeout, cookie_jar=aiohttp.DummyCookieJar()
+                    connector=client_connection.Connector(),
+                    timeout=timeout,
+                    cookie_jar=aiohttp.DummyCookieJar(),
+                    # A small compressed body may be large once decompressed.
+                    headers={"Accept-Encoding": "identity"},
+                    auto_decompress=False,
                 )
             )
             stack.callback(self._cancel_tasks)
@@ -173,26 +187,32 @@
 
     async def _probe(self, endpoint_id: ids.EndpointId, url: str) -> None:
         started_at = self._clock()
-        body: Any = None
-        reason = "no JSON value"
-        try:
-            async with self._session.get(url, allow_redirects=False) as response:
-                if response.status == 200:
-                    body = await response.json(content_type=None)
-                else:
-                    reason = f"status {response.status}"
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-            reason = repr(error)
-        self._log_probe(endpoint_id, None if body is not None else reason)
-        has_responded = body is not None
-        self._health_view.observe_probe(endpoint_id, has_responded, self._clock())
-        if not has_responded:
+        read = await self._read_probe(url)
+        self._log_probe(endpoint_id, read.err())
+        self._health_view.observe_probe(endpoint_id, read.is_ok(), self._clock())
+        if isinstance(read, result.Err):
             return
         self._get_record(endpoint_id).last_seen_at = self._clock()
-        parsed = load_report.from_json(body)
+        parsed = load_report.from_json(read.ok_value)
         if isinstance(parsed, result.Ok):
             self._apply_report(endpoint_id, parsed.ok_value, started_at)
 
+    async def _read_probe(self, url: str) -> result.Result[Any, str]:
+        """Return the JSON value in the response to a probe, or why there is none."""
+        try:
+            async with self._session.get(url, allow_redirects=False) as response:
+                if response.status != 200:
+                    return result.Err(f"status {response.status}")
+                read = await client_connection.read_body(response, MAX_PROBE_BYTES)
+            if isinstance(read, result.Err):
+                return read
+            value = json.loads(read.ok_value)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+            return result.Err(repr(error))
+        except RecursionError:
+            return result.Err("JSON nested too deeply")
+        return result.Err("no JSON value") if value is None else result.Ok(value)
+
     def _log_probe(self, endpoint_id: ids.EndpointId, failure: str | None) -> None:
         record = self._get_record(endpoint_id)
         if failure is not None and not record.is_probe_failing:
@@ -219,11 +239,13 @@
     async def _read_platform_list(self, url: str) -> None:
         try:
             async with self._session.get(url, allow_redirects=False) as response:
-                text = await response.content.read(MAX_PLATFORM_LIST_BYTES)
-            platform_list = load_report.parse_platform_list(text)
+                read = await client_connection.read_body(
+                    response, MAX_PLATFORM_LIST_BYTES
+                )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             events.event("platform.list-failed", url=url, reason=repr(error))
             return
+        platform_list = read.and_then(load_report.parse_platform_list)
         if isinstance(platform_list, result.Err):
             events.event(
                 "platform.list-failed", url=url, reason=platform_list.err_value
--- a/packages/gateway/src/yuccapitch/gateway/load_report.py
+++ b/packages/gateway/src/yuccapitch/gateway/load_report.py
@@ -9,6 +9,8 @@
 import result
 
 MAX_REPORT_CHARS = 500
+MAX_PLATFORM_INSTANCES = 16_384
+"""Limit on the instances in a platform's list, which take far more than its bytes."""
 
 
 class State(enum.Enum):
@@ -49,7 +51,9 @@
     """The platform's list of instances at one time."""
 
     as_of_unix_ms: int
-    instances: tuple[PlatformInstance, ...]
+    instances: tuple[PlatformInstance, ...] = pydantic.Field(
+        max_length=MAX_PLATFORM_INSTANCES
+    )
 
 
 def parse_header(text: str) -> result.Result[Report, str]:
