--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -483,7 +483,7 @@
 async def test_exchange_fails_if_a_reset_is_found_while_the_request_is_checked(
     monkeypatch,
 ):
-    # A check in each iteration of the event loop, behind the write that finds the reset.
+    # A check in each iteration of the event loop, behind the write that fails.
     monkeypatch.setattr(client, "SENT_CHECK_INTERVAL_S", 0.0)
     await test_exchange_fails_if_an_early_response_ends_with_a_reset(ends_first=True)
 
