Dispatchers: pass on which endpoints are warming up

Cause: a dispatcher that begins takes all endpoints of its first list for warm that the list shows without a warm-up time, though its predecessor knew some as cold (a return, an evacuation's end, a failed connection). A control instance gets its first list only when it becomes the dispatcher, and what other instances had told it before was dropped, limits named by endpoints included.

Evidence: test_new_dispatcher_spares_the_cold_endpoints_of_the_former_one counted 47 requests in a second where 4 are wanted; a limit passed on before the first list was None instead of 1.0.

Fix: the summary that dispatchers send carries the warm-up times that are left, with the incarnation they hold for, in an optional last field. It is sent early, 0.5 s apart at least, after a request that didn't reach its endpoint. Instances without estimates of their own also take the warm-ups that another instance tells them of, because it may know before them that they dispatch. What is told of endpoints before the first list is applied with that list.

Result: the tests pass. Test changed: one passes the present time to summary(), which needs it now.

--- a/packages/gateway/src/yuccapitch/gateway/front/place_service.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/place_service.py
@@ -18,6 +18,10 @@
 # instances, so that the next dispatcher can restore them.
 SUMMARY_INTERVAL_S = 2.0
 
+# Least interval between summaries. They are sent early if an endpoint was unreachable:
+# the next dispatcher would take it for warm.
+MIN_SUMMARY_INTERVAL_S = 0.5
+
 # Time after which an unsent message to another region's dispatcher is outdated and
 # dropped.
 UNSENT_MESSAGE_TTL_S = 3.0
@@ -59,6 +63,8 @@
         self._peer_ids: frozenset[ids.InstanceId] = frozenset()
         self._unsent: list[_UnsentMessage] = []
         self._summary_due_at = clock() + SUMMARY_INTERVAL_S
+        self._summary_sent_at = float("-inf")
+        self._reported_unreachable_count = 0
         self.local = placers.LocalPlacer(local_dispatcher, clock)
         self.dispatcher_id: ids.InstanceId | None = None
         """Instance that dispatches for the region."""
@@ -104,8 +110,13 @@
         now = self._clock()
         if self._unsent:
             self._retry_unsent(now)
-        if now >= self._summary_due_at:
+        unreachable_count = self._local_dispatcher.unreachable_count
+        is_news = unreachable_count != self._reported_unreachable_count
+        next_at = self._summary_sent_at + MIN_SUMMARY_INTERVAL_S
+        if now >= self._summary_due_at or (is_news and now >= next_at):
             self._summary_due_at = now + SUMMARY_INTERVAL_S
+            self._summary_sent_at = now
+            self._reported_unreachable_count = unreachable_count
             if self.is_dispatcher:
                 self._send_summary()
 
@@ -131,7 +142,7 @@
         ]
 
     def _send_summary(self) -> None:
-        summary = self._local_dispatcher.estimates.summary()
+        summary = self._local_dispatcher.estimates.summary(self._clock())
         for peer_id in self._peer_ids:
             # Sending also opens the link over which queued requests get their grants.
             self._links.send(peer_id, summary)
@@ -228,15 +239,17 @@
     def _on_summary(self, peer_id: str, message: messages.DispatcherSummary) -> None:
         # A dispatcher without estimates, as after its start, also accepts the summaries
         # that other instances have received from the previous dispatcher.
-        needs_estimates = (
-            self.is_dispatcher and self._local_dispatcher.estimates.is_empty
-        )
+        estimates = self._local_dispatcher.estimates
+        is_new = estimates.is_empty
         now = self._clock()
-        if peer_id == self.dispatcher_id or needs_estimates:
-            self._local_dispatcher.estimates.restore(message, now)
-        else:
-            # An endpoint may have named its limit to one of the entry instances only.
-            self._local_dispatcher.estimates.restore_rate_limits(message, now)
+        if peer_id == self.dispatcher_id or (is_new and self.is_dispatcher):
+            estimates.restore(message, now)
+            return
+        # An endpoint may have named its limit to one of the entry instances only.
+        estimates.restore_rate_limits(message, now)
+        if is_new:
+            # The sender may know sooner that this instance is the next dispatcher.
+            estimates.restore_warm_ups(message, now)
 
     def _send_decision(self, peer_id: str, decision: model.Decision) -> None:
         if not self._links.send(peer_id, self._encode(decision)):
--- a/packages/gateway/src/yuccapitch/gateway/front/region_placer.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/region_placer.py
@@ -301,8 +301,9 @@
             # that it is open, and then everything is sent again.
             self._unsynced_dispatcher_id = dispatcher_id
             return
-        summary = self._local_dispatcher.estimates.summary()
-        if not self._local_dispatcher.estimates.is_empty or summary.rate_limits:
+        estimates = self._local_dispatcher.estimates
+        summary = estimates.summary(now)
+        if not estimates.is_empty or summary.rate_limits or summary.warming_up:
             self._links.send(dispatcher_id, summary)
         for held in self._held_by_attempt_id.values():
             if held.dispatcher_id == dispatcher_id:
--- a/packages/gateway/tests/front/test_region_placer.py
+++ b/packages/gateway/tests/front/test_region_placer.py
@@ -407,6 +407,42 @@
     assert successor.table.states_by_id[ids.EndpointId("e2")].slowness == 4.0
 
 
+# Guards against a dispatcher that is lost before it has passed on that an endpoint was
+# unreachable: the next one would send it requests as if it were warm.
+async def test_dispatcher_tells_at_once_of_an_unreachable_endpoint():
+    region = Region("e1", "e2")
+    region.use_dispatcher(A)
+    for placer in region.placers.values():
+        placer.set_peers([A, B, C])
+    now = asyncio.get_running_loop().time()
+    granted = await place(region, A, "a")
+    endpoint_id = granted.endpoint.endpoint_id
+    service = routes.RoutedService(SERVICE, "/health", 9, 3.0, 2.5)
+    local_dispatcher = region.placers[A]._local_dispatcher
+    local_dispatcher.table.update(
+        region.endpoints.values(), {SERVICE: service}, frozenset(), now
+    )
+    unreachable = model.Outcome.UNREACHABLE
+    region.placers[A].release(granted, unreachable, None, None)
+    region.placers[A].tick()
+    for entry_id in (B, C):
+        table = region.placers[entry_id]._local_dispatcher.table
+        assert table.states_by_id[endpoint_id].is_cold(now + 2.9)
+
+
+async def test_instance_passes_on_the_cold_endpoints_that_it_was_told_of():
+    region = Region("e1")
+    region.use_dispatcher(A)
+    now = asyncio.get_running_loop().time()
+    state_b, state_c = (
+        region.placers[i]._local_dispatcher.table.states_by_id[ids.EndpointId("e1")]
+        for i in (B, C)
+    )
+    state_b.restore_warm_up(now + 3.0, now)
+    region.use_dispatcher(C)
+    assert state_c.is_cold(now + 2.9)
+
+
 async def test_summary_from_a_non_dispatcher_is_ignored():
     region = Region("e1")
     region.use_dispatcher(A)
--- a/packages/protocol/src/yuccapitch/protocol/place_messages.py
+++ b/packages/protocol/src/yuccapitch/protocol/place_messages.py
@@ -187,6 +187,17 @@
     rate_per_s: float
 
 
+@registry.message(129)
+@dataclasses.dataclass(frozen=True)
+class EndpointWarmUp:
+    """An endpoint that the dispatcher takes to be warming up."""
+
+    endpoint_id: str
+    incarnation: int
+    left_ms: int
+    """Remaining warm-up time."""
+
+
 @registry.message(122)
 @dataclasses.dataclass(frozen=True)
 class DispatcherSummary:
@@ -197,6 +208,8 @@
     unhealthy: tuple[EndpointHealth, ...]
     rate_limits: tuple[EndpointRateLimit, ...] | None = None
     """None from an earlier release."""
+    warming_up: tuple[EndpointWarmUp, ...] | None = None
+    """None from an earlier release."""
 
 
 @registry.message(123)
--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -75,6 +75,8 @@
         self._queues_by_service_id: dict[ids.ServiceId, request_queue.RequestQueue] = {}
         self._grants_by_attempt_id: dict[model.AttemptId, _ActiveGrant] = {}
         self._spillover_update_at = float("-inf")
+        self.unreachable_count = 0
+        """Requests that did not reach an endpoint, after which it counts as cold."""
 
     @property
     def table(self) -> table.EndpointTable:
@@ -122,6 +124,8 @@
         state, request = grant.state, grant.request
         duration_s = now - grant.granted_at
         round_trip_s = self._table.round_trip_s(state.endpoint.region_id)
+        if outcome is model.Outcome.UNREACHABLE:
+            self.unreachable_count += 1
         if outcome is model.Outcome.ANSWERED:
             processing_s = max(0.0, duration_s - round_trip_s)
             self.estimates.observe(
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -116,9 +116,13 @@
 
     def mark_cold(self, now: float, duration_s: float) -> None:
         """Treat the endpoint as warming up, with empty caches, for ``duration_s``."""
-        self.cold_until = max(self.cold_until, now + duration_s)
         self._used_at_by_object_id.clear()
         self._evicted_object_ids.clear()
+        self.restore_warm_up(now + duration_s, now)
+
+    def restore_warm_up(self, ends_at: float, now: float) -> None:
+        """Continue with a warm-up that a previous dispatcher knew of."""
+        self.cold_until = max(self.cold_until, ends_at)
         if self._cold_start_limiter is None and self.service.cold_rate_per_s > 0:
             self._cold_start_limiter = cold_start_limiter.ColdStartLimiter(
                 self.service.cold_rate_per_s, self._cold_rate_share, now
--- a/packages/steering/src/yuccapitch/steering/placement/estimates.py
+++ b/packages/steering/src/yuccapitch/steering/placement/estimates.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+
 from yuccapitch.catalogue import ids
 from yuccapitch.protocol import place_messages
 from yuccapitch.steering.placement import (
@@ -15,6 +17,7 @@
 
 # Every endpoint with a cache is assumed to hold at least this many objects.
 MIN_CACHED_OBJECTS = 4
+MS_PER_S = 1000
 
 
 class PlacementEstimates:
@@ -100,7 +103,7 @@
         # Corrected for slowness: a slow endpoint must not raise the route's estimate.
         duration_estimates.observe(route_id, prediction, was_cache_hit, normalized_s)
 
-    def summary(self) -> place_messages.DispatcherSummary:
+    def summary(self, now: float) -> place_messages.DispatcherSummary:
         """Return the estimates for the next dispatcher."""
         return place_messages.DispatcherSummary(
             self.durations.summary(),
@@ -124,6 +127,15 @@
                 for endpoint_id, state in self._table.states_by_id.items()
                 if state.rate_limit_per_s is not None
             ),
+            tuple(
+                place_messages.EndpointWarmUp(
+                    endpoint_id,
+                    state.endpoint.incarnation,
+                    round((state.cold_until - now) * MS_PER_S),
+                )
+                for endpoint_id, state in self._table.states_by_id.items()
+                if state.is_cold(now)
+            ),
         )
 
     def restore_rate_limits(
@@ -131,14 +143,25 @@
     ) -> None:
         """Keep to the limits that endpoints have named to another instance."""
         for limit in summary.rate_limits or ():
-            state = self._table.states_by_id.get(ids.EndpointId(limit.endpoint_id))
-            if state is not None and state.rate_limit_per_s is None:
-                report = model.RateLimitReport(limit.rate_per_s)
-                state.observe_rate_limit(report, now, now)
+            self._table.restore(
+                ids.EndpointId(limit.endpoint_id),
+                functools.partial(_restore_rate_limit, limit, now),
+            )
+
+    def restore_warm_ups(
+        self, summary: place_messages.DispatcherSummary, now: float
+    ) -> None:
+        """Spare the endpoints that another instance takes to be warming up."""
+        for warm_up in summary.warming_up or ():
+            self._table.restore(
+                ids.EndpointId(warm_up.endpoint_id),
+                functools.partial(_restore_warm_up, warm_up, now),
+            )
 
     def restore(self, summary: place_messages.DispatcherSummary, now: float) -> None:
         """Continue with the estimates of another dispatcher."""
         self.restore_rate_limits(summary, now)
+        self.restore_warm_ups(summary, now)
         self.durations.restore(summary.durations)
         for service in summary.services:
             service_id = ids.ServiceId(service.service_id)
@@ -147,6 +170,32 @@
             )
             self._table.cache_capacity(service_id).objects = service.cache_capacity
         for health in summary.unhealthy:
-            state = self._table.states_by_id.get(ids.EndpointId(health.endpoint_id))
-            if state is not None:
-                state.restore_health(health.slowness, health.failure_rate)
+            self._table.restore(
+                ids.EndpointId(health.endpoint_id),
+                functools.partial(_restore_health, health),
+            )
+
+
+def _restore_rate_limit(
+    limit: place_messages.EndpointRateLimit,
+    now: float,
+    state: endpoint_state.EndpointState,
+) -> None:
+    if state.rate_limit_per_s is None:
+        report = model.RateLimitReport(limit.rate_per_s)
+        state.observe_rate_limit(report, now, now)
+
+
+def _restore_health(
+    health: place_messages.EndpointHealth, state: endpoint_state.EndpointState
+) -> None:
+    state.restore_health(health.slowness, health.failure_rate)
+
+
+def _restore_warm_up(
+    warm_up: place_messages.EndpointWarmUp,
+    now: float,
+    state: endpoint_state.EndpointState,
+) -> None:
+    if state.endpoint.incarnation == warm_up.incarnation:
+        state.restore_warm_up(now + warm_up.left_ms / MS_PER_S, now)
--- a/packages/steering/src/yuccapitch/steering/placement/table.py
+++ b/packages/steering/src/yuccapitch/steering/placement/table.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import statistics
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from yuccapitch.catalogue import ids, routes
 from yuccapitch.steering.placement import (
@@ -31,6 +32,11 @@
 # not assigned. They use it only for requests that no endpoint of their own may serve.
 OTHER_REGIONS_RATE_SHARE = 0.2
 
+# What is kept of the summaries that arrive before the first list.
+MAX_RESTORATIONS = 4096
+
+Restoration = Callable[[endpoint_state.EndpointState], None]
+
 _UNUSABLE = frozenset(
     (
         endpoint_state.Availability.CLOSED,
@@ -56,6 +62,9 @@
         self._round_trip_s_by_region_id: dict[ids.RegionId, float] = {region_id: 0.0}
         self._region_ids: frozenset[ids.RegionId] = frozenset((region_id,))
         self._has_endpoints = False
+        # What is known of endpoints before the first list names them.
+        self._restorations: collections.deque[tuple[ids.EndpointId, Restoration]]
+        self._restorations = collections.deque(maxlen=MAX_RESTORATIONS)
         # Kept until endpoints change: requests are hundreds of times as frequent.
         self._eligible_by_scope: dict[
             tuple[ids.ServiceId, frozenset[ids.RegionId]], eligibility.EligibleEndpoints
@@ -136,10 +145,25 @@
         )
         for state in self.states_by_id.values():
             state.region_rate_fraction = self._region_rate_fraction(state)
-        self._has_endpoints = self._has_endpoints or bool(self.states_by_id)
+        if self.states_by_id:
+            self._has_endpoints = True
+            for endpoint_id, apply in self._restorations:
+                self.restore(endpoint_id, apply)
+            self._restorations.clear()
         self._eligible_by_scope.clear()
         return reassigned
 
+    def restore(self, endpoint_id: ids.EndpointId, apply: Restoration) -> None:
+        """Apply what another instance knows of an endpoint.
+
+        A dispatcher may be told of it before it has its first list.
+        """
+        state = self.states_by_id.get(endpoint_id)
+        if state is not None:
+            apply(state)
+        elif not self._has_endpoints:
+            self._restorations.append((endpoint_id, apply))
+
     def cache_capacity(self, service_id: ids.ServiceId) -> cache_capacity.CacheCapacity:
         """Return the estimated cache capacity of the endpoints of a service."""
         return self._capacities_by_service_id.setdefault(
--- a/packages/steering/tests/placement/test_rate_limit.py
+++ b/packages/steering/tests/placement/test_rate_limit.py
@@ -172,11 +172,21 @@
     former, successor = make_limited(1.0, "e2"), builders.make_dispatcher(
         builders.endpoint("e1", slots=9), builders.endpoint("e2", slots=9)
     )
-    successor.estimates.restore_rate_limits(former.estimates.summary(), 5.0)
+    successor.estimates.restore_rate_limits(former.estimates.summary(5.0), 5.0)
     assert successor.table.states_by_id[E1].rate_limit_per_s == 1.0
     assert successor.table.states_by_id[E2].rate_limit_per_s is None
 
 
+# Guards against a limit that is lost because it was passed on before the first list.
+def test_dispatcher_keeps_to_limits_that_it_learns_before_its_first_list():
+    former, successor = make_limited(1.0), builders.make_dispatcher()
+    successor.estimates.restore_rate_limits(former.estimates.summary(5.0), 5.0)
+    services = {builders.SERVICE: builders.service()}
+    endpoints = [builders.endpoint("e1", slots=9)]
+    successor.table.update(endpoints, services, frozenset(), 5.1)
+    assert successor.table.states_by_id[E1].rate_limit_per_s == 1.0
+
+
 @hypothesis.given(
     changes=strategies.lists(
         strategies.tuples(
--- a/packages/steering/tests/placement/test_shared_endpoints.py
+++ b/packages/steering/tests/placement/test_shared_endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 from collections.abc import Callable, Iterable
 
 import builders
@@ -278,3 +279,39 @@
     refused = [d for d in decisions if isinstance(d, model.Refused)]
     assert len(refused) == 55
     assert min(decision.retry_after_s for decision in refused) >= 1.0
+
+
+def make_successor(*endpoints: model.Endpoint, listed_first: bool):
+    """Return a dispatcher that was told by its predecessor of an unreachable one."""
+    former, successor = (builders.make_dispatcher() for _ in range(2))
+    add_unreachable(former)
+    if listed_first:
+        update(successor, *endpoints)
+    successor.estimates.restore(former.estimates.summary(START), START)
+    if not listed_first:
+        update(successor, *endpoints)
+    return successor
+
+
+# Guards against a dispatcher that begins with a list without warm-up times, and takes
+# an endpoint for warm that its predecessor knew as cold.
+@pytest.mark.parametrize("listed_first", [True, False])
+def test_new_dispatcher_spares_the_cold_endpoints_of_the_former_one(listed_first):
+    region = Region(make_successor(endpoint(), listed_first=listed_first))
+    region.run(2.3)
+    assert 1 <= largest_second(region.sent_at) <= 2 + COLD_RATE_PER_S
+
+
+def test_new_dispatcher_sends_all_to_endpoints_that_have_started_since():
+    successor = make_successor(endpoint(incarnation=1), listed_first=True)
+    assert not successor.table.states_by_id[COLD].is_cold(START)
+
+
+def test_summary_of_an_earlier_release_names_no_cold_endpoints():
+    former, successor = (builders.make_dispatcher() for _ in range(2))
+    for placer in (former, successor):
+        update(placer, endpoint())
+    former.table.states_by_id[COLD].mark_cold(START, 3.0)
+    summary = dataclasses.replace(former.estimates.summary(START), warming_up=None)
+    successor.estimates.restore(summary, START)
+    assert not successor.table.states_by_id[COLD].is_cold(START)
