Placement: regions share the request rate of a cold endpoint

No dispatcher need be lost for this.

Cause: dispatchers of regions to which an endpoint isn't assigned use it for requests that no endpoint of their own may serve. Each used the whole cold rate and a burst of its own. Limits that endpoints name were divided between regions, the cold rate was not.

Evidence: test_cold_endpoint_gets_no_more_than_tolerated_from_all_regions counted 9 requests in a second from 3 regions and 54 from 18, where 8 are tolerated at 2.5 a second.

Fix: the region to which the endpoint is assigned keeps the whole rate. The others use 0.2 of it together, by the same ranking as among instances: one region unless the rate exceeds 15 a second. To the rest the endpoint is left to others while it is cold.

Result: both cases pass, and the assigned region still uses its whole rate. Together with a dispatcher and instances that place by themselves, a cold endpoint gets 4 + 1.49 r in a second at most for r below 6.7.

--- a/packages/steering/src/yuccapitch/steering/placement/apportionment.py
+++ b/packages/steering/src/yuccapitch/steering/placement/apportionment.py
@@ -26,13 +26,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Share:
-    """Part of the limits of one endpoint that one instance uses."""
+    """Part of the limits of one endpoint that one instance or region uses."""
 
     rank: int = 0
-    """Position among the instances that use the endpoint, from 0."""
+    """Position among those that use the endpoint, from 0."""
     instance_count: int = 1
     rate_fraction: float = 1.0
-    """Fraction of a rate that all of these instances use together."""
+    """Fraction of a rate that all of them use together."""
 
     def of_count(self, limit: int) -> int:
         """Return how many of ``limit`` requests this instance may have in flight."""
@@ -84,23 +84,20 @@
         share = self._shares_by_endpoint_id.get(endpoint_id)
         if share is None:
             share = Share(
-                self._rank(endpoint_id),
+                rank(endpoint_id, self._instance_id, self._instance_ids),
                 self.instance_count,
                 SELF_PLACED_RATE_FRACTION,
             )
             self._shares_by_endpoint_id[endpoint_id] = share
         return share
 
-    def _rank(self, endpoint_id: ids.EndpointId) -> int:
-        own_order = _order(endpoint_id, self._instance_id)
-        return sum(
-            _order(endpoint_id, instance_id) < own_order
-            for instance_id in self._instance_ids
-        )
+
+def rank(endpoint_id: ids.EndpointId, own_id: str, all_ids: Iterable[str]) -> int:
+    """Return the position of ``own_id`` among the users of an endpoint, from 0."""
+    own_order = _order(endpoint_id, own_id)
+    return sum(_order(endpoint_id, user_id) < own_order for user_id in all_ids)
 
 
-def _order(
-    endpoint_id: ids.EndpointId, instance_id: ids.InstanceId
-) -> tuple[int, ids.InstanceId]:
-    # Instances with equal hashes are ordered by their ids.
-    return hashing.hash32(f"{endpoint_id}/{instance_id}"), instance_id
+def _order(endpoint_id: ids.EndpointId, user_id: str) -> tuple[int, str]:
+    # Users with equal hashes are ordered by their ids.
+    return hashing.hash32(f"{endpoint_id}/{user_id}"), user_id
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -74,6 +74,7 @@
         """Part of the endpoint's limits that this instance uses."""
         self.region_rate_fraction = 1.0
         """Fraction of a limit named by the endpoint that this region uses."""
+        self._region_cold_share = apportionment.WHOLE
         self.capacity = capacity
         """Cache capacity, shared by the endpoints of a service."""
         self.in_flight = 0
@@ -114,6 +115,20 @@
         if self._cold_start_limiter is not None:
             self._cold_start_limiter.update(self._cold_rate_share, now)
 
+    @property
+    def is_first_user(self) -> bool:
+        """Whether this instance uses the endpoint in any condition."""
+        return self.share.is_first and self._region_cold_share.is_first
+
+    def set_region_shares(
+        self, rate_fraction: float, cold_share: apportionment.Share, now: float
+    ) -> None:
+        """Use these parts of a limit named by the endpoint and of its cold rate."""
+        self.region_rate_fraction = rate_fraction
+        if cold_share != self._region_cold_share:
+            self._region_cold_share = cold_share
+            self.set_share(self.share, now)
+
     def mark_cold(self, now: float, duration_s: float) -> None:
         """Treat the endpoint as warming up, with empty caches, for ``duration_s``."""
         self._used_at_by_object_id.clear()
@@ -274,19 +289,20 @@
 
     def _has_share(self, excess_failure_rate: float, now: float) -> bool:
         """Return whether this instance uses the endpoint in its present condition."""
-        if self.share.is_first:
-            return True
-        if excess_failure_rate > MAX_EXCESS_FAILURE_RATE:
-            # The first instance alone probes whether the endpoint has recovered.
-            return False
-        if self._rate_limiter is not None and not self.rate_share:
-            return False
+        if not self.share.is_first:
+            if excess_failure_rate > MAX_EXCESS_FAILURE_RATE:
+                # The first instance alone probes whether the endpoint has recovered.
+                return False
+            if self._rate_limiter is not None and not self.rate_share:
+                return False
         is_limited = self._cold_start_limiter is not None and self.is_cold(now)
         return not is_limited or self._cold_rate_share > 0
 
     @property
     def _cold_rate_share(self) -> float:
-        return self.share.of_rate(self.service.cold_rate_per_s)
+        rate_per_s = self.service.cold_rate_per_s
+        region_share = self._region_cold_share.of_rate(rate_per_s)
+        return region_share * self.share.of_rate(region_share * rate_per_s)
 
     def _predict(self, object_id: str, now: float) -> cache_capacity.CachePrediction:
         if not self.is_warm(object_id, now):
--- a/packages/steering/src/yuccapitch/steering/placement/table.py
+++ b/packages/steering/src/yuccapitch/steering/placement/table.py
@@ -29,7 +29,8 @@
 MAX_IN_TRANSIT_RATIO = 0.5
 
 # Fraction of an endpoint's rate limit that the regions divide to which the endpoint is
-# not assigned. They use it only for requests that no endpoint of their own may serve.
+# not assigned, and of its request rate while it is cold. They use it only for requests
+# that no endpoint of their own may serve.
 OTHER_REGIONS_RATE_SHARE = 0.2
 
 # What is kept of the summaries that arrive before the first list.
@@ -144,7 +145,8 @@
             )
         )
         for state in self.states_by_id.values():
-            state.region_rate_fraction = self._region_rate_fraction(state)
+            rate_fraction = self._region_rate_fraction(state)
+            state.set_region_shares(rate_fraction, self._region_cold_share(state), now)
         if self.states_by_id:
             self._has_endpoints = True
             for endpoint_id, apply in self._restorations:
@@ -307,7 +309,8 @@
         self, states: Iterable[endpoint_state.EndpointState], now: float
     ) -> bool:
         """Return whether other instances use all of these endpoints, and not this."""
-        if self._apportionment is None:
+        states = list(states)
+        if any(state.is_first_user for state in states):
             return False
         not_shared = endpoint_state.Availability.NOT_SHARED
         return all(self.availability(state, now) is not_shared for state in states)
@@ -330,6 +333,26 @@
             return 1.0 - OTHER_REGIONS_RATE_SHARE
         return OTHER_REGIONS_RATE_SHARE / other_regions
 
+    def _region_cold_share(
+        self, state: endpoint_state.EndpointState
+    ) -> apportionment.Share:
+        """Return the part of an endpoint's cold request rate that this region uses.
+
+        The region to which the endpoint is assigned uses the whole, which leaves room
+        for the little that the first ranked of the others use.
+        """
+        serving_region_id = state.endpoint.serving_region_id
+        if serving_region_id == self.region_id:
+            return apportionment.WHOLE
+        other_region_ids = self._region_ids - {serving_region_id}
+        return apportionment.Share(
+            apportionment.rank(
+                state.endpoint.endpoint_id, self.region_id, other_region_ids
+            ),
+            len(other_region_ids),
+            OTHER_REGIONS_RATE_SHARE,
+        )
+
     def _find_eligible(
         self,
         service_id: ids.ServiceId,
--- a/packages/steering/tests/placement/builders.py
+++ b/packages/steering/tests/placement/builders.py
@@ -58,9 +58,10 @@
     *endpoints: model.Endpoint,
     evacuated: frozenset[ids.FailureDomainId] = frozenset(),
     cold_rate_per_s: float = 4.0,
+    region: ids.RegionId = NORTH,
 ) -> dispatcher.Dispatcher:
     region_dispatcher = dispatcher.Dispatcher(
-        NORTH, lambda entry: None, random.Random(1)
+        region, lambda entry: None, random.Random(1)
     )
     services = {SERVICE: service(cold_rate_per_s)}
     region_dispatcher.table.update(endpoints, services, evacuated, 0.0)
--- a/packages/steering/tests/placement/test_shared_endpoints.py
+++ b/packages/steering/tests/placement/test_shared_endpoints.py
@@ -315,3 +315,33 @@
     summary = dataclasses.replace(former.estimates.summary(START), warming_up=None)
     successor.estimates.restore(summary, START)
     assert not successor.table.states_by_id[COLD].is_cold(START)
+
+
+def make_regions(count: int) -> tuple[Region, dispatcher.Dispatcher]:
+    """Return the dispatchers of regions that all need one region's cold endpoint."""
+    region_ids = [ids.RegionId(f"region-{number}") for number in range(count)]
+    others = [
+        endpoint(f"e-{region_id}", region=region_id, is_leaving=True)
+        for region_id in region_ids
+    ]
+    placers = [builders.make_dispatcher(region=region_id) for region_id in region_ids]
+    for placer in placers:
+        update(placer, endpoint(region=region_ids[0], cold_left_s=3.0), *others)
+    return Region(*placers), placers[0]
+
+
+# Guards against as many times the rate of a cold endpoint as regions whose requests
+# have their home where it is.
+@pytest.mark.parametrize("count", [1, 2, 3, 18])
+def test_cold_endpoint_gets_no_more_than_tolerated_from_all_regions(count):
+    region, _ = make_regions(count)
+    region.run(2.3)
+    allowed = TOLERATED_FACTOR * COLD_RATE_PER_S + TOLERATED_REQUESTS
+    assert largest_second(region.sent_at) <= allowed
+
+
+def test_region_of_a_cold_endpoint_uses_its_whole_rate():
+    _, serving = make_regions(18)
+    alone = Region(serving)
+    alone.run(2.3)
+    assert len(alone.sent_at) >= 0.8 * COLD_RATE_PER_S * 2.3
