Tests: an entry instance shares the limits of endpoints unless it dispatches

The answers of the leader name the instances of the region and its dispatcher. The test applies two of them: a third of each limit beside two others, and the whole as the dispatcher. It passes; it guards the wiring of the apportionment, which had no test.

--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -433,6 +433,26 @@
     await node._server.aclose()
 
 
+# Guards against instances that place by themselves with the whole of each limit.
+async def test_poll_response_says_who_shares_the_limits_of_endpoints(node):
+    own_id = node._node_settings.instance_id
+    instances = tuple(
+        messages.EntryInstance(instance_id, "north", "north-a", "h", 80, True, False)
+        for instance_id in (own_id, "10.0.0.2:7000", "10.0.0.3:7000")
+    )
+    table = node._dispatcher.table
+    dispatcher_ids = (instances[1].instance_id, own_id)
+    for version, dispatcher_id in enumerate(dispatcher_ids, start=1):
+        response = dataclasses.replace(
+            answer(b"routes", 4),
+            instances_version=version,
+            instances=instances,
+            dispatchers=(messages.RegionDispatcher("north", dispatcher_id),),
+        )
+        deliver(node, response, sent_at=1.0)
+        assert table.capacity_share == (1.0 if dispatcher_id == own_id else 1 / 3)
+
+
 # Guards against a request that is read at the end of the grace and passed on.
 async def test_drain_refuses_requests_once_the_grace_is_nearly_over(node):
     port = await start_serving(node)
