Placement: learn from the dispatcher that an endpoint has recovered

Callers would see: an instance that had seen an endpoint fail while it placed by itself, and isn't the first ranked, would leave that endpoint to others whenever the dispatcher was lost again, because only the first probes it. A summary names unhealthy endpoints only and never took one back.

Fix: endpoints that a dispatcher's summary doesn't name are healthy again.

Evidence: test_instance_learns_from_the_dispatcher_that_an_endpoint_has_ recovered found the endpoint left to others after the summary; it passes now.

--- a/packages/steering/src/yuccapitch/steering/placement/estimates.py
+++ b/packages/steering/src/yuccapitch/steering/placement/estimates.py
@@ -169,6 +169,13 @@
                 service.spillover_fraction, now
             )
             self._table.cache_capacity(service_id).objects = service.cache_capacity
+        listed_ids = {
+            ids.EndpointId(health.endpoint_id) for health in summary.unhealthy
+        }
+        for endpoint_id, state in self._table.states_by_id.items():
+            if endpoint_id not in listed_ids and state.is_unhealthy():
+                # It has recovered since, and may never be probed by this instance.
+                state.restore_health(1.0, 0.0)
         for health in summary.unhealthy:
             self._table.restore(
                 ids.EndpointId(health.endpoint_id),
--- a/packages/steering/tests/placement/test_shared_endpoints.py
+++ b/packages/steering/tests/placement/test_shared_endpoints.py
@@ -317,6 +317,21 @@
     assert not successor.table.states_by_id[COLD].is_cold(START)
 
 
+# Guards against an instance that never uses an endpoint again: it saw it fail, and only
+# others probe whether it has recovered.
+def test_instance_learns_from_the_dispatcher_that_an_endpoint_has_recovered():
+    dispatching, *placers = [builders.make_dispatcher() for _ in range(3)]
+    for placer in (dispatching, *placers):
+        update(placer, endpoint(), endpoint("other"))
+    builders.share_endpoints(placers)
+    last = max(placers, key=lambda p: p.table.states_by_id[COLD].share.rank)
+    state = last.table.states_by_id[COLD]
+    state.restore_health(1.0, 0.9)
+    assert last.table.is_left_to_others([state], START)
+    last.estimates.restore(dispatching.estimates.summary(START), START)
+    assert not last.table.is_left_to_others([state], START)
+
+
 def make_regions(count: int) -> tuple[Region, dispatcher.Dispatcher]:
     """Return the dispatchers of regions that all need one region's cold endpoint."""
     region_ids = [ids.RegionId(f"region-{number}") for number in range(count)]
