--- a/packages/steering/tests/placement/test_shared_endpoints.py
+++ b/packages/steering/tests/placement/test_shared_endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 from collections.abc import Callable, Iterable
 
 import builders
@@ -278,3 +279,84 @@
     refused = [d for d in decisions if isinstance(d, model.Refused)]
     assert len(refused) == 55
     assert min(decision.retry_after_s for decision in refused) >= 1.0
+
+
+def make_successor(*endpoints: model.Endpoint, listed_first: bool):
+    """Return a dispatcher that was told by its predecessor of an unreachable one."""
+    former, successor = (builders.make_dispatcher() for _ in range(2))
+    add_unreachable(former)
+    if listed_first:
+        update(successor, *endpoints)
+    successor.estimates.restore(former.estimates.summary(START), START)
+    if not listed_first:
+        update(successor, *endpoints)
+    return successor
+
+
+# Guards against a dispatcher that begins with a list without warm-up times, and takes
+# an endpoint for warm that its predecessor knew as cold.
+@pytest.mark.parametrize("listed_first", [True, False])
+def test_new_dispatcher_spares_the_cold_endpoints_of_the_former_one(listed_first):
+    region = Region(make_successor(endpoint(), listed_first=listed_first))
+    region.run(2.3)
+    assert 1 <= largest_second(region.sent_at) <= 2 + COLD_RATE_PER_S
+
+
+def test_new_dispatcher_sends_all_to_endpoints_that_have_started_since():
+    successor = make_successor(endpoint(incarnation=1), listed_first=True)
+    assert not successor.table.states_by_id[COLD].is_cold(START)
+
+
+def test_summary_of_an_earlier_release_names_no_cold_endpoints():
+    former, successor = (builders.make_dispatcher() for _ in range(2))
+    for placer in (former, successor):
+        update(placer, endpoint())
+    former.table.states_by_id[COLD].mark_cold(START, 3.0)
+    summary = dataclasses.replace(former.estimates.summary(START), warming_up=None)
+    successor.estimates.restore(summary, START)
+    assert not successor.table.states_by_id[COLD].is_cold(START)
+
+
+# Guards against an instance that never uses an endpoint again: it saw it fail, and only
+# others probe whether it has recovered.
+def test_instance_learns_from_the_dispatcher_that_an_endpoint_has_recovered():
+    dispatching, *placers = [builders.make_dispatcher() for _ in range(3)]
+    for placer in (dispatching, *placers):
+        update(placer, endpoint(), endpoint("other"))
+    builders.share_endpoints(placers)
+    last = max(placers, key=lambda p: p.table.states_by_id[COLD].share.rank)
+    state = last.table.states_by_id[COLD]
+    state.restore_health(1.0, 0.9)
+    assert last.table.is_left_to_others([state], START)
+    last.estimates.restore(dispatching.estimates.summary(START), START)
+    assert not last.table.is_left_to_others([state], START)
+
+
+def make_regions(count: int) -> tuple[Region, dispatcher.Dispatcher]:
+    """Return the dispatchers of regions that all need one region's cold endpoint."""
+    region_ids = [ids.RegionId(f"region-{number}") for number in range(count)]
+    others = [
+        endpoint(f"e-{region_id}", region=region_id, is_leaving=True)
+        for region_id in region_ids
+    ]
+    placers = [builders.make_dispatcher(region=region_id) for region_id in region_ids]
+    for placer in placers:
+        update(placer, endpoint(region=region_ids[0], cold_left_s=3.0), *others)
+    return Region(*placers), placers[0]
+
+
+# Guards against as many times the rate of a cold endpoint as regions whose requests
+# have their home where it is.
+@pytest.mark.parametrize("count", [1, 2, 3, 18])
+def test_cold_endpoint_gets_no_more_than_tolerated_from_all_regions(count):
+    region, _ = make_regions(count)
+    region.run(2.3)
+    allowed = TOLERATED_FACTOR * COLD_RATE_PER_S + TOLERATED_REQUESTS
+    assert largest_second(region.sent_at) <= allowed
+
+
+def test_region_of_a_cold_endpoint_uses_its_whole_rate():
+    _, serving = make_regions(18)
+    alone = Region(serving)
+    alone.run(2.3)
+    assert len(alone.sent_at) >= 0.8 * COLD_RATE_PER_S * 2.3
