Daemon: keep nothing behind a malformed request head

Cause: the HTTP library reports each further read of the transport as one more error, up to 32, and the traceback of each refers to its 256 KiB. Behind them, up to 4 MiB are held.

No request can begin behind a malformed head. What comes there is now discarded as it is read, so that the end of the connection is still noticed; the error is kept without its traceback. The requests before it are answered, then the error, as before.

--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -118,6 +118,7 @@
         self._read_ahead: read_ahead.ReadAhead
         self._head_timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
+        self._is_malformed = False
 
     @property
     def is_busy(self) -> bool:
@@ -158,6 +159,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes, or keep them while the application doesn't read."""
+        if self._is_malformed:
+            # No request can begin behind it. aiohttp would report each read as another
+            # error, and keep its bytes with it.
+            return
         # aiohttp passes no bytes to parse what its parser has kept.
         if not data or not self._read_ahead.hold(data):
             self._parse(data)
@@ -169,6 +174,8 @@
         pieces = _split_after_heads(data)
         while pieces:
             super().data_received(pieces.pop(0))
+            if self._find_malformed_head():
+                break
             if pieces and self._read_ahead.is_paused:
                 self._read_ahead.put_back(b"".join(pieces))
                 break
@@ -177,6 +184,17 @@
         elif self._head_timer is not None:
             self._reset_head()
 
+    def _find_malformed_head(self) -> bool:
+        """Return whether the last bytes were malformed; if so, discard the others."""
+        last = self._messages[-1][0] if self._messages else None
+        if not isinstance(last, web_protocol._ErrInfo):
+            return False
+        self._is_malformed = True
+        # Its traceback refers to the bytes.
+        last.exc.__traceback__ = None
+        self._read_ahead.discard()
+        return True
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the timer of an incomplete request head, and free what is kept."""
         self._reset_head()
--- a/packages/node/tests/test_http_connection.py
+++ b/packages/node/tests/test_http_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 
 import aiohttp
 import pytest
@@ -14,6 +15,9 @@
 READ_BYTES = 65_536
 LONG_HEAD = b"GET / HTTP/1.1\r\n" + 100 * (b"X: " + 8000 * b"a" + b"\r\n")
 HEAD_START = b"HTTP/1.1 200"
+ENDLESS_BLOCKS = 512
+# Memory that a connection may take, with the buffers of both sides.
+MAX_KEPT_BYTES = 3 * 1024 * 1024
 
 
 async def crash(request: web.Request) -> web.Response:
@@ -103,3 +107,51 @@
     body = received.partition(b"\r\n\r\n")[2]
     assert len(body[:BODY_BYTES]) == BODY_BYTES
     assert body[BODY_BYTES:][: len(HEAD_START)] == last_status
+
+
+# Guards against clients that end a process by its memory: behind a malformed head, each
+# read of the transport was kept with its error.
+@pytest.mark.parametrize(
+    ("beginning", "repeated"),
+    [
+        (b"nonsense\r\n\r\n", b"nonsense\r\n\r\n"),
+        (b"POST / HTTP/1.1\r\nHost: h\r\n", b"A: b\r\n"),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", b"x"),
+    ],
+    ids=["head", "fields", "chunk"],
+)
+async def test_connection_keeps_nothing_behind_a_malformed_head(
+    beginning: bytes, repeated: bytes
+) -> None:
+    may_respond = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.Response:
+        await may_respond.wait()
+        return web.Response()
+
+    app = web.Application()
+    app.router.add_get("/", answer)
+    app.router.add_post("/", answer)
+    server = http_server.HttpServer("127.0.0.1", 0, 16_384)
+    async with contextlib.AsyncExitStack() as stack:
+        await server.serve(app, stack)
+        stack.callback(may_respond.set)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.address.port)
+        stack.callback(writer.close)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" + beginning)
+        block = repeated * (READ_BYTES // len(repeated))
+        tracemalloc.start()
+        stack.callback(tracemalloc.stop)
+        # The server may stop to read.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(10):
+                for _ in range(ENDLESS_BLOCKS):
+                    writer.write(block)
+                    await writer.drain()
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        may_respond.set()
+        async with asyncio.timeout(20):
+            received = await reader.read()
+    assert peak_bytes < MAX_KEPT_BYTES
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert received.count(b"HTTP/1.") >= 2
