Inner links: bound the memory of frames that peers have begun to send

Cause: a frame may have 64 MiB, and each link kept its own, also before the hello had said who the peer is. With N links a process held N times 64 MiB. A frame that broke off was copied once more for an error that nobody reads.

Change: the first frame has 4 KiB at most. The bytes of large frames, from 64 KiB, count towards one budget of a process, 128 MiB, until the message has been handled; above it the link with the most bytes of an incomplete frame is closed, with a line in the log that says so (link.refused).

Open: requests below 64 KiB that wait for a handler are not counted.

--- a/packages/protocol/src/yuccapitch/protocol/link.py
+++ b/packages/protocol/src/yuccapitch/protocol/link.py
@@ -12,10 +12,12 @@
 
 import result
 
-from yuccapitch.protocol import codec, events, frames, node_messages
+from yuccapitch.protocol import codec, events, frames, node_messages, receive_budget
 
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 MAX_PENDING_REQUESTS = 10_000
+# Size of the first frame, whose sender is not known yet. It contains an id.
+MAX_HELLO_BYTES = 4 * 1024
 # Iterations of the event loop within which a received frame is read.
 READ_TURNS = 5
 
@@ -75,6 +77,7 @@
         handlers_by_type: dict[type, Handler],
         timing: LinkTiming,
         traffic: Traffic | None = None,
+        budget: receive_budget.ReceiveBudget | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
@@ -82,6 +85,8 @@
         self._handlers_by_type = handlers_by_type
         self._timing = timing
         self._traffic = traffic or Traffic()
+        self._budget = budget or receive_budget.ReceiveBudget()
+        self._max_frame_bytes = MAX_HELLO_BYTES
         self._next_correlation_id = 0
         self._futures_by_correlation_id: dict[int, asyncio.Future[Any]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -124,6 +129,7 @@
             detail = f"the peer's certificate does not belong to {peer_id}"
             return result.Err(LinkError(LinkErrorCode.REMOTE, detail))
         self.peer_id = peer_id
+        self._max_frame_bytes = self._budget.max_frame_bytes
         self._is_open = True
         return result.Ok(None)
 
@@ -186,6 +192,11 @@
             task.cancel()
         self._writer.close()
 
+    def discard(self, reason: str) -> None:
+        """Close the link, as what the peer sends takes too much memory."""
+        events.event("link.refused", peer=self.peer_id, reason=reason)
+        self.close()
+
     def _can_send(self) -> bool:
         transport = self._writer.transport
         return self._is_open and transport.get_write_buffer_size() < MAX_UNSENT_BYTES
@@ -247,7 +258,14 @@
                 LinkError(LinkErrorCode.REMOTE, unpacked.err_value.reason)
             )
         header = unpacked.ok_value
-        payload = await self._read_payload(header.length)
+        if header.length > self._max_frame_bytes:
+            reason = f"a frame of {header.length} bytes is too large"
+            reason += f", the limit is {self._max_frame_bytes} bytes"
+            return result.Err(LinkError(LinkErrorCode.REMOTE, reason))
+        try:
+            payload = await self._read_payload(header.length)
+        finally:
+            self._budget.release(self)
         self._traffic.received_bytes += frames.HEADER_BYTES + header.length
         if not frames.is_intact(header, payload):
             return result.Err(
@@ -257,14 +275,17 @@
 
     async def _read_payload(self, length: int) -> bytes:
         loop = asyncio.get_running_loop()
+        is_counted = length > receive_budget.SMALL_FRAME_BYTES
         payload = bytearray()
         # A long message proves on its way that the peer is alive.
         self.last_received_at = loop.time()
         while len(payload) < length:
             part = await self._reader.read(length - len(payload))
             if not part:
-                raise asyncio.IncompleteReadError(bytes(payload), length)
+                raise asyncio.IncompleteReadError(b"", length)
             payload += part
+            if is_counted:
+                self._budget.charge(self, len(part))
             self.last_received_at = loop.time()
         return bytes(payload)
 
@@ -313,6 +334,9 @@
         task = asyncio.create_task(self._await_and_reply(header, message, reply))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        if header.length > receive_budget.SMALL_FRAME_BYTES:
+            self._budget.retain(task, header.length)
+            task.add_done_callback(self._budget.release_handled)
 
     async def _await_and_reply(
         self, header: frames.Header, message: object, reply: Awaitable[object]
--- a/packages/protocol/src/yuccapitch/protocol/peers.py
+++ b/packages/protocol/src/yuccapitch/protocol/peers.py
@@ -14,7 +14,7 @@
 
 import result
 
-from yuccapitch.protocol import events, link as inner_link
+from yuccapitch.protocol import events, link as inner_link, receive_budget
 
 if TYPE_CHECKING:
     from yuccapitch.protocol import inner_tls
@@ -38,10 +38,12 @@
         own_id: str,
         timing: inner_link.LinkTiming,
         tls: inner_tls.InnerTls | None = None,
+        budget: receive_budget.ReceiveBudget | None = None,
     ) -> None:
         self._own_id = own_id
         self._timing = timing
         self._tls = tls
+        self._budget = budget or receive_budget.ReceiveBudget()
         self._handlers_by_type: dict[type, inner_link.Handler] = {}
         self._addresses_by_id: dict[str, Address] = {}
         self._links_by_id: dict[str, inner_link.Link] = {}
@@ -244,6 +246,7 @@
             self._handlers_by_type,
             self._timing,
             self.traffic,
+            self._budget,
         )
 
     def _spawn(self, coroutine: Any) -> None:
--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+import tracemalloc
 from collections.abc import AsyncIterator
 
 import pytest
@@ -309,3 +310,68 @@
     async with asyncio.timeout(5):
         assert await closed.get() == "a"
     assert pair.b._accepted_links_by_id["a"].is_open and closed.empty()
+
+
+MEBIBYTE = 1024 * 1024
+
+
+async def connect_raw(
+    address: peers.Address, name: str | None
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection; say hello unless there is no name."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    if name is not None:
+        hello = codec.encode(node_messages.Hello(name))
+        writer.write(frames.pack(frames.Kind.HELLO, 0, hello))
+    return reader, writer
+
+
+async def send_unfinished_frame(writer: asyncio.StreamWriter, size: int) -> None:
+    """Send the beginning of a frame until all is sent or the peer closes."""
+    header = frames.pack(frames.Kind.ONE_WAY, 0)
+    length = (frames.MAX_PAYLOAD_BYTES).to_bytes(4, "big")
+    writer.write(header[:12] + length + header[16:])
+    piece = bytes(64 * 1024)
+    with contextlib.suppress(ConnectionError):
+        for _ in range(size // len(piece)):
+            writer.write(piece)
+            await writer.drain()
+
+
+# Guards against an instance that keeps 64 MiB of each peer that has not said who it is.
+async def test_peers_frame_before_the_hello_is_bounded(pair: Pair) -> None:
+    _, writer = await connect_raw(pair.b_address, None)
+    tracemalloc.start()
+    try:
+        await send_unfinished_frame(writer, 32 * MEBIBYTE)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    writer.transport.abort()
+    assert peak_bytes < 2 * MEBIBYTE
+
+
+# Guards against an instance that ends because each of its links keeps a frame that is
+# within the limit.
+async def test_peers_unfinished_frames_share_a_limit(pair: Pair) -> None:
+    writers = [
+        (await connect_raw(pair.b_address, f"peer-{number}"))[1] for number in range(4)
+    ]
+    tracemalloc.start()
+    try:
+        await asyncio.gather(
+            *(send_unfinished_frame(writer, 40 * MEBIBYTE) for writer in writers)
+        )
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    for writer in writers:
+        writer.transport.abort()
+    assert peak_bytes < 140 * MEBIBYTE
+
+
+async def test_peers_largest_message_passes(pair: Pair) -> None:
+    pair.b.handle(subscription_messages.SubmitRequest, lambda peer, message: message)
+    message = subscription_messages.SubmitRequest(bytes(60 * MEBIBYTE))
+    reply = await pair.a.request("b", message, 60)
+    assert reply.unwrap() == message
