Routed roles: inner messages of 8 MiB each and 16 MiB together

Evidence (test_links_allow_what_the_process_can_hold on the code before): `assert == ((8 * 1024) * 1024)` in both roles.

--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -71,7 +71,11 @@
         self._stack = stack
         self._on_failed = on_failed
         self._clock = coordinator.boot_time_s
-        self._links = inner_peers.Peers(node_settings.instance_id, timing.LINK_TIMING)
+        self._links = inner_peers.Peers(
+            node_settings.instance_id,
+            timing.LINK_TIMING,
+            budget=server_limits.inner_budget(),
+        )
         self.metrics = metrics.RoutedMetrics()
         self._state = orders.OrderState()
         self._coordinator = coordinator.Coordinator(
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -73,7 +73,11 @@
         )
         self._is_stopping = False
         self.metrics = metrics.RoutedMetrics()
-        self._links = inner_peers.Peers(node_settings.instance_id, timing.LINK_TIMING)
+        self._links = inner_peers.Peers(
+            node_settings.instance_id,
+            timing.LINK_TIMING,
+            budget=server_limits.inner_budget(),
+        )
         self._leader_poller = leader_polling.LeaderPoller(
             self._links,
             node_settings.seed_ids,
--- a/packages/node/src/yuccapitch/node/routed/server_limits.py
+++ b/packages/node/src/yuccapitch/node/routed/server_limits.py
@@ -1,14 +1,19 @@
-"""Limits of the servers beside the one for clients."""
+"""Limits on what is read from others than clients and endpoints."""
 
 from __future__ import annotations
 
 from yuccapitch.catalogue import routes
+from yuccapitch.protocol import receive_budget
 
 # Twice the largest declaration that is accepted, so that the operator of one that is
 # somewhat too large gets an error that says so.
 MAX_ORDER_BYTES = 8 * 1024 * 1024
 # Lookups, scrapes and readiness checks have no body.
 MAX_QUERY_BYTES = 64 * 1024
+# Largest message of another instance, above that with the largest declaration, and all
+# such messages together.
+MAX_MESSAGE_BYTES = MAX_ORDER_BYTES
+MAX_RECEIVED_BYTES = 2 * MAX_MESSAGE_BYTES
 
 
 def order_limits() -> routes.CallerLimits:
@@ -19,3 +24,8 @@
 def query_limits() -> routes.CallerLimits:
     """Return the limits on requests without a body."""
     return routes.CallerLimits(max_body_bytes=MAX_QUERY_BYTES)
+
+
+def inner_budget() -> receive_budget.ReceiveBudget:
+    """Return the budget of the messages of other instances."""
+    return receive_budget.ReceiveBudget(MAX_RECEIVED_BYTES, MAX_MESSAGE_BYTES)
--- a/packages/node/tests/test_control_node.py
+++ b/packages/node/tests/test_control_node.py
@@ -195,3 +195,8 @@
     while True:
         await asyncio.sleep(0)
         time.sleep(duration_s)
+
+
+# Guards against messages of other instances that take more than the process has.
+async def test_links_allow_what_the_process_can_hold(node):
+    assert node._links._budget.max_frame_bytes == 8 * 1024 * 1024
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -471,3 +471,8 @@
     async with node._stack:
         await node.start()
     assert budgets == {node._budget}
+
+
+# Guards against messages of other instances that take more than the process has.
+async def test_links_allow_what_the_process_can_hold(node):
+    assert node._links._budget.max_frame_bytes == 8 * 1024 * 1024
