Followers: decompress routes and lists up to a limit

Cause: an answer of the leader contains routes and lists in zlib format, which were decompressed whole; zlib takes up to a thousand times the size on the link. Routes that are no zlib content raised in a task that ends the process.

Evidence (tests on the code before): `assert < (64 * 1048576)` for a list of 125 KB, `assert < ((32 * 1024) * 1024)` for routes of 63 KB, and `zlib.error: Error -3 while decompressing data` from entry_node.py.

Change: both are decompressed up to a limit, 8 MiB of routes, 16 MiB of a list (800 bytes for each of 20,000 endpoints). Above it they are refused as what can't be decoded is, with the reason in routes.refused and follow.answer-unreadable.

--- a/packages/control/src/yuccapitch/control/compressed_lists.py
+++ b/packages/control/src/yuccapitch/control/compressed_lists.py
@@ -7,12 +7,21 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
 import zlib
 from collections.abc import Callable, Hashable
 
 import result
 
-from yuccapitch.protocol import codec, subscription_messages as messages
+from yuccapitch.protocol import (
+    codec,
+    decompression,
+    subscription_messages as messages,
+)
+
+# Size of a list once it is decompressed. The longest list, of 20,000 endpoints, leaves
+# 800 bytes for each.
+MAX_LIST_BYTES = 16 * 1024 * 1024
 
 
 class CompressedLists:
@@ -42,14 +51,18 @@
     endpoints, instances = answer.endpoints, answer.instances
     if answer.compressed_endpoints:
         decoded = _decode(answer.compressed_endpoints)
-        if not isinstance(decoded, messages.EndpointList):
+        if isinstance(decoded, result.Err):
+            return result.Err(f"the list of endpoints: {decoded.err_value}")
+        if not isinstance(decoded.ok_value, messages.EndpointList):
             return result.Err("the list of endpoints is unreadable")
-        endpoints = decoded.endpoints
+        endpoints = decoded.ok_value.endpoints
     if answer.compressed_instances:
         decoded = _decode(answer.compressed_instances)
-        if not isinstance(decoded, messages.InstanceList):
+        if isinstance(decoded, result.Err):
+            return result.Err(f"the list of instances: {decoded.err_value}")
+        if not isinstance(decoded.ok_value, messages.InstanceList):
             return result.Err("the list of instances is unreadable")
-        instances = decoded.instances
+        instances = decoded.ok_value.instances
     return result.Ok(
         dataclasses.replace(
             answer,
@@ -61,10 +74,8 @@
     )
 
 
-def _decode(content: bytes) -> object:
-    try:
-        encoded = zlib.decompress(content)
-    except zlib.error:
-        return None
-    decoded = codec.decode(encoded)
-    return decoded.ok_value if isinstance(decoded, result.Ok) else None
+def _decode(content: bytes) -> result.Result[typing.Any, str]:
+    encoded = decompression.decompress(content, MAX_LIST_BYTES)
+    if isinstance(encoded, result.Err):
+        return encoded
+    return codec.decode(encoded.ok_value).map_err(lambda error: error.reason)
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -4,11 +4,10 @@
 
 import asyncio
 import contextlib
-import zlib
 
 import result
 
-from yuccapitch.catalogue import ids
+from yuccapitch.catalogue import ids, routes
 from yuccapitch.control import coordinator, leader_polling, orders
 from yuccapitch.gateway.front import (
     endpoint_sender,
@@ -32,6 +31,7 @@
     timing,
 )
 from yuccapitch.protocol import (
+    decompression,
     events,
     peers as inner_peers,
     subscription_messages as messages,
@@ -372,8 +372,7 @@
         """Apply a state; return whether its routes could be read."""
         self._dispatcher_inputs.set_evacuated_domains(state.evacuated_domains)
         if state.compressed_content and state.revision > _revision(self._routing_state):
-            content = zlib.decompress(state.compressed_content)
-            decoded = self._adapter.decode_routes(content)
+            decoded = self._decode_routes(state.compressed_content)
             if isinstance(decoded, result.Err):
                 events.event(
                     "routes.refused",
@@ -391,6 +390,16 @@
         )
         return True
 
+    def _decode_routes(
+        self, compressed_content: bytes
+    ) -> result.Result[routes.RouteTable, str]:
+        content = decompression.decompress(
+            compressed_content, server_limits.MAX_ORDER_BYTES
+        )
+        if isinstance(content, result.Err):
+            return content
+        return self._adapter.decode_routes(content.ok_value)
+
     def _report_applied_state(self) -> None:
         # The next poll reports it as well, so a lost message only delays the leader.
         leader_id = self._leader_poller.leader_id
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -7,6 +7,7 @@
 import dataclasses
 import socket
 import time
+import tracemalloc
 import zlib
 from unittest import mock
 
@@ -476,3 +477,25 @@
 # Guards against messages of other instances that take more than the process has.
 async def test_links_allow_what_the_process_can_hold(node):
     assert node._links._budget.max_frame_bytes == 8 * 1024 * 1024
+
+
+# Guards against an entry instance that ends by a declaration of some KB, which takes a
+# thousand times that once it is decompressed.
+async def test_routes_above_the_limit_are_refused_while_decompressed(node):
+    response = answer(bytes(64 * 1024 * 1024), 4)
+    tracemalloc.start()
+    try:
+        deliver(node, response, sent_at=1.0)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 32 * 1024 * 1024
+    assert next_request(node).state_index != 4
+
+
+# Guards against an entry instance that ends by an answer that can't be decompressed.
+async def test_routes_that_are_not_compressed_are_refused(node):
+    state = messages.StateUpdate(4, b"routes", ())
+    response = dataclasses.replace(answer(b"", 4), state=state)
+    deliver(node, response, sent_at=1.0)
+    assert next_request(node).state_index != 4
