Daemon: bound operators' uploads by what can be replicated

Cause: a change might have 256 MiB, any number of them at once. A frame between control instances has 64 MiB at most, so that the followers refuse the entry of a larger change; by reading, not by a run, the leader would send it again and again and nothing after it.

Evidence (tests on the code before): `assert 400 == 413` for 57 MiB to the paths for changes and plans; three uploads of 40 MiB that don't end were all kept, until the test's limit of 60 s; for a command of 64 MiB `Unavailable( message='leadership was lost before the change was committed')`, as it was proposed.

Change: 56 MiB a body, which the 50 MB of 2.4 million client blocks fit in, refused with 413 and an error that names limit and mend; 112 MiB for all bodies that are being received, above it 503 and when to come back; and 63 MiB for the command, which may be larger than the body by its defaults.

Existing test changed: test_submit_answers_although_nothing_is_committed gives its mock a command of bytes, as its length is compared now.

Open: the memory of what pydantic decodes of such a body, and of its errors.

--- a/packages/control/src/yuccapitch/control/operator_api.py
+++ b/packages/control/src/yuccapitch/control/operator_api.py
@@ -20,8 +20,13 @@
     state as catalogue_state,
     validation,
 )
+from yuccapitch.protocol import events
 
-MAX_BODY_BYTES = 256 * 1024 * 1024
+# Largest change, which a frame carries to the other control instances with some more
+# around it. A declaration of 2.4 million client blocks has 50 MB.
+MAX_BODY_BYTES = 56 * 1024 * 1024
+# All bodies that are being received.
+MAX_TOTAL_BODY_BYTES = 2 * MAX_BODY_BYTES
 MAX_AUDIT_LINES = 1000
 MISDIRECTED_REQUEST = 421
 MS_PER_S = 1000
@@ -79,6 +84,8 @@
     ) -> None:
         self._backend = backend
         self._now = now
+        self._received_bytes = 0
+        """Size of the bodies that are being received."""
 
     def routes(self) -> web.RouteTableDef:
         """Return the route table to add to an application."""
@@ -107,7 +114,7 @@
 
     async def post_plan(self, request: web.Request) -> web.Response:
         """Return what a declaration would change, without applying it."""
-        parsed = await _read_body(request, api.PlanRequest)
+        parsed = await self._read_body(request, api.PlanRequest)
         if isinstance(parsed, result.Err):
             return parsed.err_value
         plan = parsed.ok_value
@@ -131,7 +138,7 @@
 
     async def post_change(self, request: web.Request) -> web.Response:
         """Commit a change and return its outcome."""
-        parsed = await _read_body(request, changes.Change)
+        parsed = await self._read_body(request, changes.Change)
         if isinstance(parsed, result.Err):
             return parsed.err_value
         change = parsed.ok_value
@@ -210,6 +217,32 @@
         status = self._backend.status().model_copy(update={"in_force": in_force})
         return _json_response(status)
 
+    async def _read_body(
+        self, request: web.Request, kind: type[Body]
+    ) -> result.Result[Body, web.Response]:
+        received = await self._receive_body(request)
+        if isinstance(received, result.Err):
+            return received
+        return _decode_body(received.ok_value, kind)
+
+    async def _receive_body(
+        self, request: web.Request
+    ) -> result.Result[bytes, web.Response]:
+        if (request.content_length or 0) > MAX_BODY_BYTES:
+            return result.Err(_too_large_response())
+        body = bytearray()
+        try:
+            while part := await request.content.readany():
+                body += part
+                self._received_bytes += len(part)
+                if len(body) > MAX_BODY_BYTES:
+                    return result.Err(_too_large_response())
+                if self._received_bytes > MAX_TOTAL_BODY_BYTES:
+                    return result.Err(_busy_response())
+            return result.Ok(bytes(body))
+        finally:
+            self._received_bytes -= len(body)
+
     def _with_read_barrier(self, handler: Handler) -> Handler:
         """Run the handler once the state includes every accepted change.
 
@@ -232,10 +265,7 @@
 _STATUS_BY_OUTCOME = {"accepted": 200, "conflict": 409, "refused": 422}
 
 
-async def _read_body(
-    request: web.Request, kind: type[Body]
-) -> result.Result[Body, web.Response]:
-    data = await request.read()
+def _decode_body(data: bytes, kind: type[Body]) -> result.Result[Body, web.Response]:
     try:
         return result.Ok(kind.model_validate_json(data))
     except pydantic.ValidationError as error:
@@ -252,6 +282,23 @@
         )
 
 
+def _too_large_response() -> web.Response:
+    reason = f"the body is larger than {MAX_BODY_BYTES} bytes"
+    events.event("operator.refused", reason=reason)
+    return _error_response(
+        413, api.ErrorCode.BAD_REQUEST, reason, "send a smaller declaration"
+    )
+
+
+def _busy_response() -> web.Response:
+    reason = "other requests are being received"
+    reason += f", and the limit is {MAX_TOTAL_BODY_BYTES} bytes"
+    events.event("operator.refused", reason=reason)
+    return _error_response(
+        503, api.ErrorCode.UNAVAILABLE, reason, "send the request again in a second"
+    )
+
+
 def _backend_error_response(error: NotLeader | Unavailable) -> web.Response:
     if isinstance(error, NotLeader):
         if error.leader is None:
--- a/packages/control/src/yuccapitch/control/service.py
+++ b/packages/control/src/yuccapitch/control/service.py
@@ -8,12 +8,14 @@
 
 import result
 
-from yuccapitch.catalogue import api, changes, ids, state as catalogue_state
+from yuccapitch.catalogue import api, changes, ids, state as catalogue_state, validation
 from yuccapitch.consensus import effects, replica as consensus_replica
 from yuccapitch.control import leases, operator_api
-from yuccapitch.protocol import events, node_messages, peers as inner_peers
+from yuccapitch.protocol import events, frames, node_messages, peers as inner_peers
 
 MS_PER_S = 1000
+# Largest command, which has to fit into a frame to the other control instances.
+MAX_COMMAND_BYTES = frames.MAX_PAYLOAD_BYTES - 1024 * 1024
 # Time limit for a change to be committed. Disks that are full or stalled hold it up.
 COMMIT_TIMEOUT_S = 5.0
 
@@ -91,6 +93,13 @@
         if isinstance(admitted, result.Err):
             return result.Ok(admitted.err_value)
         command = self._state.build_command(change, int(time.time() * MS_PER_S))
+        if len(command) > MAX_COMMAND_BYTES:
+            message = f"{len(command)} bytes with its defaults, the limit is"
+            message += f" {MAX_COMMAND_BYTES}; send a smaller declaration"
+            fault = validation.Fault("declaration", message)
+            refused = changes.Refused.from_faults((fault,))
+            _log_outcome(change, refused)
+            return result.Ok(refused)
         try:
             async with asyncio.timeout(COMMIT_TIMEOUT_S):
                 proposed = await self._replica.propose(command)
--- a/packages/control/tests/test_operator_api.py
+++ b/packages/control/tests/test_operator_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -12,6 +13,7 @@
 from yuccapitch.catalogue import changes, state
 from yuccapitch.control import operator_api
 
+MEBIBYTE = 1024 * 1024
 NOW_S = catalogue_sample.DECEMBER_MS / 1000
 
 
@@ -85,3 +87,40 @@
 async def test_unknown_version_is_not_found(client: Any) -> None:
     assert (await client.get("/v1/catalogue/versions/7")).status == 404
     assert (await client.get("/v1/catalogue/versions/x")).status == 400
+
+
+# Guards against a change that no frame can carry to the other control instances: the
+# leader would send it again and again, and nothing after it.
+@pytest.mark.parametrize("path", ["/v1/catalogue/changes", "/v1/catalogue/plan"])
+async def test_body_above_the_limit_is_refused(client: Any, path: str) -> None:
+    response = await client.post(path, data=bytes(57 * MEBIBYTE))
+    assert response.status == 413
+    body = await response.json()
+    assert "58720256 bytes" in body["message"]
+    assert "smaller" in body["next_step"]
+
+
+# Guards against an instance that ends by several uploads at once, each of which is
+# within the limit.
+async def test_bodies_share_a_limit(client: Any) -> None:
+    is_released = asyncio.Event()
+
+    async def unfinished() -> AsyncIterator[bytes]:
+        for _ in range(40):
+            yield bytes(MEBIBYTE)
+        await is_released.wait()
+
+    path = "/v1/catalogue/changes"
+    uploads = [
+        asyncio.create_task(client.post(path, data=unfinished())) for _ in range(3)
+    ]
+    async with asyncio.timeout(60):
+        done, _ = await asyncio.wait(uploads, return_when=asyncio.FIRST_COMPLETED)
+    response = done.pop().result()
+    assert response.status == 503
+    assert (await response.json())["error"] == "unavailable"
+    is_released.set()
+    for upload in uploads:
+        await asyncio.wait([upload])
+    # What the refused upload held is free again.
+    assert (await client.post(path, data=bytes(50 * MEBIBYTE))).status == 400
--- a/packages/control/tests/test_service.py
+++ b/packages/control/tests/test_service.py
@@ -7,7 +7,9 @@
 
 import result
 
+from yuccapitch.catalogue import changes
 from yuccapitch.control import operator_api, service
+from yuccapitch.protocol import frames
 
 TEST_LIMIT_S = 10.0
 
@@ -22,6 +24,7 @@
     replica.propose = lambda command: never.wait()
     state = mock.Mock()
     state.admit.return_value = result.Ok(None)
+    state.build_command.return_value = b"command"
     control = service.ControlService("c0", state, mock.Mock(), mock.Mock(), 1.0, float)
     control.attach(replica)
     async with asyncio.timeout(TEST_LIMIT_S):
@@ -29,3 +32,19 @@
     error = outcome.unwrap_err()
     assert isinstance(error, operator_api.Unavailable)
     assert error.maybe_applied
+
+
+# Guards against a change that no frame can carry to the other control instances.
+async def test_submit_refuses_a_command_that_is_too_large_to_be_replicated():
+    replica = mock.Mock()
+    replica.read_barrier = mock.AsyncMock(return_value=result.Ok(1))
+    replica.propose = mock.AsyncMock()
+    state = mock.Mock()
+    state.admit.return_value = result.Ok(None)
+    state.build_command.return_value = bytes(frames.MAX_PAYLOAD_BYTES)
+    control = service.ControlService("c0", state, mock.Mock(), mock.Mock(), 1.0, float)
+    control.attach(replica)
+    outcome = (await control.submit(mock.Mock())).unwrap()
+    assert isinstance(outcome, changes.Refused)
+    assert "smaller" in outcome.faults[0].message
+    replica.propose.assert_not_awaited()
