--- a/tests/platform/test_endpoint_list.py
+++ b/tests/platform/test_endpoint_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import tracemalloc
 
 import pytest
 import result
@@ -197,3 +198,33 @@
     entries, token = endpoint_list.decode_page(body).unwrap()
     assert len(entries) == 3
     assert token == "p-50"
+
+
+# Guards against an instance that ends by one page, whose values take up to 100 times
+# its size once they are decoded.
+@pytest.mark.parametrize(
+    "row",
+    [b"[]", b"{}", b'{"":{}}', b"0", b"[" * 900 + b"]" * 900, b"1e999"],
+    ids=["lists", "objects", "nested", "numbers", "deep", "unreadable"],
+)
+def test_decode_page_bounds_the_memory_of_values(row):
+    rows = b",".join([row] * (endpoint_list.MAX_PAGE_BYTES // (len(row) + 1) - 50))
+    body = b'{"instances":{"columns":[],"rows":[' + rows + b']},"nextToken":null}'
+    assert len(body) <= endpoint_list.MAX_PAGE_BYTES
+    tracemalloc.start()
+    try:
+        decoded = endpoint_list.decode_page(body)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert "more than 100000 values" in decoded.unwrap_err()
+    assert peak_bytes < 8 * 1024 * 1024
+
+
+def test_decode_page_reads_thousands_of_rows():
+    page = {
+        "instances": {"columns": list(ENTRY), "rows": [list(ENTRY.values())] * 8_000},
+        "nextToken": None,
+    }
+    entries, _ = endpoint_list.decode_page(json.dumps(page).encode()).unwrap()
+    assert entries == [ENTRY] * 8_000
