--- a/tests/platform/test_node_file.py
+++ b/tests/platform/test_node_file.py
@@ -4,6 +4,7 @@
 
 import pathlib
 import tomllib
+import tracemalloc
 
 import pytest
 
@@ -242,3 +243,24 @@
     changed = watched.read_changed_settings(False).unwrap()
     assert changed.seed_ids == ("10.1.0.14:7660", "10.2.0.99:7660")
     assert watched.read_changed_settings(False) is None
+
+
+# Guards against an instance that ends because its settings file has grown, or is not
+# one.
+def test_read_bounds_the_size_of_the_file(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text(TEXT)
+    applied = node_file.read(path).unwrap().routed
+    with open(path, "a") as file:
+        file.write("# " + "x" * (64 * 1024 * 1024))
+    watched = startup._WatchedSettingsFile(path, applied)
+    tracemalloc.start()
+    try:
+        outcomes = [node_file.read(path), watched.read_changed_settings(False)]
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    for outcome in outcomes:
+        assert "larger than 262144 bytes" in outcome.unwrap_err()
+        assert "local.toml" in outcome.unwrap_err()
+    assert peak_bytes < 1024 * 1024
