Inner TLS: bound the size of trusted certificates

Cause: each *.pem file of the trust directory is read whole, whatever its size, at the start and again with the first connection after it has changed.

Evidence (test_refresh_refuses_a_trusted_file_that_is_too_large on the code before): a file of 64 MiB was read, and the error came from the parser ("larger than 65536 bytes" not in it).

Change: up to 64 KiB are read of each; above it the error names the file and the limit, and a running process keeps the certificates that it has. Its own certificate and key are read by the TLS library and not bounded here.

--- a/packages/protocol/src/yuccapitch/protocol/inner_tls.py
+++ b/packages/protocol/src/yuccapitch/protocol/inner_tls.py
@@ -20,12 +20,13 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509 import oid
 
-from yuccapitch.protocol import events
+from yuccapitch.protocol import bounded_file, events
 
 HANDSHAKE_TIMEOUT_S = 5.0
 CERTIFICATE_DAYS = 3650
 CLOCK_SKEW_DAYS = 1
 """Certificates are backdated by this time, for peers whose clocks are behind."""
+MAX_CERTIFICATE_BYTES = 64 * 1024
 _KEY_MODE = 0o600
 
 
@@ -126,7 +127,10 @@
         ssl_object.context = self._state.server
 
     def _load(self) -> _TlsState:
-        pems = [path.read_text() for path in sorted(self._trust_dir.glob("*.pem"))]
+        pems = [
+            bounded_file.read(path, MAX_CERTIFICATE_BYTES).decode()
+            for path in sorted(self._trust_dir.glob("*.pem"))
+        ]
         certificates = [x509.load_pem_x509_certificate(pem.encode()) for pem in pems]
         contexts = [
             _create_context(protocol)
--- a/packages/protocol/tests/test_inner_tls.py
+++ b/packages/protocol/tests/test_inner_tls.py
@@ -7,6 +7,7 @@
 import pathlib
 import ssl
 import time
+import tracemalloc
 from collections.abc import AsyncIterator, Callable, Iterator
 
 import eliot
@@ -193,3 +194,25 @@
 ) -> None:
     make_tls("one")
     assert (tmp_path / "one" / "key.pem").stat().st_mode & 0o777 == 0o600
+
+
+# Guards against an instance that ends because another file lies among the certificates.
+def test_refresh_refuses_a_trusted_file_that_is_too_large(
+    tmp_path: pathlib.Path, make_tls: TlsFactory
+) -> None:
+    tls = make_tls("a")
+    large = tmp_path / "a" / "trust" / "large.pem"
+    with open(large, "wb") as file:
+        file.truncate(64 * 1024 * 1024)
+    tracemalloc.start()
+    try:
+        assert not tls.refresh()
+        opened = inner_tls.InnerTls.open(
+            tmp_path / "a" / "cert.pem", tmp_path / "a" / "key.pem", large.parent
+        )
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert "larger than 65536 bytes" in opened.unwrap_err().reason
+    assert "large.pem" in opened.unwrap_err().reason
+    assert peak_bytes < 1024 * 1024
