Daemon: end responses that break off, mean nothing or have no end

Cause: the library's client connection. It ends a body without a length as complete when its connection is lost, whatever the reason, also when the endpoint ends its side and resets over an upload that is still being written. It takes any status below 100 or above 199 and 101 for a final one. It doesn't tell the reader of a body that its framing is invalid. It reads framing without end, and keeps unasked responses on an idle connection.

Now exchanges use the connections of the probes. A lost connection fails an incomplete body by its exception; the end of the endpoint's side counts once the request is sent. A status outside 100 to 599, or 101, is refused at once. Heads have 256 KiB at most with interim responses; chunks of one byte, extensions and trailers 96 KiB beside the body and a sixteenth of it; bytes that belong to no request end their connection. The reason is logged as endpoint.response-rejected.

The slow caller, fields, trailers and chunk extensions were bounded before.

--- a/packages/gateway/src/yuccapitch/gateway/client_connection.py
+++ b/packages/gateway/src/yuccapitch/gateway/client_connection.py
@@ -143,10 +143,10 @@
             self._reject(f"more than {MAX_FRAMING_BYTES} bytes between small chunks")
 
     def _has_endless_framing(self) -> bool:
-        if self._body is None or self._message is None or self._reading_paused:
+        if self._body is None or self._body.is_eof() or self._reading_paused:
             # While reading is paused, received bytes may not be parsed yet.
             return False
-        if not self._message.chunked:
+        if self._message is None or not self._message.chunked:
             return False
         body_bytes = self._body.total_raw_bytes
         return (
--- a/packages/gateway/src/yuccapitch/gateway/exchange.py
+++ b/packages/gateway/src/yuccapitch/gateway/exchange.py
@@ -13,7 +13,8 @@
 import multidict
 import yarl
 
-from yuccapitch.gateway import request_body
+from yuccapitch.gateway import client_connection, request_body
+from yuccapitch.protocol import events
 
 SHED_HEADER = "Yuccapitch-Endpoint-Shed"
 LOAD_HEADER = "Yuccapitch-Load"
@@ -77,11 +78,17 @@
     content: aiohttp.StreamReader
     deadline: float
     """On the clock of the event loop."""
+    address: str
+    """Address of the peer, for logs."""
 
     async def readany(self) -> bytes:
         """Return the next bytes, or none at the end; raise if the body ends early."""
-        async with asyncio.timeout_at(self.deadline):
-            return await self.content.readany()
+        try:
+            async with asyncio.timeout_at(self.deadline):
+                return await self.content.readany()
+        except client_connection.ResponseRejected as error:
+            _log_rejected(self.address, error)
+            raise
 
 
 @dataclasses.dataclass(frozen=True)
@@ -167,6 +174,8 @@
                     response = await self._send(target, body, timeout_s, progress)
                     outcome = await _read_response(response, deadline)
             except _EXCHANGE_ERRORS as error:
+                if isinstance(error, client_connection.ResponseRejected):
+                    _log_rejected(f"{target.host}:{target.port}", error)
                 outcome = _no_response(error, progress, body)
                 if outcome.is_timeout:
                     self._pool_bypassed_until[target.host, target.port] = (
@@ -224,11 +233,11 @@
             trace.on_request_headers_sent.append(_mark_headers_sent)
             traces.append(trace)
         if is_pooled:
-            connector = aiohttp.TCPConnector(
+            connector = client_connection.Connector(
                 limit=0, limit_per_host=limit, keepalive_timeout=KEEP_ALIVE_TIMEOUT_S
             )
         else:
-            connector = aiohttp.TCPConnector(
+            connector = client_connection.Connector(
                 limit=0, limit_per_host=limit, force_close=True
             )
         session = aiohttp.ClientSession(
@@ -304,12 +313,17 @@
                 response.status, headers, bytes(received), None, length
             )
         received += chunk
-    remaining_body = RemainingBody(response.content, deadline)
+    address = f"{response.url.host}:{response.url.port}"
+    remaining_body = RemainingBody(response.content, deadline, address)
     return ReceivedResponse(
         response.status, headers, bytes(received), remaining_body, length
     )
 
 
+def _log_rejected(address: str, error: client_connection.ResponseRejected) -> None:
+    events.event("endpoint.response-rejected", address=address, reason=str(error))
+
+
 def _no_response(
     error: BaseException, progress: _SendProgress, body: request_body.RequestBody
 ) -> NoResponse:
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -244,6 +244,11 @@
     "A probe got no valid response; logged once until the endpoint responds again.",
     Level.WARNING,
 )
+declare(
+    "endpoint.response-rejected",
+    "A response was no valid HTTP or exceeded a limit; its connection was closed.",
+    Level.WARNING,
+)
 declare(
     "message.discarded",
     "An incomplete HTTP message was discarded, as all of them took too much memory.",
