Daemon: don't wait for the body of a shed response

A caller whose request could have gone to another endpoint got 504 at its deadline.

Cause: an endpoint sheds a request by a status and a header, but the exchange waited for the first bytes of the body, which is of no use, and ended by the deadline without them.

Now it waits for 0.1 s, so that a connection whose body is there can be reused, and closes the connection otherwise.

On the code before, the 4 tests (a length or a chunk that doesn't come, pooled and not) got NoResponse by the timeout; now they pass.

--- a/packages/gateway/src/yuccapitch/gateway/exchange.py
+++ b/packages/gateway/src/yuccapitch/gateway/exchange.py
@@ -27,6 +27,8 @@
 """
 READ_TIMEOUT_S = 30.0
 """Time without a byte from an endpoint after which an exchange is aborted."""
+SHED_BODY_TIMEOUT_S = 0.1
+"""Time to read the body of a shed response, so that its connection can be reused."""
 MAX_BUFFERED_BYTES = 256 * 1024
 """Responses up to this size are buffered completely before they are relayed."""
 
@@ -299,8 +301,9 @@
     if response.status == 503 and response.headers.get(SHED_HEADER) == "1":
         # The status and headers mark a shed request; the body is read only so that the
         # connection can be reused.
-        with contextlib.suppress(aiohttp.ClientError):
-            await response.content.read(MAX_BUFFERED_BYTES)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with asyncio.timeout(SHED_BODY_TIMEOUT_S):
+                await response.content.read(MAX_BUFFERED_BYTES)
         return ShedResponse(headers)
     length = response.content_length
     received = bytearray()
--- a/packages/gateway/tests/test_exchange.py
+++ b/packages/gateway/tests/test_exchange.py
@@ -214,6 +214,21 @@
     assert outcome.body == b""
 
 
+# Guards against a request that may be placed elsewhere, but waits for a body of no use.
+@pytest.mark.parametrize(
+    "rest",
+    [b"Content-Length: 5\r\n\r\n", b"Transfer-Encoding: chunked\r\n\r\n1;"],
+    ids=["length", "chunks"],
+)
+async def test_exchange_does_not_wait_for_the_body_of_a_shed_response(
+    client: exchange.ExchangeClient, is_pooled: bool, rest: bytes
+) -> None:
+    async with raw_endpoint.sending(SHED + rest) as endpoint:
+        outcome = await receive(client, target(endpoint.port, is_pooled))
+        assert isinstance(outcome, exchange.ShedResponse)
+        await endpoint.wait_cut_off()
+
+
 async def test_exchange_bounds_the_body_of_a_shed_response(
     client: exchange.ExchangeClient, is_pooled: bool
 ) -> None:
