CLI: limit the responses that are read

Cause: response.read() has no limit, and json.loads raises RecursionError, which isn't a ValueError.

The nesting is reported as any unexpected response.

--- a/packages/cli/src/yuccapitch/cli/client.py
+++ b/packages/cli/src/yuccapitch/cli/client.py
@@ -21,6 +21,8 @@
 INITIAL_RETRY_DELAY_S = 0.1
 MAX_RETRY_DELAY_S = 2.0
 IN_FORCE_POLL_INTERVAL_S = 0.2
+MAX_RESPONSE_BYTES = 256 * 1024 * 1024
+"""Limit on the body of a response, which may be a catalogue with all client blocks."""
 
 Body = TypeVar("Body", bound=pydantic.BaseModel)
 
@@ -200,7 +202,14 @@
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                return _Response(response.status, await response.read())
+                body = await _read_body(response)
+                if body is None:
+                    return _NoResponse(
+                        f"response larger than {MAX_RESPONSE_BYTES} bytes; check that"
+                        " --server names an instance",
+                        maybe_received=True,
+                    )
+                return _Response(response.status, body)
         except aiohttp.ClientConnectorError as error:
             return _NoResponse(str(error), maybe_received=False)
         except aiohttp.InvalidURL:
@@ -219,6 +228,21 @@
         self._servers.insert(0, server)
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes | None:
+    """Return the body, or None if it is larger than the limit."""
+    length = response.content_length
+    if length is not None and length > MAX_RESPONSE_BYTES:
+        return None
+    pieces: list[bytes] = []
+    received_bytes = 0
+    while piece := await response.content.readany():
+        pieces.append(piece)
+        received_bytes += len(piece)
+        if received_bytes > MAX_RESPONSE_BYTES:
+            return None
+    return b"".join(pieces)
+
+
 def load_ca_certificates(
     path: str | None,
 ) -> result.Result[ssl.SSLContext | bool, reports.CommandError]:
@@ -284,7 +308,7 @@
     """Return the message of a JSON error response, or its status code."""
     try:
         return str(json.loads(reply.body)["message"])
-    except (ValueError, TypeError, KeyError):
+    except (ValueError, TypeError, KeyError, RecursionError):
         return f"unexpected response with status {reply.status}"
 
 
--- a/packages/cli/src/yuccapitch/cli/commands/operations.py
+++ b/packages/cli/src/yuccapitch/cli/commands/operations.py
@@ -92,7 +92,7 @@
         entries = data["entries"]
         columns = list(dict.fromkeys(key for entry in entries for key in entry))
         rows = [[entry.get(column, "") for column in columns] for entry in entries]
-    except (ValueError, TypeError, KeyError, AttributeError):
+    except (ValueError, TypeError, KeyError, AttributeError, RecursionError):
         return result.Err(
             reports.usage_error(
                 "the response is not a lookup response",
