HTTP client: an early response whose reset is found by a write isn't whole

Cause: since such a response is complete once the request has been sent, which a timer checks by the size of the transport's buffer. A write that finds the reset clears that buffer, and reports the end of the connection only in the next iteration of the event loop; a timer that is due in between found the buffer empty. The transport is closing by then, which the check now asks first.

The new test fails without it.

--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -310,6 +310,9 @@
         if self._future is None or self._future.done():
             return False
         assert self._transport is not None
+        if self._transport.is_closing():
+            # It has dropped what it hadn't sent; ``connection_lost`` follows.
+            return False
         if self._transport.get_write_buffer_size() == 0:
             self._complete()
             return False
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -478,6 +478,16 @@
     connection.close()
 
 
+# Guards against an early response that is passed on as whole, as a transport that was
+# reset has dropped what it hadn't sent before it reports the end of the connection.
+async def test_exchange_fails_if_a_write_finds_the_reset_of_an_early_response(
+    monkeypatch,
+):
+    # A check in each iteration of the loop, behind the write that finds the reset.
+    monkeypatch.setattr(client, "SENT_CHECK_INTERVAL_S", 0.0)
+    await test_exchange_fails_if_an_early_response_ends_with_a_reset(True)
+
+
 async def test_exchange_completes_an_early_response_once_the_request_is_sent():
     async def respond_early(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
