--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -207,6 +207,26 @@
     assert report.faults_by_name["read_late"] > 1
 
 
+# Guards against instances that bytes without end from endpoints end, together with the
+# requests of others; parts of answers that count as whole; and a wait for what follows
+# a status without a meaning.
+@pytest.mark.processes
+@pytest.mark.timeout(300)
+async def test_soak_answers_beside_invalid_answers_of_endpoints(
+    tmp_path: pathlib.Path,
+):
+    names = ("respond_without_end", "break_off", "answer_with_invalid_status")
+    plan = run.Plan(
+        1, 12.0, controls=3, entries=2, callers=16, fault_names=names,
+        clinging_callers=8,
+    )  # fmt: skip
+    report = await run.run(plan, tmp_path)
+    assert report.violations == []
+    assert report.checks_by_guarantee[losses.INVALID] > 0
+    for name in names:
+        assert report.faults_by_name[name] > 0
+
+
 # Guards against an injected full disk that takes writes, or that stays full.
 async def test_instance_fills_its_disk_for_a_time(tmp_path: pathlib.Path):
     instance = deployment.Instance("c", "control", "", "z", tmp_path, [], "")
