Placement: find shares when they are needed

Instances that never place by themselves ranked all instances for all endpoints at each change of the fleet: 23 ms on a whole core for 813 endpoints and 60 instances, in which nothing else is served. The parts of regions were found anew with each list.

A share is now found when the endpoint is first considered, and those of regions are kept. No change of a decision; the tests of placement pass.

--- a/packages/steering/src/yuccapitch/steering/placement/apportionment.py
+++ b/packages/steering/src/yuccapitch/steering/placement/apportionment.py
@@ -55,6 +55,11 @@
 WHOLE = Share()
 
 
+def find_whole(endpoint_id: ids.EndpointId) -> Share:
+    """Return the share of an instance that places for all others."""
+    return WHOLE
+
+
 class Apportionment:
     """Shares of one instance of the limits of all endpoints."""
 
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -4,8 +4,9 @@
 
 import collections
 import enum
+from collections.abc import Callable
 
-from yuccapitch.catalogue import routes
+from yuccapitch.catalogue import ids, routes
 from yuccapitch.steering.placement import (
     apportionment,
     cache_capacity,
@@ -65,13 +66,15 @@
         service: routes.RoutedService,
         capacity: cache_capacity.CacheCapacity,
         now: float,
-        share: apportionment.Share = apportionment.WHOLE,
+        find_share: Callable[
+            [ids.EndpointId], apportionment.Share
+        ] = apportionment.find_whole,
     ) -> None:
         """Create the state of an endpoint without any measurement."""
         self.endpoint = endpoint
         self.service = service
-        self.share = share
-        """Part of the endpoint's limits that this instance uses."""
+        self._find_share = find_share
+        self._share: apportionment.Share | None = None
         self.region_rate_fraction = 1.0
         """Fraction of a limit named by the endpoint that this region uses."""
         self._region_cold_share = apportionment.WHOLE
@@ -109,9 +112,18 @@
             if extension_s > MAX_WARM_UP_JITTER_S:
                 self.mark_cold(now, endpoint.cold_left_s)
 
-    def set_share(self, share: apportionment.Share, now: float) -> None:
-        """Use another part of the endpoint's limits from now on."""
-        self.share = share
+    @property
+    def share(self) -> apportionment.Share:
+        """Part of the endpoint's limits that this instance uses."""
+        # Found when it is needed: most instances never place by themselves, and ranking
+        # all instances for all endpoints takes tens of milliseconds on large sites.
+        if self._share is None:
+            self._share = self._find_share(self.endpoint.endpoint_id)
+        return self._share
+
+    def renew_share(self, now: float) -> None:
+        """Use the part of the endpoint's limits that is found from now on."""
+        self._share = None
         if self._cold_start_limiter is not None:
             self._cold_start_limiter.update(self._cold_rate_share, now)
 
@@ -127,7 +139,7 @@
         self.region_rate_fraction = rate_fraction
         if cold_share != self._region_cold_share:
             self._region_cold_share = cold_share
-            self.set_share(self.share, now)
+            self.renew_share(now)
 
     def mark_cold(self, now: float, duration_s: float) -> None:
         """Treat the endpoint as warming up, with empty caches, for ``duration_s``."""
--- a/packages/steering/src/yuccapitch/steering/placement/table.py
+++ b/packages/steering/src/yuccapitch/steering/placement/table.py
@@ -32,6 +32,8 @@
 # not assigned, and of its request rate while it is cold. They use it only for requests
 # that no endpoint of their own may serve.
 OTHER_REGIONS_RATE_SHARE = 0.2
+# Shares of endpoints that are kept, with those that have left the list.
+MAX_CACHED_SHARES = 20_000
 
 # What is kept of the summaries that arrive before the first list.
 MAX_RESTORATIONS = 4096
@@ -62,6 +64,10 @@
         self._evacuated_domains: frozenset[ids.FailureDomainId] = frozenset()
         self._round_trip_s_by_region_id: dict[ids.RegionId, float] = {region_id: 0.0}
         self._region_ids: frozenset[ids.RegionId] = frozenset((region_id,))
+        # Kept as lists change far more often than regions.
+        self._cold_shares_by_endpoint: dict[
+            tuple[ids.EndpointId, ids.RegionId], apportionment.Share
+        ] = {}
         self._has_endpoints = False
         # What is known of endpoints before the first list names them.
         self._restorations: collections.deque[tuple[ids.EndpointId, Restoration]]
@@ -87,8 +93,8 @@
         if shares == self._apportionment:
             return
         self._apportionment = shares
-        for endpoint_id, state in self.states_by_id.items():
-            state.set_share(self._share(endpoint_id), now)
+        for state in self.states_by_id.values():
+            state.renew_share(now)
 
     def update(
         self,
@@ -121,9 +127,8 @@
             )
             if state is None or is_new:
                 capacity = self.cache_capacity(endpoint.service_id)
-                share = self._share(endpoint.endpoint_id)
                 state = endpoint_state.EndpointState(
-                    endpoint, service, capacity, now, share
+                    endpoint, service, capacity, now, self._find_share
                 )
                 if self._has_endpoints:
                     state.untried_since = now
@@ -138,12 +143,15 @@
                 endpoint.service_id, []
             )
             service_states.append(state)
-        self._region_ids = frozenset(
+        region_ids = frozenset(
             (
                 self.region_id,
                 *(state.endpoint.region_id for state in self.states_by_id.values()),
             )
         )
+        if region_ids != self._region_ids:
+            self._region_ids = region_ids
+            self._cold_shares_by_endpoint.clear()
         for state in self.states_by_id.values():
             rate_fraction = self._region_rate_fraction(state)
             state.set_region_shares(rate_fraction, self._region_cold_share(state), now)
@@ -315,7 +323,7 @@
         not_shared = endpoint_state.Availability.NOT_SHARED
         return all(self.availability(state, now) is not_shared for state in states)
 
-    def _share(self, endpoint_id: ids.EndpointId) -> apportionment.Share:
+    def _find_share(self, endpoint_id: ids.EndpointId) -> apportionment.Share:
         if self._apportionment is None:
             return apportionment.WHOLE
         return self._apportionment.share(endpoint_id)
@@ -341,17 +349,23 @@
         The region to which the endpoint is assigned uses the whole, which leaves room
         for the little that the first ranked of the others use.
         """
-        serving_region_id = state.endpoint.serving_region_id
-        if serving_region_id == self.region_id:
+        endpoint = state.endpoint
+        if endpoint.serving_region_id == self.region_id:
             return apportionment.WHOLE
-        other_region_ids = self._region_ids - {serving_region_id}
-        return apportionment.Share(
-            apportionment.rank(
-                state.endpoint.endpoint_id, self.region_id, other_region_ids
-            ),
-            len(other_region_ids),
-            OTHER_REGIONS_RATE_SHARE,
-        )
+        key = (endpoint.endpoint_id, endpoint.serving_region_id)
+        share = self._cold_shares_by_endpoint.get(key)
+        if share is None:
+            if len(self._cold_shares_by_endpoint) > MAX_CACHED_SHARES:
+                self._cold_shares_by_endpoint.clear()
+            other_region_ids = self._region_ids - {endpoint.serving_region_id}
+            share = self._cold_shares_by_endpoint[key] = apportionment.Share(
+                apportionment.rank(
+                    endpoint.endpoint_id, self.region_id, other_region_ids
+                ),
+                len(other_region_ids),
+                OTHER_REGIONS_RATE_SHARE,
+            )
+        return share
 
     def _find_eligible(
         self,
