Log: places at cold endpoints name the share of the rate that is used

place.granted-cold named one part in n of all limits. The event and its fields keep their names. Shares are kept with the endpoints only, so that they go when an endpoint goes.

--- a/packages/gateway/src/yuccapitch/gateway/front/placers.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/placers.py
@@ -121,11 +121,13 @@
     def log_cold_grant(self, decision: model.Decision) -> None:
         """Log a place at an endpoint that is warming up, whose rate is limited."""
         if isinstance(decision, model.Granted) and decision.is_cold:
+            states_by_id = self._dispatcher.table.states_by_id
+            state = states_by_id.get(decision.endpoint.endpoint_id)
             events.event(
                 "place.granted-cold",
                 request=decision.attempt_id,
                 endpoint=decision.endpoint.endpoint_id,
-                share=round(self._dispatcher.table.capacity_share, 4),
+                share=0.0 if state is None else round(state.cold_rate_share, 4),
             )
 
     def _cancel(
--- a/packages/gateway/tests/front/test_region_placer.py
+++ b/packages/gateway/tests/front/test_region_placer.py
@@ -11,8 +11,17 @@
 
 from yuccapitch.catalogue import ids, routes
 from yuccapitch.gateway.front import region_placer
-from yuccapitch.protocol import link as inner_link, place_messages as messages
-from yuccapitch.steering.placement import cache_capacity, dispatcher, model
+from yuccapitch.protocol import (
+    events,
+    link as inner_link,
+    place_messages as messages,
+)
+from yuccapitch.steering.placement import (
+    apportionment,
+    cache_capacity,
+    dispatcher,
+    model,
+)
 
 NORTH = ids.RegionId("north")
 SERVICE = ids.ServiceId("orders")
@@ -430,6 +439,29 @@
         assert table.states_by_id[endpoint_id].is_cold(now + 2.9)
 
 
+# Guards against a log of cold places that names the share of slots, of which the first
+# ranked instances use none or all of the rate.
+async def test_place_at_a_cold_endpoint_is_logged_with_the_share_of_its_rate(
+    monkeypatch,
+):
+    region = Region("e1")
+    region.use_dispatcher(A)
+    now = asyncio.get_running_loop().time()
+    local_dispatcher = region.placers[A]._local_dispatcher
+    service = routes.RoutedService(SERVICE, "/health", 9, 3.0, 2.5)
+    local_dispatcher.table.update(
+        region.endpoints.values(), {SERVICE: service}, frozenset(), now
+    )
+    shares = apportionment.Apportionment(A, [A])
+    local_dispatcher.table.set_apportionment(shares, now)
+    local_dispatcher.table.states_by_id[ids.EndpointId("e1")].mark_cold(now, 3.0)
+    logged = []
+    monkeypatch.setattr(events, "event", lambda name, **f: logged.append((name, f)))
+    await place(region, A, "a")
+    [fields] = [fields for name, fields in logged if name == "place.granted-cold"]
+    assert fields["share"] == apportionment.SELF_PLACED_RATE_FRACTION
+
+
 async def test_instance_passes_on_the_cold_endpoints_that_it_was_told_of():
     region = Region("e1")
     region.use_dispatcher(A)
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -19,7 +19,7 @@
 from yuccapitch.gateway.http1 import messages as http_messages
 from yuccapitch.node.routed import entry_node, settings
 from yuccapitch.protocol import subscription_messages as messages
-from yuccapitch.steering.placement import model
+from yuccapitch.steering.placement import apportionment, model
 
 LEADER = "10.0.0.9:7000"
 NAMES = headers.HeaderNames(
@@ -436,12 +436,13 @@
 # Guards against instances that place by themselves with the whole of each limit.
 async def test_poll_response_says_who_shares_the_limits_of_endpoints(node):
     own_id = node._node_settings.instance_id
+    peer_ids = [own_id, *map(ids.InstanceId, ("10.0.0.2:7000", "10.0.0.3:7000"))]
     instances = tuple(
-        messages.EntryInstance(instance_id, "north", "north-a", "h", 80, True, False)
-        for instance_id in (own_id, "10.0.0.2:7000", "10.0.0.3:7000")
+        messages.EntryInstance(peer_id, "north", "north-a", "h", 80, True, False)
+        for peer_id in peer_ids
     )
     table = node._dispatcher.table
-    dispatcher_ids = (instances[1].instance_id, own_id)
+    dispatcher_ids = (peer_ids[1], own_id)
     for version, dispatcher_id in enumerate(dispatcher_ids, start=1):
         response = dataclasses.replace(
             answer(b"routes", 4),
@@ -450,7 +451,9 @@
             dispatchers=(messages.RegionDispatcher("north", dispatcher_id),),
         )
         deliver(node, response, sent_at=1.0)
-        assert table.capacity_share == (1.0 if dispatcher_id == own_id else 1 / 3)
+        is_shared = dispatcher_id != own_id
+        shares = apportionment.Apportionment(own_id, peer_ids) if is_shared else None
+        assert table._apportionment == shares
 
 
 # Guards against a request that is read at the end of the grace and passed on.
--- a/packages/steering/src/yuccapitch/steering/placement/apportionment.py
+++ b/packages/steering/src/yuccapitch/steering/placement/apportionment.py
@@ -64,7 +64,6 @@
         """Share with ``peer_ids``, which may include this instance."""
         self._instance_id = instance_id
         self._instance_ids = frozenset((*peer_ids, instance_id))
-        self._shares_by_endpoint_id: dict[ids.EndpointId, Share] = {}
 
     def __eq__(self, other: object) -> bool:
         """Return whether another apportionment gives the same shares."""
@@ -81,15 +80,11 @@
 
     def share(self, endpoint_id: ids.EndpointId) -> Share:
         """Return the share of an endpoint's limits."""
-        share = self._shares_by_endpoint_id.get(endpoint_id)
-        if share is None:
-            share = Share(
-                rank(endpoint_id, self._instance_id, self._instance_ids),
-                self.instance_count,
-                SELF_PLACED_RATE_FRACTION,
-            )
-            self._shares_by_endpoint_id[endpoint_id] = share
-        return share
+        return Share(
+            rank(endpoint_id, self._instance_id, self._instance_ids),
+            self.instance_count,
+            SELF_PLACED_RATE_FRACTION,
+        )
 
 
 def rank(endpoint_id: ids.EndpointId, own_id: str, all_ids: Iterable[str]) -> int:
--- a/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
+++ b/packages/steering/src/yuccapitch/steering/placement/endpoint_state.py
@@ -113,7 +113,7 @@
         """Use another part of the endpoint's limits from now on."""
         self.share = share
         if self._cold_start_limiter is not None:
-            self._cold_start_limiter.update(self._cold_rate_share, now)
+            self._cold_start_limiter.update(self.cold_rate_share, now)
 
     @property
     def is_first_user(self) -> bool:
@@ -129,6 +129,13 @@
             self._region_cold_share = cold_share
             self.set_share(self.share, now)
 
+    @property
+    def cold_rate_share(self) -> float:
+        """Fraction of the request rate while cold that this instance uses."""
+        rate_per_s = self.service.cold_rate_per_s
+        region_share = self._region_cold_share.of_rate(rate_per_s)
+        return region_share * self.share.of_rate(region_share * rate_per_s)
+
     def mark_cold(self, now: float, duration_s: float) -> None:
         """Treat the endpoint as warming up, with empty caches, for ``duration_s``."""
         self._used_at_by_object_id.clear()
@@ -140,7 +147,7 @@
         self.cold_until = max(self.cold_until, ends_at)
         if self._cold_start_limiter is None and self.service.cold_rate_per_s > 0:
             self._cold_start_limiter = cold_start_limiter.ColdStartLimiter(
-                self.service.cold_rate_per_s, self._cold_rate_share, now
+                self.service.cold_rate_per_s, self.cold_rate_share, now
             )
 
     def is_cold(self, now: float) -> bool:
@@ -296,13 +303,7 @@
             if self._rate_limiter is not None and not self.rate_share:
                 return False
         is_limited = self._cold_start_limiter is not None and self.is_cold(now)
-        return not is_limited or self._cold_rate_share > 0
-
-    @property
-    def _cold_rate_share(self) -> float:
-        rate_per_s = self.service.cold_rate_per_s
-        region_share = self._region_cold_share.of_rate(rate_per_s)
-        return region_share * self.share.of_rate(region_share * rate_per_s)
+        return not is_limited or self.cold_rate_share > 0
 
     def _predict(self, object_id: str, now: float) -> cache_capacity.CachePrediction:
         if not self.is_warm(object_id, now):
--- a/packages/steering/src/yuccapitch/steering/placement/table.py
+++ b/packages/steering/src/yuccapitch/steering/placement/table.py
@@ -73,13 +73,6 @@
         self._eligible_version = -1
         self._limits: dict[tuple[int, ids.RegionId], int] = {}
 
-    @property
-    def capacity_share(self) -> float:
-        """The average part of endpoints' limits that an instance uses."""
-        if self._apportionment is None:
-            return 1.0
-        return 1.0 / self._apportionment.instance_count
-
     def set_apportionment(
         self, shares: apportionment.Apportionment | None, now: float
     ) -> None:
