Daemon: limit the work for uploads in small chunks

Cause: a chunk costs about the same work whatever its length, and the limits count bytes of the body. What a connection holds, up to 4 MiB, was parsed at once, and while aiohttp reads a body its parser refills it within one step with all that it was given.

Framing, that is all of an upload beside its body (sizes and extensions of chunks, trailers), is now limited to 128 KiB and an eighth of the body; above, the upload is refused with body-fragmented and the rest discarded. Bytes are parsed in pieces of 16 KiB, and held ones delivered in steps of 256 KiB with other connections served between them.

On the code before, the tests printed "assert False" for startswith(b'HTTP/1.1 413 ') (the response was 200 OK) and "assert 20 < 5" (pieces of 100 kB delivered in one step).

--- a/packages/gateway/src/yuccapitch/gateway/request_body.py
+++ b/packages/gateway/src/yuccapitch/gateway/request_body.py
@@ -26,6 +26,7 @@
     STALLED = "stalled"
     LATE = "late"
     CUT_OFF = "cut-off"
+    FRAGMENTED = "fragmented"
 
 
 class BodyError(Exception):
@@ -36,6 +37,10 @@
         self.fault = fault
 
 
+class FragmentedBodyError(web.RequestPayloadError):
+    """Reason why the rest of a request body isn't received, set by its connection."""
+
+
 @dataclasses.dataclass
 class RequestBody:
     """A request body: complete in memory, or a stream that can be read only once."""
@@ -127,6 +132,7 @@
         BodyFault.STALLED: (408, f"no byte of the body came for {STALL_TIMEOUT_S} s"),
         BodyFault.LATE: (408, "the body did not come before the request's deadline"),
         BodyFault.CUT_OFF: (400, "the body ended before its announced length"),
+        BodyFault.FRAGMENTED: (413, "the body comes in too many small chunks"),
     }
     status, message = messages_by_fault[fault]
     return outcomes.Failure(status, f"body-{fault.value}", message)
@@ -139,6 +145,8 @@
                 chunk = await request.content.readany()
         except TimeoutError:
             raise BodyError(BodyFault.STALLED) from None
+        except FragmentedBodyError:
+            raise BodyError(BodyFault.FRAGMENTED) from None
         except (OSError, web.RequestPayloadError):
             raise BodyError(BodyFault.CUT_OFF) from None
         if not chunk:
--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -8,9 +8,9 @@
 from collections.abc import Sequence
 from typing import Any
 
-from aiohttp import http_exceptions, web, web_protocol
+from aiohttp import http_exceptions, streams, web, web_protocol
 
-from yuccapitch.gateway import outcomes
+from yuccapitch.gateway import outcomes, request_body
 from yuccapitch.gateway.http1 import peer_state
 from yuccapitch.node import lingering_transport, read_ahead
 from yuccapitch.protocol import events
@@ -24,8 +24,17 @@
 STOP_CHECK_INTERVAL_S = 0.05
 TIMER_RETRY_S = 0.1
 """Time after which a timer that fired before unread bytes were parsed fires again."""
+MAX_FRAMING_BYTES = 128 * 1024
+"""Bytes of an upload beside its body: sizes and extensions of chunks, and trailers.
+
+Small chunks cost about the same work whatever their length.
+"""
+MAX_FRAMING_FRACTION = 1 / 8
+"""What an upload may have of them beyond, as a fraction of its body."""
 MAX_MESSAGE_CHARS = 200
 TRACE_FRAMES = 4
+MAX_PIECE_BYTES = 16 * 1024
+"""Bytes that are parsed at once, which the parser may keep to itself."""
 END_OF_HEAD = b"\r\n\r\n"
 INTERNAL_ERROR = "internal-error"
 HEAD_TIMEOUT_FAILURE = outcomes.Failure(
@@ -118,6 +127,7 @@
         self._read_ahead: read_ahead.ReadAhead
         self._head_timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
+        self._framing_bytes = 0
         self._is_malformed = False
 
     @property
@@ -160,8 +170,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse bytes, or keep them while the application doesn't read."""
         if self._is_malformed:
-            # No request can begin behind it. aiohttp would report each read as another
-            # error, and keep its bytes with it.
+            # aiohttp would report each read as another error and keep its bytes.
             return
         # aiohttp passes no bytes to parse what its parser has kept.
         if not data or not self._read_ahead.hold(data):
@@ -171,10 +180,10 @@
         """Parse bytes and limit the size and time of an incomplete request head."""
         if self.wrapped_transport.is_lingering:
             return
-        pieces = _split_after_heads(data)
+        pieces = _split(data)
         while pieces:
-            super().data_received(pieces.pop(0))
-            if self._find_malformed_head():
+            self._parse_piece(pieces.pop(0))
+            if self._is_malformed:
                 break
             if pieces and self._read_ahead.is_paused:
                 self._read_ahead.put_back(b"".join(pieces))
@@ -184,16 +193,43 @@
         elif self._head_timer is not None:
             self._reset_head()
 
-    def _find_malformed_head(self) -> bool:
-        """Return whether the last bytes were malformed; if so, discard the others."""
+    def _parse_piece(self, data: bytes) -> None:
+        body = self._find_incomplete_body()
+        received_bytes = 0 if body is None else body.total_bytes
+        super().data_received(data)
+        if body is None or body.is_eof():
+            self._framing_bytes = 0
+        else:
+            # What the parser keeps to itself for now is counted, then taken off again.
+            self._framing_bytes += len(data) - (body.total_bytes - received_bytes)
+            most = MAX_FRAMING_BYTES + MAX_FRAMING_FRACTION * body.total_bytes
+            if self._framing_bytes > most:
+                self._reject_fragmented(body)
         last = self._messages[-1][0] if self._messages else None
-        if not isinstance(last, web_protocol._ErrInfo):
-            return False
+        if isinstance(last, web_protocol._ErrInfo):
+            # Its traceback refers to the bytes.
+            last.exc.__traceback__ = None
+            self._discard_rest()
+
+    def _find_incomplete_body(self) -> streams.StreamReader | None:
+        if self._messages:
+            body = self._messages[-1][1]
+        elif self._current_request is not None:
+            body = self._current_request.content
+        else:
+            return None
+        return None if body.is_eof() else body
+
+    def _reject_fragmented(self, body: streams.StreamReader) -> None:
+        body.set_exception(request_body.FragmentedBodyError("too many small pieces"))
+        # aiohttp would wait for the end of the body behind the response.
+        self._lingering_time = 0.0
+        self._discard_rest()
+
+    def _discard_rest(self) -> None:
+        # No request can begin in what the client sends from now on.
         self._is_malformed = True
-        # Its traceback refers to the bytes.
-        last.exc.__traceback__ = None
         self._read_ahead.discard()
-        return True
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the timer of an incomplete request head, and free what is kept."""
@@ -269,13 +305,17 @@
             self._head_timer = None
 
 
-def _split_after_heads(data: bytes) -> list[bytes]:
+def _split(data: bytes) -> list[bytes]:
     # The parser of aiohttp drops the requests before a malformed one in the same bytes.
     parts = data.split(END_OF_HEAD, web_protocol.MAX_MSG_QUEUE_SIZE)
     pieces = [part + END_OF_HEAD for part in parts[:-1]]
     if parts[-1] or not pieces:
         pieces.append(parts[-1])
-    return pieces
+    return [
+        piece[start : start + MAX_PIECE_BYTES]
+        for piece in pieces
+        for start in range(0, len(piece) or 1, MAX_PIECE_BYTES)
+    ]
 
 
 def _cut(transport: asyncio.Transport) -> None:
--- a/packages/node/src/yuccapitch/node/read_ahead.py
+++ b/packages/node/src/yuccapitch/node/read_ahead.py
@@ -13,6 +13,8 @@
 
 MAX_CONNECTION_BYTES = 4 * 1024 * 1024
 MAX_PROCESS_BYTES = 64 * 1024 * 1024
+# Held bytes that are delivered at once, after which other connections are served.
+DELIVERY_STEP_BYTES = 256 * 1024
 
 
 class Budget:
@@ -122,12 +124,18 @@
         """Receive ahead, or stop to, as the limits say."""
         if self._held_bytes >= MAX_CONNECTION_BYTES or self._budget.is_exhausted:
             self._transport_pause.start()
-        elif self._is_paused:
+        elif self._is_paused or self._held:
             self._transport_pause.end()
 
     def _deliver_held(self) -> None:
+        delivered_bytes = 0
         while self._held and not self._is_paused:
+            if delivered_bytes >= DELIVERY_STEP_BYTES:
+                self._loop.call_soon(self._deliver_held)
+                self.update_transport()
+                return
             data = self._held.popleft()
+            delivered_bytes += len(data)
             self._count(-len(data))
             self._deliver(data)
         if not self._is_paused:
--- a/packages/node/tests/test_http_connection.py
+++ b/packages/node/tests/test_http_connection.py
@@ -8,6 +8,7 @@
 import pytest
 from aiohttp import web
 
+from yuccapitch.gateway import outcomes, request_body
 from yuccapitch.node import http_server
 
 BODY_BYTES = 300_000
@@ -155,3 +156,63 @@
     assert peak_bytes < MAX_KEPT_BYTES
     assert received.startswith(b"HTTP/1.1 200 ")
     assert received.count(b"HTTP/1.") >= 2
+
+
+async def upload_in_chunks(chunk: bytes, count: int) -> tuple[bytes, int]:
+    """Return the response to a chunked upload, and how much of it was read."""
+    received_sizes: list[int] = []
+
+    async def receive(request: web.Request) -> web.Response:
+        buffered = await request_body.buffer_body(request, 64 * 1024 * 1024, 20.0)
+        if buffered.is_err():
+            return outcomes.failure_response(buffered.err_value, 0)
+        try:
+            async for data in buffered.ok_value.iter_chunks():
+                received_sizes.append(len(data))
+        except request_body.BodyError as error:
+            return outcomes.failure_response(request_body.body_failure(error.fault), 0)
+        return web.Response()
+
+    app = web.Application()
+    app.router.add_post("/", receive)
+    server = http_server.HttpServer("127.0.0.1", 0, 16_384)
+    async with contextlib.AsyncExitStack() as stack:
+        await server.serve(app, stack)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.address.port)
+        stack.callback(writer.close)
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        encoded = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+        writer.write(encoded * count + b"0\r\n\r\n")
+        async with asyncio.timeout(60):
+            received = await reader.read()
+    return received, sum(received_sizes)
+
+
+# Guards against clients that take up the event loop by the smallest chunks of a body,
+# or by extensions of chunks.
+@pytest.mark.parametrize(
+    ("chunk", "count"), [(b"x", 2 * 1024 * 1024)], ids=["one-byte"]
+)
+async def test_connection_refuses_an_upload_in_too_many_small_chunks(
+    chunk: bytes, count: int
+) -> None:
+    received, read_bytes = await upload_in_chunks(chunk, count)
+    assert received.startswith(b"HTTP/1.1 413 ")
+    assert b"body-fragmented" in received
+    assert read_bytes < count / 4
+
+
+@pytest.mark.parametrize(
+    ("chunk", "count"),
+    [(b"x", 16_384), (bytes(100), 200_000), (bytes(65_536), 400)],
+    ids=["few", "small", "large"],
+)
+async def test_connection_receives_an_upload_in_chunks(
+    chunk: bytes, count: int
+) -> None:
+    received, read_bytes = await upload_in_chunks(chunk, count)
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert read_bytes == len(chunk) * count
--- a/packages/node/tests/test_read_ahead.py
+++ b/packages/node/tests/test_read_ahead.py
@@ -145,3 +145,20 @@
     reader.reading.discard()
     assert not reader.reading.has_bytes
     assert not reader.reading.hold(b"2")
+
+
+# Guards against an event loop that one connection takes up: whatever it holds, in
+# pieces that are costly to parse, was delivered at once.
+async def test_resume_lets_other_connections_be_served_between_pieces() -> None:
+    reader = Reader()
+    reader.reading.pause()
+    pieces = [bytes([number]) * 100_000 for number in range(20)]
+    for piece in pieces:
+        reader.receive(piece)
+    reader.reading.resume()
+    await asyncio.sleep(0)
+    assert 0 < len(reader.delivered) < 5
+    reader.receive(b"last")
+    while reader.reading.has_bytes:
+        await asyncio.sleep(0)
+    assert reader.delivered == [*pieces, b"last"]
