--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -24,7 +24,7 @@
 STOP_CHECK_INTERVAL_S = 0.05
 TIMER_RETRY_S = 0.1
 """Time after which a timer that fired before unread bytes were parsed fires again."""
-MAX_FRAMING_BYTES = 192 * 1024
+MAX_FRAMING_BYTES = 128 * 1024
 """Bytes of an upload beside its body: sizes and extensions of chunks, and trailers.
 
 Small chunks cost about the same work whatever their length.
@@ -33,7 +33,7 @@
 """What an upload may have of them beyond, as a fraction of its body."""
 MAX_MESSAGE_CHARS = 200
 TRACE_FRAMES = 4
-MAX_PIECE_BYTES = 64 * 1024
+MAX_PIECE_BYTES = 16 * 1024
 """Bytes that are parsed at once, which the parser may keep to itself."""
 END_OF_HEAD = b"\r\n\r\n"
 INTERNAL_ERROR = "internal-error"
