--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -132,7 +132,8 @@
 declare("link.closed", "An inner link was closed.")
 declare(
     "link.refused",
-    "A peer on the inner port was refused: unknown or not using the protocol.",
+    "A peer on the inner port was refused: unknown, not speaking the protocol, or"
+    " sending too much.",
     Level.WARNING,
 )
 declare(
