Consensus: bound the size of the files that are read at the start

Cause: each file of the data folder is read whole before anything in it is looked at, whatever its size.

Evidence (test_disk_file_that_is_too_large_is_an_error on the code before): files of 600 MiB were read, a segment without an error (`Called Result.unwrap_err() on an Ok value`), hard-state and identity with `'larger than 65536 bytes' in 'truncated or followed by extra bytes'`.

Change: the size is compared first: 512 MiB for a segment, which has 4 MiB and one record of any size, 64 KiB for identity, term and vote. The error names file, limit and the usual remedy. A record whose length claims more than is there took no memory before either; a test now says so.

Run: packages/consensus/tests/test_disk.py, test_power_loss.py, test_durability.py, test_replica_disks.py and test_replacements.py pass.

--- a/packages/consensus/src/yuccapitch/consensus/disk.py
+++ b/packages/consensus/src/yuccapitch/consensus/disk.py
@@ -24,6 +24,9 @@
 _IDENTITY = "identity"
 _HARD_STATE = "hard-state"
 _SNAPSHOT = "snapshot"
+# Largest identity, term and vote that are read. The size of a snapshot is that of the
+# state.
+MAX_SMALL_FILE_BYTES = 64 * 1024
 
 
 class DiskStorage:
@@ -141,6 +144,10 @@
         path = self._folder / name
         if not path.exists():
             return result.Ok(None)
+        if name != _SNAPSHOT:
+            too_large = storage.too_large_error(path, MAX_SMALL_FILE_BYTES)
+            if too_large is not None:
+                return result.Err(too_large)
         data = path.read_bytes()
         first_frame = next(records.read_frames(data), None)
         if isinstance(first_frame, result.Ok):
--- a/packages/consensus/src/yuccapitch/consensus/segments.py
+++ b/packages/consensus/src/yuccapitch/consensus/segments.py
@@ -13,6 +13,9 @@
 from yuccapitch.protocol import consensus_messages as messages
 
 MAX_SEGMENT_BYTES = 4 * 1024 * 1024
+# Largest file that is read, above any segment: the last record may have the size of a
+# whole change.
+MAX_FILE_BYTES = 512 * 1024 * 1024
 _PATTERN = "log-*.segment"
 
 
@@ -51,6 +54,9 @@
             if _segment_number(path) != _segment_number(paths[0]) + number:
                 reason = "the previous segment is missing"
                 return result.Err(storage.StorageError(str(path), 0, reason))
+            too_large = storage.too_large_error(path, MAX_FILE_BYTES)
+            if too_large is not None:
+                return result.Err(too_large)
             corruption = self._replay_segment(
                 segment, path == paths[-1], snapshot_index, entries
             )
--- a/packages/consensus/src/yuccapitch/consensus/storage.py
+++ b/packages/consensus/src/yuccapitch/consensus/storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import pathlib
 import typing
 
 import result
@@ -29,6 +30,13 @@
         return f"{self.path}, byte {self.offset}: {self.reason}; {self.remedy}"
 
 
+def too_large_error(path: pathlib.Path, max_bytes: int) -> StorageError | None:
+    """Return the error of a file that is too large to be read, or None."""
+    if path.stat().st_size <= max_bytes:
+        return None
+    return StorageError(str(path), 0, f"larger than {max_bytes} bytes")
+
+
 class Storage(typing.Protocol):
     """Durable storage of a replica; writes are durable only after ``sync``."""
 
--- a/packages/consensus/tests/test_disk.py
+++ b/packages/consensus/tests/test_disk.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import shutil
+import struct
+import tracemalloc
 
+import crc32c
 import pytest
 import result
 
@@ -166,3 +169,39 @@
     recovered = load(written[0])
     assert isinstance(recovered, result.Ok)
     assert not (written[0] / "hard-state.tmp").exists()
+
+
+# Guards against an instance that ends at each start by a file that is not its own, or
+# that a fault of the disk has made large.
+@pytest.mark.parametrize(
+    ("name", "max_bytes"),
+    [(SEGMENT, 536_870_912), ("hard-state", 65_536), ("identity", 65_536)],
+)
+def test_disk_file_that_is_too_large_is_an_error(written, name, max_bytes):
+    folder, _ = written
+    with open(folder / name, "ab") as file:
+        file.truncate(600 * 1024 * 1024)
+    tracemalloc.start()
+    try:
+        error = load(folder).unwrap_err()
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert error.path.endswith(name)
+    assert f"larger than {max_bytes} bytes" in error.reason
+    assert peak_bytes < 1024 * 1024
+
+
+def test_disk_claimed_length_of_a_record_takes_no_memory(written):
+    folder, acknowledged = written
+    header = struct.pack(">II", 2**32 - 1, 0)
+    with open(folder / SEGMENT, "ab") as file:
+        file.write(header + struct.pack(">I", crc32c.crc32c(header)) + b"x" * 100)
+    tracemalloc.start()
+    try:
+        recovered = load(folder).unwrap()
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert recovered.entries == acknowledged[-1][1]
+    assert peak_bytes < 1024 * 1024
