Daemon: bound what is kept of the platform's lists

Cause: notices and records are kept by id without a bound on the ids, which the platform chooses. The time of a list is an integer of any size, and 10**400 / 1000 raises.

Now ids that neither the catalogue nor the last list of a URL names are forgotten. What is kept is bounded by the limits of a list; notices about declared endpoints are kept as before. A time is a number of milliseconds below 2**53, as in load reports.

On the code before, both tests fail: after four lists the ids of all of them were known ("Extra items in the left set: 'other-2' 'other-0' 'other-1'"), and the impossible time logged nothing within 20 s. With the limit on the time alone the first still failed. Now the 29 tests of the monitor and the 4 of the notices pass.

--- a/packages/gateway/src/yuccapitch/gateway/endpoint_monitor.py
+++ b/packages/gateway/src/yuccapitch/gateway/endpoint_monitor.py
@@ -67,6 +67,8 @@
         self._session: aiohttp.ClientSession
         self._tasks: set[asyncio.Task[None]] = set()
         self._platform_list_read_at: dict[str, float] = {}
+        self._listed_ids_by_url: dict[str, frozenset[ids.EndpointId]] = {}
+        """Endpoints in the last list that was read from each URL."""
 
     def configure(self, view: config_view.ConfigView) -> None:
         """Apply the drains of a configuration."""
@@ -260,6 +262,27 @@
             )
             self._leaving_tracker.record_platform_notice(notice)
             self._update_leaving(endpoint_id)
+        self._forget_unlisted(
+            url,
+            frozenset(
+                ids.EndpointId(item.id) for item in platform_list.ok_value.instances
+            ),
+        )
+
+    def _forget_unlisted(self, url: str, listed_ids: frozenset[ids.EndpointId]) -> None:
+        """Forget undeclared endpoints that only an earlier list of a URL named.
+
+        Otherwise lists that name other endpoints each time would all be kept.
+        """
+        assert self._view is not None
+        unlisted_ids = self._listed_ids_by_url.get(url, frozenset()) - listed_ids
+        self._listed_ids_by_url[url] = listed_ids
+        known_ids = self._view.declaration.endpoints_by_id.keys()
+        for endpoint_id in unlisted_ids.difference(
+            known_ids, *self._listed_ids_by_url.values()
+        ):
+            self._leaving_tracker.forget_platform_notice(endpoint_id)
+            self._records_by_id.pop(endpoint_id, None)
 
     def _get_record(self, endpoint_id: ids.EndpointId) -> _EndpointRecord:
         return self._records_by_id.setdefault(endpoint_id, _EndpointRecord())
--- a/packages/gateway/src/yuccapitch/gateway/load_report.py
+++ b/packages/gateway/src/yuccapitch/gateway/load_report.py
@@ -50,7 +50,7 @@
 class PlatformList(pydantic.BaseModel):
     """The platform's list of instances at one time."""
 
-    as_of_unix_ms: int
+    as_of_unix_ms: int = pydantic.Field(ge=0, lt=2**53)
     instances: tuple[PlatformInstance, ...] = pydantic.Field(
         max_length=MAX_PLATFORM_INSTANCES
     )
--- a/packages/gateway/tests/test_endpoint_monitor.py
+++ b/packages/gateway/tests/test_endpoint_monitor.py
@@ -204,3 +204,66 @@
             failed = await logged.wait_for("platform.list-failed")
             assert not monitor.is_leaving(B1)
     assert "Timeout" not in failed["reason"]
+
+
+# Guards against a time that ends the read with an error which nobody sees.
+async def test_platform_list_with_an_impossible_time_is_refused(
+    logged: LoggedEvents,
+) -> None:
+    body = b'{"as_of_unix_ms": 1%s, "instances": [{"id": "x", "state": "live"}]}'
+    body %= 400 * b"0"
+    answer = HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    async with raw_endpoint.sending(answer) as endpoint:
+        url = f"http://127.0.0.1:{endpoint.port}/list"
+        async with monitoring(endpoint.port, platform_list_url=url):
+            await logged.wait_for("platform.list-failed")
+
+
+# Guards against lists that name other instances each time and are kept for ever.
+async def test_platform_lists_keep_no_instances_that_are_listed_no_more(
+    monkeypatch: pytest.MonkeyPatch, logged: LoggedEvents
+) -> None:
+    monkeypatch.setattr(endpoint_monitor, "PLATFORM_LIST_INTERVAL_S", 0.0)
+    lists = [numbered_list(number) for number in range(3)]
+    async with answering_in_turn(*lists, numbered_list(3, B1)) as port:
+        url = f"http://127.0.0.1:{port}/list"
+        async with monitoring(port, platform_list_url=url) as monitor:
+            async with asyncio.timeout(20):
+                while leaving_ids(monitor) != {B1, "other-3"}:
+                    await asyncio.sleep(0.01)
+
+
+INSTANCE_IDS = [B1, *(ids.EndpointId(f"other-{number}") for number in range(4))]
+
+
+def leaving_ids(monitor: endpoint_monitor.EndpointMonitor) -> set[str]:
+    """Return the ids that are taken for leaving."""
+    return {i for i in INSTANCE_IDS if monitor.is_leaving(i)}
+
+
+def numbered_list(number: int, *instance_ids: str) -> bytes:
+    """Return the list of a time, in which an instance of that number is leaving."""
+    instances = [
+        {"id": instance_id, "state": "leaving"}
+        for instance_id in (f"other-{number}", *instance_ids)
+    ]
+    return json.dumps({"as_of_unix_ms": number + 1, "instances": instances}).encode()
+
+
+@contextlib.asynccontextmanager
+async def answering_in_turn(*bodies: bytes) -> AsyncIterator[int]:
+    """Yield the port of a server that sends one body after the other."""
+    unsent = list(bodies)
+
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        body = unsent.pop(0) if len(unsent) > 1 else unsent[0]
+        writer.write(HEAD + b"Connection: close\r\n")
+        writer.write(b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    yield server.sockets[0].getsockname()[1]
+    server.close()
--- a/packages/steering/src/yuccapitch/steering/leaving.py
+++ b/packages/steering/src/yuccapitch/steering/leaving.py
@@ -70,6 +70,10 @@
         if known is None or notice.published_at > known.published_at:
             self._platform_notices_by_id[notice.endpoint_id] = notice
 
+    def forget_platform_notice(self, endpoint_id: ids.EndpointId) -> None:
+        """Discard the notice about an endpoint that no list names any more."""
+        self._platform_notices_by_id.pop(endpoint_id, None)
+
     def record_operator_notice(self, notice: OperatorNotice) -> None:
         """Record a notice unless one from a newer catalogue version is known."""
         known = self._operator_notices_by_id.get(notice.endpoint_id)
