Daemon: accept any body of another instance's error

Cause: json.loads raises RecursionError, which isn't a ValueError. Now such a body counts as any that gives no code.

On the code before, 1 of 5 tests fails (100,000 "[": RecursionError); now all pass.

--- a/packages/gateway/src/yuccapitch/gateway/outcomes.py
+++ b/packages/gateway/src/yuccapitch/gateway/outcomes.py
@@ -58,6 +58,6 @@
     """Return the code in the body of an error response."""
     try:
         code = json.loads(body)["error"]
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return "no-answer"
     return code if isinstance(code, str) else "no-answer"
