Daemon: parse no more of a response whose HTTP is invalid

A later piece of the same read was given to the parser again, which failed again: work without a result. The error that ends the body is logged like other rejected responses.

--- a/packages/gateway/src/yuccapitch/gateway/client_connection.py
+++ b/packages/gateway/src/yuccapitch/gateway/client_connection.py
@@ -136,7 +136,8 @@
         error = self.exception()
         if error is not None and self._parser is not None and not self.is_connected():
             # The parser failed, which the library doesn't tell the reader of the body.
-            self._fail_body(aiohttp.ClientPayloadError(f"invalid response: {error!r}"))
+            self._is_rejected = True
+            self._fail_body(ResponseRejected(f"invalid response: {error!r}"))
         elif self._message is None and self._head_bytes > MAX_HEAD_BYTES:
             self._reject(f"head larger than {MAX_HEAD_BYTES} bytes")
         elif self._has_endless_framing():
