Daemon: limit the bodies that are buffered, of all requests together

Cause: the start of each body, 256 KiB, is buffered before an endpoint is chosen. Only the number of requests in flight limited them together, by a setting of up to a million.

All share a budget of 128 MiB now, as the messages of an entry instance do. Above, the largest incomplete body is refused with 503, overloaded and the time to come back; its request was not sent anywhere. What is buffered counts until its request ends.

On the code before, the tests printed "IncompleteReadError: 246 bytes read" (there is no budget to give; a 500 was the response) and that RequestPath has no _body_budget.

--- a/packages/gateway/src/yuccapitch/gateway/request_body.py
+++ b/packages/gateway/src/yuccapitch/gateway/request_body.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from yuccapitch.gateway import admissions, outcomes
+from yuccapitch.gateway.http1 import memory_budget
 
 MAX_BUFFERED_BYTES = 256 * 1024
 """Bodies up to this size are buffered completely before an endpoint is chosen."""
@@ -27,6 +28,7 @@
     LATE = "late"
     CUT_OFF = "cut-off"
     FRAGMENTED = "fragmented"
+    SHED = "shed"
 
 
 class BodyError(Exception):
@@ -99,18 +101,28 @@
 
 
 async def buffer_body(
-    request: web.Request, max_bytes: int, timeout_s: float
+    request: web.Request,
+    max_bytes: int,
+    timeout_s: float,
+    budget: memory_budget.MemoryBudget | None = None,
 ) -> result.Result[RequestBody, outcomes.Failure]:
-    """Buffer the start of a body; a small body is buffered completely."""
+    """Buffer the start of a body; a small body is buffered completely.
+
+    ``budget`` limits what is buffered of all bodies. What is buffered of this one stays
+    counted with the present task.
+    """
+    budget = budget or memory_budget.MemoryBudget()
     body = RequestBody(request, max_bytes)
     if not request.body_exists:
         body.is_complete = True
         return result.Ok(body)
     received = bytearray()
+    receiver = _Receiver(asyncio.timeout(timeout_s))
     try:
-        async with asyncio.timeout(timeout_s):
+        async with receiver.timeout:
             async for chunk in _read_chunks(request):
                 received += chunk
+                budget.charge(receiver, len(chunk))
                 if len(received) > max_bytes:
                     return result.Err(body_failure(BodyFault.TOO_LARGE))
                 if len(received) >= MAX_BUFFERED_BYTES:
@@ -120,13 +132,22 @@
     except BodyError as error:
         return result.Err(body_failure(error.fault))
     except TimeoutError:
-        return result.Err(body_failure(BodyFault.LATE))
+        fault = BodyFault.SHED if receiver.is_shed else BodyFault.LATE
+        return result.Err(body_failure(fault))
+    finally:
+        budget.release(receiver)
+    if receiver.is_shed:
+        return result.Err(body_failure(BodyFault.SHED))
+    budget.retain(asyncio.current_task(), len(received))
     body.buffered = bytes(received)
     return result.Ok(body)
 
 
 def body_failure(fault: BodyFault) -> outcomes.Failure:
     """Return the failure that reports a fault of the request body to the client."""
+    if fault is BodyFault.SHED:
+        message = "the instance holds too many bytes of bodies; use another"
+        return outcomes.Failure(503, "overloaded", message, retry_after_s=1)
     messages_by_fault = {
         BodyFault.TOO_LARGE: (413, "the body is larger than the route takes"),
         BodyFault.STALLED: (408, f"no byte of the body came for {STALL_TIMEOUT_S} s"),
@@ -138,6 +159,19 @@
     return outcomes.Failure(status, f"body-{fault.value}", message)
 
 
+class _Receiver:
+    """A body that is being buffered until it is complete, late or takes too much."""
+
+    def __init__(self, timeout: asyncio.Timeout) -> None:
+        self.timeout = timeout
+        self.is_shed = False
+
+    def shed(self, reason: str) -> None:
+        self.is_shed = True
+        if not self.timeout.expired():
+            self.timeout.reschedule(asyncio.get_running_loop().time())
+
+
 async def _read_chunks(request: web.Request) -> AsyncIterator[bytes]:
     while True:
         try:
--- a/packages/gateway/src/yuccapitch/gateway/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/request_path.py
@@ -27,9 +27,12 @@
     request_parsing,
     share_service,
 )
+from yuccapitch.gateway.http1 import memory_budget
 from yuccapitch.protocol import events
 from yuccapitch.steering import claim_attempt, lookup_table, owners
 
+# Request bodies that are buffered at a time, of all requests together.
+MAX_BUFFERED_BODIES_BYTES = 128 * 1024 * 1024
 REPLAYED_HEADER = "Yuccapitch-Replayed"
 
 
@@ -70,6 +73,7 @@
         self._max_in_flight = max_in_flight
         self._clock = clock
         self._rng = rng
+        self._body_budget = memory_budget.MemoryBudget(MAX_BUFFERED_BODIES_BYTES)
         self._abortable_tasks: set[asyncio.Task[object]] = set()
         """Tasks of requests that were not refused and may hold units of limits."""
         self._aborted_tasks: set[asyncio.Task[object]] = set()
@@ -90,6 +94,7 @@
         finally:
             self._abortable_tasks.discard(task)
             self._aborted_tasks.discard(task)
+            self._body_budget.retain(task, 0)
             self._state.in_flight -= 1
 
     def abort_all(self) -> None:
@@ -242,7 +247,9 @@
     ) -> result.Result[request_body.RequestBody, outcomes.Failure]:
         max_bytes = parsed.route.limits.body_bytes
         timeout_s = parsed.deadline - self._clock()
-        return await request_body.buffer_body(request, max_bytes, timeout_s)
+        return await request_body.buffer_body(
+            request, max_bytes, timeout_s, self._body_budget
+        )
 
     def _unavailable_failure(self, now: float) -> outcomes.Failure | None:
         if not self._state.accepts_requests:
--- a/packages/gateway/tests/test_request_path.py
+++ b/packages/gateway/tests/test_request_path.py
@@ -129,6 +129,23 @@
     assert await sent == (503, "no-lease", "not-run")
 
 
+# Guards against an instance that counts the bodies of requests that have ended, and
+# refuses others for them.
+async def test_handle_counts_a_body_until_the_request_ends(gateway: Gateway) -> None:
+    size = 900
+    sent = asyncio.create_task(
+        gateway.client.request("GET", "/s/bins/", data=bytes(size))
+    )
+    async with asyncio.timeout(20):
+        await gateway.blocked.begun.wait()
+    assert gateway.path._body_budget.used_bytes == size
+    gateway.lease_until = NOW
+    gateway.path.abort_all()
+    gateway.blocked.released.set()
+    (await sent).release()
+    assert gateway.path._body_budget.used_bytes == 0
+
+
 def _declaration() -> Any:
     routes = catalogue_sample.plain()["routes"]
     order = {
