Daemon: limit an incomplete head behind a request that is being answered

Many clients together make an instance grow by heads without end: 100 connections by 291 MB (a trial with 126 fields of 16 kB on each).

Cause: an incomplete head was limited as a whole only while its connection waits for one. Behind a request that is being answered, the parser's limits held, 128 fields of 16 KiB.

What is received of it is counted there too.

A test guards the number of pipelined requests, which aiohttp limits to 32.

On the code before, the test printed that 'HTTP/1.1 431 ' isn't in the responses: both requests were answered with 200. The trial was not repeated.

--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -127,6 +127,8 @@
         self._read_ahead: read_ahead.ReadAhead
         self._head_timer: asyncio.TimerHandle | None = None
         self._head_bytes = 0
+        self._next_head_bytes = 0
+        self._last_body: streams.StreamReader = streams.EMPTY_PAYLOAD
         self._framing_bytes = 0
         self._is_malformed = False
 
@@ -180,6 +182,8 @@
         """Parse bytes and limit the size and time of an incomplete request head."""
         if self.wrapped_transport.is_lingering:
             return
+        was_in_body = self._find_incomplete_body() is not None
+        message_count = len(self._messages)
         pieces = _split(data)
         while pieces:
             self._parse_piece(pieces.pop(0))
@@ -192,11 +196,17 @@
             self._count_incomplete_head(len(data))
         elif self._head_timer is not None:
             self._reset_head()
+        elif was_in_body or len(self._messages) != message_count:
+            self._next_head_bytes = 0
+        else:
+            self._count_next_head(len(data) - sum(map(len, pieces)))
 
     def _parse_piece(self, data: bytes) -> None:
         body = self._find_incomplete_body()
         received_bytes = 0 if body is None else body.total_bytes
         super().data_received(data)
+        if self._messages:
+            self._last_body = self._messages[-1][1]
         if body is None or body.is_eof():
             self._framing_bytes = 0
         else:
@@ -212,13 +222,7 @@
             self._discard_rest()
 
     def _find_incomplete_body(self) -> streams.StreamReader | None:
-        if self._messages:
-            body = self._messages[-1][1]
-        elif self._current_request is not None:
-            body = self._current_request.content
-        else:
-            return None
-        return None if body.is_eof() else body
+        return None if self._last_body.is_eof() else self._last_body
 
     def _reject_fragmented(self, body: streams.StreamReader) -> None:
         body.set_exception(request_body.FragmentedBodyError("too many small pieces"))
@@ -278,6 +282,16 @@
                 HEAD_TIMEOUT_S, self._on_head_timeout
             )
 
+    def _count_next_head(self, size: int) -> None:
+        """Limit an incomplete head behind a request that is being answered."""
+        self._next_head_bytes += size
+        if self._is_malformed or self._next_head_bytes <= self.max_field_size:
+            return
+        error = http_exceptions.LineTooLong(b"the head", self.max_field_size)
+        error_info = web_protocol._ErrInfo(431, error, error.message)
+        self._messages.append((error_info, streams.EMPTY_PAYLOAD))
+        self._discard_rest()
+
     def _on_head_timeout(self) -> None:
         if self.has_unread_bytes:
             self._head_timer = self._loop.call_later(
--- a/packages/node/tests/test_http_connection.py
+++ b/packages/node/tests/test_http_connection.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 import pytest
-from aiohttp import web
+from aiohttp import web, web_protocol
 
 from yuccapitch.gateway import outcomes, request_body
 from yuccapitch.node import http_server
@@ -216,3 +216,77 @@
     received, read_bytes = await upload_in_chunks(chunk, count)
     assert received.startswith(b"HTTP/1.1 200 ")
     assert read_bytes == len(chunk) * count
+
+
+# Guards against clients that end a process by its memory: thousands of tiny requests,
+# read at once, or a large head behind a request that is being answered.
+async def test_connection_takes_a_limited_number_of_pipelined_requests() -> None:
+    may_respond = asyncio.Event()
+    count = 2000
+
+    async def answer(request: web.Request) -> web.Response:
+        await may_respond.wait()
+        return web.Response(text=request.query_string)
+
+    app = web.Application()
+    app.router.add_get("/", answer)
+    server = http_server.HttpServer("127.0.0.1", 0, 16_384)
+    async with contextlib.AsyncExitStack() as stack:
+        await server.serve(app, stack)
+        stack.callback(may_respond.set)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.address.port)
+        stack.callback(writer.close)
+        for number in range(count):
+            is_last = number == count - 1
+            close = b"Connection: close\r\n" if is_last else b""
+            writer.write(b"GET /?%d; HTTP/1.1\r\nHost: h\r\n%b\r\n" % (number, close))
+        while not server._runner._connections():
+            await asyncio.sleep(0)
+        (connection,) = server._runner._connections()
+        while not connection.has_waiting_requests:
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.1)
+        waiting = len(connection._messages)
+        may_respond.set()
+        async with asyncio.timeout(20):
+            received = await reader.read()
+    assert waiting <= web_protocol.MAX_MSG_QUEUE_SIZE
+    answered = [int(part.split(b";")[0]) for part in received.split(b"\r\n\r\n")[1:]]
+    assert answered == list(range(count))
+
+
+async def test_connection_rejects_a_large_head_behind_a_request() -> None:
+    may_respond = asyncio.Event()
+
+    async def answer(request: web.Request) -> web.Response:
+        await may_respond.wait()
+        return web.Response()
+
+    app = web.Application()
+    app.router.add_get("/", answer)
+    server = http_server.HttpServer("127.0.0.1", 0, 16_384)
+    async with contextlib.AsyncExitStack() as stack:
+        await server.serve(app, stack)
+        stack.callback(may_respond.set)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.address.port)
+        stack.callback(writer.close)
+        fields = [b"A%d: %b\r\n" % (number, bytes(8000)) for number in range(100)]
+        fields = [field.replace(b"\0", b"x") for field in fields]
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        tracemalloc.start()
+        stack.callback(tracemalloc.stop)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n")
+        for field in fields:
+            writer.write(field)
+            await writer.drain()
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.1)
+        current_bytes, _ = tracemalloc.get_traced_memory()
+        writer.write(b"Connection: close\r\n\r\n")
+        may_respond.set()
+        async with asyncio.timeout(20):
+            received = await reader.read()
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert received.count(b"HTTP/1.") == 2
+    assert b" 431 " in received and b"head-too-large" in received
+    assert current_bytes < 400_000
