Daemon: end a response at its deadline if the client doesn't read

Cause: reading from the endpoint ends at the deadline, but writing to the client waits without one. Now writing ends there too, unless the endpoint has sent all: what is ready is delivered late as well.

On the code before, the test of the client that doesn't read ends by its 20 s (TimeoutError); that of the late delivery passes.

--- a/packages/gateway/src/yuccapitch/gateway/attempt_runner.py
+++ b/packages/gateway/src/yuccapitch/gateway/attempt_runner.py
@@ -421,11 +421,13 @@
     streamed = web.StreamResponse(status=received.status, headers=headers)
     streamed.content_length = received.length
     await streamed.prepare(context.request)
-    await streamed.write(received.body)
+    async with asyncio.timeout_at(received.remaining_body.write_deadline):
+        await streamed.write(received.body)
     # If the body ends early, the announced length or the missing last chunk shows
     # the client that the response is incomplete.
     while chunk := await received.remaining_body.readany():
-        await streamed.write(chunk)
+        async with asyncio.timeout_at(received.remaining_body.write_deadline):
+            await streamed.write(chunk)
     await streamed.write_eof()
     return streamed
 
--- a/packages/gateway/src/yuccapitch/gateway/exchange.py
+++ b/packages/gateway/src/yuccapitch/gateway/exchange.py
@@ -83,6 +83,14 @@
     address: str
     """Address of the peer, for logs."""
 
+    @property
+    def write_deadline(self) -> float | None:
+        """Time by which the bytes read have to be passed on, so that the rest can come.
+
+        None once all has come, as a whole response is delivered late as well.
+        """
+        return None if self.content.is_eof() else self.deadline
+
     async def readany(self) -> bytes:
         """Return the next bytes, or none at the end; raise if the body ends early."""
         try:
--- a/packages/gateway/tests/test_attempt_runner.py
+++ b/packages/gateway/tests/test_attempt_runner.py
@@ -8,6 +8,7 @@
 
 import multidict
 import pytest
+from aiohttp import test_utils, web
 
 from yuccapitch.catalogue import ids, model
 from yuccapitch.gateway import (
@@ -297,3 +298,88 @@
     assert isinstance(attempt_result, request_context.Failed)
     assert attempt_result.end is retry.AttemptEnd.NOT_SENT and not runner.targets
     assert runner._pools.owned_pools[POOL].free(1.0) == 1
+
+
+class EndlessContent:
+    """A body that comes as fast as it is read, and whose end may have come."""
+
+    def __init__(self, is_whole: bool) -> None:
+        self.is_whole = is_whole
+        self.unread_chunks = 400
+
+    async def readany(self) -> bytes:
+        """Return the next bytes, or none at the end."""
+        if not self.is_whole:
+            await asyncio.sleep(0)
+        self.unread_chunks -= self.is_whole
+        return 65_536 * b"x" if self.unread_chunks else b""
+
+    def is_eof(self) -> bool:
+        """Whether the end has come."""
+        return self.is_whole
+
+
+class RelayContext:
+    """The part of a request's context that relaying a response needs."""
+
+    has_response = False
+
+    class view:
+        version = 1
+
+    def __init__(self, request: web.Request) -> None:
+        self.request = request
+
+    def on_response(self, received: exchange.ReceivedResponse) -> None:
+        """Ignore the response."""
+
+
+@contextlib.asynccontextmanager
+async def relaying(
+    is_whole: bool, deadline_s: float
+) -> AsyncIterator[tuple[asyncio.StreamReader, asyncio.Future[str]]]:
+    """Yield what a client may read of a long response, and how relaying it ends."""
+    loop = asyncio.get_running_loop()
+    ended: asyncio.Future[str] = loop.create_future()
+
+    async def handle(request: web.Request) -> web.StreamResponse:
+        content: Any = EndlessContent(is_whole)
+        remaining = exchange.RemainingBody(content, loop.time() + deadline_s, "x")
+        headers = multidict.CIMultiDict[str]()
+        received = exchange.ReceivedResponse(200, headers, b"", remaining, None)
+        context: Any = RelayContext(request)
+        try:
+            response = await attempt_runner.relay_response(context, received)
+        except BaseException as error:
+            ended.set_result(type(error).__name__)
+            raise
+        ended.set_result("complete")
+        return response
+
+    app = web.Application()
+    app.router.add_get("/", handle)
+    async with test_utils.TestServer(app) as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        try:
+            yield reader, ended
+        finally:
+            writer.transport.abort()
+
+
+# Guards against a client that doesn't read and keeps an endpoint's slot for ever.
+async def test_relay_response_ends_at_the_deadline_if_the_client_does_not_read() -> (
+    None
+):
+    async with relaying(False, 0.3) as (_, ended):
+        async with asyncio.timeout(20):
+            assert await ended == "TimeoutError"
+
+
+async def test_relay_response_delivers_a_received_body_late() -> None:
+    async with relaying(True, 0.0) as (reader, ended):
+        async with asyncio.timeout(20):
+            await reader.readuntil(b"\r\n\r\n")
+            body = await reader.read()
+            assert await ended == "complete"
+    assert body.count(b"x") == 399 * 65_536
