Daemon: bound the memory of an operator's body that is decoded

Plans are decoded from anyone who reaches the HTTP port, before any signature.

Cause: a body was limited by its bytes, while the memory of what is decoded goes by its values, and that of validation by the errors in them.

Evidence (test_body_of_too_many_values_is_refused on the code before): `assert 400 == 413` for 9 MiB of objects, fields and numbers.

Change: separators are counted before a body is decoded: 4,000,000 values and 100,000 lists, objects and fields, above them 413 and an error that names the limit and the mend. 2.4 million client blocks, which are texts in few lists, are decoded as before (the test of it passed before as well).

--- a/packages/control/src/yuccapitch/control/operator_api.py
+++ b/packages/control/src/yuccapitch/control/operator_api.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
+import re
 import time
 from collections.abc import Awaitable, Callable
 from typing import Protocol, TypeVar
@@ -27,10 +29,16 @@
 MAX_BODY_BYTES = 56 * 1024 * 1024
 # All bodies that are being received.
 MAX_TOTAL_BODY_BYTES = 2 * MAX_BODY_BYTES
+# Values of a body, which take some 120 bytes each once they are decoded, and parts that
+# may have an error each, which takes some 2,000 bytes.
+MAX_BODY_VALUES = 4_000_000
+MAX_BODY_PARTS = 100_000
 MAX_AUDIT_LINES = 1000
 MISDIRECTED_REQUEST = 421
 MS_PER_S = 1000
 
+_FIELD_NAME_END = re.compile(rb'"[ \t\r\n]*:')
+
 Body = TypeVar("Body", bound=pydantic.BaseModel)
 
 
@@ -229,16 +237,19 @@
         self, request: web.Request
     ) -> result.Result[bytes, web.Response]:
         if (request.content_length or 0) > MAX_BODY_BYTES:
-            return result.Err(_too_large_response())
+            return result.Err(_too_large_response(f"{MAX_BODY_BYTES} bytes"))
         body = bytearray()
         try:
             while part := await request.content.readany():
                 body += part
                 self._received_bytes += len(part)
                 if len(body) > MAX_BODY_BYTES:
-                    return result.Err(_too_large_response())
+                    return result.Err(_too_large_response(f"{MAX_BODY_BYTES} bytes"))
                 if self._received_bytes > MAX_TOTAL_BODY_BYTES:
                     return result.Err(_busy_response())
+            excess = _find_excess(body)
+            if excess is not None:
+                return result.Err(_too_large_response(excess))
             return result.Ok(bytes(body))
         finally:
             self._received_bytes -= len(body)
@@ -282,8 +293,21 @@
         )
 
 
-def _too_large_response() -> web.Response:
-    reason = f"the body is larger than {MAX_BODY_BYTES} bytes"
+def _find_excess(body: bytearray) -> str | None:
+    """Return the limit that the decoded body would exceed, or None."""
+    if body.count(b",") >= MAX_BODY_VALUES:
+        return f"{MAX_BODY_VALUES} values"
+    part_count = body.count(b"{") + body.count(b"[")
+    if part_count <= MAX_BODY_PARTS:
+        fields = _FIELD_NAME_END.finditer(body)
+        part_count += sum(1 for _ in itertools.islice(fields, MAX_BODY_PARTS))
+    if part_count > MAX_BODY_PARTS:
+        return f"{MAX_BODY_PARTS} lists, objects and fields"
+    return None
+
+
+def _too_large_response(limit: str) -> web.Response:
+    reason = f"the body is larger than {limit}"
     events.event("operator.refused", reason=reason)
     return _error_response(
         413, api.ErrorCode.BAD_REQUEST, reason, "send a smaller declaration"
--- a/packages/control/tests/test_operator_api.py
+++ b/packages/control/tests/test_operator_api.py
@@ -124,3 +124,34 @@
         await asyncio.wait([upload])
     # What the refused upload held is free again.
     assert (await client.post(path, data=bytes(50 * MEBIBYTE))).status == 400
+
+
+# Guards against an instance that ends by a body of a few MiB, whose values and the
+# errors in them take hundreds of times its size.
+@pytest.mark.parametrize(
+    ("beginning", "value", "named"),
+    [
+        ("[", "{}", "100000 lists, objects and fields"),
+        ("{", '"a" : 0', "100000 lists, objects and fields"),
+        ("[", "0", "4000000 values"),
+    ],
+    ids=["objects", "fields", "numbers"],
+)
+async def test_body_of_too_many_values_is_refused(
+    client: Any, beginning: str, value: str, named: str
+) -> None:
+    values = ",".join([value] * (9 * MEBIBYTE // (len(value) + 1)))
+    end = "]" if beginning == "[" else "}"
+    body = '{"declaration":{"regions":' + beginning + values + end + "}}"
+    response = await client.post("/v1/catalogue/plan", data=body.encode())
+    assert response.status == 413
+    refusal = await response.json()
+    assert named in refusal["message"] and "smaller" in refusal["next_step"]
+
+
+# The size to design for.
+async def test_body_with_all_client_blocks_is_decoded(client: Any) -> None:
+    blocks = ",".join([f'"2001:db8:{number:x}::/48"' for number in range(60_000)] * 40)
+    body = '{"declaration":{"regions":[' + blocks + "]}}"
+    response = await client.post("/v1/catalogue/plan", data=body.encode())
+    assert response.status == 400
