HTTP client: an idle connection keeps nothing of its last response

An entry instance held the body of the last response of each idle connection to an endpoint until the next response on it began, up to 64 MiB each. No budget counted it: the exchange releases its bytes when it ends.

The buffer and the fields are given up once the response is made of them, so that only the response, which its server counts, refers to them.

--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -339,6 +339,9 @@
         response = messages.Response(
             self._parser.get_status_code(), self._headers, self._body.join()
         )
+        # An idle connection keeps no copy, which the budget wouldn't count.
+        self._headers = []
+        self._body.clear()
         if not self._matches_request(response):
             # A late response to an earlier request. The response to this request may
             # follow, but the connection is not reused afterwards.
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -77,6 +77,25 @@
         assert (await send(pool)).body == b"ok"
 
 
+# Guards against idle connections that each keep the body of their last response, which
+# no budget counts.
+async def test_exchange_leaves_nothing_of_a_response_on_an_idle_connection():
+    body = b"x" * (2 * 1024 * 1024)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    async with endpoint(head + body) as pool:
+        tracemalloc.start()
+        try:
+            outcome = await send(pool)
+            assert outcome.body == body
+            del outcome
+            # The step of the event loop that received it refers to it until it ends.
+            await asyncio.sleep(0)
+            kept_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert kept_bytes < len(body) / 2
+
+
 @pytest.mark.parametrize(
     ("data", "fault"),
     [
