HTTP: bodies in short records are received whatever their number

A response of 3.4 MB in 17,000 chunks of 200 bytes, such as a stream of lines of JSON, was refused as having too many small pieces (trial on: a Failure in the routed path, received whole by the daemon's client).

Cause: the number of pieces below 256 bytes was limited whatever their bytes, while those of 256 bytes are not counted at all. Now each 256 bytes of a body allow one small piece more, as the daemon's limit on framing does in its way.

The work stays bounded: pieces of one byte end at 16,449 instead of 16,385, and no body has more small pieces than 16,384 and what it would have of the least pieces that are not counted.

--- a/packages/gateway/src/yuccapitch/gateway/http1/body_buffer.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/body_buffer.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 # Pieces of a body, such as its chunks, cost about the same work whatever their length.
-# A limit on bytes alone would allow seconds of it in pieces of one byte.
+# A limit on bytes alone would allow seconds of it in pieces of one byte. Beyond this
+# number, a body may have as many small pieces as it would have of the least other size.
 SMALL_PIECE_BYTES = 256
 MAX_SMALL_PIECES = 16_384
 # Memory of a piece beside its bytes: the bytes object and its slot in the list.
@@ -27,7 +28,8 @@
     @property
     def is_fragmented(self) -> bool:
         """Whether the body comes in more small pieces than are received."""
-        return self._small_count > MAX_SMALL_PIECES
+        allowed_count = MAX_SMALL_PIECES + self.size_bytes // SMALL_PIECE_BYTES
+        return self._small_count > allowed_count
 
     @property
     def memory_bytes(self) -> int:
