Routed roles: answer readiness checks while messages take all memory

An entry instance whose clients left 70 MB of responses unread refused its own readiness checks and scrapes with 503: it would count as failed, and the gauges that tell why could not be read. In a control instance, orders could have made it refuse clients' lookups.

Cause: since all servers of a process share one budget. Above it, a request that is being received is refused, and a readiness check is one.

Lookups, scrapes and readiness checks share a budget of 4 MiB beside the other one. What guards against still holds: a process has two budgets whatever the number of its servers, the second of 4 MiB, and bodies of queries stay at 64 KiB. Both tests of the sharing check sizes and sharing of the two budgets instead of one; they are as strict, as each server's budget has to be one of the two.

--- a/packages/node/src/yuccapitch/node/routed/control_node.py
+++ b/packages/node/src/yuccapitch/node/routed/control_node.py
@@ -217,27 +217,31 @@
         directory = entry_directory.EntryDirectory(
             self._coordinator.fleet, node_settings.lookup_ttl_s
         )
+        order_budget = memory_budget.MemoryBudget(
+            memory_budget.buffered_bytes(node_settings.memory_limit_bytes)
+        )
+        query_budget = server_limits.query_budget()
         listeners = (
             (
                 node_settings.operator_address,
                 adapter.operator_handler(self._coordinator),
                 server_limits.order_limits,
+                order_budget,
             ),
             (
                 node_settings.lookup_address,
                 adapter.lookup_handler(directory),
                 server_limits.query_limits,
+                query_budget,
             ),
             (
                 node_settings.metrics_address,
                 self.metrics.handle,
                 server_limits.query_limits,
+                query_budget,
             ),
         )
-        budget = memory_budget.MemoryBudget(
-            memory_budget.buffered_bytes(node_settings.memory_limit_bytes)
-        )
-        for address, handler, limits in listeners:
+        for address, handler, limits, budget in listeners:
             if address is None:
                 continue
             server = http_server.Server(handler, self._clock, limits, budget)
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -146,10 +146,11 @@
             ),
             (node_settings.metrics_address, self.metrics.handle),
         )
+        budget = server_limits.query_budget()
         for address, handler in listeners:
             if address is not None:
                 server = http_server.Server(
-                    handler, self._clock, server_limits.query_limits, self._budget
+                    handler, self._clock, server_limits.query_limits, budget
                 )
                 await server.start(address.host, address.port)
                 self._stack.push_async_callback(server.aclose)
--- a/packages/node/tests/test_control_node.py
+++ b/packages/node/tests/test_control_node.py
@@ -16,7 +16,7 @@
 from yuccapitch.control import coordinator
 from yuccapitch.gateway.front import request_path
 from yuccapitch.gateway.http1 import memory_budget, messages, server
-from yuccapitch.node.routed import control_node, settings, timing
+from yuccapitch.node.routed import control_node, server_limits, settings, timing
 
 
 class FakeAdapter:
@@ -71,8 +71,11 @@
         budgets = {server._state.budget for server in node._servers}
     assert len(node._servers) == 3
     limit_bytes = node._node_settings.memory_limit_bytes
-    (budget,) = budgets
-    assert budget.max_bytes == memory_budget.buffered_bytes(limit_bytes)
+    # Lookups and scrapes share a small one, which orders can't use up.
+    assert sorted(budget.max_bytes for budget in budgets) == [
+        server_limits.MAX_QUERIES_BYTES,
+        memory_budget.buffered_bytes(limit_bytes),
+    ]
 
 
 # Guards against uploads that are received up to 64 MiB, though they are of no use.
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -18,7 +18,7 @@
 from yuccapitch.control import coordinator
 from yuccapitch.gateway.front import endpoint_sender, headers, request_path
 from yuccapitch.gateway.http1 import messages as http_messages
-from yuccapitch.node.routed import entry_node, settings
+from yuccapitch.node.routed import entry_node, server_limits, settings
 from yuccapitch.protocol import subscription_messages as messages
 from yuccapitch.steering.placement import apportionment, model
 
@@ -474,7 +474,7 @@
 
 
 # Guards against readiness checks and scrapes that hold as many bytes again as the
-# requests of clients may.
+# requests of clients may: they share a small limit of their own.
 async def test_servers_share_the_memory_that_the_settings_allow(node, monkeypatch):
     budgets = set()
     create = entry_node.http_server.Server.__init__
@@ -494,7 +494,42 @@
     )
     async with node._stack:
         await node.start()
-    assert budgets == {node._budget}
+    assert node._server._state.budget is node._budget
+    (query_budget,) = budgets
+    assert query_budget.max_bytes == server_limits.MAX_QUERIES_BYTES
+
+
+# Guards against an instance that counts as failed, and can't be observed, as the
+# messages of clients take all the memory that they may: it refused readiness checks.
+async def test_readiness_is_answered_while_messages_take_all_memory(node, monkeypatch):
+    ports = []
+    start = entry_node.http_server.Server.start
+
+    async def record(server, host, port):
+        ports.append(await start(server, host, port))
+        return ports[-1]
+
+    async def handle(request):
+        return http_messages.Response(200, [], b"")
+
+    monkeypatch.setattr(entry_node.http_server.Server, "start", record)
+    monkeypatch.setattr(node._adapter, "readiness_handler", lambda is_ready: handle)
+    address = settings.ListenAddress("127.0.0.1", 0)
+    node._node_settings = dataclasses.replace(
+        node._node_settings,
+        inner_address=address,
+        caller_address=address,
+        readiness_address=address,
+    )
+    async with node._stack:
+        await node.start()
+        node._budget.retain("responses that are not read", node._budget.max_bytes + 1)
+        reader, writer = await asyncio.open_connection("127.0.0.1", ports[0])
+        writer.write(b"GET /api/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        async with asyncio.timeout(20):
+            response = await reader.read(-1)
+        writer.close()
+    assert response.startswith(b"HTTP/1.1 200 ")
 
 
 # Guards against messages of other instances that take more than the process has.
