Placement: wait for an own endpoint while others are left to others

An instance that places by itself refused a request at once, with a second until its retry, though an endpoint of its region that it uses first was to be tried again within half a second.

Cause: an endpoint in backoff has no usable slot, so that the endpoints lent to the region were preferred. All of these were cold and left to another instance, and only the preferred ones were asked whether they are.

If the preferred endpoints are left to others, all eligible ones are asked, and the request waits for any of them, not for the preferred ones alone, which would be refused by the next tick.

--- a/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
+++ b/packages/steering/src/yuccapitch/steering/placement/dispatcher.py
@@ -102,6 +102,11 @@
             selected = self._selector.select(request, fallback, now, accepts_cold=False)
         if selected is not None:
             return self._grant(request, selected, now)
+        if self._table.is_left_to_others(preferred, now):
+            # The others may be closed for now, and still serve the request in time.
+            preferred = eligible.all
+            if self._table.is_left_to_others(preferred, now):
+                return self._refuse_unshared(request)
         return self._enqueue(request, preferred, now)
 
     def release(
@@ -311,8 +316,6 @@
         states: list[endpoint_state.EndpointState],
         now: float,
     ) -> model.Refused | None:
-        if self._table.is_left_to_others(states, now):
-            return self._refuse_unshared(request)
         queue = self._queue(request.service_id)
         warm_s = self.estimates.durations.warm_s(request.route_id)
         mean_s = self.estimates.durations.mean_s(request.route_id)
--- a/packages/steering/tests/placement/test_shared_endpoints.py
+++ b/packages/steering/tests/placement/test_shared_endpoints.py
@@ -10,7 +10,7 @@
 import pytest
 
 from yuccapitch.catalogue import ids
-from yuccapitch.steering.placement import dispatcher, model
+from yuccapitch.steering.placement import apportionment, dispatcher, model
 
 COLD = ids.EndpointId("cold")
 ANSWERED = model.Outcome.ANSWERED
@@ -360,3 +360,32 @@
     alone = Region(serving)
     alone.run(2.3)
     assert len(alone.sent_at) >= 0.8 * COLD_RATE_PER_S * 2.3
+
+
+# Guards against requests that are refused at once, though an endpoint of their region
+# is about to be tried again, because other instances use those that are lent to it.
+def test_request_waits_for_an_own_endpoint_while_others_are_left_to_others():
+    placer = builders.share_endpoints(
+        [builders.make_dispatcher() for _ in range(2)], START
+    )[0]
+    own_id, *peer_ids = builders.instance_ids(2)
+    names = [f"endpoint-{number}" for number in range(100)]
+    ranks_by_name = {
+        name: apportionment.rank(ids.EndpointId(name), own_id, peer_ids)
+        for name in names
+    }
+    own_name = next(name for name in names if ranks_by_name[name] == 0)
+    lent_name = next(name for name in names if ranks_by_name[name] == 1)
+    lent = endpoint(
+        lent_name, region=builders.SOUTH, serving=builders.NORTH, cold_left_s=3.0
+    )
+    update(placer, endpoint(own_name), lent)
+    granted = placer.place(builders.request(1, now=START), START)
+    assert isinstance(granted, model.Granted)
+    assert granted.endpoint.endpoint_id == own_name
+    unreachable = model.Outcome.UNREACHABLE
+    placer.release(granted.attempt_id, unreachable, None, None, START)
+    assert placer.place(builders.request(2, now=START), START) is None
+    (decision,) = placer.tick(START + 0.6)
+    assert isinstance(decision, model.Granted)
+    assert decision.endpoint.endpoint_id == own_name
