Tests: the cold rate that regions share, at a rate at which twice is too much

With OTHER_REGIONS_RATE_SHARE replaced by 1.0 for a cold endpoint, all tests of the placement passed: at 2.5 requests a second, what two regions send with their bursts stays within one and a half times the rate and five.

--- a/packages/steering/tests/placement/test_shared_endpoints.py
+++ b/packages/steering/tests/placement/test_shared_endpoints.py
@@ -4,12 +4,12 @@
 
 import collections
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import builders
 import pytest
 
-from yuccapitch.catalogue import ids
+from yuccapitch.catalogue import ids, routes
 from yuccapitch.steering.placement import apportionment, dispatcher, model
 
 COLD = ids.EndpointId("cold")
@@ -332,7 +332,9 @@
     assert not last.table.is_left_to_others([state], START)
 
 
-def make_regions(count: int) -> tuple[Region, dispatcher.Dispatcher]:
+def make_regions(
+    count: int, services: Mapping[ids.ServiceId, routes.RoutedService] = SERVICES
+) -> tuple[Region, dispatcher.Dispatcher]:
     """Return the dispatchers of regions that all need one region's cold endpoint."""
     region_ids = [ids.RegionId(f"region-{number}") for number in range(count)]
     others = [
@@ -341,7 +343,8 @@
     ]
     placers = [builders.make_dispatcher(region=region_id) for region_id in region_ids]
     for placer in placers:
-        update(placer, endpoint(region=region_ids[0], cold_left_s=3.0), *others)
+        endpoints = [endpoint(region=region_ids[0], cold_left_s=3.0), *others]
+        placer.table.update(endpoints, services, frozenset(), START)
     return Region(*placers), placers[0]
 
 
@@ -355,6 +358,18 @@
     assert largest_second(region.sent_at) <= allowed
 
 
+# Guards against a region that uses the whole rate beside the one of the endpoint: twice
+# a low rate is within what is tolerated, but twice a higher one isn't.
+@pytest.mark.parametrize("count", [2, 6, 18])
+def test_cold_endpoint_of_a_high_rate_gets_no_more_than_tolerated(count):
+    rate_per_s = 8 * COLD_RATE_PER_S
+    services = {builders.SERVICE: builders.service(rate_per_s)}
+    regions, _ = make_regions(count, services)
+    regions.run(2.3)
+    allowed = TOLERATED_FACTOR * rate_per_s + TOLERATED_REQUESTS
+    assert rate_per_s < largest_second(regions.sent_at) <= allowed
+
+
 def test_region_of_a_cold_endpoint_uses_its_whole_rate():
     _, serving = make_regions(18)
     alone = Region(serving)
