Endpoint lists: late answers don't shorten the warm-up time twice

A control instance that follows the leader counted the warm-up time that is left down too far, and told it to the entry instances once it led: a cold endpoint was taken for warm too soon and got requests without a limit.

Cause: the time of a reading is that of the answer less the age in it, so that a late answer puts it later, and the next one back. Each step forward was counted, and no step back.

The time up to which was counted down now only rises, unless the answer has the full list, which is as of its own reading.

--- a/packages/control/src/yuccapitch/control/fleet.py
+++ b/packages/control/src/yuccapitch/control/fleet.py
@@ -197,6 +197,8 @@
         if answer.endpoints_age_ms >= 0:
             self._count_down_to(now - answer.endpoints_age_ms / 1000)
         if answer.endpoints is not None:
+            if answer.endpoints_age_ms >= 0:
+                self.endpoints_read_at = now - answer.endpoints_age_ms / 1000
             self.endpoints_by_id = {e.endpoint_id: e for e in answer.endpoints}
             self.endpoints_version += 1
         elif answer.endpoint_changes is not None:
@@ -234,13 +236,19 @@
         self.endpoints_reading += 1
 
     def _count_down_to(self, read_at: float) -> None:
-        """Reduce the remaining warm-up times to those at a later reading."""
-        if self.endpoints_read_at is not None:
-            elapsed_ms = round(max(0.0, read_at - self.endpoints_read_at) * 1000)
+        """Reduce the remaining warm-up times to those at a later reading.
+
+        The time of a reading varies by how long an answer took. What an answer that was
+        late has counted down isn't counted again.
+        """
+        if self.endpoints_read_at is None:
+            self.endpoints_read_at = read_at
+        elapsed_s = read_at - self.endpoints_read_at
+        if elapsed_s > 0:
             self.endpoints_by_id = endpoint_history.count_down(
-                self.endpoints_by_id, elapsed_ms
+                self.endpoints_by_id, round(elapsed_s * 1000)
             )
-        self.endpoints_read_at = read_at
+            self.endpoints_read_at = read_at
 
     def _remove_entry(self, instance_id: str, reason: str, now: float) -> bool:
         self._unconfirmed_by_id.pop(instance_id, None)
--- a/packages/control/tests/test_fleet.py
+++ b/packages/control/tests/test_fleet.py
@@ -159,6 +159,21 @@
     assert [r.cold_left_ms for r in fleet.endpoints] == [0]
 
 
+# Guards against an endpoint that the next leader takes for warm too soon, as each late
+# answer shortens the time that is left once more.
+def test_apply_leader_answer_counts_down_no_more_after_late_answers():
+    leader, fleet = control_fleet.Fleet(), control_fleet.Fleet()
+    leader.update_endpoints([record("a", cold_left_ms=3000)], 0.0)
+    fleet.apply_leader_answer(endpoints_answer(leader.endpoints, age_ms=0), 10.0)
+    for number in range(1, 5):
+        # Each second, an answer is half a second late and the next one is in time.
+        age_ms = number * 1000
+        asked_at = 10.0 + number
+        fleet.apply_leader_answer(endpoints_answer(None, age_ms), asked_at + 0.5)
+        fleet.apply_leader_answer(endpoints_answer(None, age_ms + 500), asked_at + 0.5)
+    assert [r.cold_left_ms for r in fleet.endpoints] == [2500]
+
+
 def test_begin_leadership_restarts_the_heartbeat_timeout():
     fleet = control_fleet.Fleet()
     fleet.record_entry_heartbeat(heartbeat("a"), 0.0)
