Tests: large inner messages count only until they are handled

With the release of a received frame left out of Link, all tests of the peers passed: no test sent more large messages one after another than the budget takes. The new test fails with that mutant (Err "too many messages are being handled") and with one that never releases handled messages (the link is closed), and passes without them.

--- a/packages/protocol/tests/test_peers.py
+++ b/packages/protocol/tests/test_peers.py
@@ -378,6 +378,27 @@
     assert reply.unwrap() == message
 
 
+# Guards against links that are closed after some large messages, as those that have
+# been received and handled go on to count.
+async def test_peers_large_messages_count_until_they_are_handled() -> None:
+    async def accept(peer: str, message: object) -> object:
+        return node_messages.RenewalNotice(1, 0)
+
+    budget = receive_budget.ReceiveBudget(MEBIBYTE, MEBIBYTE)
+    async with contextlib.AsyncExitStack() as stack:
+        sender = peers.Peers("a", TIMING)
+        receiver = peers.Peers("b", TIMING, budget=budget)
+        for instance in (sender, receiver):
+            stack.push_async_callback(instance.aclose)
+        await sender.start("127.0.0.1", 0)
+        receiver.handle(subscription_messages.SubmitRequest, accept)
+        sender.set_address("b", await receiver.start("127.0.0.1", 0))
+        message = subscription_messages.SubmitRequest(bytes(MEBIBYTE // 3))
+        for _ in range(8):
+            reply = await sender.request("b", message, 20)
+            assert reply.is_ok(), reply
+
+
 async def wait_forever(peer: str, message: object) -> None:
     await asyncio.Event().wait()
 
