Tests: bytes that wait to be parsed are counted

With the line left out that counts the unparsed bytes of a connection, all tests of the server passed: the eight requests in progress alone, at 2048 bytes each, were more than the 2000 that were asked for.

--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -447,8 +447,12 @@
         while not http_server.requests_in_flight:
             await asyncio.sleep(0)
         (connection,) = http_server._state.connections
-        # All that a read of the transport takes is counted.
+        # All that a read of the transport takes is counted, beside the requests.
         assert budget.used_bytes > PIPELINED_REQUESTS
+        unparsed_bytes = connection._unparsed.memory_bytes
+        assert unparsed_bytes
+        requests_bytes = server.MAX_PIPELINED_REQUESTS * messages.REQUEST_OBJECT_BYTES
+        assert budget.used_bytes >= unparsed_bytes + requests_bytes
         in_flight = http_server.requests_in_flight
         held_handler.may_respond.set()
         response = await sending
