Tests: three limits that mutants of the review passed

The length at the head against the budget, unread responses of a connection that is kept, and the size of a probe's answer could be changed without a test that failed. Each of the three mutants fails a test now; the code is unchanged.

--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -359,9 +359,17 @@
 
 
 # Guards against an entry instance that reads what is of no use to its caller.
-async def test_exchange_refuses_a_body_above_the_limit_at_its_head():
-    head = HEAD + b"Content-Length: 999999999999\r\n\r\n"
-    async with endless(head, b"x") as source:
+@pytest.mark.parametrize(
+    ("length", "budget_bytes"),
+    [(999_999_999_999, 100 * 1024 * 1024), (32 * 1024 * 1024, 24 * 1024 * 1024)],
+    ids=["limit", "budget"],
+)
+async def test_exchange_refuses_a_body_above_the_limit_at_its_head(
+    length, budget_bytes
+):
+    head = HEAD + b"Content-Length: %d\r\n\r\n" % length
+    budget = memory_budget.MemoryBudget(budget_bytes)
+    async with endless(head, b"x", budget=budget) as source:
         outcome = await send(source.pool)
         assert isinstance(outcome, client.Failure)
         assert outcome.fault is client.Fault.MALFORMED
--- a/packages/gateway/tests/http1/test_server.py
+++ b/packages/gateway/tests/http1/test_server.py
@@ -547,6 +547,27 @@
         writer.close()
 
 
+# Guards against responses that count as unread for as long as their connection lives.
+async def test_serve_frees_the_responses_that_a_client_reads_late():
+    budget = memory_budget.MemoryBudget()
+    body = bytes(8 * 1024 * 1024)
+
+    async def respond(request):
+        return messages.Response(200, [], body)
+
+    async with serving(respond, UPLOAD_LIMITS, budget) as (_, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+        writer.write(get("/"))
+        async with asyncio.timeout(20):
+            while budget.used_bytes < len(body) / 2:
+                await asyncio.sleep(0.01)
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(len(body))
+            while budget.used_bytes:
+                await asyncio.sleep(0.01)
+        writer.close()
+
+
 # Guards against a client that ends an instance by its memory, or has others refused:
 # it sends requests on and doesn't read the responses.
 async def test_serve_bounds_the_responses_that_a_client_does_not_read():
--- a/packages/gateway/tests/test_endpoint_monitor.py
+++ b/packages/gateway/tests/test_endpoint_monitor.py
@@ -124,6 +124,16 @@
     assert sent_bytes < raw_endpoint.MAX_UNREAD_BYTES
 
 
+# Guards against an answer that is no load report and is read on.
+async def test_probe_refuses_an_answer_above_the_limit(logged: LoggedEvents) -> None:
+    body = b" " * 70_000 + b"{}"
+    head = HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
+    async with raw_endpoint.sending(head, body) as endpoint:
+        async with monitoring(endpoint.port, probe_path="/load"):
+            failed = await logged.wait_for("endpoint.probe-failed")
+    assert "65536 bytes" in failed["reason"]
+
+
 # Guards against a small answer that takes much memory once it is decompressed.
 async def test_probe_does_not_decompress_an_answer(logged: LoggedEvents) -> None:
     head = HEAD + b"Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n"
