Placement: one slot at least again for instances that place alone

Cause: with fewer slots than instances, most instances had no slot at most endpoints while their region had no dispatcher, and refused what the endpoints would have queued.

--- a/packages/steering/src/yuccapitch/steering/placement/apportionment.py
+++ b/packages/steering/src/yuccapitch/steering/placement/apportionment.py
@@ -35,9 +35,12 @@
     """Fraction of a rate that all of them use together."""
 
     def of_count(self, limit: int) -> int:
-        """Return how many of ``limit`` requests this instance may have in flight."""
-        quotient, remainder = divmod(limit, self.instance_count)
-        return quotient + (self.rank < remainder)
+        """Return how many of ``limit`` requests this instance may have in flight.
+
+        It is one at least, though all instances together may then exceed the limit:
+        with none at most endpoints, instances refuse what endpoints queue and serve.
+        """
+        return max(1, limit // self.instance_count)
 
     def of_rate(self, rate_per_s: float) -> float:
         """Return the fraction of a rate that this instance uses; it may be 0."""
