Routed roles: report memory near the limit and what takes it

process.memory-high gives resident and unread bytes beside those of messages, the metrics yuccapitch_resident_bytes and yuccapitch_unread_bytes the same at each scrape, and endpoint.response-unfinished what had been received. No logic changes. 619 tests of the HTTP modules, the front, the entry node and the docs pass.

--- a/packages/gateway/src/yuccapitch/gateway/front/endpoint_sender.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/endpoint_sender.py
@@ -95,6 +95,10 @@
         """Number of connections opened so far to the endpoints that are listed."""
         return sum(pool.connect_count for pool in self._pools_by_id.values())
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes the kernel holds of all connections."""
+        return sum(pool.unread_bytes() for pool in self._pools_by_id.values())
+
     def close_unlisted(self, endpoints: list[model.Endpoint]) -> None:
         """Close the connections to endpoints that are no longer listed."""
         listed = {_pool_id(endpoint) for endpoint in endpoints}
@@ -165,6 +169,13 @@
                 head, matches_request, request.method == b"HEAD", request.body
             )
         except asyncio.CancelledError:
+            if connection.received_bytes:
+                events.event(
+                    "endpoint.response-unfinished",
+                    endpoint=endpoint.endpoint_id,
+                    request=(request_id or b"").decode("latin-1"),
+                    received_bytes=connection.received_bytes,
+                )
             connection.close()
             raise
         if isinstance(response, client.Failure):
--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -83,9 +83,11 @@
         self,
         clock: Callable[[], float],
         budget: memory_budget.MemoryBudget | None = None,
+        open_connections: set[Connection] | None = None,
     ) -> None:
         self._clock = clock
         self._budget = budget or memory_budget.MemoryBudget()
+        self._open_connections = set() if open_connections is None else open_connections
         self._received_bytes = 0
         self._head_bytes = 0
         self._head_memory_bytes = 0
@@ -116,6 +118,18 @@
             server.configure_tcp_socket(sock, self._user_timeout_ms)
         self.is_usable = True
         self._parser = httptools.HttpResponseParser(self)
+        self._open_connections.add(self)
+
+    @property
+    def received_bytes(self) -> int:
+        """Bytes received for the last request."""
+        return self._received_bytes
+
+    def unread_bytes(self) -> int:
+        """Return how many bytes the kernel holds."""
+        return (
+            0 if self._transport is None else peer_state.unread_bytes(self._transport)
+        )
 
     def is_reusable(self) -> bool:
         """Return whether an idle connection can carry another request.
@@ -235,6 +249,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending request."""
         self.is_usable = False
+        self._open_connections.discard(self)
         self._fail(Fault.BROKEN, repr(exc) if exc else "closed")
 
     # Callbacks of httptools.HttpResponseParser.
@@ -375,8 +390,13 @@
         self._clock = clock
         self.budget = budget or memory_budget.MemoryBudget()
         self._idle: list[Connection] = []
+        self._open_connections: set[Connection] = set()
         self.connect_count = 0
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes the kernel holds of all connections."""
+        return sum(connection.unread_bytes() for connection in self._open_connections)
+
     async def acquire(
         self, timeout_s: float, max_idle_s: float
     ) -> Connection | Failure:
@@ -394,7 +414,11 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self._clock, self.budget), self._host, self._port
+                    lambda: Connection(
+                        self._clock, self.budget, self._open_connections
+                    ),
+                    self._host,
+                    self._port,
                 )
         except Exception as error:
             # Beside OSError and TimeoutError, an address that can't be encoded or
--- a/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/peer_state.py
@@ -7,8 +7,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import select
 import socket
+import struct
+import termios
 
 # Interval at which a connection whose reading is paused is checked for its end, so that
 # the requests of a client that has left are cancelled within half a second.
@@ -17,6 +20,8 @@
 # sent before may still be unread.
 _PEER_LEFT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
+_INT = struct.Struct("i")
+
 
 class ReadingPause:
     """Pauses the reading of a transport, and aborts it if its peer leaves meanwhile."""
@@ -81,6 +86,15 @@
     return bool(poll.poll(0))
 
 
+def unread_bytes(transport: asyncio.Transport) -> int:
+    """Return how many bytes the kernel has received and the event loop hasn't read."""
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(_INT.size))
+    return int(_INT.unpack(count)[0])
+
+
 def shut_down(transport: asyncio.Transport) -> None:
     """Close a transport; the kernel rejects at once what its peer sends from now on.
 
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -197,6 +197,10 @@
             return False
         return self._has_unparsed_bytes()
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes the kernel holds."""
+        return peer_state.unread_bytes(self._transport)
+
     def close_if_idle(self, min_idle_s: float) -> None:
         """Close the connection if it has had no request in progress for this time.
 
@@ -615,6 +619,10 @@
         """Number of open client connections."""
         return len(self._state.connections)
 
+    def unread_bytes(self) -> int:
+        """Return how many bytes the kernel holds of all connections."""
+        return sum(connection.unread_bytes() for connection in self._state.connections)
+
     async def start(self, host: str, port: int) -> int:
         """Start listening and return the bound port."""
         self._listener = listener.Listener(host, port)
--- a/packages/gateway/tests/http1/test_server_unread.py
+++ b/packages/gateway/tests/http1/test_server_unread.py
@@ -290,3 +290,13 @@
     assert b"x-target: /1" in received
     assert b"x-target: /2" in received
     assert received.count(b"connection: close") == 1
+
+
+async def test_unread_bytes_counts_what_the_kernel_holds():
+    async with serving() as (http_server, port):
+        with connecting(port) as client:
+            send(client, "/first")
+            assert (await receive(client)).startswith(b"HTTP/1.1 200")
+            assert http_server.unread_bytes() == 0
+            client.sendall(b"GET /second HTTP/1.1\r\n")
+            assert http_server.unread_bytes() == 22
--- a/packages/node/src/yuccapitch/node/routed/entry_node.py
+++ b/packages/node/src/yuccapitch/node/routed/entry_node.py
@@ -25,6 +25,7 @@
 from yuccapitch.node.routed import (
     adapter as routed_adapter,
     dispatcher_inputs,
+    memory_monitor,
     metrics,
     server_limits,
     settings,
@@ -126,6 +127,10 @@
             self._handle, self._clock, self._routing_state.limits, self._budget
         )
 
+        self._memory_monitor = memory_monitor.MemoryMonitor(
+            node_settings.memory_limit_bytes, self._budget, self._unread_bytes
+        )
+
     async def start(self) -> result.Result[None, str]:
         """Start polling the leader and serving clients."""
         node_settings = self._node_settings
@@ -136,6 +141,7 @@
         )
         self._stack.push_async_callback(self._links.aclose)
         self._stack.callback(self._sender.close)
+        tasks.start_optional(self._memory_monitor.run, self._stack)
         for run in (self._leader_poller.run, self._run_placer, self._run_wait_checks):
             tasks.start_needed(run, self._stack, self._on_failed)
         self._add_gauges()
@@ -270,6 +276,16 @@
             "Most bytes of HTTP messages held at a time since the start.",
             lambda: self._budget.peak_bytes,
         )
+        routed_metrics.add_gauge(
+            "resident_bytes",
+            "Resident memory of the process.",
+            memory_monitor.resident_bytes,
+        )
+        routed_metrics.add_gauge(
+            "unread_bytes",
+            "Bytes that have arrived from clients and endpoints and are not read yet.",
+            self._unread_bytes,
+        )
         routed_metrics.add_gauge(
             "endpoint_connects",
             "Connections opened to the endpoints that are listed.",
@@ -291,6 +307,9 @@
             self._dispatcher.rate_limited_count,
         )
 
+    def _unread_bytes(self) -> int:
+        return self._server.unread_bytes() + self._sender.unread_bytes()
+
     async def _run_placer(self) -> None:
         while True:
             has_work = self._placer.needs_tick
--- a/packages/protocol/src/yuccapitch/protocol/events.py
+++ b/packages/protocol/src/yuccapitch/protocol/events.py
@@ -250,6 +250,11 @@
     "A response was no valid HTTP or exceeded a limit; its connection was closed.",
     Level.WARNING,
 )
+declare(
+    "process.memory-high",
+    "The process comes near its memory limit; the fields say what takes the memory.",
+    Level.WARNING,
+)
 declare(
     "message.discarded",
     "An incomplete HTTP message was discarded, as all of them took too much memory.",
@@ -259,6 +264,10 @@
     "endpoint.paused",
     "An endpoint asked this instance to send it no requests for some time.",
 )
+declare(
+    "endpoint.response-unfinished",
+    "A request was given up while its response was arriving.",
+)
 declare(
     "endpoint.response-discarded",
     "An endpoint sent a response that may belong to another request; it is read on.",
