HTTP client: free what was received when a connection is closed

Clients lost requests on kept connections as instances were ended for their memory: an endpoint sent a body without a length and no end, again and again.

Cause: a request that was given up released the budget and closed its connection, which kept header fields and body. Parser, matcher and connection refer to each other, so that all of it waited for the cyclic garbage collector, while the budget said that nothing was held. An error that was kept in a local variable held the frame that had read last.

Closing or losing a connection now drops its parser, and with it the references, and what was received; callbacks of a parser whose connection was closed meanwhile end.

--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -94,7 +94,7 @@
         self._trailer_bytes = 0
         self._incomplete_field_bytes = 0
         self._transport: asyncio.Transport | None = None
-        self._parser: httptools.HttpResponseParser
+        self._parser: httptools.HttpResponseParser | None = None
         self._future: asyncio.Future[messages.Response | Failure] | None = None
         self._matches_request: ResponseMatcher = _match_any
         self._is_head = False
@@ -172,6 +172,8 @@
             raise
         finally:
             self._future = None
+            # It may refer to this connection.
+            self._matches_request = _match_any
             self._budget.release(self)
         if isinstance(outcome, Failure):
             self.close()
@@ -184,10 +186,11 @@
         return outcome
 
     def close(self) -> None:
-        """Abort the connection."""
+        """Abort the connection and free what was received."""
         self.is_usable = False
         if self._transport is not None:
             self._transport.abort()
+        self._free()
 
     def shed(self, reason: str) -> None:
         """Fail the exchange, whose response takes too much memory."""
@@ -196,9 +199,6 @@
     def fail(self, reason: str) -> None:
         """End the exchange in progress and close the connection."""
         self._fail(Fault.MALFORMED, reason)
-        self._budget.release(self)
-        self._headers = []
-        self._body.clear()
         self.close()
 
     def data_received(self, data: bytes) -> None:
@@ -213,19 +213,26 @@
         if not self._has_final_headers:
             # The parser keeps what doesn't complete a field.
             self._budget.charge(self, len(data))
+        parser = self._parser
+        if parser is None:
+            # Closed to stay below the memory budget.
+            return
         self._incomplete_field_bytes += len(data)
         body_memory_bytes = self._body.memory_bytes
         try:
-            self._parser.feed_data(data)
+            parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
-            cause = error.__context__
-            if not isinstance(cause, _ResponseRejected):
+            if not isinstance(error.__context__, _ResponseRejected):
                 raise
-            self.fail(str(cause))
+            # The error itself isn't kept: its traceback refers to this frame.
+            self.fail(str(error.__context__))
+            return
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # The response itself may be complete and only the bytes after it invalid.
             self.is_usable = False
             self._fail(Fault.MALFORMED, repr(error))
+        if self._parser is None:
+            return
         self._budget.charge(self, max(0, self._body.memory_bytes - body_memory_bytes))
         if not self._has_final_headers:
             self._head_bytes += len(data)
@@ -251,11 +258,13 @@
         self.is_usable = False
         self._open_connections.discard(self)
         self._fail(Fault.BROKEN, repr(exc) if exc else "closed")
+        self._free()
 
     # Callbacks of httptools.HttpResponseParser.
 
     def on_message_begin(self) -> None:
         """Start a response."""
+        self._get_parser()
         if self._future is None or self._future.done():
             # An extra response after the complete one belongs to no request.
             self.is_usable = False
@@ -266,6 +275,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header field; discard a trailer field."""
+        self._get_parser()
         self._incomplete_field_bytes = 0
         if self._has_headers:
             self._trailer_bytes += messages.field_size(name, value)
@@ -281,7 +291,7 @@
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the response is delimited."""
-        status = self._parser.get_status_code()
+        status = self._get_parser().get_status_code()
         if status not in VALID_STATUSES or status == SWITCHING_PROTOCOLS_STATUS:
             raise _ResponseRejected(f"status {status:03} has no meaning here")
         self._has_headers = True
@@ -304,6 +314,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a body chunk."""
+        self._get_parser()
         self._incomplete_field_bytes = 0
         self._body.append(body)
         if self._body.is_fragmented:
@@ -313,13 +324,31 @@
         """Complete the response unless it is an interim one (1xx)."""
         if not self._is_in_message:
             return
-        if not self._parser.should_keep_alive():
+        parser = self._get_parser()
+        if not parser.should_keep_alive():
             self.is_usable = False
-        if self._parser.get_status_code() < 200:
+        if parser.get_status_code() < 200:
             self._is_in_message = False
             return
         self._complete()
 
+    def _get_parser(self) -> httptools.HttpResponseParser:
+        """Return the parser; end its callbacks if the connection was closed in one."""
+        if self._parser is None:
+            raise _ResponseRejected("the connection was closed")
+        return self._parser
+
+    def _free(self) -> None:
+        """Drop what was received, which the budget no longer counts.
+
+        The parser refers to this connection. As long as it does, all that the
+        connection holds would wait for the garbage collector.
+        """
+        self._budget.release(self)
+        self._parser = None
+        self._headers = []
+        self._body.clear()
+
     def _complete_once_sent(self) -> bool:
         """Complete the response; return whether the request has to be sent first."""
         if self._future is None or self._future.done():
@@ -352,7 +381,7 @@
         if self._future is None or self._future.done():
             return
         response = messages.Response(
-            self._parser.get_status_code(), self._headers, self._body.join()
+            self._get_parser().get_status_code(), self._headers, self._body.join()
         )
         # An idle connection keeps no copy, which the budget wouldn't count.
         self._headers = []
