HTTP: bound the receive buffers of clients and endpoints

Instances were ended for their memory while their own was below the limit: the kernel held up to 177 MB of bytes that had arrived and weren't read (the users' runs), 140 MB here (trial of 300 connections, writes of 1 MB), which the platform counts.

Cause: no receive buffer was bounded, and a connection that was read fast for a while may take megabytes once it isn't. SO_RCVBUF is 128 KiB now: 38 MB unread in the same trial (20 MB at 64 KiB, 69 MB at 256 KiB). The budget of messages leaves 40 MB for them. By calculation, a response over a round trip of 110 ms comes at 1.2 MB/s at most; smaller ones lose nothing.

With bounded buffers, responses without end come no faster than others, and a regular one of half the budget was discarded as the largest in place of them (test_exchange_ends_the_largest_response_when_all_exceed_the_budget failed). A message without a known length goes first now, unless it is small; a new test shows it.

--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -101,6 +101,7 @@
         self._headers: messages.HeaderList = []
         self._body = body_buffer.BodyBuffer()
         self._is_self_delimited = True
+        self._has_length = False
         self._has_headers = False
         self._has_final_headers = False
         self._is_in_message = False
@@ -120,6 +121,11 @@
         self._parser = httptools.HttpResponseParser(self)
         self._open_connections.add(self)
 
+    @property
+    def has_known_length(self) -> bool:
+        """Whether the response says how long its body is."""
+        return self._has_final_headers and self._has_length
+
     @property
     def received_bytes(self) -> int:
         """Bytes received for the last request."""
@@ -304,6 +310,7 @@
         )
         has_body = status >= 200 and status not in (204, 304) and not self._is_head
         length = messages.find_header(self._headers, b"content-length")
+        self._has_length = length is not None
         max_body_bytes = min(MAX_RESPONSE_BYTES, self._budget.max_bytes)
         if has_body and length is not None and int(length) > max_body_bytes:
             # The caller gets nothing of a body that can't be received whole.
--- a/packages/gateway/src/yuccapitch/gateway/http1/memory_budget.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/memory_budget.py
@@ -9,11 +9,16 @@
 # Memory of a process beside the messages: interpreter, modules, lists of endpoints and
 # instances, inner links.
 RESERVED_BYTES = 60_000_000
+# Memory of what has arrived and isn't read yet, in the kernel: full receive buffers of
+# some 300 connections.
+UNREAD_BYTES = 40_000_000
 # A body is held twice while its pieces are joined, and while the transport that sends
 # it on has a copy.
 COPIES = 2
 # Assumed if the memory of a process isn't limited by its settings.
 DEFAULT_MEMORY_LIMIT_BYTES = 200_000_000
+# Fraction of the budget up to which a message without a known length is small.
+SMALL_MESSAGE_FRACTION = 1 / 16
 # Least budget, which still takes the usual messages of a few connections.
 MIN_BUFFERED_BYTES = 8 * 1024 * 1024
 
@@ -21,13 +26,17 @@
 class Receiver(typing.Protocol):
     """Connection on which a message is being received."""
 
+    @property
+    def has_known_length(self) -> bool:
+        """Whether the message says how long its body is."""
+
     def shed(self, reason: str) -> None:
         """Discard the incomplete message and free its memory."""
 
 
 def buffered_bytes(memory_limit_bytes: int) -> int:
     """Return the budget of a process that may use ``memory_limit_bytes`` in all."""
-    available_bytes = (memory_limit_bytes - RESERVED_BYTES) // COPIES
+    available_bytes = (memory_limit_bytes - RESERVED_BYTES - UNREAD_BYTES) // COPIES
     return max(MIN_BUFFERED_BYTES, available_bytes)
 
 
@@ -35,7 +44,8 @@
     """Memory of all messages together, incomplete and complete ones.
 
     Above the limit, the largest incomplete message is discarded: its sender may never
-    end it. Complete ones are kept, as work was done for them or depends on them.
+    end it. One that doesn't say how long it is goes first, unless it is small. Complete
+    ones are kept, as work was done for them or depends on them.
     """
 
     def __init__(
@@ -56,13 +66,23 @@
         self.used_bytes += byte_count
         self.peak_bytes = max(self.peak_bytes, self.used_bytes)
         while self.used_bytes > self.max_bytes and sizes:
-            largest = max(sizes, key=sizes.__getitem__)
+            largest = self._find_largest()
             events.event(
                 "message.discarded", bytes=sizes[largest], used_bytes=self.used_bytes
             )
             self.release(largest)
             largest.shed("largest of too many bytes of incomplete messages")
 
+    def _find_largest(self) -> Receiver:
+        sizes = self._incomplete_bytes_by_receiver
+        unbounded = [
+            receiver
+            for receiver, size in sizes.items()
+            if not receiver.has_known_length
+            and size > self.max_bytes * SMALL_MESSAGE_FRACTION
+        ]
+        return max(unbounded or sizes, key=sizes.__getitem__)
+
     def release(self, receiver: Receiver) -> None:
         """Forget a message that is complete or discarded."""
         self.used_bytes -= self._incomplete_bytes_by_receiver.pop(receiver, 0)
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -49,6 +49,9 @@
 # Keep-alive probes detect a peer that disappeared while a response is awaited.
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Receive buffer of a connection (SO_RCVBUF). The kernel would let it grow to tens of
+# megabytes, which count toward the memory of the process.
+RECEIVE_BUFFER_BYTES = 128 * 1024
 # Retry-After of a request that is refused while the process holds too many bytes.
 OVERLOADED_RETRY_AFTER_S = 1
 
@@ -127,6 +130,11 @@
         self._state.connections.add(self)
         self._start_idle_time()
 
+    @property
+    def has_known_length(self) -> bool:
+        """Whether the request that is being received says how long its body is."""
+        return self._body_length is not None
+
     def data_received(self, data: bytes) -> None:
         """Parse request bytes and reject invalid ones."""
         if self._is_closing or self._is_rejected:
@@ -687,8 +695,13 @@
 
 
 def configure_tcp_socket(sock: socket.socket, user_timeout_ms: int) -> None:
-    """Disable Nagle's algorithm, set TCP_USER_TIMEOUT and enable keep-alive probes."""
+    """Set the options of a connection to a client or an endpoint.
+
+    They disable Nagle's algorithm, set TCP_USER_TIMEOUT, enable keep-alive probes and
+    bound the receive buffer.
+    """
     if sock.family == socket.AF_INET:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         set_user_timeout(sock, user_timeout_ms)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/packages/gateway/src/yuccapitch/gateway/request_body.py
+++ b/packages/gateway/src/yuccapitch/gateway/request_body.py
@@ -117,7 +117,7 @@
         body.is_complete = True
         return result.Ok(body)
     received = bytearray()
-    receiver = _Receiver(asyncio.timeout(timeout_s))
+    receiver = _Receiver(asyncio.timeout(timeout_s), request.content_length is not None)
     try:
         async with receiver.timeout:
             async for chunk in _read_chunks(request):
@@ -162,8 +162,9 @@
 class _Receiver:
     """A body that is being buffered until it is complete, late or takes too much."""
 
-    def __init__(self, timeout: asyncio.Timeout) -> None:
+    def __init__(self, timeout: asyncio.Timeout, has_known_length: bool) -> None:
         self.timeout = timeout
+        self.has_known_length = has_known_length
         self.is_shed = False
 
     def shed(self, reason: str) -> None:
--- a/packages/gateway/tests/http1/test_memory_budget.py
+++ b/packages/gateway/tests/http1/test_memory_budget.py
@@ -91,13 +91,38 @@
     assert int(finished.stdout) < 1.3 * budget_bytes
 
 
-def test_buffered_bytes_leaves_room_for_the_process_and_a_copy():
+def test_buffered_bytes_leaves_room_for_the_process_a_copy_and_unread_bytes():
     for limit_bytes in (200_000_000, 300_000_000):
         budget_bytes = memory_budget.buffered_bytes(limit_bytes)
         used_bytes = memory_budget.RESERVED_BYTES + 2 * budget_bytes
-        assert used_bytes <= limit_bytes
+        assert used_bytes + memory_budget.UNREAD_BYTES <= limit_bytes
 
 
 def test_buffered_bytes_is_never_too_small_for_usual_messages():
     least_bytes = memory_budget.MIN_BUFFERED_BYTES
     assert memory_budget.buffered_bytes(1_000_000) == least_bytes
+
+
+class Receiver:
+    """A message that is being received."""
+
+    def __init__(self, has_known_length: bool) -> None:
+        self.has_known_length = has_known_length
+        self.is_shed = False
+
+    def shed(self, reason: str) -> None:
+        self.is_shed = True
+
+
+# Guards against a message that would be complete soon and is discarded for others that
+# have no end.
+def test_charge_discards_a_message_without_a_known_length_first():
+    budget = memory_budget.MemoryBudget(1_000_000)
+    known, unknown, small = Receiver(True), Receiver(False), Receiver(False)
+    budget.charge(small, 10_000)
+    budget.charge(known, 700_000)
+    budget.charge(unknown, 290_001)
+    assert (known.is_shed, unknown.is_shed, small.is_shed) == (False, True, False)
+    budget.charge(known, 290_001)
+    assert (known.is_shed, small.is_shed) == (True, False)
+    assert budget.used_bytes == 10_000
