Requests: a response without end counts against its endpoint

Cause: a request whose deadline passed said nothing about its endpoint, also where a response had begun, and up to 64 MiB of a body without a length were read before it was refused: a limit on bytes, with a deadline of seconds, is none on work.

Such an end is a failure as others are now, unless the client has left or the instance stops; a body without a known length is refused above 16 MiB, at which the request may still go to another endpoint. Both tests failed before (outcome abandoned; read on until the budget of all messages was used up).

--- a/packages/gateway/src/yuccapitch/gateway/front/endpoint_sender.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/endpoint_sender.py
@@ -57,6 +57,14 @@
     """Whether the response announces that the endpoint is leaving."""
 
 
+@dataclasses.dataclass(slots=True)
+class SendProgress:
+    """What is known of a send that is cancelled."""
+
+    is_response_unfinished: bool = False
+    """Whether the response had begun and wasn't complete."""
+
+
 @dataclasses.dataclass(slots=True)
 class _ConnectionRecord:
     """What was received on a connection."""
@@ -115,8 +123,12 @@
         endpoint: model.Endpoint,
         deadline_at: float,
         is_idempotent: bool,
+        progress: SendProgress | None = None,
     ) -> SendResult:
-        """Send the request; cancelling closes its connection."""
+        """Send the request; cancelling closes its connection.
+
+        ``progress`` is updated if the send is cancelled.
+        """
         pool = self._pool(endpoint)
         max_idle_s = (
             IDEMPOTENT_MAX_IDLE_S if is_idempotent else NON_IDEMPOTENT_MAX_IDLE_S
@@ -169,6 +181,8 @@
                 head, matches_request, request.method == b"HEAD", request.body
             )
         except asyncio.CancelledError:
+            if progress is not None:
+                progress.is_response_unfinished = connection.has_unfinished_response
             if connection.received_bytes:
                 events.event(
                     "endpoint.response-unfinished",
--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -249,6 +249,7 @@
             waited_ms=_to_ms(self._clock() - routed.request.headers_received_at),
         )
         outcome = model.Outcome.ABANDONED
+        progress = endpoint_sender.SendProgress()
         send_result: endpoint_sender.SendResult | None = None
         sent_at = self._clock()
         # Counted before the exchange: if it is cancelled, bytes may have been sent.
@@ -259,9 +260,13 @@
                 endpoint,
                 routed.deadline_at,
                 routed.route.repeatability is routes.Repeatability.IDEMPOTENT,
+                progress,
             )
             outcome = send_result.outcome
         finally:
+            if progress.is_response_unfinished and self._clock() >= routed.deadline_at:
+                # A response that begins and doesn't end is the endpoint's failure.
+                outcome = model.Outcome.BROKEN
             self._planned_stop.record_send(routed, send_result, self._clock() - sent_at)
             load = None if send_result is None else send_result.load
             connect_s = None if send_result is None else send_result.connect_s
--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -50,6 +50,8 @@
 SENT_CHECK_INTERVAL_S = 0.01
 # Limit on the bytes of a response on the wire, and of its body.
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# The same for a body that doesn't say how long it is, and so may have no end.
+MAX_UNBOUNDED_BODY_BYTES = 16 * 1024 * 1024
 
 
 class Fault(enum.Enum):
@@ -131,6 +133,11 @@
         """Bytes received for the last request."""
         return self._received_bytes
 
+    @property
+    def has_unfinished_response(self) -> bool:
+        """Whether a response has begun and isn't complete."""
+        return self._is_in_message
+
     def unread_bytes(self) -> int:
         """Return how many bytes the kernel holds."""
         return (
@@ -326,6 +333,9 @@
         self._body.append(body)
         if self._body.is_fragmented:
             raise _ResponseRejected("response body has too many small pieces")
+        is_long = self._body.size_bytes > MAX_UNBOUNDED_BODY_BYTES
+        if is_long and not self._has_length:
+            raise _ResponseRejected("response body without a length is too long")
 
     def on_message_complete(self) -> None:
         """Complete the response unless it is an interim one (1xx)."""
--- a/packages/gateway/tests/front/test_endpoint_sender.py
+++ b/packages/gateway/tests/front/test_endpoint_sender.py
@@ -396,3 +396,36 @@
         result = await sending
     assert result.execution is Execution.NOT_SENT
     assert not fake_endpoint.requests
+
+
+def has_received(sender: endpoint_sender.Sender) -> bool:
+    return any(
+        connection.received_bytes
+        for pool in sender._pools_by_id.values()
+        for connection in pool._open_connections
+    )
+
+
+@pytest.mark.parametrize(
+    ("data", "is_unfinished"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\nbody", True),
+        (b"HTTP/1.1 200 OK\r\nfield", True),
+        (b"HTTP/1.1 103 Early Hints\r\n\r\n", False),
+    ],
+)
+async def test_send_tells_whether_a_cancelled_response_had_begun(data, is_unfinished):
+    fake_endpoint = Endpoint(data)
+    progress = endpoint_sender.SendProgress()
+    async with fake_endpoint.serving() as (sender, endpoint):
+        now = asyncio.get_running_loop().time()
+        request_headers = [(b"host", b"h"), (b"request-id", b"q1")]
+        request = messages.Request(b"GET", b"/a", request_headers, b"", now)
+        sending = asyncio.create_task(
+            sender.send(request, endpoint, now + 10.0, True, progress)
+        )
+        while not has_received(sender):
+            await asyncio.sleep(0)
+        sending.cancel()
+        await asyncio.wait([sending])
+    assert progress.is_response_unfinished == is_unfinished
--- a/packages/gateway/tests/front/test_request_path.py
+++ b/packages/gateway/tests/front/test_request_path.py
@@ -103,13 +103,17 @@
 class Sender:
     """Returns the listed results in order, then never completes a send."""
 
-    def __init__(self, *results: endpoint_sender.SendResult) -> None:
+    def __init__(
+        self, *results: endpoint_sender.SendResult, has_begun_response: bool = False
+    ) -> None:
         self.results = list(results)
         self.sent: list[str] = []
+        self.has_begun_response = has_begun_response
 
-    async def send(self, request, endpoint, deadline_at, is_idempotent):
+    async def send(self, request, endpoint, deadline_at, is_idempotent, progress):
         self.sent.append(endpoint.endpoint_id)
         if not self.results:
+            progress.is_response_unfinished = self.has_begun_response
             await asyncio.Event().wait()
         return self.results.pop(0)
 
@@ -522,3 +526,31 @@
     assert response.status == 503
     assert not sender.sent
     assert placer.released == [model.Outcome.ABANDONED]
+
+
+# Guards against endpoints that get new requests again and again though none of their
+# responses has an end: a request that timed out said nothing about its endpoint.
+@pytest.mark.parametrize(
+    ("has_begun_response", "outcome"),
+    [(True, model.Outcome.BROKEN), (False, model.Outcome.ABANDONED)],
+)
+async def test_handle_counts_a_response_without_end_as_a_failure(
+    has_begun_response, outcome
+):
+    placer = Placer(1)
+    sender = Sender(has_begun_response=has_begun_response)
+    response = await make_request_path(placer, sender).handle(request(b"50"))
+    assert response.status == 504
+    assert placer.released == [outcome]
+
+
+async def test_handle_counts_nothing_if_the_client_leaves_before_its_deadline():
+    placer = Placer(1)
+    sender = Sender(has_begun_response=True)
+    path = make_request_path(placer, sender)
+    handling = asyncio.create_task(path.handle(request()))
+    while not sender.sent:
+        await asyncio.sleep(0)
+    handling.cancel()
+    await asyncio.wait([handling])
+    assert placer.released == [model.Outcome.ABANDONED]
--- a/packages/gateway/tests/http1/test_client.py
+++ b/packages/gateway/tests/http1/test_client.py
@@ -426,6 +426,27 @@
 
 # Guards against several endpoints that fill the memory together, each below the limit
 # of one response.
+# Guards against endpoints that keep an instance busy with bytes of no use: a body
+# without a length was read on up to the limit of all bodies.
+@pytest.mark.parametrize(
+    ("beginning", "repeated"),
+    [
+        (HEAD + b"\r\n", b"x" * 4096),
+        (CHUNKED_HEAD, b"1000\r\n" + b"x" * 4096 + b"\r\n"),
+        (CHUNKED_HEAD + b"fffffffff\r\n", b"x" * 4096),
+    ],
+    ids=["close-delimited", "chunks", "one-chunk"],
+)
+async def test_exchange_reads_a_part_of_a_body_without_a_length(beginning, repeated):
+    async with endless(beginning, repeated) as source:
+        connection = await source.pool.acquire(5.0, 5.0)
+        outcome = await connection.exchange(REQUEST, is_first, False)
+    assert outcome.detail == "response body without a length is too long"
+    received_bytes = connection.received_bytes
+    assert received_bytes < 1.1 * client.MAX_UNBOUNDED_BODY_BYTES
+    assert client.MAX_UNBOUNDED_BODY_BYTES < client.MAX_RESPONSE_BYTES / 2
+
+
 async def test_exchange_ends_the_largest_response_when_all_exceed_the_budget():
     budget = memory_budget.MemoryBudget(4 * 1024 * 1024)
     body = bytes(2 * 1024 * 1024)
--- a/packages/node/tests/test_entry_node.py
+++ b/packages/node/tests/test_entry_node.py
@@ -219,7 +219,7 @@
     def __init__(self) -> None:
         self.sent: list[bytes] = []
 
-    async def send(self, request, endpoint, deadline_at, is_idempotent):
+    async def send(self, request, endpoint, deadline_at, is_idempotent, progress):
         self.sent.append(request.target)
         if request.target not in BODIES_BY_TARGET:
             await asyncio.Event().wait()
