HTTP server: free requests and responses when a connection ends

Cause: the parser, and each request by its way to ask whether its client is there, refer to the connection, which referred to them until the garbage collector came.

connection_lost drops both, and closing frees what waits behind the last response.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -97,6 +97,7 @@
         self._id = next(state.connection_ids)
         self._request_count = 0
         self._transport: asyncio.Transport
+        self._parser: httptools.HttpRequestParser | None
         self._parser = httptools.HttpRequestParser(self)
         self._target = b""
         self._headers: messages.HeaderList = []
@@ -173,7 +174,6 @@
         is_own_close, self._is_closing = self._is_closing, True
         self._state.connections.discard(self)
         self._disarm_timer()
-        self._free_memory()
         if self._pending_responses:
             reason = "closed by the client" if exc is None else repr(exc)
             events.event(
@@ -184,6 +184,12 @@
                 undelivered=len(self._positions(has_response=True)),
             )
         self._cancel_tasks()
+        self._free_memory()
+        self._state.budget.retain(self, 0)
+        # Both refer to this connection. As long as they do, all that it holds would
+        # wait for the garbage collector.
+        self._parser = None
+        self._pending_responses.clear()
 
     def find_unfinished(self) -> UnfinishedConnection | None:
         """Return what the connection still owes its client, None if nothing."""
@@ -258,7 +264,7 @@
             self._body_length = int(length)
             if self._body_length > limits.max_body_bytes:
                 raise _RequestRejected(413, f"the body is {self._body_length} bytes")
-        if self._parser.should_upgrade():
+        if self._get_parser().should_upgrade():
             raise _RequestRejected(501, "upgrades are not supported")
         if sum(1 for name, _ in self._headers if name == b"host") != 1:
             raise _RequestRejected(400, "one Host header is needed")
@@ -291,8 +297,9 @@
         if self._is_closing or self._is_rejected:
             return
         self._request_count += 1
+        parser = self._get_parser()
         request = messages.Request(
-            self._parser.get_method(),
+            parser.get_method(),
             self._target,
             self._headers,
             self._body.join(),
@@ -302,7 +309,7 @@
             self._is_client_connected,
         )
         self._body.clear()
-        pending = _PendingResponse(request, self._parser.should_keep_alive())
+        pending = _PendingResponse(request, parser.should_keep_alive())
         self._pending_responses.append(pending)
         self._state.budget.retain(pending, request.memory_size())
         self._state.requests_in_flight += 1
@@ -312,6 +319,10 @@
         if len(self._pending_responses) >= MAX_PIPELINED_REQUESTS:
             self._reading_pause.start()
 
+    def _get_parser(self) -> httptools.HttpRequestParser:
+        assert self._parser is not None, "the connection is lost"
+        return self._parser
+
     def _parse(self) -> None:
         """Parse what was received, up to the limit on pipelined requests."""
         while len(self._unparsed) and not (self._is_closing or self._is_rejected):
@@ -355,7 +366,7 @@
     def _parse_part(self, part: memoryview) -> None:
         self._incomplete_field_bytes += len(part)
         try:
-            self._parser.feed_data(part)
+            self._get_parser().feed_data(part)
             # The parser keeps an incomplete field and reports it only once it ends.
             self._check_field_size(self._incomplete_field_bytes)
             self._charge_incomplete_field(part)
@@ -422,7 +433,7 @@
         self._state.requests_in_flight -= 1
         self._tasks.remove(task)
         if pending.response is None or self._is_closing:
-            self._state.budget.retain(pending, 0)
+            self._free_pending(pending)
         error: BaseException | None
         if task.cancelled():
             if self._is_closing or self._has_client_left:
@@ -490,13 +501,20 @@
         return self._has_unparsed_bytes()
 
     def _free_memory(self) -> None:
+        """Drop what was received, and the responses that aren't being sent."""
         self._discard_unparsed()
         self._headers = []
         self._body.clear()
         self._state.budget.release(self)
-        self._state.budget.retain(self, 0)
         for pending in self._pending_responses:
-            self._state.budget.retain(pending, 0)
+            self._free_pending(pending)
+
+    def _free_pending(self, pending: _PendingResponse) -> None:
+        """Drop the content of a request and of its response, but not their places."""
+        self._state.budget.retain(pending, 0)
+        pending.request.headers, pending.request.body = [], b""
+        if pending.response is not None:
+            pending.response = messages.Response(pending.response.status, [], b"")
 
     def _discard_unparsed(self) -> None:
         self._unparsed.clear()
@@ -543,10 +561,10 @@
             return
         self._is_closing = True
         self._disarm_timer()
-        self._discard_unparsed()
         # Pipelined requests behind the last response are cancelled, and those not yet
         # passed to the handler are dropped. The client sends them again.
         self._cancel_tasks()
+        self._free_memory()
         if self._transport.is_closing():
             return
         self._reading_pause.end()
