Soak: the memory limit counts what a process hasn't read

Missed: the watcher counted resident memory only.

Each sample joins the receive queues of /proc/net/tcp with the sockets of a process. The limit applies to resident and unread memory of the moment together, and to the peak of resident memory as before. The report names both peaks by role.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -812,8 +813,8 @@
     ) as popen:
         popen.stdout.readline()
         entry.popen, entry.processes = popen, [deployment.Process(1.0)]
-        watcher.check(entry)
-        watcher.check(entry)
+        for _ in range(2):
+            watcher.check(entry, memory.unread_bytes_by_inode())
         popen.stdin.close()
         assert popen.wait() == (-signal.SIGKILL if is_killed else 0)
     assert used_mb <= watcher.peak_mb_by_role["entry"] < used_mb + 20
@@ -821,6 +822,50 @@
     assert entry.processes[0].disrupted_at() == []
 
 
+NOT_READING_PROGRAM = """
+import socket, sys
+listener = socket.create_server(("127.0.0.1", 0), backlog=99)
+print(listener.getsockname()[1], flush=True)
+accepted = [listener.accept() for _ in range(int(sys.argv[1]))]
+print(flush=True)
+sys.stdin.read()
+"""
+
+
+# Guards against a limit that leaves out what the kernel holds for a process.
+def test_memory_watcher_counts_unread_bytes(tmp_path):
+    count, size = 50, 40_000
+    entry = deployment.Instance("e-7", "entry", "", "z", tmp_path, [], "")
+    with (
+        subprocess.Popen(
+            [sys.executable, "-S", "-c", NOT_READING_PROGRAM, f"{count}"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        ) as popen,
+        contextlib.ExitStack() as stack,
+    ):
+        address = ("127.0.0.1", int(popen.stdout.readline()))
+        entry.popen, entry.processes = popen, [deployment.Process(1.0)]
+        for _ in range(count):
+            sock = stack.enter_context(socket.create_connection(address, 9.0))
+            sock.sendall(bytes(size))
+        popen.stdout.readline()
+        watcher = memory.Watcher([entry], 1000)
+        end_at = time.monotonic() + 9
+        while watcher.peak_mb_by_role["entry unread"] < count * size / 1e6:
+            assert time.monotonic() < end_at
+            watcher.check(entry, memory.unread_bytes_by_inode())
+        peaks_mb = watcher.peak_mb_by_role
+        assert peaks_mb["entry unread"] == count * size / 1e6
+        assert watcher.ends == []
+        limit_mb = (peaks_mb["entry"] + peaks_mb["entry with unread"]) / 2
+        assert limit_mb > peaks_mb["entry"]
+        watcher = memory.Watcher([entry], limit_mb)
+        watcher.check(entry, memory.unread_bytes_by_inode())
+        assert popen.wait(9) == -signal.SIGKILL
+    assert "2 MB unread" in watcher.ends[0]
+
+
 # Guards against an end for memory that counts as that of an expected signal, and one
 # that is reported twice.
 @pytest.mark.parametrize("is_expected", [False, True])
