Soak: more endless answers, behind 200 or 500, at drawn rates and write sizes

Missed: respond_without_end sent each answer behind status 200, as fast as threads can, so that most went over a limit and were closed at once. At most eight answers of an endpoint sent at a time, the others nothing.

Each answer draws its status, rate (1 to 30 MB/s or unpaced) and size of writes from the seeded generator. Paced answers have threads of their own, 64 an endpoint; the limit of eight holds for the unpaced ones, which take the clients' time. The fault lasts three deadlines of a route at least.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -36,8 +36,9 @@
 # Body of an upload that is still being written while its answer is broken off; more
 # than the kernel takes of it.
 LARGE_UPLOAD_BYTES = 6 * 1024 * 1024
-# Answers at once that are without end; any more wait.
-MAX_ENDLESS_ANSWERS = 8
+# Answers at once that are without end; any more wait, and send nothing. Those that are
+# sent as fast as they can be are fewer, as they take the time of the clients.
+MAX_ENDLESS_ANSWERS, MAX_UNPACED_ANSWERS = 64, 8
 # Rows of another writer, as JSON: one that does not match the columns, and values that
 # decoders refuse.
 ODD_ROWS = ('["another writer",null]', "1e999", "[" * 2000 + "]" * 2000)
@@ -86,6 +87,7 @@
         """Number of requests of which one is answered so."""
         self._invalid_candidates = 0
         self._executor: concurrent.futures.ThreadPoolExecutor
+        self._unpaced_executor: concurrent.futures.ThreadPoolExecutor
         self._ids_by_transport: weakref.WeakKeyDictionary[asyncio.Transport, str]
         self._ids_by_transport = weakref.WeakKeyDictionary()
         self.rate_limit: float | None = None
@@ -110,7 +112,9 @@
         self._warm_keys.clear()
         self._free_slots = asyncio.Semaphore(self.slots)
         self._running = 0
-        self._executor = concurrent.futures.ThreadPoolExecutor(MAX_ENDLESS_ANSWERS)
+        new_executor = concurrent.futures.ThreadPoolExecutor
+        self._executor = new_executor(MAX_ENDLESS_ANSWERS)
+        self._unpaced_executor = new_executor(MAX_UNPACED_ANSWERS)
         app = web.Application(client_max_size=1 << 26)
         app.router.add_route("*", "/{path:.*}", self._handle)
         self._runner = web.AppRunner(
@@ -131,6 +135,7 @@
             self.is_up = False
             await runner.cleanup()
             self._executor.shutdown(wait=False)
+            self._unpaced_executor.shutdown(wait=False)
 
     def reset_connections(self) -> None:
         """Reset all connections, with what is executed on them."""
@@ -238,9 +243,14 @@
         fields = (
             f"Attempt-Id: {attempt_id}\r\nServer-Seal: {response_signature(b'')}\r\n"
         )
-        await answer(
-            invalid_answers.Exchange(transport, fields.encode(), self._executor)
+        exchange = invalid_answers.Exchange(
+            transport,
+            fields.encode(),
+            self._executor,
+            self._unpaced_executor,
+            self._rng,
         )
+        await answer(exchange)
         network.reset(transport)
         return web.Response(status=500)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -69,6 +69,8 @@
 # Of how many requests one is answered invalidly, and for how long at least.
 INVALID_INTERVALS = (1, 2, 3, 5)
 MIN_INVALID_S = 2.0
+# A few deadlines, so that what is kept of requests that were given up adds up.
+MIN_ENDLESS_S = 3 * operator.ROUTE_TIMEOUT_S
 CLOCK_STEPS_S = (-600.0, -2.4, 2.4, 600.0)
 
 Fault = Callable[[FaultContext, float], Awaitable[None]]
@@ -492,6 +494,7 @@
 @_register_fault
 async def respond_without_end(context: FaultContext, duration_s: float) -> None:
     """Let endpoints answer some requests with bytes without end."""
+    duration_s = max(MIN_ENDLESS_S, duration_s)
     await _answer_invalidly(context, duration_s, invalid_answers.WITHOUT_END)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import concurrent.futures
 import contextlib
 import errno
 import pathlib
@@ -997,4 +998,46 @@
         assert int(received.split()[1]) not in range(100, 600)
     writer.transport.abort()
     await endpoint.stop()
-    endpoint._executor.shutdown(wait=True)
+    for executor in (endpoint._executor, endpoint._unpaced_executor):
+        executor.shutdown(wait=True)
+
+
+# Guards against bytes without end that come at another rate than the one drawn, in
+# other writes, or behind one status only; and against a sender that outlives its caller
+# by the pause after a large write.
+@pytest.mark.parametrize(
+    ("rate", "write_size"), [(1e6, 1100), (10e6, 1100), (1e6, 1 << 20), (None, 1 << 14)]
+)
+@pytest.mark.parametrize("status", invalid_answers.STATUSES)
+async def test_endless_answer_keeps_to_its_draw(rate, write_size, status):
+    draws = iter((status, rate, write_size))
+    rng = types.SimpleNamespace(choice=lambda values: next(draws))
+    answer = invalid_answers.ANSWERS_BY_GROUP[invalid_answers.WITHOUT_END][0]
+    pools = [concurrent.futures.ThreadPoolExecutor(1) for _ in range(2)]
+    answered = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, writer):
+        await answer(invalid_answers.Exchange(writer.transport, b"", *pools, rng))
+        writer.transport.abort()
+        answered.set_result(None)
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    started_at, received = time.monotonic(), 0
+    async with asyncio.timeout(9):
+        assert (await reader.readexactly(13)) == b"HTTP/1.1 %d " % status
+        while time.monotonic() < started_at + 0.5:
+            received += len(await reader.read(1 << 20))
+        elapsed_s = time.monotonic() - started_at
+        if rate is None:
+            assert received > 5_000_000
+        else:
+            early = write_size + rate * invalid_answers.MAX_EARLY_S + 1e5
+            assert 0.3 * rate * elapsed_s < received < 1.2 * rate * elapsed_s + early
+        writer.transport.abort()
+        closed_at = time.monotonic()
+        await answered
+    assert time.monotonic() - closed_at < 0.4
+    server.close()
+    for pool in pools:
+        pool.shutdown(wait=True)
