--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import concurrent.futures
 import contextlib
 import errno
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -812,8 +814,8 @@
     ) as popen:
         popen.stdout.readline()
         entry.popen, entry.processes = popen, [deployment.Process(1.0)]
-        watcher.check(entry)
-        watcher.check(entry)
+        for _ in range(2):
+            watcher.check(entry, memory.unread_bytes_by_inode())
         popen.stdin.close()
         assert popen.wait() == (-signal.SIGKILL if is_killed else 0)
     assert used_mb <= watcher.peak_mb_by_role["entry"] < used_mb + 20
@@ -821,6 +823,50 @@
     assert entry.processes[0].disrupted_at() == []
 
 
+NOT_READING_PROGRAM = """
+import socket, sys
+listener = socket.create_server(("127.0.0.1", 0), backlog=99)
+print(listener.getsockname()[1], flush=True)
+accepted = [listener.accept() for _ in range(int(sys.argv[1]))]
+print(flush=True)
+sys.stdin.read()
+"""
+
+
+# Guards against a limit that leaves out what the kernel holds for a process.
+def test_memory_watcher_counts_unread_bytes(tmp_path):
+    count, size = 50, 40_000
+    entry = deployment.Instance("e-7", "entry", "", "z", tmp_path, [], "")
+    with (
+        subprocess.Popen(
+            [sys.executable, "-S", "-c", NOT_READING_PROGRAM, f"{count}"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        ) as popen,
+        contextlib.ExitStack() as stack,
+    ):
+        address = ("127.0.0.1", int(popen.stdout.readline()))
+        entry.popen, entry.processes = popen, [deployment.Process(1.0)]
+        for _ in range(count):
+            sock = stack.enter_context(socket.create_connection(address, 9.0))
+            sock.sendall(bytes(size))
+        popen.stdout.readline()
+        watcher = memory.Watcher([entry], 1000)
+        end_at = time.monotonic() + 9
+        while watcher.peak_mb_by_role["entry unread"] < count * size / 1e6:
+            assert time.monotonic() < end_at
+            watcher.check(entry, memory.unread_bytes_by_inode())
+        peaks_mb = watcher.peak_mb_by_role
+        assert peaks_mb["entry unread"] == count * size / 1e6
+        assert watcher.ends == []
+        limit_mb = (peaks_mb["entry"] + peaks_mb["entry with unread"]) / 2
+        assert limit_mb > peaks_mb["entry"]
+        watcher = memory.Watcher([entry], limit_mb)
+        watcher.check(entry, memory.unread_bytes_by_inode())
+        assert popen.wait(9) == -signal.SIGKILL
+    assert "2 MB unread" in watcher.ends[0]
+
+
 # Guards against an end for memory that counts as that of an expected signal, and one
 # that is reported twice.
 @pytest.mark.parametrize("is_expected", [False, True])
@@ -952,4 +998,46 @@
         assert int(received.split()[1]) not in range(100, 600)
     writer.transport.abort()
     await endpoint.stop()
-    endpoint._executor.shutdown(wait=True)
+    for executor in (endpoint._executor, endpoint._unpaced_executor):
+        executor.shutdown(wait=True)
+
+
+# Guards against bytes without end that come at another rate than the one drawn, in
+# other writes, or behind one status only; and against a sender that outlives its caller
+# by the pause after a large write.
+@pytest.mark.parametrize(
+    ("rate", "write_size"), [(1e6, 1100), (10e6, 1100), (1e6, 1 << 20), (None, 1 << 14)]
+)
+@pytest.mark.parametrize("status", invalid_answers.STATUSES)
+async def test_endless_answer_keeps_to_its_draw(rate, write_size, status):
+    draws = iter((status, rate, write_size))
+    rng = types.SimpleNamespace(choice=lambda values: next(draws))
+    answer = invalid_answers.ANSWERS_BY_GROUP[invalid_answers.WITHOUT_END][0]
+    pools = [concurrent.futures.ThreadPoolExecutor(1) for _ in range(2)]
+    answered = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, writer):
+        await answer(invalid_answers.Exchange(writer.transport, b"", *pools, rng))
+        writer.transport.abort()
+        answered.set_result(None)
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    started_at, received = time.monotonic(), 0
+    async with asyncio.timeout(9):
+        assert (await reader.readexactly(13)) == b"HTTP/1.1 %d " % status
+        while time.monotonic() < started_at + 0.5:
+            received += len(await reader.read(1 << 20))
+        elapsed_s = time.monotonic() - started_at
+        if rate is None:
+            assert received > 5_000_000
+        else:
+            early = write_size + rate * invalid_answers.MAX_EARLY_S + 1e5
+            assert 0.3 * rate * elapsed_s < received < 1.2 * rate * elapsed_s + early
+        writer.transport.abort()
+        closed_at = time.monotonic()
+        await answered
+    assert time.monotonic() - closed_at < 0.4
+    server.close()
+    for pool in pools:
+        pool.shutdown(wait=True)
