HTTP client: close what is released to a closed pool

A connection in use while its endpoint left the list stayed open until the endpoint closed it: the request released it to a pool that nothing refers to any more.

A closed pool now closes what is released to it.

--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -437,6 +437,7 @@
         self.budget = budget or memory_budget.MemoryBudget()
         self._idle: list[Connection] = []
         self._open_connections: set[Connection] = set()
+        self._is_closed = False
         self.connect_count = 0
 
     def unread_bytes(self) -> int:
@@ -474,13 +475,14 @@
 
     def release(self, connection: Connection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
-        if connection.is_usable:
+        if connection.is_usable and not self._is_closed:
             self._idle.append(connection)
         else:
             connection.close()
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections, and the others as they are released."""
+        self._is_closed = True
         while self._idle:
             self._idle.pop().close()
 
--- a/packages/gateway/tests/http1/test_client_freed.py
+++ b/packages/gateway/tests/http1/test_client_freed.py
@@ -281,6 +281,17 @@
         assert budget.used_bytes == 0
 
 
+# Guards against connections to endpoints that are gone from the list, which stay open
+# until the endpoint closes them: no pool would use or close them any more.
+async def test_connection_is_freed_when_its_pool_was_closed_before(caller_class):
+    async with calling(caller_class) as (endpoint, caller, budget, call, reference):
+        caller.pool.close()
+        await endpoint.send(COMPLETE)
+        await wait_for_end(call)
+        assert reference() is None
+        assert budget.used_bytes == 0
+
+
 @pytest.mark.parametrize("is_reset", [False, True], ids=["end", "reset"])
 async def test_connection_is_freed_when_it_ends_while_idle(caller_class, is_reset):
     async with calling(caller_class) as (endpoint, caller, budget, call, reference):
