HTTP client: count incomplete trailer fields in the budget

What no callback has taken is charged, as it is in the head. The new test failed before (289 bytes counted of 50,000) and passes. A second one shows that closing frees at once, not with the end of the transport.

--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -230,6 +230,8 @@
         if parser is None:
             # Closed to stay below the memory budget.
             return
+        had_final_headers = self._has_final_headers
+        incomplete_field_bytes = self._incomplete_field_bytes
         self._incomplete_field_bytes += len(data)
         body_memory_bytes = self._body.memory_bytes
         try:
@@ -246,7 +248,11 @@
             self._fail(Fault.MALFORMED, repr(error))
         if self._parser is None:
             return
-        self._budget.charge(self, max(0, self._body.memory_bytes - body_memory_bytes))
+        added_bytes = max(0, self._body.memory_bytes - body_memory_bytes)
+        if had_final_headers:
+            # The parser keeps an incomplete trailer field.
+            added_bytes += max(0, self._incomplete_field_bytes - incomplete_field_bytes)
+        self._budget.charge(self, added_bytes)
         if not self._has_final_headers:
             self._head_bytes += len(data)
             if self._head_bytes > MAX_HEAD_BYTES:
--- a/packages/gateway/tests/http1/test_client_freed.py
+++ b/packages/gateway/tests/http1/test_client_freed.py
@@ -281,6 +281,34 @@
         assert budget.used_bytes == 0
 
 
+# Guards against instances that run out of memory over trailer fields that don't end,
+# which the parser keeps and the budget did not count.
+async def test_budget_counts_an_incomplete_trailer_field():
+    async with calling(DirectCaller) as (endpoint, _, budget, call, reference):
+        await endpoint.send(CHUNKED + b"1\r\nx\r\n0\r\n")
+        await wait_until_received(reference, len(CHUNKED) + 9)
+        await endpoint.send(b"Trailer: " + b"x" * 50_000)
+        await wait_until_received(reference, len(CHUNKED) + 50_018)
+        assert budget.used_bytes >= 50_000
+        call.cancel()
+        await wait_for_end(call)
+        assert reference() is None
+        assert budget.used_bytes == 0
+
+
+# Guards against a close that leaves the rest to later iterations of the event loop.
+async def test_fail_frees_a_response_at_once():
+    async with calling(DirectCaller) as (endpoint, _, budget, call, reference):
+        await endpoint.send(LENGTH + PART)
+        await wait_until_received(reference, len(LENGTH) + PART_BYTES)
+        assert measure_content(reference()) > PART_BYTES
+        reference().fail("test")
+        assert measure_content(reference()) == 0
+        assert budget.used_bytes == 0
+        await wait_for_end(call)
+        assert reference() is None
+
+
 # Guards against connections to endpoints that are gone from the list, which stay open
 # until the endpoint closes them: no pool would use or close them any more.
 async def test_connection_is_freed_when_its_pool_was_closed_before(caller_class):
