Tests: the known length is that of the request being received

A mutant that kept the length of the request before on a server connection passed all of test_server, test_server_freed and test_memory_budget; the new test fails with it.

--- a/packages/gateway/tests/http1/test_server_freed.py
+++ b/packages/gateway/tests/http1/test_server_freed.py
@@ -109,3 +109,19 @@
             await wait_until_closed(http_server)
             assert reference() is None
             assert budget.used_bytes == 0
+
+
+# Guards against bodies without end that aren't discarded first, as the request before
+# them said how long it was.
+async def test_has_known_length_is_that_of_the_request_being_received():
+    async with serving(memory_budget.MemoryBudget()) as (http_server, port):
+        post = b"POST / HTTP/1.1\r\n" + HEAD
+        first = post + b"Content-Length: 2\r\n\r\nok"
+        second = post + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+        sock, reference = await connect_and_send(http_server, port, first + second)
+        with sock:
+            async with asyncio.timeout(20):
+                while reference()._request_count < 1 or http_server.requests_in_flight:
+                    await asyncio.sleep(0.001)
+            assert reference()._body.size_bytes == 2
+            assert not reference().has_known_length
