--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -230,6 +230,8 @@
         if parser is None:
             # Closed to stay below the memory budget.
             return
+        had_final_headers = self._has_final_headers
+        incomplete_field_bytes = self._incomplete_field_bytes
         self._incomplete_field_bytes += len(data)
         body_memory_bytes = self._body.memory_bytes
         try:
@@ -246,7 +248,11 @@
             self._fail(Fault.MALFORMED, repr(error))
         if self._parser is None:
             return
-        self._budget.charge(self, max(0, self._body.memory_bytes - body_memory_bytes))
+        added_bytes = max(0, self._body.memory_bytes - body_memory_bytes)
+        if had_final_headers:
+            # The parser keeps an incomplete trailer field.
+            added_bytes += max(0, self._incomplete_field_bytes - incomplete_field_bytes)
+        self._budget.charge(self, added_bytes)
         if not self._has_final_headers:
             self._head_bytes += len(data)
             if self._head_bytes > MAX_HEAD_BYTES:
@@ -437,6 +443,7 @@
         self.budget = budget or memory_budget.MemoryBudget()
         self._idle: list[Connection] = []
         self._open_connections: set[Connection] = set()
+        self._is_closed = False
         self.connect_count = 0
 
     def unread_bytes(self) -> int:
@@ -474,13 +481,14 @@
 
     def release(self, connection: Connection) -> None:
         """Return a connection to the pool, or close it if it can't be reused."""
-        if connection.is_usable:
+        if connection.is_usable and not self._is_closed:
             self._idle.append(connection)
         else:
             connection.close()
 
     def close(self) -> None:
-        """Close the idle connections."""
+        """Close the idle connections, and the others as they are released."""
+        self._is_closed = True
         while self._idle:
             self._idle.pop().close()
 
