Daemon: free what came of a response when its exchange ends

Cause: a connection kept the head and the body of its response, and the body refers to it. Errors did the same: one that was raised refers to the frames that read, which refer to the body, the connection, or the future that holds the error. Only the garbage collector freed those.

connection_lost drops head and body; an error of the head is kept no longer once it was raised; the traceback of an error of the parser or the body is dropped, and a closed response gets another error in its place.

--- a/packages/gateway/src/yuccapitch/gateway/client_connection.py
+++ b/packages/gateway/src/yuccapitch/gateway/client_connection.py
@@ -72,6 +72,15 @@
         self._is_request_written = True
         super().start_timeout()
 
+    async def read(self) -> tuple[http.RawResponseMessage, streams.StreamReader]:
+        """Return the head of the response, with its body."""
+        try:
+            return await super().read()
+        except Exception:
+            # The error refers to this frame from now on, and so to the connection.
+            self._exception = None
+            raise
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; without any, parse those that were received before."""
         if self._parser is None or self._payload_parser is not None:
@@ -120,10 +129,16 @@
         return False
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail a response that is incomplete, unless its end delimits it."""
+        """Fail a response that is incomplete, unless its end delimits it.
+
+        What was received of it is freed, as the body refers to its connection.
+        """
         if exc is not None:
             self._fail_body(aiohttp.ClientPayloadError(f"connection lost: {exc!r}"))
+            # The library would replace that error, which then refers to itself.
+            self._payload = None
         super().connection_lost(exc)
+        self._message, self._body = None, None
 
     def _parse(self, data: bytes) -> None:
         if self._message is None:
@@ -137,6 +152,9 @@
         if error is not None and self._parser is not None and not self.is_connected():
             # The parser failed, which the library doesn't tell the reader of the body.
             self._is_rejected = True
+            if error.__cause__ is not None:
+                # Its traceback refers to the error, and to the connection.
+                error.__cause__.__traceback__ = None
             self._fail_body(ResponseRejected(f"invalid response: {error!r}"))
         elif self._message is None and self._head_bytes > MAX_HEAD_BYTES:
             self._reject(f"head larger than {MAX_HEAD_BYTES} bytes")
@@ -196,6 +214,17 @@
             self._body.set_exception(error)
 
 
+def close(response: aiohttp.ClientResponse) -> None:
+    """Close a response, unless it was read to its end, and let its body be freed."""
+    error = response.content.exception()
+    response.close()
+    # An error that was raised refers to the frames that read, which refer to the body
+    # and to the error.
+    if error is not None:
+        error.__traceback__ = None
+    response.content.set_exception(aiohttp.ClientConnectionError("response closed"))
+
+
 async def read_body(
     response: aiohttp.ClientResponse, max_bytes: int
 ) -> result.Result[bytes, str]:
--- a/packages/gateway/src/yuccapitch/gateway/exchange.py
+++ b/packages/gateway/src/yuccapitch/gateway/exchange.py
@@ -194,8 +194,7 @@
             yield outcome
         finally:
             if response is not None:
-                # Has no effect if the response was read to its end.
-                response.close()
+                client_connection.close(response)
 
     async def _send(
         self,
