Daemon: bound the receive buffers of clients and endpoints

Cause: only the routed role set SO_RCVBUF. Connections to endpoints and from clients now get the same size from the same function as they are made. The tests failed before: the buffer of a connection to an endpoint had grown to 1,863,722 bytes, where 262,144 are expected (the kernel doubles what is asked for); one from a client had the kernel's 131,072 to begin with, without a limit on growth.

--- a/packages/gateway/src/yuccapitch/gateway/client_connection.py
+++ b/packages/gateway/src/yuccapitch/gateway/client_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 from typing import Any
 
@@ -9,6 +10,8 @@
 import result
 from aiohttp import client_proto, http, streams
 
+from yuccapitch.gateway.http1 import server
+
 MAX_HEAD_BYTES = 256 * 1024
 """Limit on the bytes before the body of a response, with its interim responses."""
 MAX_FRAMING_BYTES = 96 * 1024
@@ -60,6 +63,13 @@
     _tail_bytes = 0
     """Bytes received behind the head, with those that are not parsed yet."""
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bound what arrives and isn't read."""
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            server.bound_receive_buffer(sock)
+        super().connection_made(transport)
+
     def set_response_params(self, **params: Any) -> None:
         """Prepare the connection for a request."""
         self._is_request_written = False
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -719,7 +719,7 @@
     bound the receive buffer.
     """
     if sock.family == socket.AF_INET:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        bound_receive_buffer(sock)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         set_user_timeout(sock, user_timeout_ms)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -728,6 +728,11 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def bound_receive_buffer(sock: socket.socket) -> None:
+    """Limit what the kernel holds of bytes that have arrived and aren't read."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 def set_user_timeout(sock: socket.socket, timeout_ms: int) -> None:
     """Set for how long sent data may stay unacknowledged (TCP_USER_TIMEOUT)."""
     if sock.family == socket.AF_INET:
--- a/packages/gateway/tests/test_exchange_freed.py
+++ b/packages/gateway/tests/test_exchange_freed.py
@@ -14,6 +14,7 @@
 
 from packages.gateway.tests import raw_endpoint, test_exchange
 from yuccapitch.gateway import client_connection, exchange
+from yuccapitch.gateway.http1 import server
 
 CHUNK = b"10000\r\n" + test_exchange.PIECE + b"\r\n"
 RESET = struct.pack("ii", 1, 0)
@@ -216,3 +217,22 @@
         del exchanging
         await iterate()
         assert held() == (0, 0)
+
+
+# Guards against instances that run out of memory over bytes that have arrived and were
+# not read: the kernel lets the buffer of a connection grow to tens of megabytes.
+async def test_exchange_bounds_what_the_kernel_holds(is_pooled: bool) -> None:
+    sender = Sender(UNFINISHED["unread"])
+    async with started_client() as client, sender.serving() as port:
+        exchanging = asyncio.create_task(receive_start(client, port, is_pooled))
+        await wait_for_received(sender)
+        (connection,) = (
+            x for x in gc.get_objects() if type(x) is client_connection.Connection
+        )
+        assert connection.transport is not None
+        sock = connection.transport.get_extra_info("socket")
+        # The kernel doubles the size that was asked for.
+        size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        exchanging.cancel()
+        await asyncio.wait([exchanging])
+        assert size == 2 * server.RECEIVE_BUFFER_BYTES
--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -11,7 +11,7 @@
 from aiohttp import http_exceptions, streams, web, web_protocol
 
 from yuccapitch.gateway import outcomes, request_body
-from yuccapitch.gateway.http1 import peer_state
+from yuccapitch.gateway.http1 import peer_state, server as http1_server
 from yuccapitch.node import lingering_transport, read_ahead
 from yuccapitch.protocol import events
 
@@ -156,6 +156,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to serve the connection."""
         assert isinstance(transport, asyncio.Transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            http1_server.bound_receive_buffer(sock)
         self._read_ahead = read_ahead.ReadAhead(
             transport, self._loop, self._read_ahead_budget, self._parse
         )
--- a/packages/node/tests/test_http_server_unread.py
+++ b/packages/node/tests/test_http_server_unread.py
@@ -10,6 +10,7 @@
 import pytest
 from aiohttp import web
 
+from yuccapitch.gateway.http1 import server as http1_server
 from yuccapitch.node import http_connection, http_server
 
 CLIENTS = 8
@@ -202,3 +203,15 @@
     assert bodies == [b"answer to /", b"answer to /"]
     assert received.endswith(b"answer to /2")
     assert received.count(b"\r\nConnection: close\r\n") == 1
+
+
+# Guards against instances that run out of memory over bytes that have arrived and were
+# not read: the kernel lets the buffer of a connection grow to tens of megabytes.
+async def test_server_bounds_what_the_kernel_holds_of_a_connection():
+    async with serving() as server:
+        with connecting(server):
+            connection = await wait_until_idle(server)
+            sock = connection.transport.get_extra_info("socket")
+            size = sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+            # The kernel doubles the size that was asked for.
+            assert size == 2 * http1_server.RECEIVE_BUFFER_BYTES
