Daemon: free responses to probes that break their framing

Each probe of a faulty endpoint could leave its connection and up to 65,536 bytes until a garbage collection, and probes are repeated.

--- a/packages/gateway/src/yuccapitch/gateway/client_connection.py
+++ b/packages/gateway/src/yuccapitch/gateway/client_connection.py
@@ -238,13 +238,16 @@
 async def read_body(
     response: aiohttp.ClientResponse, max_bytes: int
 ) -> result.Result[bytes, str]:
-    """Read a body of a limited size whole."""
+    """Read a body of a limited size whole, and close its response."""
     fault = f"body larger than {max_bytes} bytes"
     if response.content_length is not None and response.content_length > max_bytes:
         return result.Err(fault)
     body = bytearray()
-    while piece := await response.content.readany():
-        body += piece
-        if len(body) > max_bytes:
-            return result.Err(fault)
+    try:
+        while piece := await response.content.readany():
+            body += piece
+            if len(body) > max_bytes:
+                return result.Err(fault)
+    finally:
+        close(response)
     return result.Ok(bytes(body))
--- a/packages/gateway/tests/test_exchange_freed.py
+++ b/packages/gateway/tests/test_exchange_freed.py
@@ -219,6 +219,44 @@
         assert held() == (0, 0)
 
 
+async def read_limited(port: int, timeout_s: float) -> None:
+    """Read a body of a limited size, as probes do."""
+    async with aiohttp.ClientSession(
+        connector=client_connection.Connector(), auto_decompress=False
+    ) as session:
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                async with session.get(f"http://127.0.0.1:{port}/") as response:
+                    await client_connection.read_body(response, 100_000)
+
+
+# Guards against instances that run out of memory over responses to probes.
+@pytest.mark.parametrize("end", SENT_BY_END)
+async def test_read_body_frees_a_response_that_ended(end: str) -> None:
+    async with raw_endpoint.sending(*SENT_BY_END[end]) as endpoint:
+        await read_limited(endpoint.port, 20.0)
+        await iterate()
+        assert held() == (0, 0)
+
+
+# The same for responses that are late, end or are lost.
+@pytest.mark.parametrize("end", ["late", "end", "reset"])
+@pytest.mark.parametrize("state", UNFINISHED)
+async def test_read_body_frees_an_unfinished_response(state: str, end: str) -> None:
+    sender = Sender(UNFINISHED[state])
+    async with sender.serving() as port:
+        timeout_s = 0.1 if end == "late" else 20.0
+        reading = asyncio.create_task(read_limited(port, timeout_s))
+        await wait_for_received(sender)
+        if end != "late":
+            sender.close(is_reset=end == "reset")
+        await asyncio.wait([reading], timeout=20)
+        assert reading.done()
+        del reading
+        await iterate()
+        assert held() == (0, 0)
+
+
 # Guards against instances that run out of memory over bytes that have arrived and were
 # not read: the kernel lets the buffer of a connection grow to tens of megabytes.
 async def test_exchange_bounds_what_the_kernel_holds(is_pooled: bool) -> None:
