Daemon: free requests when the connection of their client ends

Cause: the connection kept the last body and requests that wait, and its reading ahead kept the function that parses: each refers to the connection. connection_lost drops the first two, and reading that is discarded its function, which has nothing to deliver from then on.

--- a/packages/node/src/yuccapitch/node/http_connection.py
+++ b/packages/node/src/yuccapitch/node/http_connection.py
@@ -243,6 +243,9 @@
         self._reset_head()
         self._read_ahead.discard()
         super().connection_lost(exc)
+        # Bodies refer to their connection.
+        self._messages.clear()
+        self._last_body = streams.EMPTY_PAYLOAD
 
     def handle_error(
         self,
--- a/packages/node/src/yuccapitch/node/read_ahead.py
+++ b/packages/node/src/yuccapitch/node/read_ahead.py
@@ -115,6 +115,8 @@
     def discard(self) -> None:
         """Free what is held, hold nothing any more and end the pause."""
         self._is_discarding = True
+        # It refers to the connection, which refers to this.
+        self._deliver = _ignore
         self._budget.watch(self, is_paused=False)
         self._held.clear()
         self._count(-self._held_bytes)
@@ -144,3 +146,7 @@
     def _count(self, byte_count: int) -> None:
         self._held_bytes += byte_count
         self._budget.add(byte_count)
+
+
+def _ignore(data: bytes) -> None:
+    pass
