--- a/packages/node/tests/test_http_connection_freed.py
+++ b/packages/node/tests/test_http_connection_freed.py
@@ -77,3 +77,29 @@
         for _ in range(5):
             await asyncio.sleep(0)
         assert reference() is None
+
+
+# The same for connections that a stop closes.
+@pytest.mark.parametrize("state", ["no request", "answered", "refused"])
+async def test_connection_is_freed_when_the_server_stops(state):
+    application = web.Application()
+    application.router.add_route("*", "/{name:.*}", respond)
+    async with contextlib.AsyncExitStack() as stack:
+        server = http_server.HttpServer("127.0.0.1", 0, 16_384)
+        await server.serve(application, stack)
+        address = (server.address.host, server.address.port)
+        with socket.create_connection(address) as sock:
+            async with asyncio.timeout(20):
+                while not server._runner.server.connections:
+                    await asyncio.sleep(0)
+                (reference,) = map(weakref.ref, server._runner.server.connections)
+                sock.sendall(SENT_BY_STATE[state])
+                for _ in range(200):
+                    await asyncio.sleep(0)
+                await server.stop_listening()
+                await stack.aclose()
+                while server._runner.server and server._runner.server.connections:
+                    await asyncio.sleep(0.01)
+            for _ in range(5):
+                await asyncio.sleep(0)
+            assert reference() is None
