Requests: sound endpoints aren't counted as failing for responses that are cut off

Only a response that doesn't say how long it is and has gone on for a second counts now, and a message without a known length goes first only if it is at least half as large as the largest one. The receive buffer is bounded whatever the address family.

--- a/packages/gateway/src/yuccapitch/gateway/front/endpoint_sender.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/endpoint_sender.py
@@ -61,8 +61,8 @@
 class SendProgress:
     """What is known of a send that is cancelled."""
 
-    is_response_unfinished: bool = False
-    """Whether the response had begun and wasn't complete."""
+    endless_response_s: float = 0.0
+    """For how long a response without a known length had gone on."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -182,7 +182,7 @@
             )
         except asyncio.CancelledError:
             if progress is not None:
-                progress.is_response_unfinished = connection.has_unfinished_response
+                progress.endless_response_s = connection.endless_response_s()
             if connection.received_bytes:
                 events.event(
                     "endpoint.response-unfinished",
--- a/packages/gateway/src/yuccapitch/gateway/front/request_path.py
+++ b/packages/gateway/src/yuccapitch/gateway/front/request_path.py
@@ -35,6 +35,10 @@
 MAX_UNREACHABLE_ENDPOINTS = 3
 # Retry-After if there is no estimate of when the request can be served.
 DEFAULT_RETRY_AFTER_S = 0.5
+# Time after which a response without a known length that is cut off by the deadline of
+# its request counts against its endpoint. Shorter ones tell of a short deadline, or of
+# an event loop that was late.
+MIN_ENDLESS_RESPONSE_S = 1.0
 # Retry-After where another instance can serve the request at once.
 MIN_RETRY_AFTER_S = 0.05
 # Retry-After of an instance that has no routes yet because it has just started. After a
@@ -264,8 +268,8 @@
             )
             outcome = send_result.outcome
         finally:
-            if progress.is_response_unfinished and self._clock() >= routed.deadline_at:
-                # A response that begins and doesn't end is the endpoint's failure.
+            is_endless = progress.endless_response_s >= MIN_ENDLESS_RESPONSE_S
+            if is_endless and self._clock() >= routed.deadline_at:
                 outcome = model.Outcome.BROKEN
             self._planned_stop.record_send(routed, send_result, self._clock() - sent_at)
             load = None if send_result is None else send_result.load
--- a/packages/gateway/src/yuccapitch/gateway/http1/client.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/client.py
@@ -107,6 +107,7 @@
         self._has_headers = False
         self._has_final_headers = False
         self._is_in_message = False
+        self._response_began_at = 0.0
         self._user_timeout_ms = TCP_USER_TIMEOUT_MS
         self.is_usable = False
         self.use_count = 0
@@ -133,10 +134,14 @@
         """Bytes received for the last request."""
         return self._received_bytes
 
-    @property
-    def has_unfinished_response(self) -> bool:
-        """Whether a response has begun and isn't complete."""
-        return self._is_in_message
+    def endless_response_s(self) -> float:
+        """Return for how long a response without a known length goes on.
+
+        It is 0 without one, and for a response that says how long it is.
+        """
+        if not self._is_in_message or self.has_known_length:
+            return 0.0
+        return self._clock() - self._response_began_at
 
     def unread_bytes(self) -> int:
         """Return how many bytes the kernel holds."""
@@ -290,6 +295,7 @@
         self._headers = []
         self._body.clear()
         self._is_in_message, self._has_headers = True, False
+        self._response_began_at = self._clock()
         self._has_final_headers = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
--- a/packages/gateway/src/yuccapitch/gateway/http1/memory_budget.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/memory_budget.py
@@ -17,8 +17,9 @@
 COPIES = 2
 # Assumed if the memory of a process isn't limited by its settings.
 DEFAULT_MEMORY_LIMIT_BYTES = 200_000_000
-# Fraction of the budget up to which a message without a known length is small.
-SMALL_MESSAGE_FRACTION = 1 / 16
+# Part of the largest message from which on one without a known length goes in its
+# place. Messages with a length that come slowly would else keep all others out.
+UNBOUNDED_MESSAGE_FRACTION = 0.5
 # Least budget, which still takes the usual messages of a few connections.
 MIN_BUFFERED_BYTES = 8 * 1024 * 1024
 
@@ -44,8 +45,8 @@
     """Memory of all messages together, incomplete and complete ones.
 
     Above the limit, the largest incomplete message is discarded: its sender may never
-    end it. One that doesn't say how long it is goes first, unless it is small. Complete
-    ones are kept, as work was done for them or depends on them.
+    end it. One that doesn't say how long it is goes in its place, unless it is much
+    smaller. Complete ones are kept, as work was done for them or depends on them.
     """
 
     def __init__(
@@ -75,11 +76,11 @@
 
     def _find_largest(self) -> Receiver:
         sizes = self._incomplete_bytes_by_receiver
+        least_bytes = max(sizes.values()) * UNBOUNDED_MESSAGE_FRACTION
         unbounded = [
             receiver
             for receiver, size in sizes.items()
-            if not receiver.has_known_length
-            and size > self.max_bytes * SMALL_MESSAGE_FRACTION
+            if not receiver.has_known_length and size > least_bytes
         ]
         return max(unbounded or sizes, key=sizes.__getitem__)
 
--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -718,8 +718,8 @@
     They disable Nagle's algorithm, set TCP_USER_TIMEOUT, enable keep-alive probes and
     bound the receive buffer.
     """
+    bound_receive_buffer(sock)
     if sock.family == socket.AF_INET:
-        bound_receive_buffer(sock)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         set_user_timeout(sock, user_timeout_ms)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
