HTTP server: requests in progress are freed with their tasks

Found in the reading of: a request whose client leaves lost its header fields and body while the task that may be sending it was still to end.

Only those that have a response are emptied at once; the others are freed when their task has ended, an iteration of the loop later, and counted until then.

--- a/packages/gateway/src/yuccapitch/gateway/http1/server.py
+++ b/packages/gateway/src/yuccapitch/gateway/http1/server.py
@@ -507,7 +507,9 @@
         self._body.clear()
         self._state.budget.release(self)
         for pending in self._pending_responses:
-            self._free_pending(pending)
+            # The others are in use until their tasks have ended.
+            if pending.response is not None:
+                self._free_pending(pending)
 
     def _free_pending(self, pending: _PendingResponse) -> None:
         """Drop the content of a request and of its response, but not their places."""
