--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import gc
 from collections.abc import Iterator
 
 import eliot
@@ -25,3 +26,12 @@
     eliot.add_destinations(messages.append)
     yield messages
     eliot.remove_destination(messages.append)
+
+
+@pytest.fixture
+def without_garbage_collector() -> Iterator[None]:
+    """Let nothing be freed but by the end of the last reference."""
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
--- a/packages/gateway/tests/http1/test_client_freed.py
+++ b/packages/gateway/tests/http1/test_client_freed.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import gc
 import socket
 import struct
 import weakref
@@ -28,6 +27,8 @@
     b"rate-limit",
     b"leaving",
 )
+
+pytestmark = pytest.mark.usefixtures("without_garbage_collector")
 ENDPOINT = model.Endpoint(
     ids.EndpointId("e1"), ids.ServiceId("s"), "127.0.0.1", 0,
     ids.FailureDomainId("north-a"), ids.RegionId("north"), 4, False, 0.0, 0,
@@ -86,15 +87,6 @@
 ENDS = ["cancelled", "timed out", "reset", "closed", "shed"]
 
 
-@pytest.fixture(autouse=True)
-def without_garbage_collector():
-    """Let nothing be freed but by the end of the last reference."""
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
-
-
 class Endpoint:
     """Sends what it is told on its only connection."""
 
--- a/packages/gateway/tests/http1/test_server_freed.py
+++ b/packages/gateway/tests/http1/test_server_freed.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import gc
 import socket
 import struct
 import weakref
@@ -14,6 +13,8 @@
 from yuccapitch.catalogue import routes
 from yuccapitch.gateway.http1 import memory_budget, messages, server
 
+pytestmark = pytest.mark.usefixtures("without_garbage_collector")
+
 BODY_BYTES = 500_000
 HEAD = b"Host: h\r\n"
 GET = b"GET / HTTP/1.1\r\n" + HEAD + b"\r\n"
@@ -33,15 +34,6 @@
 }
 
 
-@pytest.fixture(autouse=True)
-def without_garbage_collector():
-    """Let nothing be freed but by the end of the last reference."""
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
-
-
 async def respond(request: messages.Request) -> messages.Response:
     if request.target == b"/held":
         await asyncio.Event().wait()
--- a/packages/gateway/tests/test_exchange_freed.py
+++ b/packages/gateway/tests/test_exchange_freed.py
@@ -7,7 +7,7 @@
 import gc
 import socket
 import struct
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 
 import aiohttp
 import pytest
@@ -16,6 +16,8 @@
 from yuccapitch.gateway import client_connection, exchange
 from yuccapitch.gateway.http1 import server
 
+pytestmark = pytest.mark.usefixtures("without_garbage_collector")
+
 CHUNK = b"10000\r\n" + test_exchange.PIECE + b"\r\n"
 RESET = struct.pack("ii", 1, 0)
 SENT_BY_END = {
@@ -36,15 +38,6 @@
 }
 
 
-@pytest.fixture(autouse=True)
-def without_garbage_collector() -> Iterator[None]:
-    """Let nothing be freed but by the end of the last reference."""
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
-
-
 @pytest.fixture(params=[True, False], ids=["pooled", "unpooled"])
 def is_pooled(request: pytest.FixtureRequest) -> bool:
     return bool(request.param)
--- a/packages/node/tests/test_http_connection_freed.py
+++ b/packages/node/tests/test_http_connection_freed.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import gc
 import socket
 import struct
 import weakref
@@ -14,6 +13,8 @@
 
 from yuccapitch.node import http_server
 
+pytestmark = pytest.mark.usefixtures("without_garbage_collector")
+
 BODY_BYTES = 500_000
 HEAD = b"Host: h\r\n"
 GET = b"GET / HTTP/1.1\r\n" + HEAD + b"\r\n"
@@ -34,15 +35,6 @@
 }
 
 
-@pytest.fixture(autouse=True)
-def without_garbage_collector():
-    """Let nothing be freed but by the end of the last reference."""
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
-
-
 async def respond(request: web.Request) -> web.Response:
     if request.path == "/held":
         await asyncio.Event().wait()
