--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -224,7 +224,7 @@
 
 
 def config(version: int, routes: list[dict[str, object]]) -> dict[str, object]:
-    """Return a configuration with these routes, each with ``prefix`` and ``service``."""
+    """Return a configuration with these routes; each has a prefix and a service."""
     services = {str(route["service"]) for route in routes}
     resources: list[dict[str, object]] = []
     for number, given in enumerate(routes):
